--- a/src/main/java/burlspool/wire/Drill.java
+++ b/src/main/java/burlspool/wire/Drill.java
@@ -7,6 +7,8 @@
 import burlspool.Balancer.ServerEntry;
 import burlspool.Balancer.ServerState;
 import burlspool.Decide;
+import peppergauge.settings.JsonTree;
+import peppergauge.settings.SettingsReader;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -20,7 +22,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -28,7 +29,7 @@
  * Hosts balancer instances on the simulator's wire: one line of events in, one line of actions out. Each
  * line is parsed whole before anything acts on it. Nothing is decided here.
  */
-final class Drill {
+public final class Drill {
 
     private static final int LIST_NUMBERS = 16;
 
@@ -41,7 +42,7 @@
     private double nowMs;
     private long batch;
 
-    Drill(InputStream in, OutputStream out) {
+    public Drill(InputStream in, OutputStream out) {
         this.lines = new LineReader(in);
         this.out = out;
         for (int i = 0; i < LIST_NUMBERS; i++) {
@@ -49,7 +50,7 @@
         }
     }
 
-    void run() throws IOException, MalformedLine {
+    public void run() throws IOException, MalformedLine {
         for (long line = 1; lines.next(); line++) {
             List<Arrivals> groups;
             try (JsonParser parser = json.createParser(lines.bytes(), lines.offset(), lines.length())) {
@@ -146,7 +147,7 @@
         private final Map<String, Object> values;
 
         Fields(JsonParser parser) throws IOException {
-            values = readObject(parser);
+            values = JsonTree.readObject(parser);
         }
 
         String text(String key) throws MalformedLine {
@@ -188,35 +189,6 @@
         }
     }
 
-    private static Object readValue(JsonParser parser) throws IOException {
-        return switch (parser.currentToken()) {
-            case START_OBJECT -> readObject(parser);
-            case START_ARRAY -> {
-                List<Object> list = new ArrayList<>();
-                while (parser.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(readValue(parser));
-                }
-                yield list;
-            }
-            case VALUE_NUMBER_INT -> parser.getLongValue();
-            case VALUE_NUMBER_FLOAT -> parser.getDoubleValue();
-            case VALUE_TRUE -> Boolean.TRUE;
-            case VALUE_FALSE -> Boolean.FALSE;
-            case VALUE_NULL -> null;
-            default -> parser.getText();
-        };
-    }
-
-    private static Map<String, Object> readObject(JsonParser parser) throws IOException {
-        Map<String, Object> object = new LinkedHashMap<>();
-        while (parser.nextToken() != JsonToken.END_OBJECT) {
-            String key = parser.currentName();
-            parser.nextToken();
-            object.put(key, readValue(parser));
-        }
-        return object;
-    }
-
     /** The event in the module's terms; null for one that the module has no use for. */
     private Object translate(Fields event) throws MalformedLine {
         return switch (event.text("op")) {
--- a/src/main/java/burlspool/wire/MalformedLine.java
+++ b/src/main/java/burlspool/wire/MalformedLine.java
@@ -1,7 +1,7 @@
 package burlspool.wire;
 
 /** A line that is not what the wire promises; the message says what and where. */
-final class MalformedLine extends Exception {
+public final class MalformedLine extends Exception {
 
     private static final long serialVersionUID = 1L;
 
--- /dev/null
+++ b/src/main/java/peppergauge/Sidecar.java
@@ -0,0 +1,111 @@
+package peppergauge;
+
+import burlspool.Balancer.Limits;
+import burlspool.Balancer.Settings;
+import burlspool.Decide;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import peppergauge.backend.HttpBackend;
+import peppergauge.config.Config;
+import peppergauge.frontend.HttpFrontend;
+import peppergauge.frontend.Site;
+import peppergauge.log.Log;
+import peppergauge.servertable.ServerTableReader;
+import peppergauge.servertable.ServerTableWatch;
+import peppergauge.session.Clock;
+import peppergauge.session.ServerTable;
+import peppergauge.session.Sessions;
+import peppergauge.settings.SettingsReader;
+import peppergauge.settings.SiteNames;
+
+/** Wires one sidecar together, starts it and winds it down. */
+final class Sidecar {
+
+    /** Clients still connect for a while after SIGTERM; what is not accepted by then would be lost. */
+    private static final long KEEP_ACCEPTING_MS = 700;
+    private static final long LEAST_DEADLINE_MS = 3_000;
+    /** Descriptors of the program itself: files, selectors, listener, discovery. */
+    private static final int OWN_SOCKETS = 64;
+
+    private final Config config;
+    private final HttpBackend backend;
+    private final Sessions sessions;
+    private final HttpFrontend frontend;
+    private final ServerTableWatch watch;
+    private final ServerTable known;
+    private final long longestDeadlineMs;
+
+    Sidecar(Config config) {
+        this.config = config;
+        Settings settings = SettingsReader.read(config.settings());
+        SiteNames names = SiteNames.read(config.settings());
+        Limits limits = settings.limits();
+        Clock clock = new Clock();
+        int forBackend = (config.sockets() - OWN_SOCKETS) / 2;
+        backend = new HttpBackend(clock, settings.loadFields(), connectTimeoutMs(config.settings()),
+                limits.connectionIdleMs(), forBackend);
+        sessions = new Sessions(new Decide(settings, config.seed()), backend, clock);
+        frontend = new HttpFrontend(new Site(names, settings.classes()), sessions, clock);
+        ServerTableReader reader = new ServerTableReader(names.zones());
+        known = reader.read(config.known());
+        watch = new ServerTableWatch(config.discovery(), reader, known.version(), new ServerTableWatch.Listener() {
+            @Override
+            public void listed(ServerTable table) {
+                sessions.listed(table);
+            }
+
+            @Override
+            public void lost() {
+                sessions.tableLost();
+            }
+        }, sessions::after);
+        longestDeadlineMs = (long) Math.max(LEAST_DEADLINE_MS,
+                settings.classes().stream().mapToDouble(kind -> kind.deadlineMs()).max().orElse(0));
+    }
+
+    private static double connectTimeoutMs(Map<String, Object> settings) {
+        return settings.get("limits") instanceof Map<?, ?> limits
+                && limits.get("connectTimeoutMs") instanceof Number number ? number.doubleValue() : 1_000;
+    }
+
+    void start() throws IOException, InterruptedException {
+        backend.start();
+        sessions.listed(new ServerTable(known.version(), true, known.rows()));
+        frontend.start(config.listen());
+        watch.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(this::windDown, "wind-down"));
+        frontend.setReady();
+        Log.line("start", config.name() + " serves on " + config.listen() + " with " + known.rows().size()
+                + " backend servers known");
+    }
+
+    /** Keeps accepting, then closes the listener and what is idle, and ends when no session is open. */
+    private void windDown() {
+        Log.line("stop", config.name() + " was told to end");
+        frontend.closeAfterAnswers();
+        CountDownLatch idle = new CountDownLatch(1);
+        try {
+            TimeUnit.MILLISECONDS.sleep(KEEP_ACCEPTING_MS);
+            stopListening();
+            sessions.whenIdle(idle::countDown);
+            boolean empty = idle.await(longestDeadlineMs, TimeUnit.MILLISECONDS);
+            Log.line("stop", empty ? "all sessions are answered" : "sessions were open past the longest deadline");
+            frontend.close();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        watch.close();
+        backend.close();
+        sessions.close();
+    }
+
+    private void stopListening() {
+        try {
+            frontend.stopListening();
+        } catch (IOException failed) {
+            Log.line("stop", "the listener did not close: " + failed.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/backend/HttpExchange.java
@@ -0,0 +1,273 @@
+package peppergauge.backend;
+
+import burlspool.Balancer.LoadField;
+import burlspool.Balancer.Outcome;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.RequestNotExecutedException;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.RequestChannel;
+import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.pool.PoolEntry;
+import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOSession;
+import peppergauge.log.Log;
+import peppergauge.session.Backend;
+import peppergauge.session.Message;
+
+/** One request to one backend server, from the lease of a connection to the last byte of the answer. */
+final class HttpExchange implements AsyncClientExchangeHandler, Backend.Exchange {
+
+    /** A body holds 64 KiB at most. */
+    private static final int LARGEST_BODY = 64 * 1024;
+
+    /** Connections that closed before a byte was written, after which the server counts as out of reach. */
+    private static final int MOST_STALE_CONNECTIONS = 4;
+
+    /** WAITING: nothing is written. WRITING: something may be. ENDED: the result is out. */
+    private enum State { WAITING, WRITING, ENDED }
+
+    private final Connections connections;
+    private final HttpHost server;
+    private final Message message;
+    private final RemainingTime remaining;
+    private final List<LoadField> loadFields;
+    private final Consumer<Backend.Result> ended;
+    private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
+    private final AtomicReference<PoolEntry<HttpHost, IOSession>> connection = new AtomicReference<>();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(256);
+    private final ByteBuffer unsent;
+    private HttpResponse response;
+    private boolean framed;
+    private int staleConnections;
+
+    /** Tells, when the request is written, how long its answer is waited for. */
+    interface RemainingTime {
+        double ms();
+    }
+
+    HttpExchange(Connections connections, HttpHost server, Message message, RemainingTime remaining,
+            List<LoadField> loadFields, Consumer<Backend.Result> ended) {
+        this.connections = connections;
+        this.server = server;
+        this.message = message;
+        this.remaining = remaining;
+        this.loadFields = loadFields;
+        this.ended = ended;
+        this.unsent = ByteBuffer.wrap(message.body());
+    }
+
+    void start() {
+        connections.lease(server, new FutureCallback<>() {
+            @Override
+            public void completed(PoolEntry<HttpHost, IOSession> leased) {
+                run(leased);
+            }
+
+            @Override
+            public void failed(Exception cause) {
+                conclude(Outcome.UNREACHABLE, null, null);
+            }
+
+            @Override
+            public void cancelled() {
+                conclude(Outcome.UNREACHABLE, null, null);
+            }
+        });
+    }
+
+    private void run(PoolEntry<HttpHost, IOSession> leased) {
+        connection.set(leased);
+        if (state.get() != State.WAITING) {
+            // Taken back while the connection came up: the connection is good and unused.
+            giveBack(true);
+            return;
+        }
+        IOSession session = leased.getConnection();
+        if (session == null) {
+            failed(new RequestNotExecutedException());
+            return;
+        }
+        RequestExecutionCommand command = new RequestExecutionCommand(this, HttpCoreContext.create());
+        session.enqueue(command, Command.Priority.NORMAL);
+        if (!session.isOpen()) {
+            command.cancel();
+        }
+    }
+
+    // ---- What the owner of the sessions may ask ----
+
+    @Override
+    public boolean withdraw() {
+        return state.compareAndSet(State.WAITING, State.ENDED);
+    }
+
+    @Override
+    public boolean abandon() {
+        State before = state.getAndSet(State.ENDED);
+        if (before == State.WRITING) {
+            giveBack(false);
+        }
+        return before == State.WAITING;
+    }
+
+    // ---- Request ----
+
+    @Override
+    public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
+        if (!state.compareAndSet(State.WAITING, State.WRITING)) {
+            throw new IOException("taken back before its first byte");
+        }
+        BasicHttpRequest request = new BasicHttpRequest(message.verb(), message.target());
+        for (Message.Field field : message.fields()) {
+            request.addHeader(field.name(), field.value());
+        }
+        request.setHeader("X-Remaining-Ms", Long.toString((long) Math.max(1, remaining.ms())));
+        int length = message.body().length;
+        if (length > 0) {
+            request.setHeader("Content-Length", Integer.toString(length));
+        }
+        channel.sendRequest(request, length > 0 ? new BasicEntityDetails(length, null) : null, context);
+    }
+
+    @Override
+    public int available() {
+        return unsent.remaining();
+    }
+
+    @Override
+    public void produce(DataStreamChannel channel) throws IOException {
+        channel.write(unsent);
+        if (!unsent.hasRemaining()) {
+            channel.endStream();
+        }
+    }
+
+    // ---- Answer ----
+
+    @Override
+    public void consumeInformation(HttpResponse information, HttpContext context) {
+        // An interim answer says nothing of how the attempt ends.
+    }
+
+    @Override
+    public void consumeResponse(HttpResponse head, EntityDetails details, HttpContext context) {
+        response = head;
+        framed = details == null || details.getContentLength() >= 0 || details.isChunked();
+        if (details == null) {
+            answered();
+        }
+    }
+
+    @Override
+    public void updateCapacity(CapacityChannel channel) throws IOException {
+        channel.update(Integer.MAX_VALUE);
+    }
+
+    @Override
+    public void consume(ByteBuffer part) throws IOException {
+        if (body.size() + part.remaining() > LARGEST_BODY) {
+            throw new IOException("an answer over " + LARGEST_BODY + " bytes");
+        }
+        byte[] bytes = new byte[part.remaining()];
+        part.get(bytes);
+        body.write(bytes, 0, bytes.length);
+    }
+
+    @Override
+    public void streamEnd(List<? extends Header> trailers) {
+        answered();
+    }
+
+    private void answered() {
+        giveBack(framed && !unsent.hasRemaining());
+        int status = response.getCode();
+        Header load = response.getFirstHeader("X-Pressure");
+        double[] figures = LoadReport.parse(load == null ? null : load.getValue(), loadFields);
+        if (status == 200) {
+            // Without a length or chunks the end of the connection may have cut the body short.
+            conclude(framed ? Outcome.SUCCESS : Outcome.BROKEN, framed ? answer() : null, figures);
+        } else {
+            conclude(turnedAway(status) ? Outcome.OVERLOADED : Outcome.ERROR, null, figures);
+        }
+    }
+
+    /** Only the mark proves that nothing ran; a bare 503 may come from anywhere behind the server. */
+    private boolean turnedAway(int status) {
+        Header mark = response.getFirstHeader("X-Turned-Away");
+        return (status == 503 || status == 504) && mark != null && mark.getValue().trim().equals("1");
+    }
+
+    private Message answer() {
+        List<Message.Field> fields = new ArrayList<>();
+        for (Header header : response.getHeaders()) {
+            fields.add(new Message.Field(header.getName(), header.getValue()));
+        }
+        return new Message(null, null, fields, body.toByteArray());
+    }
+
+    // ---- Ends ----
+
+    @Override
+    public void failed(Exception cause) {
+        giveBack(false);
+        if (state.get() == State.WAITING && cause instanceof RequestNotExecutedException
+                && ++staleConnections < MOST_STALE_CONNECTIONS) {
+            // The idle connection turned out closed before a byte was written: this is no second attempt.
+            start();
+            return;
+        }
+        conclude(state.get() == State.WAITING ? Outcome.UNREACHABLE : Outcome.BROKEN, null, null);
+    }
+
+    @Override
+    public void cancel() {
+        failed(new RequestNotExecutedException());
+    }
+
+    @Override
+    public void releaseResources() {
+        // Every end has given the connection back already; the one held now may be a fresh lease.
+    }
+
+    /** The connection goes back to the pool, or is closed; the first call decides. */
+    private void giveBack(boolean reusable) {
+        PoolEntry<HttpHost, IOSession> leased = connection.getAndSet(null);
+        if (leased != null && reusable) {
+            connections.reuse(leased);
+        } else if (leased != null) {
+            connections.discard(leased);
+        }
+    }
+
+    private void conclude(Outcome outcome, Message answer, double[] load) {
+        if (state.getAndSet(State.ENDED) != State.ENDED) {
+            ended.accept(new Backend.Result(outcome, answer, load));
+        }
+    }
+
+    /** Logs what HttpCore threw outside any exchange. */
+    static void report(Exception thrown) {
+        if (thrown instanceof RuntimeException) {
+            Log.bug("backend", thrown);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/config/Config.java
@@ -0,0 +1,93 @@
+package peppergauge.config;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Map;
+import peppergauge.settings.JsonTree;
+
+/** What a sidecar is told at its start; the variables {@code GW_*} go before the file that GW_CONFIG names. */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        Map<String, Object> known, Map<String, Object> settings) {
+
+    private static final int FEWEST_SOCKETS = 64;
+    private static final int USUAL_SOCKETS = 1024;
+
+    /** An {@link IllegalArgumentException} says which value is missing or unusable. */
+    public static Config read(Map<String, String> environment) {
+        String path = environment.get("GW_CONFIG");
+        require(path != null && !path.isBlank(), "GW_CONFIG is not set");
+        Map<String, Object> file;
+        try {
+            byte[] bytes = Files.readAllBytes(Path.of(path));
+            file = JsonTree.parse(bytes, 0, bytes.length);
+        } catch (IOException | InvalidPathException unreadable) {
+            throw new IllegalArgumentException("GW_CONFIG names a file that cannot be read: " + path);
+        } catch (IllegalArgumentException malformed) {
+            throw new IllegalArgumentException(path + " is " + malformed.getMessage());
+        }
+        return new Config(
+                text(environment, "GW_NAME", file, "name"),
+                address(text(environment, "GW_LISTEN", file, "listen"), "GW_LISTEN"),
+                address(text(environment, "GW_DISCOVERY", file, "discovery"), "GW_DISCOVERY"),
+                seed(file.get("seed")),
+                sockets(file.get("limits")),
+                object(file, "known"),
+                object(file, "settings"));
+    }
+
+    private static String text(Map<String, String> environment, String variable, Map<String, Object> file,
+            String key) {
+        Object value = environment.containsKey(variable) ? environment.get(variable) : file.get(key);
+        require(value instanceof String text && !text.isBlank(), "neither " + variable + " nor '" + key + "' is set");
+        return (String) value;
+    }
+
+    static InetSocketAddress address(String text, String variable) {
+        int colon = text.lastIndexOf(':');
+        int port = -1;
+        try {
+            port = Integer.parseInt(text.substring(colon + 1));
+        } catch (NumberFormatException malformed) {
+            // Reported below.
+        }
+        require(colon > 0 && port >= 0 && port <= 65535, variable + " is not host:port: " + text);
+        return new InetSocketAddress(text.substring(0, colon), port);
+    }
+
+    private static long seed(Object seed) {
+        if (seed instanceof Number number) {
+            return number.longValue();
+        }
+        require(seed instanceof String, "'seed' is missing");
+        try {
+            return Long.parseUnsignedLong((String) seed, 16);
+        } catch (NumberFormatException malformed) {
+            throw new IllegalArgumentException("'seed' is not hexadecimal: " + seed);
+        }
+    }
+
+    private static int sockets(Object limits) {
+        Object sockets = limits instanceof Map<?, ?> map ? map.get("sockets") : null;
+        if (sockets == null) {
+            return USUAL_SOCKETS;
+        }
+        require(sockets instanceof Number number && number.longValue() >= FEWEST_SOCKETS,
+                "'limits.sockets' is not a number of at least " + FEWEST_SOCKETS + ": " + sockets);
+        return ((Number) sockets).intValue();
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> object(Map<String, Object> file, String key) {
+        require(file.get(key) instanceof Map, "'" + key + "' is not an object");
+        return (Map<String, Object>) file.get(key);
+    }
+
+    private static void require(boolean holds, String otherwise) {
+        if (!holds) {
+            throw new IllegalArgumentException(otherwise);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -0,0 +1,114 @@
+package peppergauge.frontend;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutionException;
+import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import peppergauge.log.Log;
+import peppergauge.session.Clock;
+import peppergauge.session.Sessions;
+
+/** Where clients connect: turns their requests into sessions and sessions' answers into responses. */
+public final class HttpFrontend {
+
+    private static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds(50);
+    private static final Timeout IDLE = Timeout.ofMinutes(2);
+    private static final int BACKLOG = 511;
+
+    private final Site site;
+    private final Sessions sessions;
+    private final Clock clock;
+    private final HttpAsyncServer server;
+    private volatile ListenerEndpoint listener;
+    private volatile boolean ready;
+    private volatile boolean closing;
+
+    public HttpFrontend(Site site, Sessions sessions, Clock clock) {
+        this.site = site;
+        this.sessions = sessions;
+        this.clock = clock;
+        this.server = AsyncServerBootstrap.bootstrap()
+                .setCanonicalHostName("localhost")
+                .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
+                        .setSoTimeout(IDLE).setSoReuseAddress(true).setTcpNoDelay(true).setBacklogSize(BACKLOG)
+                        .build())
+                .setHttp1Config(Http1Config.custom().setBufferSize(4096).setMaxHeaderCount(100)
+                        .setMaxLineLength(8192).build())
+                .setHttpProcessor(HttpProcessorBuilder.create().build())
+                .setRequestRouter((request, context) -> this::handler)
+                .setExceptionCallback(HttpFrontend::report)
+                .create();
+    }
+
+    private AsyncServerExchangeHandler handler() {
+        return new SessionHandler(this);
+    }
+
+    /** Listens on this address only, and no other. */
+    public void start(InetSocketAddress address) throws IOException, InterruptedException {
+        server.start();
+        try {
+            listener = server.listen(address, URIScheme.HTTP).get();
+        } catch (ExecutionException failed) {
+            throw new IOException("cannot listen on " + address + ": " + failed.getCause().getMessage(), failed);
+        }
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.getAddress();
+    }
+
+    /** From now on {@code /up} says so. */
+    public void setReady() {
+        ready = true;
+    }
+
+    /** From now on each answer closes its connection; new connections are still taken. */
+    public void closeAfterAnswers() {
+        closing = true;
+    }
+
+    public void stopListening() throws IOException {
+        listener.close();
+    }
+
+    public void close() {
+        server.close(CloseMode.GRACEFUL);
+    }
+
+    Site site() {
+        return site;
+    }
+
+    Sessions sessions() {
+        return sessions;
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    boolean ready() {
+        return ready;
+    }
+
+    boolean closing() {
+        return closing;
+    }
+
+    private static void report(Exception thrown) {
+        if (thrown instanceof RuntimeException) {
+            Log.bug("frontend", thrown);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/frontend/SessionHandler.java
@@ -0,0 +1,206 @@
+package peppergauge.frontend;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.ResponseChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import peppergauge.log.Log;
+import peppergauge.session.Frontend;
+import peppergauge.session.Message;
+
+/** One request of a client, from its head to the last byte of its answer. */
+final class SessionHandler implements AsyncServerExchangeHandler, Frontend {
+
+    private static final int LARGEST_BODY = 64 * 1024;
+    private static final String READY_PATH = "/up";
+    /** What belongs to one connection, or is written anew. */
+    private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "proxy-connection", "trailer",
+            "transfer-encoding", "upgrade", "content-length");
+
+    private final HttpFrontend owner;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private Head head;
+    private ResponseChannel channel;
+    private HttpContext context;
+    private boolean closeAsked;
+    private boolean answeredHere;
+    private ByteBuffer unsent = ByteBuffer.allocate(0);
+    private volatile boolean opened;
+    private volatile boolean done;
+
+    SessionHandler(HttpFrontend owner) {
+        this.owner = owner;
+    }
+
+    // ---- Request ----
+
+    @Override
+    public void handleRequest(HttpRequest request, EntityDetails details, ResponseChannel responses,
+            HttpContext exchange) throws HttpException, IOException {
+        channel = responses;
+        context = exchange;
+        Header connection = request.getFirstHeader("Connection");
+        closeAsked = connection != null && "close".equalsIgnoreCase(connection.getValue());
+        if (READY_PATH.equals(request.getRequestUri())) {
+            answerHere(owner.ready() ? 200 : 503, owner.ready() ? "ready" : "not ready", null);
+            return;
+        }
+        try {
+            head = Head.read(request, owner.site());
+        } catch (Head.Unusable unusable) {
+            answerHere(unusable.status, unusable.getMessage(), unusable.allow);
+            return;
+        }
+        if (details != null && details.getContentLength() > LARGEST_BODY) {
+            answerHere(413, "a body holds " + LARGEST_BODY + " bytes at most", null);
+        } else if (details == null) {
+            open();
+        }
+    }
+
+    @Override
+    public void updateCapacity(CapacityChannel capacity) throws IOException {
+        capacity.update(Integer.MAX_VALUE);
+    }
+
+    @Override
+    public void consume(ByteBuffer part) throws IOException {
+        if (answeredHere) {
+            part.position(part.limit());
+            return;
+        }
+        if (body.size() + part.remaining() > LARGEST_BODY) {
+            part.position(part.limit());
+            try {
+                answerHere(413, "a body holds " + LARGEST_BODY + " bytes at most", null);
+            } catch (HttpException failed) {
+                throw new IOException(failed);
+            }
+            return;
+        }
+        byte[] bytes = new byte[part.remaining()];
+        part.get(bytes);
+        body.write(bytes, 0, bytes.length);
+    }
+
+    @Override
+    public void streamEnd(List<? extends Header> trailers) {
+        if (!answeredHere) {
+            open();
+        }
+    }
+
+    private void open() {
+        opened = true;
+        owner.sessions().open(head.opening(owner.clock().nowMs(), body.toByteArray()), this);
+    }
+
+    // ---- The one answer ----
+
+    @Override
+    public void served(Message answer) {
+        BasicHttpResponse response = new BasicHttpResponse(200);
+        for (Message.Field field : answer.fields()) {
+            if (!NOT_PASSED_ON.contains(field.name().toLowerCase(Locale.ROOT))) {
+                response.addHeader(field.name(), field.value());
+            }
+        }
+        answer(response, answer.body());
+    }
+
+    @Override
+    public void denied(double retryAfterMs) {
+        BasicHttpResponse response = new BasicHttpResponse(503);
+        if (retryAfterMs > 0) {
+            response.addHeader("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfterMs / 1000));
+        }
+        answer(response, new byte[0]);
+    }
+
+    @Override
+    public void failed(boolean late) {
+        answer(new BasicHttpResponse(late ? 504 : 502), new byte[0]);
+    }
+
+    @Override
+    public void duplicate() {
+        answer(new BasicHttpResponse(409), "a session with this X-Txn is open\n".getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Answers without a session; after an unusable head nothing more on the connection can be trusted. */
+    private void answerHere(int status, String text, String allow) throws HttpException, IOException {
+        answeredHere = true;
+        BasicHttpResponse response = new BasicHttpResponse(status);
+        if (allow != null) {
+            response.addHeader("Allow", allow);
+        }
+        closeAsked |= status >= 400 && status != 503;
+        send(response, (text + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void answer(BasicHttpResponse response, byte[] content) {
+        try {
+            send(response, content);
+        } catch (HttpException | IOException gone) {
+            Log.line("frontend", "an answer could not be written: " + gone);
+        }
+    }
+
+    private void send(BasicHttpResponse response, byte[] content) throws HttpException, IOException {
+        done = true;
+        if (closeAsked || owner.closing()) {
+            response.setHeader("Connection", "close");
+        }
+        response.setHeader("Content-Length", Integer.toString(content.length));
+        unsent = ByteBuffer.wrap(content);
+        channel.sendResponse(response, content.length > 0 ? new BasicEntityDetails(content.length, null) : null,
+                context);
+    }
+
+    @Override
+    public int available() {
+        return unsent.remaining();
+    }
+
+    @Override
+    public void produce(DataStreamChannel output) throws IOException {
+        output.write(unsent);
+        if (!unsent.hasRemaining()) {
+            output.endStream();
+        }
+    }
+
+    // ---- Ends ----
+
+    @Override
+    public void failed(Exception cause) {
+        clientGone();
+    }
+
+    @Override
+    public void releaseResources() {
+        // Nothing is held.
+    }
+
+    /** The connection ended; a session that waits for its answer ends with it. */
+    void clientGone() {
+        if (opened && !done) {
+            done = true;
+            owner.sessions().left(head.id(), this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/frontend/Site.java
@@ -0,0 +1,33 @@
+package peppergauge.frontend;
+
+import burlspool.Balancer.Effect;
+import burlspool.Balancer.RequestClass;
+import java.util.List;
+import peppergauge.settings.SiteNames;
+
+/** What the settings say of classes and tenants, by the names that requests use. */
+public record Site(SiteNames names, List<RequestClass> classes) {
+
+    /** The class that the first part of a path names, or -1. */
+    int classOf(String target) {
+        if (target == null || !target.startsWith("/")) {
+            return -1;
+        }
+        int end = 1;
+        while (end < target.length() && "/?".indexOf(target.charAt(end)) < 0) {
+            end++;
+        }
+        return names.classes().indexOf(target.substring(1, end));
+    }
+
+    /** A class that is safe to repeat is asked for with GET, any other with POST. */
+    String verbOf(int requestClass) {
+        return classes.get(requestClass).effect() == Effect.SAFE ? "GET" : "POST";
+    }
+
+    /** A tenant's number, or null; at a site without tenants any name will do. */
+    Integer tenantOf(String name) {
+        int tenant = names.tenants().isEmpty() ? 0 : names.tenants().indexOf(name);
+        return tenant < 0 ? null : tenant;
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/log/Log.java
@@ -0,0 +1,55 @@
+package peppergauge.log;
+
+import java.time.Instant;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Lines for the people on call, on standard error: one line an event, few of a kind a second. */
+public final class Log {
+
+    private static final int LINES_OF_A_KIND_PER_S = 5;
+    private static final int LONGEST_LINE = 400;
+    private static final Map<String, Kind> KINDS = new ConcurrentHashMap<>();
+
+    private Log() { }
+
+    /** Counts the lines of one kind in the present second. */
+    private static final class Kind {
+
+        private long second;
+        private int lines;
+        private int passedOver;
+
+        /** How many lines were passed over before this one; -1 if this one is to be passed over too. */
+        synchronized int admit(long nowS) {
+            if (nowS != second) {
+                second = nowS;
+                lines = 0;
+            }
+            if (++lines > LINES_OF_A_KIND_PER_S) {
+                passedOver++;
+                return -1;
+            }
+            int before = passedOver;
+            passedOver = 0;
+            return before;
+        }
+    }
+
+    /** Writes a line; {@code kind} is a fixed word, since each kind has a rate limit of its own. */
+    public static void line(String kind, String text) {
+        int passedOver = KINDS.computeIfAbsent(kind, fresh -> new Kind()).admit(System.nanoTime() / 1_000_000_000L);
+        if (passedOver >= 0) {
+            String one = text.replaceAll("\\p{Cntrl}+", " ");
+            System.err.println(Instant.now() + " " + kind + ": "
+                    + (one.length() > LONGEST_LINE ? one.substring(0, LONGEST_LINE) + "..." : one)
+                    + (passedOver > 0 ? " (" + passedOver + " such lines passed over)" : ""));
+        }
+    }
+
+    /** Writes what a bug threw and where, in one line. */
+    public static void bug(String kind, Throwable thrown) {
+        StackTraceElement[] trace = thrown.getStackTrace();
+        line(kind, thrown + (trace.length > 0 ? " at " + trace[0] : "") + (trace.length > 1 ? ", " + trace[1] : ""));
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/servertable/ServerTableReader.java
@@ -0,0 +1,59 @@
+package peppergauge.servertable;
+
+import burlspool.Balancer.ServerEntry;
+import burlspool.Balancer.ServerState;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import peppergauge.session.ServerTable;
+
+/** Reads discovery's objects; an {@link IllegalArgumentException} says what is malformed. */
+public final class ServerTableReader {
+
+    private final List<String> zones;
+
+    public ServerTableReader(List<String> zones) {
+        this.zones = List.copyOf(zones);
+    }
+
+    public ServerTable read(Map<String, Object> object) {
+        if (!(object.get("servers") instanceof List<?> servers)) {
+            throw new IllegalArgumentException("no list of servers");
+        }
+        List<ServerTable.Row> rows = new ArrayList<>();
+        for (Object server : servers) {
+            if (!(server instanceof Map<?, ?> fields)) {
+                throw new IllegalArgumentException("a server is not an object");
+            }
+            rows.add(row(fields));
+        }
+        return new ServerTable((long) number(object.get("version")), Boolean.TRUE.equals(object.get("full")), rows);
+    }
+
+    private ServerTable.Row row(Map<?, ?> fields) {
+        if (!(fields.get("id") instanceof String id)) {
+            throw new IllegalArgumentException("a server has no id");
+        }
+        ServerState state = switch (String.valueOf(fields.get("state"))) {
+            case "active" -> ServerState.READY;
+            case "leaving" -> ServerState.DRAINING;
+            case "left" -> ServerState.GONE;
+            default -> throw new IllegalArgumentException("server " + id + " has state " + fields.get("state"));
+        };
+        if (!(fields.get("addr") instanceof String address) && state != ServerState.GONE) {
+            throw new IllegalArgumentException("server " + id + " has no addr");
+        }
+        ServerEntry entry = new ServerEntry(id, zone(fields.get("zone")), (int) number(fields.get("cell")), state,
+                number(fields.get("started_ms")));
+        return new ServerTable.Row(entry, String.valueOf(fields.get("addr")));
+    }
+
+    /** A zone that the settings do not name is like no other. */
+    private int zone(Object zone) {
+        return zone instanceof Number number ? number.intValue() : zones.indexOf(String.valueOf(zone));
+    }
+
+    private static double number(Object value) {
+        return value instanceof Number number ? number.doubleValue() : 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/servertable/ServerTableWatch.java
@@ -0,0 +1,231 @@
+package peppergauge.servertable;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.function.BiFunction;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.RequestChannel;
+import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import peppergauge.log.Log;
+import peppergauge.session.ServerTable;
+import peppergauge.settings.JsonTree;
+
+/** Watches discovery: hands on each change, and asks again from the last version when the watch is lost. */
+public final class ServerTableWatch {
+
+    /** Discovery sends an empty line every 2 s; a silence of much more is a lost watch. */
+    private static final Timeout LONGEST_SILENCE = Timeout.ofMilliseconds(3_500);
+    private static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds(100);
+    private static final double FIRST_BACKOFF_MS = 50;
+    private static final double LONGEST_BACKOFF_MS = 1_000;
+    /** Bounds memory against a line that never ends. */
+    private static final int LONGEST_LINE = 4 << 20;
+
+    /** Where the news goes. */
+    public interface Listener {
+
+        void listed(ServerTable table);
+
+        void lost();
+    }
+
+    private final HttpHost discovery;
+    private final ServerTableReader reader;
+    private final Listener listener;
+    private final BiFunction<Double, Runnable, ?> timers;
+    private final HttpAsyncRequester requester;
+    private volatile long version;
+    private volatile double backoffMs = FIRST_BACKOFF_MS;
+    private volatile boolean closed;
+
+    /** {@code timers} runs a task after so many ms. */
+    public ServerTableWatch(InetSocketAddress discovery, ServerTableReader reader, long version, Listener listener,
+            BiFunction<Double, Runnable, ?> timers) {
+        this.discovery = new HttpHost(URIScheme.HTTP.id, discovery.getHostString(), discovery.getPort());
+        this.reader = reader;
+        this.version = version;
+        this.listener = listener;
+        this.timers = timers;
+        this.requester = AsyncRequesterBootstrap.bootstrap()
+                .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
+                        .setSoTimeout(LONGEST_SILENCE).build())
+                .setHttpProcessor(HttpProcessorBuilder.create().build())
+                .create();
+    }
+
+    public void start() {
+        requester.start();
+        connect();
+    }
+
+    public void close() {
+        closed = true;
+        requester.close(CloseMode.IMMEDIATE);
+    }
+
+    private void connect() {
+        if (closed) {
+            return;
+        }
+        requester.connect(discovery, new InetSocketAddress(discovery.getHostName(), discovery.getPort()), null,
+                LONGEST_SILENCE, null, new FutureCallback<>() {
+                    @Override
+                    public void completed(IOSession connection) {
+                        connection.setSocketTimeout(LONGEST_SILENCE);
+                        connection.enqueue(new RequestExecutionCommand(new Watch(connection),
+                                HttpCoreContext.create()), Command.Priority.NORMAL);
+                    }
+
+                    @Override
+                    public void failed(Exception cause) {
+                        lost(cause.toString());
+                    }
+
+                    @Override
+                    public void cancelled() {
+                        lost("connecting was cancelled");
+                    }
+                });
+    }
+
+    private void lost(String why) {
+        if (closed) {
+            return;
+        }
+        Log.line("server table", "watch lost at version " + version + ", asking again in " + (long) backoffMs
+                + " ms: " + why);
+        listener.lost();
+        timers.apply(backoffMs, this::connect);
+        backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2);
+    }
+
+    private void take(byte[] line) {
+        try {
+            ServerTable table = reader.read(JsonTree.parse(line, 0, line.length));
+            version = table.version();
+            listener.listed(table);
+        } catch (IllegalArgumentException malformed) {
+            Log.line("server table", "a line passed over: " + malformed.getMessage());
+        }
+    }
+
+    /** One watch, from its request to the end of its connection. */
+    private final class Watch implements AsyncClientExchangeHandler {
+
+        private final IOSession connection;
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private boolean over;
+
+        Watch(IOSession connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
+            BasicHttpRequest request = new BasicHttpRequest("GET", "/discovery/hosts?watch=1&from=" + version);
+            request.addHeader("Host", discovery.toHostString());
+            channel.sendRequest(request, null, context);
+        }
+
+        @Override
+        public int available() {
+            return 0;
+        }
+
+        @Override
+        public void produce(DataStreamChannel channel) {
+            // The request has no body.
+        }
+
+        @Override
+        public void consumeInformation(HttpResponse response, HttpContext context) {
+            // Nothing to learn from an interim answer.
+        }
+
+        @Override
+        public void consumeResponse(HttpResponse response, EntityDetails details, HttpContext context)
+                throws HttpException {
+            if (response.getCode() != 200 || details == null) {
+                throw new HttpException("discovery answered " + response.getCode());
+            }
+        }
+
+        @Override
+        public void updateCapacity(CapacityChannel channel) throws IOException {
+            channel.update(Integer.MAX_VALUE);
+        }
+
+        /** An object may span reads, and a read may hold several. */
+        @Override
+        public void consume(ByteBuffer part) throws IOException {
+            backoffMs = FIRST_BACKOFF_MS;
+            while (part.hasRemaining()) {
+                byte next = part.get();
+                if (next != '\n') {
+                    line.write(next);
+                } else if (line.size() > 0) {
+                    byte[] whole = line.toByteArray();
+                    line.reset();
+                    if (!new String(whole, java.nio.charset.StandardCharsets.ISO_8859_1).isBlank()) {
+                        take(whole);
+                    }
+                }
+            }
+            if (line.size() > LONGEST_LINE) {
+                throw new IOException("a line over " + LONGEST_LINE + " bytes");
+            }
+        }
+
+        @Override
+        public void streamEnd(List<? extends Header> trailers) {
+            end("discovery ended it");
+        }
+
+        @Override
+        public void failed(Exception cause) {
+            end(cause.toString());
+        }
+
+        @Override
+        public void cancel() {
+            end("it was cancelled");
+        }
+
+        @Override
+        public void releaseResources() {
+            end("its connection ended");
+        }
+
+        private void end(String why) {
+            if (!over) {
+                over = true;
+                connection.close(CloseMode.IMMEDIATE);
+                lost(why);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/session/Session.java
@@ -0,0 +1,44 @@
+package peppergauge.session;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Future;
+
+/** An open session: who waits for its answer and what is out for it. Only the owner thread touches it. */
+final class Session {
+
+    final Opening opening;
+    final Frontend frontend;
+    final List<Attempt> attempts = new ArrayList<>(2);
+    Future<?> deadline;
+    boolean answered;
+    int out;
+
+    Session(Opening opening, Frontend frontend) {
+        this.opening = opening;
+        this.frontend = frontend;
+    }
+
+    String id() {
+        return opening.id();
+    }
+
+    /** One send of the session to one backend server. */
+    static final class Attempt {
+
+        final Session session;
+        final int number;
+        final String server;
+        final double sentMs;
+        Backend.Exchange exchange;
+        Future<?> timeout;
+        boolean ended;
+
+        Attempt(Session session, String server, double sentMs) {
+            this.session = session;
+            this.number = session.attempts.size();
+            this.server = server;
+            this.sentMs = sentMs;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/session/Sessions.java
@@ -0,0 +1,340 @@
+package peppergauge.session;
+
+import burlspool.Balancer;
+import burlspool.Balancer.Action;
+import burlspool.Balancer.Event;
+import burlspool.Balancer.Outcome;
+import burlspool.Balancer.ServerEntry;
+import burlspool.Balancer.ServerState;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import peppergauge.log.Log;
+import peppergauge.session.Session.Attempt;
+
+/**
+ * Owns the decision module and all open sessions: one thread, fed by one queue. Socket code calls the public
+ * methods, each of which only puts a task on the queue; timers are tasks on it that fall due later.
+ */
+public final class Sessions {
+
+    private final ScheduledThreadPoolExecutor queue;
+    private final Clock clock;
+    private final Balancer balancer;
+    private final Backend backend;
+    private final Map<String, Session> open = new HashMap<>();
+    private final Map<String, String> addresses = new HashMap<>();
+    private final Set<Attempt> out = new LinkedHashSet<>();
+    private Runnable whenIdle;
+
+    public Sessions(Balancer balancer, Backend backend, Clock clock) {
+        this.balancer = balancer;
+        this.backend = backend;
+        this.clock = clock;
+        this.queue = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "sessions"));
+        queue.setRemoveOnCancelPolicy(true);
+    }
+
+    // ---- What other threads may call ----
+
+    public void open(Opening opening, Frontend frontend) {
+        try {
+            queue.execute(() -> guarded(() -> onOpening(opening, frontend)));
+        } catch (RejectedExecutionException closed) {
+            frontend.denied(0);
+        }
+    }
+
+    /** The client of the session that this frontend answers no longer waits. */
+    public void left(String id, Frontend frontend) {
+        post(() -> onLeft(id, frontend));
+    }
+
+    public void listed(ServerTable table) {
+        post(() -> onTable(table));
+    }
+
+    /** The watch of the server table is lost; the last table stays in force. */
+    public void tableLost() {
+        post(() -> tell(new Balancer.DiscoveryFailed()));
+    }
+
+    /** Runs a task on the owner thread as soon as no session is open. */
+    public void whenIdle(Runnable task) {
+        post(() -> {
+            whenIdle = task;
+            checkIdle();
+        });
+    }
+
+    /** Runs a task on the owner thread after a wait; cancelling the future removes it. */
+    public Future<?> after(double ms, Runnable task) {
+        return queue.schedule(() -> guarded(task), Math.max(0, (long) (ms * 1000)), TimeUnit.MICROSECONDS);
+    }
+
+    public void close() {
+        queue.shutdownNow();
+    }
+
+    private void post(Runnable task) {
+        try {
+            queue.execute(() -> guarded(task));
+        } catch (RejectedExecutionException closed) {
+            Log.line("closing", "an event came after the end");
+        }
+    }
+
+    /** A bug in one task must neither end the owner thread nor touch another session. */
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | StackOverflowError bug) {
+            Log.bug("bug", bug);
+        }
+    }
+
+    // ---- Events ----
+
+    private void onOpening(Opening opening, Frontend frontend) {
+        if (open.containsKey(opening.id())) {
+            frontend.duplicate();
+            return;
+        }
+        Session session = new Session(opening, frontend);
+        open.put(opening.id(), session);
+        double now = clock.nowMs();
+        session.deadline = after(opening.deadlineMs() - now, () -> onDeadline(session));
+        if (!tell(new Balancer.RequestArrived(opening.id(), opening.requestClass(), opening.tenant(),
+                opening.deadlineMs() - now, opening.clientRetry())) && session.out == 0) {
+            fail(session, false);
+        }
+    }
+
+    private void onLeft(String id, Frontend frontend) {
+        Session session = open.get(id);
+        if (session != null && session.frontend == frontend && !session.answered) {
+            end(session);
+            tell(new Balancer.ClientLeft(id));
+            forgetIfOver(session);
+        }
+    }
+
+    /** Guards against a module that never answers: no session outlives its client's wait. */
+    private void onDeadline(Session session) {
+        if (!session.answered) {
+            Log.line("deadline", "session " + session.id() + " had no answer from the module by its deadline");
+            fail(session, true);
+            tell(new Balancer.ClientLeft(session.id()));
+            abandonAll(session);
+            forgetIfOver(session);
+        }
+    }
+
+    private void onTable(ServerTable table) {
+        List<ServerEntry> entries = new ArrayList<>();
+        Set<String> leaving = new LinkedHashSet<>();
+        if (table.whole()) {
+            leaving.addAll(addresses.keySet());
+            addresses.clear();
+        }
+        for (ServerTable.Row row : table.rows()) {
+            ServerEntry entry = row.entry();
+            entries.add(entry);
+            leaving.remove(entry.server());
+            if (entry.state() == ServerState.GONE) {
+                addresses.remove(entry.server());
+            } else {
+                addresses.put(entry.server(), row.address());
+            }
+            if (entry.state() != ServerState.READY) {
+                leaving.add(entry.server());
+            }
+        }
+        // A send that still waits for its connection must not reach a server that now leaves.
+        for (Attempt attempt : List.copyOf(out)) {
+            if (leaving.contains(attempt.server) && attempt.exchange.withdraw()) {
+                ended(attempt, Outcome.NEVER_SENT, null, null);
+            }
+        }
+        tell(new Balancer.ServersListed(table.whole(), true, entries));
+    }
+
+    private void ended(Attempt attempt, Outcome outcome, Message answer, double[] load) {
+        if (attempt.ended) {
+            return;
+        }
+        attempt.ended = true;
+        attempt.timeout.cancel(false);
+        out.remove(attempt);
+        Session session = attempt.session;
+        session.out--;
+        if (outcome == Outcome.SUCCESS && !session.answered) {
+            end(session);
+            answer(session, () -> session.frontend.served(answer));
+        }
+        tell(new Balancer.AttemptEnded(session.id(), attempt.number, attempt.server, outcome,
+                clock.nowMs() - attempt.sentMs, session.answered, load));
+        forgetIfOver(session);
+    }
+
+    /** Gives the module an event and carries out what it answers; false if it threw. */
+    private boolean tell(Event event) {
+        List<Action> actions = new ArrayList<>();
+        boolean sound = true;
+        try {
+            balancer.on(clock.nowMs(), event, actions::add);
+        } catch (RuntimeException | StackOverflowError bug) {
+            Log.bug("module", bug);
+            sound = false;
+        }
+        for (Action action : actions) {
+            guarded(() -> carryOut(action));
+        }
+        return sound;
+    }
+
+    // ---- Actions ----
+
+    private void carryOut(Action action) {
+        if (action instanceof Balancer.Send send) {
+            send(send);
+        } else if (action instanceof Balancer.SetTimer timer) {
+            after(timer.atMs() - clock.nowMs(), () -> tell(new Balancer.TimerDue(timer.token())));
+        } else if (action instanceof Balancer.Refuse refuse) {
+            deny(refuse);
+        } else if (action instanceof Balancer.Fail failure) {
+            Session session = open.get(failure.id());
+            if (session != null && !session.answered) {
+                fail(session, session.out > 0);
+                forgetIfOver(session);
+            }
+        } else if (action instanceof Balancer.Cancel cancel) {
+            cancel(cancel);
+        } else if (action instanceof Balancer.Probe probe) {
+            probe(probe.server());
+        } else if (action instanceof Balancer.Log line) {
+            Log.line("module", line.text());
+        }
+        // WatchServers needs nothing: the server table is watched from the start.
+    }
+
+    private void send(Balancer.Send send) {
+        Session session = open.get(send.id());
+        String address = addresses.get(send.server());
+        if (session == null || session.answered) {
+            return;
+        }
+        double now = clock.nowMs();
+        Attempt attempt = new Attempt(session, send.server(), now);
+        session.attempts.add(attempt);
+        session.out++;
+        out.add(attempt);
+        double waitMs = Math.max(0, send.timeoutMs() > 0 ? send.timeoutMs() : session.opening.deadlineMs() - now);
+        attempt.timeout = after(waitMs, () -> onTimeout(attempt));
+        if (address == null) {
+            attempt.exchange = NOTHING_OUT;
+            post(() -> ended(attempt, Outcome.NEVER_SENT, null, null));
+        } else {
+            attempt.exchange = backend.send(address, session.opening.message(), now + waitMs,
+                    result -> post(() -> ended(attempt, result.outcome(), result.answer(), result.load())));
+        }
+    }
+
+    private static final Backend.Exchange NOTHING_OUT = new Backend.Exchange() {
+        @Override
+        public boolean withdraw() {
+            return true;
+        }
+
+        @Override
+        public boolean abandon() {
+            return true;
+        }
+    };
+
+    private void onTimeout(Attempt attempt) {
+        if (!attempt.ended) {
+            boolean neverWritten = attempt.exchange.abandon();
+            ended(attempt, neverWritten ? Outcome.UNREACHABLE : Outcome.TIMED_OUT, null, null);
+        }
+    }
+
+    private void cancel(Balancer.Cancel cancel) {
+        Session session = open.get(cancel.id());
+        if (session != null && cancel.attempt() < session.attempts.size()) {
+            abandon(session.attempts.get(cancel.attempt()));
+        }
+    }
+
+    private void abandonAll(Session session) {
+        List.copyOf(session.attempts).forEach(this::abandon);
+    }
+
+    private void abandon(Attempt attempt) {
+        if (!attempt.ended) {
+            attempt.exchange.abandon();
+            post(() -> ended(attempt, Outcome.CANCELLED, null, null));
+        }
+    }
+
+    private void deny(Balancer.Refuse refuse) {
+        Session session = open.get(refuse.id());
+        if (session != null && !session.answered) {
+            end(session);
+            answer(session, () -> session.frontend.denied(refuse.retryAfterMs()));
+            forgetIfOver(session);
+        }
+    }
+
+    private void probe(String server) {
+        String address = addresses.get(server);
+        double sentMs = clock.nowMs();
+        if (address == null) {
+            post(() -> tell(new Balancer.ProbeEnded(server, Outcome.UNREACHABLE, 0, null)));
+            return;
+        }
+        backend.probe(address, result -> post(() -> tell(new Balancer.ProbeEnded(server, result.outcome(),
+                clock.nowMs() - sentMs, result.load()))));
+    }
+
+    // ---- The one answer ----
+
+    private void fail(Session session, boolean late) {
+        end(session);
+        answer(session, () -> session.frontend.failed(late));
+    }
+
+    private void end(Session session) {
+        session.answered = true;
+        session.deadline.cancel(false);
+    }
+
+    private static void answer(Session session, Runnable answer) {
+        try {
+            answer.run();
+        } catch (RuntimeException bug) {
+            Log.bug("answer of session " + session.id(), bug);
+        }
+    }
+
+    private void forgetIfOver(Session session) {
+        if (session.answered && session.out == 0 && open.remove(session.id(), session)) {
+            checkIdle();
+        }
+    }
+
+    private void checkIdle() {
+        if (whenIdle != null && open.isEmpty()) {
+            Runnable task = whenIdle;
+            whenIdle = null;
+            task.run();
+        }
+    }
+}
--- a/src/main/java/burlspool/wire/SettingsReader.java
+++ b/src/main/java/peppergauge/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package burlspool.wire;
+package peppergauge.settings;
 
 import burlspool.Balancer.Budget;
 import burlspool.Balancer.Effect;
@@ -14,11 +14,11 @@
 import java.util.Map;
 
 /** Turns the wire's {@code params} into the module's settings; unknown keys are passed over. */
-final class SettingsReader {
+public final class SettingsReader {
 
     private SettingsReader() { }
 
-    static Settings read(Map<String, Object> params) throws MalformedLine {
+    public static Settings read(Map<String, Object> params) {
         Map<String, Object> limits = object(params, "limits");
         Map<String, Object> rules = object(params, "rules");
         Map<String, Object> charges = object(params, "charges");
@@ -42,14 +42,14 @@
     }
 
     /** Each of the three figures may be absent; with none of them there is no such rule. */
-    private static Budget budget(Map<String, Object> rules) throws MalformedLine {
+    private static Budget budget(Map<String, Object> rules) {
         boolean stated = rules.containsKey("extraFree") || rules.containsKey("resendRatio")
                 || rules.containsKey("budgetWindowMs");
         return !stated ? Budget.NONE : new Budget(finite(rules, "extraFree"), finite(rules, "resendRatio"),
                 finite(rules, "budgetWindowMs"));
     }
 
-    private static double finite(Map<String, Object> from, String key) throws MalformedLine {
+    private static double finite(Map<String, Object> from, String key) {
         double value = number(from, key, 0);
         if (Double.isInfinite(value)) {
             throw new IllegalArgumentException("setting " + key + " cannot be " + value);
@@ -57,7 +57,7 @@
         return value;
     }
 
-    private static List<RequestClass> classes(Map<String, Object> params) throws MalformedLine {
+    private static List<RequestClass> classes(Map<String, Object> params) {
         List<RequestClass> classes = new ArrayList<>();
         for (Map<String, Object> profile : objects(params, "profiles")) {
             double aim = number(profile, "aimMs", 0);
@@ -68,7 +68,7 @@
         return classes;
     }
 
-    private static List<Tenant> tenants(Map<String, Object> params) throws MalformedLine {
+    private static List<Tenant> tenants(Map<String, Object> params) {
         List<Tenant> tenants = new ArrayList<>();
         for (Map<String, Object> tenant : objects(params, "tenants")) {
             tenants.add(new Tenant(number(tenant, "quotaPerS", 0)));
@@ -86,14 +86,15 @@
         return fields;
     }
 
-    private static LoadField loadField(String name) {
+    /** A report's figure by its name in the settings, or by the name that its header has for it. */
+    public static LoadField loadField(String name) {
         return switch (name) {
-            case "active" -> LoadField.IN_FLIGHT;
-            case "waiting" -> LoadField.QUEUED;
-            case "cpu" -> LoadField.UTILISATION;
-            case "avg_ms" -> LoadField.LATENCY_MS;
-            case "rps" -> LoadField.SERVED_PER_S;
-            case "err_rps" -> LoadField.ERRORS_PER_S;
+            case "active", "inflight" -> LoadField.IN_FLIGHT;
+            case "waiting", "queue" -> LoadField.QUEUED;
+            case "cpu", "util" -> LoadField.UTILISATION;
+            case "avg_ms", "latency_ms" -> LoadField.LATENCY_MS;
+            case "rps", "qps" -> LoadField.SERVED_PER_S;
+            case "err_rps", "eps" -> LoadField.ERRORS_PER_S;
             default -> LoadField.OTHER;
         };
     }
@@ -115,7 +116,7 @@
         };
     }
 
-    private static double number(Map<String, Object> from, String key, double absent) throws MalformedLine {
+    private static double number(Map<String, Object> from, String key, double absent) {
         Object value = from.get(key);
         if (value == null) {
             return absent;
@@ -123,7 +124,7 @@
         if (value instanceof Number number) {
             return number.doubleValue();
         }
-        throw new MalformedLine("params." + key + " is not a number");
+        throw new IllegalArgumentException("params." + key + " is not a number");
     }
 
     private static boolean flag(Map<String, Object> from, String key) {
@@ -137,12 +138,12 @@
 
     @SuppressWarnings("unchecked")
     private static List<Map<String, Object>> objects(Map<String, Object> from, String key)
-            throws MalformedLine {
+            {
         List<Map<String, Object>> objects = new ArrayList<>();
         if (from.get(key) instanceof List<?> list) {
             for (Object element : list) {
                 if (!(element instanceof Map<?, ?> map)) {
-                    throw new MalformedLine("params." + key + " holds something that is not an object");
+                    throw new IllegalArgumentException("params." + key + " holds something that is not an object");
                 }
                 objects.add((Map<String, Object>) map);
             }
--- /dev/null
+++ b/src/main/java/peppergauge/settings/SiteNames.java
@@ -0,0 +1,29 @@
+package peppergauge.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The names by which messages speak of what the module's settings only number. */
+public record SiteNames(List<String> classes, List<String> tenants, List<String> zones) {
+
+    public SiteNames {
+        classes = List.copyOf(classes);
+        tenants = List.copyOf(tenants);
+        zones = List.copyOf(zones);
+    }
+
+    public static SiteNames read(Map<String, Object> params) {
+        return new SiteNames(names(params.get("profiles")), names(params.get("tenants")), names(params.get("areas")));
+    }
+
+    private static List<String> names(Object list) {
+        List<String> names = new ArrayList<>();
+        if (list instanceof List<?> elements) {
+            for (Object element : elements) {
+                names.add(String.valueOf(element instanceof Map<?, ?> object ? object.get("name") : element));
+            }
+        }
+        return names;
+    }
+}
--- /dev/null
+++ b/src/test/java/peppergauge/backend/LoadReportTest.java
@@ -0,0 +1,36 @@
+package peppergauge.backend;
+
+import static org.testng.Assert.assertEquals;
+
+import burlspool.Balancer.LoadField;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class LoadReportTest {
+
+    private static final double NONE = Double.NaN;
+    private static final List<LoadField> FIELDS =
+            List.of(LoadField.IN_FLIGHT, LoadField.QUEUED, LoadField.LATENCY_MS);
+
+    @DataProvider
+    public Object[][] reports() {
+        return new Object[][] {
+            {"inflight=7,queue=2,latency_ms=61.5", new double[] {7, 2, 61.5}},
+            {"active=7,waiting=2,avg_ms=61.5", new double[] {7, 2, 61.5}},
+            {" latency_ms = 3 , inflight=0", new double[] {0, NONE, 3}},
+            {"inflight=7,util=0.6,unheard_of=1", new double[] {7, NONE, NONE}},
+            {"inflight=x,queue=-1,latency_ms=1e999", null},
+            {"inflight=x,queue=4", new double[] {NONE, 4, NONE}},
+            {"inflight", null},
+            {"=,=,,", null},
+            {"", null},
+            {null, null},
+        };
+    }
+
+    @Test(dataProvider = "reports")
+    public void aReportIsReadByNameAndAMalformedFigureIsMissing(String text, double[] figures) {
+        assertEquals(LoadReport.parse(text, FIELDS), figures);
+    }
+}
