--- a/src/main/java/peppergauge/Main.java
+++ b/src/main/java/peppergauge/Main.java
@@ -1,11 +1,10 @@
 package peppergauge;
-
-import burlspool.wire.Drill;
-import burlspool.wire.MalformedLine;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import peppergauge.adapter.Drill;
+import peppergauge.adapter.MalformedLine;
 import peppergauge.config.Config;
 
 /** The command line: {@code serve} is a sidecar, {@code adapter} speaks the simulator's wire on standard streams. */
--- a/src/main/java/peppergauge/Sidecar.java
+++ b/src/main/java/peppergauge/Sidecar.java
@@ -1,14 +1,13 @@
 package peppergauge;
-
-import burlspool.Balancer.Limits;
-import burlspool.Balancer.Settings;
-import burlspool.Decide;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import peppergauge.backend.HttpBackend;
 import peppergauge.config.Config;
+import peppergauge.decision.Balancer.Limits;
+import peppergauge.decision.Balancer.Settings;
+import peppergauge.decision.Decide;
 import peppergauge.frontend.HttpFrontend;
 import peppergauge.frontend.Site;
 import peppergauge.log.Log;
--- a/src/main/java/burlspool/wire/Drill.java
+++ b/src/main/java/peppergauge/adapter/Drill.java
@@ -1,14 +1,4 @@
-package burlspool.wire;
-
-import burlspool.Balancer;
-import burlspool.Balancer.Action;
-import burlspool.Balancer.Event;
-import burlspool.Balancer.Outcome;
-import burlspool.Balancer.ServerEntry;
-import burlspool.Balancer.ServerState;
-import burlspool.Decide;
-import peppergauge.settings.JsonTree;
-import peppergauge.settings.SettingsReader;
+package peppergauge.adapter;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -24,6 +14,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import peppergauge.decision.Balancer.Action;
+import peppergauge.decision.Balancer.Event;
+import peppergauge.decision.Balancer.Outcome;
+import peppergauge.decision.Balancer.ServerEntry;
+import peppergauge.decision.Balancer.ServerState;
+import peppergauge.decision.Balancer;
+import peppergauge.decision.Decide;
+import peppergauge.settings.JsonTree;
+import peppergauge.settings.SettingsReader;
 
 /**
  * Hosts balancer instances on the simulator's wire: one line of events in, one line of actions out. Each
--- a/src/main/java/burlspool/wire/LineReader.java
+++ b/src/main/java/peppergauge/adapter/LineReader.java
@@ -1,5 +1,4 @@
-package burlspool.wire;
-
+package peppergauge.adapter;
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.Arrays;
--- a/src/main/java/burlspool/wire/MalformedLine.java
+++ b/src/main/java/peppergauge/adapter/MalformedLine.java
@@ -1,4 +1,4 @@
-package burlspool.wire;
+package peppergauge.adapter;
 
 /** A line that is not what the wire promises; the message says what and where. */
 public final class MalformedLine extends Exception {
--- a/src/main/java/peppergauge/backend/Connections.java
+++ b/src/main/java/peppergauge/backend/Connections.java
@@ -1,5 +1,4 @@
 package peppergauge.backend;
-
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
--- a/src/main/java/peppergauge/backend/HttpBackend.java
+++ b/src/main/java/peppergauge/backend/HttpBackend.java
@@ -1,7 +1,4 @@
 package peppergauge.backend;
-
-import burlspool.Balancer.LoadField;
-import burlspool.Balancer.Outcome;
 import java.net.URISyntaxException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -21,6 +18,8 @@
 import org.apache.hc.core5.net.URIAuthority;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.TimeValue;
+import peppergauge.decision.Balancer.LoadField;
+import peppergauge.decision.Balancer.Outcome;
 import peppergauge.session.Backend;
 import peppergauge.session.Clock;
 import peppergauge.session.Message;
--- a/src/main/java/peppergauge/backend/HttpExchange.java
+++ b/src/main/java/peppergauge/backend/HttpExchange.java
@@ -1,7 +1,4 @@
 package peppergauge.backend;
-
-import burlspool.Balancer.LoadField;
-import burlspool.Balancer.Outcome;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -29,6 +26,8 @@
 import org.apache.hc.core5.pool.PoolEntry;
 import org.apache.hc.core5.reactor.Command;
 import org.apache.hc.core5.reactor.IOSession;
+import peppergauge.decision.Balancer.LoadField;
+import peppergauge.decision.Balancer.Outcome;
 import peppergauge.log.Log;
 import peppergauge.session.Backend;
 import peppergauge.session.Message;
--- a/src/main/java/peppergauge/backend/LoadReport.java
+++ b/src/main/java/peppergauge/backend/LoadReport.java
@@ -1,8 +1,7 @@
 package peppergauge.backend;
-
-import burlspool.Balancer.LoadField;
 import java.util.Arrays;
 import java.util.List;
+import peppergauge.decision.Balancer.LoadField;
 import peppergauge.settings.SettingsReader;
 
 /** The load that a backend server reports: {@code name=value,name=value}. */
--- a/src/main/java/peppergauge/config/Config.java
+++ b/src/main/java/peppergauge/config/Config.java
@@ -1,5 +1,4 @@
 package peppergauge.config;
-
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
--- a/src/main/java/burlspool/Balancer.java
+++ b/src/main/java/peppergauge/decision/Balancer.java
@@ -1,5 +1,4 @@
-package burlspool;
-
+package peppergauge.decision;
 import java.util.List;
 import java.util.function.Consumer;
 
--- a/src/main/java/burlspool/Decaying.java
+++ b/src/main/java/peppergauge/decision/Decaying.java
@@ -1,4 +1,4 @@
-package burlspool;
+package peppergauge.decision;
 
 /** A sum and a weight that both halve every half-life. */
 final class Decaying {
--- a/src/main/java/burlspool/Decide.java
+++ b/src/main/java/peppergauge/decision/Decide.java
@@ -1,5 +1,4 @@
-package burlspool;
-
+package peppergauge.decision;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -11,7 +10,7 @@
 import java.util.function.Consumer;
 
 /**
- * Every decision of burlspool. Its interface (settings, events, actions) is in {@code Balancer.java}.
+ * Every decision of peppergauge. Its interface (settings, events, actions) is in {@code Balancer.java}.
  *
  * <p>The mechanism is that of "Load balancing beyond healthchecks": passive per-server failure share,
  * latency, requests in flight and age become factors in [0,1]; multiplied and steepened against the
--- a/src/main/java/burlspool/Recent.java
+++ b/src/main/java/peppergauge/decision/Recent.java
@@ -1,5 +1,4 @@
-package burlspool;
-
+package peppergauge.decision;
 import java.util.ArrayDeque;
 
 /** Times of what happened within a sliding window. */
--- a/src/main/java/burlspool/Request.java
+++ b/src/main/java/peppergauge/decision/Request.java
@@ -1,10 +1,9 @@
-package burlspool;
-
-import burlspool.Balancer.Effect;
-import burlspool.Balancer.Outcome;
-import burlspool.Balancer.RequestClass;
+package peppergauge.decision;
 import java.util.ArrayList;
 import java.util.List;
+import peppergauge.decision.Balancer.Effect;
+import peppergauge.decision.Balancer.Outcome;
+import peppergauge.decision.Balancer.RequestClass;
 
 /** What is known of a request and its attempts: facts only, the decisions are in {@code Decide}. */
 final class Request {
--- a/src/main/java/burlspool/Server.java
+++ b/src/main/java/peppergauge/decision/Server.java
@@ -1,5 +1,4 @@
-package burlspool;
-
+package peppergauge.decision;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/main/java/peppergauge/frontend/Head.java
+++ b/src/main/java/peppergauge/frontend/Head.java
@@ -1,5 +1,4 @@
 package peppergauge.frontend;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
--- a/src/main/java/peppergauge/frontend/SessionHandler.java
+++ b/src/main/java/peppergauge/frontend/SessionHandler.java
@@ -1,5 +1,4 @@
 package peppergauge.frontend;
-
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
--- a/src/main/java/peppergauge/frontend/Site.java
+++ b/src/main/java/peppergauge/frontend/Site.java
@@ -1,8 +1,7 @@
 package peppergauge.frontend;
-
-import burlspool.Balancer.Effect;
-import burlspool.Balancer.RequestClass;
 import java.util.List;
+import peppergauge.decision.Balancer.Effect;
+import peppergauge.decision.Balancer.RequestClass;
 import peppergauge.settings.SiteNames;
 
 /** What the settings say of classes and tenants, by the names that requests use. */
--- a/src/main/java/peppergauge/log/Log.java
+++ b/src/main/java/peppergauge/log/Log.java
@@ -1,5 +1,4 @@
 package peppergauge.log;
-
 import java.time.Instant;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
--- a/src/main/java/peppergauge/servertable/ServerTableReader.java
+++ b/src/main/java/peppergauge/servertable/ServerTableReader.java
@@ -1,10 +1,9 @@
 package peppergauge.servertable;
-
-import burlspool.Balancer.ServerEntry;
-import burlspool.Balancer.ServerState;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import peppergauge.decision.Balancer.ServerEntry;
+import peppergauge.decision.Balancer.ServerState;
 import peppergauge.session.ServerTable;
 
 /** Reads discovery's objects; an {@link IllegalArgumentException} says what is malformed. */
--- a/src/main/java/peppergauge/servertable/ServerTableWatch.java
+++ b/src/main/java/peppergauge/servertable/ServerTableWatch.java
@@ -1,5 +1,4 @@
 package peppergauge.servertable;
-
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/src/main/java/peppergauge/session/Backend.java
+++ b/src/main/java/peppergauge/session/Backend.java
@@ -1,7 +1,6 @@
 package peppergauge.session;
-
 import java.util.function.Consumer;
-import burlspool.Balancer.Outcome;
+import peppergauge.decision.Balancer.Outcome;
 
 /** Carries attempts and probes to backend servers. */
 public interface Backend {
--- a/src/main/java/peppergauge/session/Clock.java
+++ b/src/main/java/peppergauge/session/Clock.java
@@ -1,5 +1,4 @@
 package peppergauge.session;
-
 import java.time.Instant;
 
 /**
--- a/src/main/java/peppergauge/session/Message.java
+++ b/src/main/java/peppergauge/session/Message.java
@@ -1,5 +1,4 @@
 package peppergauge.session;
-
 import java.util.List;
 
 /** What a session asks or is answered, passed on unread: {@code verb} and {@code target} only when asked. */
--- a/src/main/java/peppergauge/session/ServerTable.java
+++ b/src/main/java/peppergauge/session/ServerTable.java
@@ -1,7 +1,6 @@
 package peppergauge.session;
-
-import burlspool.Balancer.ServerEntry;
 import java.util.List;
+import peppergauge.decision.Balancer.ServerEntry;
 
 /** News of the server table; a {@code whole} table replaces the one before. */
 public record ServerTable(long version, boolean whole, List<Row> rows) {
--- a/src/main/java/peppergauge/session/Session.java
+++ b/src/main/java/peppergauge/session/Session.java
@@ -1,5 +1,4 @@
 package peppergauge.session;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Future;
--- a/src/main/java/peppergauge/session/Sessions.java
+++ b/src/main/java/peppergauge/session/Sessions.java
@@ -1,11 +1,4 @@
 package peppergauge.session;
-
-import burlspool.Balancer;
-import burlspool.Balancer.Action;
-import burlspool.Balancer.Event;
-import burlspool.Balancer.Outcome;
-import burlspool.Balancer.ServerEntry;
-import burlspool.Balancer.ServerState;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -16,6 +9,12 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import peppergauge.decision.Balancer.Action;
+import peppergauge.decision.Balancer.Event;
+import peppergauge.decision.Balancer.Outcome;
+import peppergauge.decision.Balancer.ServerEntry;
+import peppergauge.decision.Balancer.ServerState;
+import peppergauge.decision.Balancer;
 import peppergauge.log.Log;
 import peppergauge.session.Session.Attempt;
 
--- a/src/main/java/peppergauge/settings/JsonTree.java
+++ b/src/main/java/peppergauge/settings/JsonTree.java
@@ -1,5 +1,4 @@
 package peppergauge.settings;
-
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
--- a/src/main/java/peppergauge/settings/SettingsReader.java
+++ b/src/main/java/peppergauge/settings/SettingsReader.java
@@ -1,17 +1,16 @@
 package peppergauge.settings;
-
-import burlspool.Balancer.Budget;
-import burlspool.Balancer.Effect;
-import burlspool.Balancer.Group;
-import burlspool.Balancer.Limits;
-import burlspool.Balancer.LoadField;
-import burlspool.Balancer.RequestClass;
-import burlspool.Balancer.Rules;
-import burlspool.Balancer.Settings;
-import burlspool.Balancer.Tenant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import peppergauge.decision.Balancer.Budget;
+import peppergauge.decision.Balancer.Effect;
+import peppergauge.decision.Balancer.Group;
+import peppergauge.decision.Balancer.Limits;
+import peppergauge.decision.Balancer.LoadField;
+import peppergauge.decision.Balancer.RequestClass;
+import peppergauge.decision.Balancer.Rules;
+import peppergauge.decision.Balancer.Settings;
+import peppergauge.decision.Balancer.Tenant;
 
 /** Turns the wire's {@code params} into the module's settings; unknown keys are passed over. */
 public final class SettingsReader {
--- a/src/main/java/peppergauge/settings/SiteNames.java
+++ b/src/main/java/peppergauge/settings/SiteNames.java
@@ -1,5 +1,4 @@
 package peppergauge.settings;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/src/test/java/burlspool/wire/DrillTest.java
+++ b/src/test/java/peppergauge/adapter/DrillTest.java
@@ -1,5 +1,4 @@
-package burlspool.wire;
-
+package peppergauge.adapter;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/peppergauge/backend/LoadReportTest.java
+++ b/src/test/java/peppergauge/backend/LoadReportTest.java
@@ -1,11 +1,10 @@
 package peppergauge.backend;
-
 import static org.testng.Assert.assertEquals;
 
-import burlspool.Balancer.LoadField;
 import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import peppergauge.decision.Balancer.LoadField;
 
 public class LoadReportTest {
 
--- a/src/test/java/burlspool/BudgetAndSizeTest.java
+++ b/src/test/java/peppergauge/decision/BudgetAndSizeTest.java
@@ -1,7 +1,4 @@
-package burlspool;
-
-import static burlspool.Scripted.only;
-import static burlspool.Scripted.sentTo;
+package peppergauge.decision;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -9,26 +6,28 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static peppergauge.decision.Scripted.only;
+import static peppergauge.decision.Scripted.sentTo;
 
-import burlspool.Balancer.AttemptEnded;
-import burlspool.Balancer.Budget;
-import burlspool.Balancer.Limits;
-import burlspool.Balancer.LoadField;
-import burlspool.Balancer.Outcome;
-import burlspool.Balancer.Probe;
-import burlspool.Balancer.ProbeEnded;
-import burlspool.Balancer.Refuse;
-import burlspool.Balancer.RequestArrived;
-import burlspool.Balancer.Rules;
-import burlspool.Balancer.Send;
-import burlspool.Balancer.ServerEntry;
-import burlspool.Balancer.ServerState;
-import burlspool.Balancer.Settings;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import peppergauge.decision.Balancer.AttemptEnded;
+import peppergauge.decision.Balancer.Budget;
+import peppergauge.decision.Balancer.Limits;
+import peppergauge.decision.Balancer.LoadField;
+import peppergauge.decision.Balancer.Outcome;
+import peppergauge.decision.Balancer.Probe;
+import peppergauge.decision.Balancer.ProbeEnded;
+import peppergauge.decision.Balancer.Refuse;
+import peppergauge.decision.Balancer.RequestArrived;
+import peppergauge.decision.Balancer.Rules;
+import peppergauge.decision.Balancer.Send;
+import peppergauge.decision.Balancer.ServerEntry;
+import peppergauge.decision.Balancer.ServerState;
+import peppergauge.decision.Balancer.Settings;
 
 /** The budget on further attempts, and what holds at any number of balancers. */
 class BudgetAndSizeTest {
--- a/src/test/java/burlspool/DangersTest.java
+++ b/src/test/java/peppergauge/decision/DangersTest.java
@@ -1,29 +1,28 @@
-package burlspool;
-
-import static burlspool.Scripted.only;
-import static burlspool.Scripted.sentTo;
+package peppergauge.decision;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static peppergauge.decision.Scripted.only;
+import static peppergauge.decision.Scripted.sentTo;
 
-import burlspool.Balancer.AttemptEnded;
-import burlspool.Balancer.Cancel;
-import burlspool.Balancer.DiscoveryFailed;
-import burlspool.Balancer.Limits;
-import burlspool.Balancer.Outcome;
-import burlspool.Balancer.Refuse;
-import burlspool.Balancer.RequestArrived;
-import burlspool.Balancer.RequestClass;
-import burlspool.Balancer.Rules;
-import burlspool.Balancer.Send;
-import burlspool.Balancer.Settings;
-import burlspool.Balancer.Tenant;
-import burlspool.Balancer.WatchServers;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import peppergauge.decision.Balancer.AttemptEnded;
+import peppergauge.decision.Balancer.Cancel;
+import peppergauge.decision.Balancer.DiscoveryFailed;
+import peppergauge.decision.Balancer.Limits;
+import peppergauge.decision.Balancer.Outcome;
+import peppergauge.decision.Balancer.Refuse;
+import peppergauge.decision.Balancer.RequestArrived;
+import peppergauge.decision.Balancer.RequestClass;
+import peppergauge.decision.Balancer.Rules;
+import peppergauge.decision.Balancer.Send;
+import peppergauge.decision.Balancer.Settings;
+import peppergauge.decision.Balancer.Tenant;
+import peppergauge.decision.Balancer.WatchServers;
 
 /** One test for each failure found, named for the danger. */
 class DangersTest {
--- a/src/test/java/burlspool/ModuleSizeTest.java
+++ b/src/test/java/peppergauge/decision/ModuleSizeTest.java
@@ -1,5 +1,4 @@
-package burlspool;
-
+package peppergauge.decision;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -12,7 +11,7 @@
 
     @Test
     void theModuleStaysPrintable() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/burlspool/Decide.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/peppergauge/decision/Decide.java"));
         assertTrue(lines.stream().filter(line -> !line.isBlank()).count() <= 910, "over 910 lines");
         assertTrue(lines.stream().allMatch(line -> line.length() <= 110), "a line over 110 characters");
     }
--- a/src/test/java/burlspool/RandomEventsTest.java
+++ b/src/test/java/peppergauge/decision/RandomEventsTest.java
@@ -1,20 +1,8 @@
-package burlspool;
-
+package peppergauge.decision;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import burlspool.Balancer.Action;
-import burlspool.Balancer.AttemptEnded;
-import burlspool.Balancer.ClientLeft;
-import burlspool.Balancer.Effect;
-import burlspool.Balancer.Fail;
-import burlspool.Balancer.Outcome;
-import burlspool.Balancer.Refuse;
-import burlspool.Balancer.RequestArrived;
-import burlspool.Balancer.Send;
-import burlspool.Balancer.ServerEntry;
-import burlspool.Balancer.ServerState;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -24,6 +12,17 @@
 import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import peppergauge.decision.Balancer.Action;
+import peppergauge.decision.Balancer.AttemptEnded;
+import peppergauge.decision.Balancer.ClientLeft;
+import peppergauge.decision.Balancer.Effect;
+import peppergauge.decision.Balancer.Fail;
+import peppergauge.decision.Balancer.Outcome;
+import peppergauge.decision.Balancer.Refuse;
+import peppergauge.decision.Balancer.RequestArrived;
+import peppergauge.decision.Balancer.Send;
+import peppergauge.decision.Balancer.ServerEntry;
+import peppergauge.decision.Balancer.ServerState;
 
 /** Seeded random events; the rules are asserted on every action. */
 class RandomEventsTest {
--- a/src/test/java/burlspool/RulesTest.java
+++ b/src/test/java/peppergauge/decision/RulesTest.java
@@ -1,26 +1,25 @@
-package burlspool;
-
-import static burlspool.Scripted.only;
-import static burlspool.Scripted.sentTo;
+package peppergauge.decision;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static peppergauge.decision.Scripted.only;
+import static peppergauge.decision.Scripted.sentTo;
 
-import burlspool.Balancer.Action;
-import burlspool.Balancer.ClientLeft;
-import burlspool.Balancer.Fail;
-import burlspool.Balancer.Outcome;
-import burlspool.Balancer.Refuse;
-import burlspool.Balancer.RequestArrived;
-import burlspool.Balancer.Send;
-import burlspool.Balancer.ServerEntry;
-import burlspool.Balancer.ServerState;
-import burlspool.Balancer.TimerDue;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import peppergauge.decision.Balancer.Action;
+import peppergauge.decision.Balancer.ClientLeft;
+import peppergauge.decision.Balancer.Fail;
+import peppergauge.decision.Balancer.Outcome;
+import peppergauge.decision.Balancer.Refuse;
+import peppergauge.decision.Balancer.RequestArrived;
+import peppergauge.decision.Balancer.Send;
+import peppergauge.decision.Balancer.ServerEntry;
+import peppergauge.decision.Balancer.ServerState;
+import peppergauge.decision.Balancer.TimerDue;
 
 /** One test for each rule and edge, named for the danger. */
 class RulesTest {
--- a/src/test/java/burlspool/Scripted.java
+++ b/src/test/java/peppergauge/decision/Scripted.java
@@ -1,29 +1,28 @@
-package burlspool;
-
-import burlspool.Balancer.Action;
-import burlspool.Balancer.AttemptEnded;
-import burlspool.Balancer.Effect;
-import burlspool.Balancer.Event;
-import burlspool.Balancer.Group;
-import burlspool.Balancer.Limits;
-import burlspool.Balancer.LoadField;
-import burlspool.Balancer.Outcome;
-import burlspool.Balancer.RequestArrived;
-import burlspool.Balancer.RequestClass;
-import burlspool.Balancer.Rules;
-import burlspool.Balancer.Send;
-import burlspool.Balancer.ServerEntry;
-import burlspool.Balancer.ServerState;
-import burlspool.Balancer.ServersListed;
-import burlspool.Balancer.SetTimer;
-import burlspool.Balancer.Settings;
-import burlspool.Balancer.Tenant;
-import burlspool.Balancer.TimerDue;
+package peppergauge.decision;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
+import peppergauge.decision.Balancer.Action;
+import peppergauge.decision.Balancer.AttemptEnded;
+import peppergauge.decision.Balancer.Effect;
+import peppergauge.decision.Balancer.Event;
+import peppergauge.decision.Balancer.Group;
+import peppergauge.decision.Balancer.Limits;
+import peppergauge.decision.Balancer.LoadField;
+import peppergauge.decision.Balancer.Outcome;
+import peppergauge.decision.Balancer.RequestArrived;
+import peppergauge.decision.Balancer.RequestClass;
+import peppergauge.decision.Balancer.Rules;
+import peppergauge.decision.Balancer.Send;
+import peppergauge.decision.Balancer.ServerEntry;
+import peppergauge.decision.Balancer.ServerState;
+import peppergauge.decision.Balancer.ServersListed;
+import peppergauge.decision.Balancer.SetTimer;
+import peppergauge.decision.Balancer.Settings;
+import peppergauge.decision.Balancer.Tenant;
+import peppergauge.decision.Balancer.TimerDue;
 
 /** Drives one instance by scripted events and keeps the actions it answered with. */
 final class Scripted {
