See clients leave, cut slow senders off, cap connections, wind down in order

Frontend: HttpCore tells no exchange that its client closed; the end of stream only makes the connection "not open". ClientConnections (an IOSessionListener) looks for that, counts connections against the cap, denies past it, and gives each request 5 s from its first byte. Hop-by-hop headers are dropped in one place, http.Headers, those that Connection names included.

Found by the new socket tests (RulesOnSocketsTest, one a rule): - An idle time-out left in force during an attempt cut answers off that took longer (Connections): it now holds only while the connection is idle. - Winding down made every connection look left by its client, so open sessions were dropped (status 0 instead of 200): looked for only before that.

--- a/src/main/java/peppergauge/Main.java
+++ b/src/main/java/peppergauge/Main.java
@@ -23,7 +23,9 @@
 
     private static void serve() throws InterruptedException {
         try {
-            new Sidecar(Config.read(System.getenv())).start();
+            Sidecar sidecar = new Sidecar(Config.read(System.getenv()));
+            Runtime.getRuntime().addShutdownHook(new Thread(sidecar::windDown, "wind-down"));
+            sidecar.start();
         } catch (IllegalArgumentException unusable) {
             exit(2, unusable.getMessage());
         } catch (IOException failed) {
--- a/src/main/java/peppergauge/Sidecar.java
+++ b/src/main/java/peppergauge/Sidecar.java
@@ -1,5 +1,6 @@
 package peppergauge;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -42,11 +43,11 @@
         SiteNames names = SiteNames.read(config.settings());
         Limits limits = settings.limits();
         Clock clock = new Clock();
-        int forBackend = (config.sockets() - OWN_SOCKETS) / 2;
+        int mostConnections = (config.sockets() - OWN_SOCKETS) / 2;
         backend = new HttpBackend(clock, settings.loadFields(), connectTimeoutMs(config.settings()),
-                limits.connectionIdleMs(), forBackend);
+                limits.connectionIdleMs(), mostConnections);
         sessions = new Sessions(new Decide(settings, config.seed()), backend, clock);
-        frontend = new HttpFrontend(new Site(names, settings.classes()), sessions, clock);
+        frontend = new HttpFrontend(new Site(names, settings.classes()), sessions, clock, mostConnections);
         ServerTableReader reader = new ServerTableReader(names.zones());
         known = reader.read(config.known());
         watch = new ServerTableWatch(config.discovery(), reader, known.version(), new ServerTableWatch.Listener() {
@@ -74,20 +75,24 @@
         sessions.listed(new ServerTable(known.version(), true, known.rows()));
         frontend.start(config.listen());
         watch.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(this::windDown, "wind-down"));
         frontend.setReady();
         Log.line("start", config.name() + " serves on " + config.listen() + " with " + known.rows().size()
                 + " backend servers known");
     }
 
+    InetSocketAddress address() {
+        return frontend.address();
+    }
+
     /** Keeps accepting, then closes the listener and what is idle, and ends when no session is open. */
-    private void windDown() {
+    void windDown() {
         Log.line("stop", config.name() + " was told to end");
         frontend.closeAfterAnswers();
         CountDownLatch idle = new CountDownLatch(1);
         try {
             TimeUnit.MILLISECONDS.sleep(KEEP_ACCEPTING_MS);
             stopListening();
+            frontend.closeIdle();
             sessions.whenIdle(idle::countDown);
             boolean empty = idle.await(longestDeadlineMs, TimeUnit.MILLISECONDS);
             Log.line("stop", empty ? "all sessions are answered" : "sessions were open past the longest deadline");
@@ -95,6 +100,12 @@
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
+        stopNow();
+    }
+
+    /** Closes everything, whatever is open. */
+    void stopNow() {
+        frontend.closeNow();
         watch.close();
         backend.close();
         sessions.close();
--- a/src/main/java/peppergauge/backend/Connections.java
+++ b/src/main/java/peppergauge/backend/Connections.java
@@ -56,7 +56,8 @@
         if (idleOne != null && !idleOne.isOpen()) {
             entry.discardConnection(CloseMode.IMMEDIATE);
         }
-        if (entry.hasConnection()) {
+        if (idleOne != null && entry.hasConnection()) {
+            idleOne.setSocketTimeout(Timeout.DISABLED);
             leased.completed(entry);
         } else {
             connect(server, entry, leased);
@@ -69,7 +70,7 @@
                 null, new FutureCallback<>() {
                     @Override
                     public void completed(IOSession connection) {
-                        connection.setSocketTimeout(idle);
+                        connection.setSocketTimeout(Timeout.DISABLED);
                         entry.assignConnection(connection);
                         leased.completed(entry);
                     }
@@ -89,6 +90,10 @@
 
     void reuse(PoolEntry<HttpHost, IOSession> entry) {
         IOSession connection = entry.getConnection();
+        if (connection != null) {
+            // Only while it is idle: an attempt has a timer of its own, and may well take longer.
+            connection.setSocketTimeout(idle);
+        }
         entry.updateExpiry(idle);
         pool.release(entry, connection != null && connection.isOpen());
     }
--- a/src/main/java/peppergauge/backend/HttpBackend.java
+++ b/src/main/java/peppergauge/backend/HttpBackend.java
@@ -1,12 +1,9 @@
 package peppergauge.backend;
 import java.net.URISyntaxException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.URIScheme;
@@ -30,11 +27,6 @@
     /** HttpCore looks at its time-outs once in this time; its own second would make 200 ms of connecting 1 s. */
     private static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds(20);
     private static final String PROBE_PATH = "/metrics/load";
-    /** What belongs to one connection, and so is not passed on. */
-    private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-connection", "te",
-            "trailer", "transfer-encoding", "upgrade", "expect", "proxy-authorization", "proxy-authenticate",
-            "content-length", "x-remaining-ms");
-
     private final Clock clock;
     private final List<LoadField> loadFields;
     private final double probeTimeoutMs;
@@ -56,6 +48,7 @@
                 .setHttpProcessor(HttpProcessorBuilder.create().build())
                 .setExceptionCallback(HttpExchange::report)
                 .create();
+        // The processor is empty: what a request carries is settled by the message alone.
         this.connections = new Connections(requester, mostConnections, connectTimeoutMs, idleMs);
     }
 
@@ -70,14 +63,7 @@
 
     @Override
     public Exchange send(String address, Message message, double untilMs, Consumer<Result> ended) {
-        List<Message.Field> fields = new ArrayList<>();
-        for (Message.Field field : message.fields()) {
-            if (!HOP_BY_HOP.contains(field.name().toLowerCase(Locale.ROOT))) {
-                fields.add(field);
-            }
-        }
-        Message passedOn = new Message(message.verb(), message.target(), fields, message.body());
-        return start(address, passedOn, untilMs, ended);
+        return start(address, message, untilMs, ended);
     }
 
     @Override
--- a/src/main/java/peppergauge/backend/HttpExchange.java
+++ b/src/main/java/peppergauge/backend/HttpExchange.java
@@ -2,7 +2,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -28,6 +27,7 @@
 import org.apache.hc.core5.reactor.IOSession;
 import peppergauge.decision.Balancer.LoadField;
 import peppergauge.decision.Balancer.Outcome;
+import peppergauge.http.Headers;
 import peppergauge.log.Log;
 import peppergauge.session.Backend;
 import peppergauge.session.Message;
@@ -139,7 +139,7 @@
         for (Message.Field field : message.fields()) {
             request.addHeader(field.name(), field.value());
         }
-        request.setHeader("X-Remaining-Ms", Long.toString((long) Math.max(1, remaining.ms())));
+        request.setHeader(Headers.REMAINING_MS, Long.toString((long) Math.max(1, remaining.ms())));
         int length = message.body().length;
         if (length > 0) {
             request.setHeader("Content-Length", Integer.toString(length));
@@ -199,7 +199,7 @@
     private void answered() {
         giveBack(framed && !unsent.hasRemaining());
         int status = response.getCode();
-        Header load = response.getFirstHeader("X-Pressure");
+        Header load = response.getFirstHeader(Headers.LOAD);
         double[] figures = LoadReport.parse(load == null ? null : load.getValue(), loadFields);
         if (status == 200) {
             // Without a length or chunks the end of the connection may have cut the body short.
@@ -211,16 +211,12 @@
 
     /** Only the mark proves that nothing ran; a bare 503 may come from anywhere behind the server. */
     private boolean turnedAway(int status) {
-        Header mark = response.getFirstHeader("X-Turned-Away");
+        Header mark = response.getFirstHeader(Headers.TURNED_AWAY);
         return (status == 503 || status == 504) && mark != null && mark.getValue().trim().equals("1");
     }
 
     private Message answer() {
-        List<Message.Field> fields = new ArrayList<>();
-        for (Header header : response.getHeaders()) {
-            fields.add(new Message.Field(header.getName(), header.getValue()));
-        }
-        return new Message(null, null, fields, body.toByteArray());
+        return new Message(null, null, Headers.endToEnd(response), body.toByteArray());
     }
 
     // ---- Ends ----
--- a/src/main/java/peppergauge/frontend/Head.java
+++ b/src/main/java/peppergauge/frontend/Head.java
@@ -1,9 +1,9 @@
 package peppergauge.frontend;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
+import peppergauge.http.Headers;
 import peppergauge.session.Message;
 import peppergauge.session.Opening;
 
@@ -44,16 +44,12 @@
         if (!verb.equals(request.getMethod())) {
             throw new Unusable(405, "this class takes " + verb, verb);
         }
-        String id = one(request, "X-Txn", text -> text.length() <= LONGEST_ID ? text : null);
-        int tenant = one(request, "X-Org", site::tenantOf);
-        double remainingMs = one(request, "X-Remaining-Ms", Head::milliseconds);
-        List<Message.Field> fields = new ArrayList<>();
-        for (Header header : request.getHeaders()) {
-            fields.add(new Message.Field(header.getName(), header.getValue()));
-        }
-        Header retry = request.getFirstHeader("X-Resent");
+        String id = one(request, Headers.ID, text -> text.length() <= LONGEST_ID ? text : null);
+        int tenant = one(request, Headers.TENANT, site::tenantOf);
+        double remainingMs = one(request, Headers.REMAINING_MS, Head::milliseconds);
+        Header retry = request.getFirstHeader(Headers.CLIENT_RETRY);
         return new Head(id, requestClass, tenant, remainingMs, retry != null && "1".equals(retry.getValue()), verb,
-                target, fields);
+                target, Headers.endToEnd(request));
     }
 
     Opening opening(double arrivedMs, byte[] body) {
--- a/src/main/java/peppergauge/frontend/HttpFrontend.java
+++ b/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -27,15 +27,18 @@
     private final Site site;
     private final Sessions sessions;
     private final Clock clock;
+    private final ClientConnections connections;
     private final HttpAsyncServer server;
     private volatile ListenerEndpoint listener;
     private volatile boolean ready;
     private volatile boolean closing;
 
-    public HttpFrontend(Site site, Sessions sessions, Clock clock) {
+    /** {@code mostConnections}: descriptors that clients' connections may hold together. */
+    public HttpFrontend(Site site, Sessions sessions, Clock clock, int mostConnections) {
         this.site = site;
         this.sessions = sessions;
         this.clock = clock;
+        this.connections = new ClientConnections(sessions, mostConnections);
         this.server = AsyncServerBootstrap.bootstrap()
                 .setCanonicalHostName("localhost")
                 .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
@@ -45,12 +48,13 @@
                         .setMaxLineLength(8192).build())
                 .setHttpProcessor(HttpProcessorBuilder.create().build())
                 .setRequestRouter((request, context) -> this::handler)
+                .setIOSessionListener(connections)
                 .setExceptionCallback(HttpFrontend::report)
                 .create();
     }
 
     private AsyncServerExchangeHandler handler() {
-        return new SessionHandler(this);
+        return new SessionHandler(this, connections.current());
     }
 
     /** Listens on this address only, and no other. */
@@ -81,10 +85,20 @@
         listener.close();
     }
 
+    /** Closes what is idle at once, and each other connection after its answer. */
+    public void closeIdle() {
+        connections.windDown();
+        server.initiateShutdown();
+    }
+
     public void close() {
         server.close(CloseMode.GRACEFUL);
     }
 
+    public void closeNow() {
+        server.close(CloseMode.IMMEDIATE);
+    }
+
     Site site() {
         return site;
     }
--- a/src/main/java/peppergauge/frontend/SessionHandler.java
+++ b/src/main/java/peppergauge/frontend/SessionHandler.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
-import java.util.Set;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -26,11 +25,9 @@
 
     private static final int LARGEST_BODY = 64 * 1024;
     private static final String READY_PATH = "/up";
-    /** What belongs to one connection, or is written anew. */
-    private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "proxy-connection", "trailer",
-            "transfer-encoding", "upgrade", "content-length");
 
     private final HttpFrontend owner;
+    private final ClientConnection connection;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private Head head;
     private ResponseChannel channel;
@@ -41,8 +38,9 @@
     private volatile boolean opened;
     private volatile boolean done;
 
-    SessionHandler(HttpFrontend owner) {
+    SessionHandler(HttpFrontend owner, ClientConnection connection) {
         this.owner = owner;
+        this.connection = connection;
     }
 
     // ---- Request ----
@@ -52,12 +50,20 @@
             HttpContext exchange) throws HttpException, IOException {
         channel = responses;
         context = exchange;
-        Header connection = request.getFirstHeader("Connection");
-        closeAsked = connection != null && "close".equalsIgnoreCase(connection.getValue());
+        Header option = request.getFirstHeader("Connection");
+        closeAsked = option != null && "close".equalsIgnoreCase(option.getValue());
+        if (details == null) {
+            connection.requestWhole();
+        }
         if (READY_PATH.equals(request.getRequestUri())) {
             answerHere(owner.ready() ? 200 : 503, owner.ready() ? "ready" : "not ready", null);
             return;
         }
+        if (connection.crowded()) {
+            closeAsked = true;
+            answerHere(503, "too many connections", null);
+            return;
+        }
         try {
             head = Head.read(request, owner.site());
         } catch (Head.Unusable unusable) {
@@ -98,6 +104,7 @@
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
+        connection.requestWhole();
         if (!answeredHere) {
             open();
         }
@@ -105,6 +112,7 @@
 
     private void open() {
         opened = true;
+        connection.waits(this);
         owner.sessions().open(head.opening(owner.clock().nowMs(), body.toByteArray()), this);
     }
 
@@ -114,9 +122,7 @@
     public void served(Message answer) {
         BasicHttpResponse response = new BasicHttpResponse(200);
         for (Message.Field field : answer.fields()) {
-            if (!NOT_PASSED_ON.contains(field.name().toLowerCase(Locale.ROOT))) {
-                response.addHeader(field.name(), field.value());
-            }
+            response.addHeader(field.name(), field.value());
         }
         answer(response, answer.body());
     }
@@ -161,6 +167,7 @@
 
     private void send(BasicHttpResponse response, byte[] content) throws HttpException, IOException {
         done = true;
+        connection.answered(this);
         if (closeAsked || owner.closing()) {
             response.setHeader("Connection", "close");
         }
--- /dev/null
+++ b/src/test/java/peppergauge/Bed.java
@@ -0,0 +1,121 @@
+package peppergauge;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import peppergauge.config.Config;
+import peppergauge.settings.JsonTree;
+
+/** A sidecar between toys: one backend server, discovery, and clients on raw sockets. */
+final class Bed implements Closeable {
+
+    static final String SETTINGS = """
+            {"balancers":1,"me":0,"zone":0,"areas":["z0"],"tickMs":5,"overShareWorth":1,"registryMode":"automatic",
+             "limits":{"cancelling":true,"connIdleMs":800,"connectTimeoutMs":200,"maxRetryAfterMs":1200,
+                       "mayProbe":false,"mostTries":4,"parallelTries":false,"retryAfter":true},
+             "profiles":[
+               {"name":"list","aimMs":400,"deadlineMs":1000,"worth":1,"lateWorth":0.3,"effect":"idempotent"},
+               {"name":"gift","aimMs":400,"deadlineMs":1000,"worth":9,"lateWorth":0.3,"effect":"at_most_once"}],
+             "report":{"how":"piggyback","names":["active","waiting","avg_ms"]},
+             "rules":{"coldShare":0.3,"coldMs":100,"tipMultiple":2.5,"fallMs":3000},
+             "tenants":[{"name":"acme","quotaPerS":1000}]}
+            """;
+
+    final Toy backend;
+    final Toy discovery;
+    final Sidecar sidecar;
+    private volatile Socket watch;
+
+    Bed(Toy.Script script) throws Exception {
+        this(script, 256);
+    }
+
+    Bed(Toy.Script script, int sockets) throws Exception {
+        backend = new Toy(script);
+        discovery = new Toy((request, connection) -> {
+            Toy.write(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            watch = connection;
+        });
+        Map<String, String> environment = new HashMap<>();
+        environment.put("GW_CONFIG", file(sockets));
+        sidecar = new Sidecar(Config.read(environment));
+        sidecar.start();
+    }
+
+    private String file(int sockets) throws IOException {
+        var path = java.nio.file.Files.createTempFile("peppergauge", ".json");
+        path.toFile().deleteOnExit();
+        return java.nio.file.Files.writeString(path, "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
+                + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets
+                + "},\"known\":" + table(1, true, "active") + ",\"settings\":" + SETTINGS + "}").toString();
+    }
+
+    String table(int version, boolean full, String state) {
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[{\"id\":\"s\",\"addr\":\""
+                + backend.address() + "\",\"zone\":\"z0\",\"cell\":0,\"state\":\"" + state + "\",\"started_ms\":0}]}";
+    }
+
+    /** Has discovery say so, in two reads that split the line. */
+    void tell(String line) throws Exception {
+        await(() -> watch != null);
+        for (String part : new String[] {line.substring(0, 9), line.substring(9) + "\n"}) {
+            Toy.write(watch, Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
+            Thread.sleep(20);
+        }
+    }
+
+    Socket client() throws IOException {
+        Socket client = new Socket(sidecar.address().getAddress(), sidecar.address().getPort());
+        client.setSoTimeout(8_000);
+        return client;
+    }
+
+    Toy.Request ask(String message) throws IOException {
+        try (Socket client = client()) {
+            return ask(client, message);
+        }
+    }
+
+    static Toy.Request ask(Socket client, String message) throws IOException {
+        client.getOutputStream().write(message.getBytes(StandardCharsets.ISO_8859_1));
+        return Toy.read(client.getInputStream());
+    }
+
+    static String get(String id, int remainingMs) {
+        return "GET /list/k HTTP/1.1\r\nHost: h\r\nX-Txn: " + id + "\r\nX-Org: acme\r\nX-Remaining-Ms: " + remainingMs
+                + "\r\n\r\n";
+    }
+
+    static String post(String id, int remainingMs, String body) {
+        return "POST /gift/k?a=b%20c HTTP/1.1\r\nHost: h\r\nX-Txn: " + id + "\r\nX-Org: acme\r\nX-Remaining-Ms: "
+                + remainingMs + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static int status(Toy.Request answer) {
+        return answer == null ? 0 : Integer.parseInt(answer.line().split(" ")[1]);
+    }
+
+    interface Condition {
+        boolean holds() throws Exception;
+    }
+
+    static void await(Condition condition) throws Exception {
+        long until = System.nanoTime() + 5_000_000_000L;
+        while (!condition.holds()) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError("did not come about within 5 s");
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        backend.close();
+        discovery.close();
+        sidecar.stopNow();
+    }
+}
--- /dev/null
+++ b/src/test/java/peppergauge/RulesOnSocketsTest.java
@@ -0,0 +1,243 @@
+package peppergauge;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** One test for each rule, each over real sockets. */
+public class RulesOnSocketsTest {
+
+    private static final Toy.Script OK = (request, connection) -> Toy.write(connection, Toy.ok("body"));
+    private static final Toy.Script SILENT = (request, connection) -> { };
+
+    private static Toy.Script says(String answer) {
+        return (request, connection) -> Toy.write(connection, answer);
+    }
+
+    @Test
+    public void whatIsAskedAndAnsweredPassesUnchanged() throws Exception {
+        try (Bed bed = new Bed(says("HTTP/1.1 200 OK\r\nX-Kept: 1\r\nKeep-Alive: 5\r\nContent-Length: 3\r\n\r\n\0\u00ff\n"))) {
+            Toy.Request answer = bed.ask(Bed.post("t1", 900, "\u00e9\0x").replace("Host: h",
+                    "Host: h\r\nX-Other: \u00e4\r\nConnection: X-Hop\r\nX-Hop: 1"));
+            assertEquals(Bed.status(answer), 200);
+            assertEquals(answer.body(), new byte[] {0, (byte) 0xff, '\n'});
+            assertEquals(answer.header("X-Kept"), "1");
+            assertNull(answer.header("Keep-Alive"));
+            Toy.Request passed = bed.backend.requests.get(0);
+            assertEquals(passed.line(), "POST /gift/k?a=b%20c HTTP/1.1");
+            assertEquals(passed.body(), "\u00e9\0x".getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals(passed.header("X-Txn"), "t1");
+            assertEquals(passed.header("X-Other"), "\u00e4");
+            assertNull(passed.header("X-Hop"));
+            int remaining = Integer.parseInt(passed.header("X-Remaining-Ms"));
+            assertTrue(remaining > 500 && remaining <= 900, "remaining " + remaining);
+        }
+    }
+
+    @DataProvider
+    public Object[][] unusable() {
+        String get = Bed.get("t", 900);
+        return new Object[][] {
+            {get.replace("X-Txn: t\r\n", ""), 400},
+            {get.replace("X-Txn: t", "X-Txn: t\r\nX-Txn: u"), 400},
+            {get.replace("X-Txn: t", "X-Txn: " + "t".repeat(200)), 400},
+            {get.replace("X-Remaining-Ms: 900\r\n", ""), 400},
+            {get.replace("900", "soon"), 400},
+            {get.replace("900", "-1"), 400},
+            {get.replace("900", "99999999999999999999"), 400},
+            {get.replace("X-Org: acme\r\n", ""), 400},
+            {get.replace("acme", "nobody"), 400},
+            {get.replace("/list/k", "/"), 404},
+            {get.replace("/list/k", "/nothing/k"), 404},
+            {get.replace("GET", "POST"), 405},
+            {Bed.post("t", 900, "").replace("POST", "GET"), 405},
+            {Bed.post("t", 900, "x".repeat(65_537)), 413},
+            {get.replace("\r\n\r\n", "\r\nX-Long: " + "x".repeat(9_000) + "\r\n\r\n"), 431},
+            {"nonsense\r\n\r\n", 400},
+        };
+    }
+
+    @Test(dataProvider = "unusable")
+    public void unusableInputIsAnsweredAtOnceAndNeverPassedOn(String message, int status) throws Exception {
+        try (Bed bed = new Bed(OK)) {
+            assertEquals(Bed.status(bed.ask(message)), status);
+            assertEquals(Bed.status(bed.ask(Bed.get("fine", 900))), 200);
+            assertEquals(bed.backend.requests.size(), 1);
+        }
+    }
+
+    @Test
+    public void readinessIsToldAtUp() throws Exception {
+        try (Bed bed = new Bed(OK)) {
+            assertEquals(Bed.status(bed.ask("GET /up HTTP/1.1\r\nHost: h\r\n\r\n")), 200);
+        }
+    }
+
+    /** What a backend server does with a request that must never run twice, and how often it may get it. */
+    @DataProvider
+    public Object[][] ends() {
+        Toy.Script cut = (request, connection) -> connection.close();
+        return new Object[][] {
+            {says("HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n"), false},
+            {says("HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n"), false},
+            {says("HTTP/1.1 204 no\r\n\r\n"), false},
+            {says("HTTP/1.1 200 OK\r\n\r\nno length"), false},
+            {(Toy.Script) (request, connection) -> {
+                Toy.write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort");
+                connection.close();
+            }, false},
+            {says("nonsense\r\n\r\n"), false},
+            {says("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + "x".repeat(70_000)), false},
+            {cut, false},
+            {SILENT, false},
+            {says("HTTP/1.1 503 no\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"), true},
+            {says("HTTP/1.1 504 no\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"), true},
+        };
+    }
+
+    @Test(dataProvider = "ends")
+    public void aRequestThatMayHaveRunIsNeitherSentAgainNorDenied(Toy.Script end, boolean neverRan) throws Exception {
+        try (Bed bed = new Bed(end)) {
+            long start = System.nanoTime();
+            int status = Bed.status(bed.ask(Bed.post("t", 600, "x")));
+            assertTrue((System.nanoTime() - start) / 1e6 < 650, "answered past its deadline");
+            assertEquals(bed.backend.requests.size() > 1, neverRan);
+            assertTrue(neverRan ? status == 503 : status == 502 || status == 504, "status " + status);
+        }
+    }
+
+    @Test
+    public void aDenialSaysWhenToComeBackAndKeepsTheConnection() throws Exception {
+        try (Bed bed = new Bed(OK); Socket client = bed.client()) {
+            bed.backend.close();
+            Toy.Request denial = Bed.ask(client, Bed.get("t1", 500));
+            assertEquals(Bed.status(denial), 503);
+            assertTrue(Double.parseDouble(denial.header("Retry-After")) > 0, denial.head());
+            assertEquals(Bed.status(Bed.ask(client, Bed.get("t2", 500))), 503);
+        }
+    }
+
+    @Test
+    public void anIdThatIsOpenIsNotOpenedTwice() throws Exception {
+        try (Bed bed = new Bed(SILENT); Socket first = bed.client()) {
+            first.getOutputStream().write(Bed.get("t", 900).getBytes(StandardCharsets.ISO_8859_1));
+            Bed.await(() -> bed.backend.requests.size() == 1);
+            assertEquals(Bed.status(bed.ask(Bed.get("t", 900))), 409);
+        }
+    }
+
+    /** HttpCore does not tell an exchange that its client closed: nothing may go on running for nobody. */
+    @Test
+    public void aClientThatLeavesEndsItsSession() throws Exception {
+        CompletableFuture<Integer> backendSaw = new CompletableFuture<>();
+        try (Bed bed = new Bed((request, connection) -> backendSaw.complete(connection.getInputStream().read()))) {
+            Socket client = bed.client();
+            client.getOutputStream().write(Bed.get("t", 5_000).getBytes(StandardCharsets.ISO_8859_1));
+            Bed.await(() -> bed.backend.requests.size() == 1);
+            client.close();
+            assertEquals((int) backendSaw.get(1, java.util.concurrent.TimeUnit.SECONDS), -1);
+        }
+    }
+
+    @Test
+    public void nothingNewGoesToAServerThatLeavesAndTheWatchIsTakenUpAgain() throws Exception {
+        try (Bed bed = new Bed(OK)) {
+            assertEquals(Bed.status(bed.ask(Bed.get("t1", 500))), 200);
+            bed.tell(bed.table(7, false, "leaving"));
+            Thread.sleep(50);
+            assertEquals(Bed.status(bed.ask(Bed.get("t2", 500))), 503);
+            assertEquals(bed.backend.requests.size(), 1);
+            bed.discovery.connections.get(0).close();
+            Bed.await(() -> bed.discovery.requests.size() == 2);
+            assertEquals(bed.discovery.requests.get(1).line(), "GET /discovery/hosts?watch=1&from=7 HTTP/1.1");
+            Thread.sleep(50);
+            bed.tell("{ nonsense, passed over");
+            bed.tell(bed.table(8, true, "active"));
+            Thread.sleep(50);
+            assertEquals(Bed.status(bed.ask(Bed.get("t3", 500))), 200);
+        }
+    }
+
+    @Test
+    public void aConnectionIsUsedAgainButNotOnceItMayBeClosedAsIdle() throws Exception {
+        try (Bed bed = new Bed(OK)) {
+            bed.ask(Bed.get("t1", 900));
+            bed.ask(Bed.get("t2", 900));
+            assertEquals(bed.backend.connections.size(), 1);
+            Thread.sleep(700);
+            bed.ask(Bed.get("t3", 900));
+            assertEquals(bed.backend.connections.size(), 2);
+        }
+    }
+
+    @Test
+    public void pastTheCapOnConnectionsClientsAreDenied() throws Exception {
+        try (Bed bed = new Bed(OK, 64 + 2 * 35)) {
+            Socket[] crowd = new Socket[40];
+            for (int i = 0; i < crowd.length; i++) {
+                crowd[i] = bed.client();
+                Thread.sleep(2);
+            }
+            assertEquals(Bed.status(Bed.ask(crowd[0], Bed.get("t0", 900))), 200);
+            assertEquals(Bed.status(Bed.ask(crowd[10], Bed.get("t1", 900))), 503);
+            assertThrows(IOException.class, () -> {
+                if (Bed.ask(crowd[39], Bed.get("t2", 900)) == null) {
+                    throw new IOException("closed");
+                }
+            });
+            for (Socket client : crowd) {
+                client.close();
+            }
+            Thread.sleep(200);
+            assertEquals(Bed.status(bed.ask(Bed.get("t3", 900))), 200);
+        }
+    }
+
+    @Test
+    public void aSlowSenderIsCutOff() throws Exception {
+        try (Bed bed = new Bed(OK); Socket client = bed.client()) {
+            client.getOutputStream().write("GET /list/k HT".getBytes(StandardCharsets.ISO_8859_1));
+            assertThrows(IOException.class, () -> {
+                for (int i = 0; i < 14; i++) {
+                    Thread.sleep(500);
+                    client.getOutputStream().write('x');
+                }
+            });
+        }
+    }
+
+    @Test
+    public void windingDownLosesNothingThatWasTaken() throws Exception {
+        try (Bed bed = new Bed((request, connection) -> {
+            Thread.sleep(request.line().contains("gift") ? 900 : 0);
+            Toy.write(connection, Toy.ok("late"));
+        }); Socket idle = bed.client()) {
+            CompletableFuture<Integer> slow = CompletableFuture.supplyAsync(() -> {
+                try {
+                    return Bed.status(bed.ask(Bed.post("slow", 3_000, "x")));
+                } catch (IOException failed) {
+                    throw new IllegalStateException(failed);
+                }
+            });
+            Bed.await(() -> bed.backend.requests.size() == 1);
+            CompletableFuture<Void> down = CompletableFuture.runAsync(bed.sidecar::windDown);
+            Thread.sleep(300);
+            Toy.Request answer = bed.ask(Bed.get("new", 900));
+            assertEquals(Bed.status(answer), 200);
+            assertEquals(answer.header("Connection"), "close");
+            assertEquals((int) slow.get(), 200);
+            down.get();
+            assertEquals(idle.getInputStream().read(), -1);
+            assertThrows(IOException.class, () -> bed.client().close());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/peppergauge/Toy.java
@@ -0,0 +1,113 @@
+package peppergauge;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A backend server or discovery on a real socket, answering each request by a script. */
+final class Toy implements Closeable {
+
+    /** What a request is answered with. */
+    interface Script {
+        void answer(Request request, Socket connection) throws Exception;
+    }
+
+    record Request(String head, byte[] body) {
+
+        String line() {
+            return head.substring(0, head.indexOf("\r\n"));
+        }
+
+        String header(String name) {
+            return head.lines().filter(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+                    .map(line -> line.substring(name.length() + 1).trim()).findFirst().orElse(null);
+        }
+    }
+
+    final List<Request> requests = new CopyOnWriteArrayList<>();
+    final List<Socket> connections = new CopyOnWriteArrayList<>();
+    volatile Script script;
+    private final ServerSocket listener;
+
+    Toy(Script script) throws IOException {
+        this.script = script;
+        this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        daemon(() -> {
+            while (true) {
+                Socket connection = listener.accept();
+                connections.add(connection);
+                daemon(() -> serve(connection));
+            }
+        });
+    }
+
+    static Toy saying(String answer) throws IOException {
+        return new Toy((request, connection) -> write(connection, answer));
+    }
+
+    static String ok(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static void write(Socket connection, String text) throws IOException {
+        connection.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private void serve(Socket connection) throws Exception {
+        InputStream in = new BufferedInputStream(connection.getInputStream());
+        for (Request request = read(in); request != null; request = read(in)) {
+            requests.add(request);
+            script.answer(request, connection);
+        }
+        connection.close();
+    }
+
+    /** One message: its head and a body of its Content-Length; null at the end of the stream. */
+    static Request read(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return null;
+            }
+            head.append((char) next);
+        }
+        String length = new Request(head.toString(), null).header("Content-Length");
+        return new Request(head.toString(), in.readNBytes(length == null ? 0 : Integer.parseInt(length)));
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+
+    private interface Task {
+        void run() throws Exception;
+    }
+
+    private static void daemon(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (Exception closed) {
+                // The test is over, or wanted this.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
