Close this end as soon as a client has left

Its end of stream makes the connection readable for ever, HttpCore keeps this end open until an answer is written, and a session whose client left gets none; the read started the slow sender's timer, which closed it 5 s later. At fault: ClientConnection.gone, which ended the sessions but not the connection.

Now gone() closes it; the socket test for leaving clients asserts it (it failed before: the read timed out).

--- a/src/main/java/peppergauge/frontend/ClientConnection.java
+++ b/src/main/java/peppergauge/frontend/ClientConnection.java
@@ -21,6 +21,7 @@
     private final boolean crowded;
     private final Set<SessionHandler> waiting = new LinkedHashSet<>();
     private Future<?> sending;
+    private boolean gone;
 
     ClientConnection(IOSession connection, Sessions sessions, boolean crowded) {
         this.connection = connection;
@@ -34,7 +35,7 @@
 
     /** Bytes came in; the first after a whole request begin the next one. */
     synchronized void reading() {
-        if (sending == null) {
+        if (sending == null && !gone) {
             sending = sessions.after(LONGEST_SENDING_MS, () -> {
                 Log.line("slow sender", "a request was not whole after " + LONGEST_SENDING_MS + " ms");
                 connection.close(CloseMode.IMMEDIATE);
@@ -57,10 +58,15 @@
         waiting.remove(handler);
     }
 
-    /** The client closed; nobody waits for what is still out. */
+    /**
+     * The client closed: nobody waits for what is still out. HttpCore would keep this end open until an answer
+     * is written, and its client's sessions get none.
+     */
     void gone() {
         List<SessionHandler> left;
+        connection.close(CloseMode.GRACEFUL);
         synchronized (this) {
+            gone = true;
             requestWhole();
             left = List.copyOf(waiting);
             waiting.clear();
--- a/src/test/java/peppergauge/RulesOnSocketsTest.java
+++ b/src/test/java/peppergauge/RulesOnSocketsTest.java
@@ -141,9 +141,11 @@
         CompletableFuture<Integer> backendSaw = new CompletableFuture<>();
         try (Bed bed = new Bed((request, connection) -> backendSaw.complete(connection.getInputStream().read()))) {
             Socket client = bed.client();
+            client.setSoTimeout(1_000);
             client.getOutputStream().write(Bed.get("t", 5_000).getBytes(StandardCharsets.ISO_8859_1));
             Bed.await(() -> bed.backend.requests.size() == 1);
-            client.close();
+            client.shutdownOutput();
+            assertEquals(client.getInputStream().read(), -1, "this end was left open");
             assertEquals((int) backendSaw.get(1, java.util.concurrent.TimeUnit.SECONDS), -1);
         }
     }
