Take the unloaded latency from service reports too; warm up before ready

Checked by counters in the sidecar: queue delay 0.02 to 0.06 ms, probes 20 ms, so neither the queue nor the wire; 1,128 new connections in the first 5 s, probes 64 ms there. Checked by logging what the module had learned on both wires: unloaded latency 166 ms after 5 s real, 76 ms simulated; flight limit and room follow from it. At fault: Decide.unitLatency, which takes the least mean of own answers; slow first answers and then a crush never let it see the fleet unloaded. Now reported service time and probe time bound it (toldUnloadedMs).

The sidecar now asks its own listener up to 400 times, 400 ms at most, before /up says 200.

--- a/src/main/java/peppergauge/Sidecar.java
+++ b/src/main/java/peppergauge/Sidecar.java
@@ -29,6 +29,9 @@
     /** Descriptors of the program itself: files, selectors, listener, discovery. */
     private static final int OWN_SOCKETS = 64;
 
+    private static final int WARM_UP_EXCHANGES = 400;
+    private static final long LONGEST_WARM_UP_MS = 400;
+
     private final Config config;
     private final HttpBackend backend;
     private final Sessions sessions;
@@ -75,11 +78,26 @@
         sessions.listed(new ServerTable(known.version(), true, known.rows()));
         frontend.start(config.listen());
         watch.start();
+        warmUp();
         frontend.setReady();
         Log.line("start", config.name() + " serves on " + address() + " with " + known.rows().size()
                 + " backend servers known");
     }
 
+    /**
+     * Has the program ask itself before it says that it is ready: a cold Java machine falls behind its first
+     * clients so far that they have no answer by their deadlines. What comes back is not looked at.
+     */
+    private void warmUp() throws InterruptedException {
+        String self = address().getHostString() + ":" + address().getPort();
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_WARM_UP_MS);
+        for (int i = 0; i < WARM_UP_EXCHANGES && System.nanoTime() < until; i++) {
+            CountDownLatch ended = new CountDownLatch(1);
+            backend.probe(self, result -> ended.countDown());
+            ended.await(LONGEST_WARM_UP_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     InetSocketAddress address() {
         return frontend.address();
     }
--- a/src/main/java/peppergauge/decision/Decide.java
+++ b/src/main/java/peppergauge/decision/Decide.java
@@ -41,6 +41,8 @@
     private static final double FLIGHT_SLACK = 2;
     /** Growth of the unloaded latency per second, so that a fleet that has become slower is believed. */
     private static final double UNLOADED_GROWTH_PER_S = 0.01;
+    /** Reported service times in a mean answer of a busy, uncrowded fleet; 1 to 3 serve alike. */
+    private static final double TOLD_TIMES = 1.5;
     /** Service times left before the aim at which a hold, a client's wait and a service still fit in. */
     private static final double RETURN_SERVICES = 4;
     /** With less than this many mean service times left before the aim, sending is in vain. */
@@ -102,6 +104,7 @@
     private final Decaying fleetErrors = new Decaying(HALF_LIFE_MS), flights = new Decaying(HALF_LIFE_MS);
     private final Decaying fleetUse = new Decaying(HALF_LIFE_MS), fleetRate = new Decaying(HALF_LIFE_MS);
     private final Decaying crowd = new Decaying(HALF_LIFE_MS), probeTook = new Decaying(HALF_LIFE_MS);
+    private final Decaying served = new Decaying(HALF_LIFE_MS);
     private final Decaying covariance = new Decaying(4 * HALF_LIFE_MS);
     private final Decaying variance = new Decaying(4 * HALF_LIFE_MS);
     private final Decaying arrivals = new Decaying(4 * HALF_LIFE_MS);
@@ -315,7 +318,7 @@
             unloadedMs *= 1 + UNLOADED_GROWTH_PER_S * (nowMs - unloadedAtMs) / 1000;
             unloadedAtMs = nowMs;
             if (fleetLatency.weight(nowMs) >= (thin() && reportsUse ? 4 : 1) * PRIOR_OUTCOMES) {
-                unloadedMs = Math.min(unloadedMs, mean);
+                unloadedMs = Math.min(unloadedMs, Math.min(mean, toldUnloadedMs()));
             }
         }
         double warmMs = normalMs * attempt.capacity;
@@ -325,6 +328,16 @@
         return warmMs / (1 + crowding * attempt.inFlight);
     }
 
+    /**
+     * The unloaded latency by the servers' own word: service time without waiting, and the way there and
+     * back. Covers an instance that starts into a crush, or whose first answers were slow for reasons of its
+     * own: it would take crowded latencies for usual and send twice too much.
+     */
+    private double toldUnloadedMs() {
+        boolean told = Math.min(served.weight(nowMs), probeTook.weight(nowMs)) >= PRIOR_OUTCOMES;
+        return told ? TOLD_TIMES * served.mean(nowMs) + probeTook.mean(nowMs) : Double.POSITIVE_INFINITY;
+    }
+
     /** What one more request in flight adds to the latency, from each server's ups and downs. */
     private void learnCrowding(Request.Attempt attempt, double warmMs) {
         Server server = attempt.server;
@@ -396,6 +409,8 @@
                 server.use = (use(server) + 3 * load[i]) / 4;
                 server.usedAtMs = nowMs;
                 fleetUse.add(nowMs, Math.min(1, load[i]));
+            } else if (fields.get(i) == LoadField.LATENCY_MS && load[i] > 0) {
+                served.add(nowMs, load[i]);
             } else if (fields.get(i) == LoadField.SERVED_PER_S && load[i] >= 0) {
                 server.rate = (rate(server) + 3 * load[i]) / 4;
                 server.ratedAtMs = nowMs;
--- a/src/test/java/peppergauge/decision/DangersTest.java
+++ b/src/test/java/peppergauge/decision/DangersTest.java
@@ -292,4 +292,39 @@
         assertNull(sentTo(s.pass(10)));
         assertTrue(sentTo(s.request("b", 0)) != null);
     }
+
+    /** A sidecar whose first answers are slow (cold, or started into a crush) once sent twice what the fleet bore. */
+    @Test
+    void aSlowStartIsNotTakenForTheUnloadedLatencyWhereServiceTimesAreTold() {
+        int untold = burstAfterSlowAnswers(Double.NaN);
+        int told = burstAfterSlowAnswers(10);
+        assertTrue(told > 0 && told * 2 <= untold, "sent " + told + " with reports, " + untold + " without");
+    }
+
+    private static int burstAfterSlowAnswers(double serviceMs) {
+        Settings settings = new Settings(0, 1, 0, 1, false, 0.1, List.of(Scripted.SAFE), List.of(),
+                new Limits(4, false, true, true, true, 1500, false, 15_000),
+                new Rules(0.12, 24_000, 2.5, 3_000, true, Balancer.Budget.NONE),
+                List.of(Balancer.LoadField.IN_FLIGHT, Balancer.LoadField.LATENCY_MS));
+        Scripted s = new Scripted(settings, 7);
+        s.list(true, Scripted.servers(2));
+        for (int i = 0; i < 20; i++) {
+            s.give(new Balancer.ProbeEnded("s" + i % 2, Outcome.SUCCESS, 5, new double[] {0, serviceMs}));
+        }
+        List<Send> out = new java.util.ArrayList<>();
+        for (int round = 0; round < 40 || !out.isEmpty(); round++) {
+            for (int i = 0; i < 8 && round < 40; i++) {
+                out.addAll(only(Send.class, s.request("w" + round + "-" + i, 0)));
+            }
+            s.pass(60);
+            List<Send> ended = List.copyOf(out);
+            out.clear();
+            ended.forEach(send -> out.addAll(only(Send.class, s.end(send.id(), 0, send.server(), Outcome.SUCCESS, 60))));
+        }
+        int burst = 0;
+        for (int i = 0; i < 40; i++) {
+            burst += only(Send.class, s.request("b" + i, 0)).size();
+        }
+        return burst;
+    }
 }
