--- /dev/null
+++ b/src/test/java/peppergauge/PackagesTest.java
@@ -0,0 +1,46 @@
+package peppergauge;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.testng.annotations.Test;
+
+/** The layout that docs/ARCHITECTURE.md draws. */
+public class PackagesTest {
+
+    private final JavaClasses program =
+            new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("peppergauge");
+
+    @Test
+    public void noPackageImportsInACircle() {
+        slices().matching("peppergauge.(*)..").should().beFreeOfCycles().check(program);
+    }
+
+    @Test
+    public void theDecisionsDoNoInputOutputAndHaveNoThreadsAndNoClock() {
+        noClasses().that().resideInAPackage("peppergauge.decision").should().dependOnClassesThat()
+                .resideInAnyPackage("java.io", "java.net..", "java.nio..", "java.time..", "java.util.concurrent..",
+                        "org.apache..", "com.fasterxml..").check(program);
+        noClasses().that().resideInAPackage("peppergauge.decision").should().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(program);
+    }
+
+    @Test
+    public void theSessionsKnowNoProtocol() {
+        noClasses().that().resideInAPackage("peppergauge.session").should().dependOnClassesThat()
+                .resideInAnyPackage("org.apache..", "java.net..", "peppergauge.http").check(program);
+    }
+
+    @Test
+    public void theEndsDoNotKnowEachOther() {
+        for (String end : new String[] {"frontend", "backend", "servertable"}) {
+            noClasses().that().resideInAPackage("peppergauge." + end).should().dependOnClassesThat()
+                    .resideInAnyPackage(java.util.stream.Stream.of("frontend", "backend", "servertable")
+                            .filter(other -> !other.equals(end)).map(other -> "peppergauge." + other)
+                            .toArray(String[]::new)).check(program);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/peppergauge/config/ConfigTest.java
@@ -0,0 +1,61 @@
+package peppergauge.config;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class ConfigTest {
+
+    private static final String FILE = "{\"name\":\"n\",\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:2\","
+            + "\"seed\":\"f\",\"limits\":{\"sockets\":99},\"known\":{},\"settings\":{}}";
+
+    private static Config read(String file, String variable, String value) throws IOException {
+        Path path = Files.createTempFile("config", ".json");
+        try {
+            Map<String, String> environment = new HashMap<>(Map.of("GW_CONFIG", Files.writeString(path, file).toString()));
+            environment.put(variable, value);
+            return Config.read(environment);
+        } finally {
+            Files.delete(path);
+        }
+    }
+
+    @Test
+    public void variablesGoBeforeTheFile() throws IOException {
+        Config config = read(FILE, "GW_LISTEN", "127.0.0.1:7");
+        assertEquals(config.listen().getPort(), 7);
+        assertEquals(config.discovery().getPort(), 2);
+        assertEquals(config.seed(), 15);
+        assertEquals(config.sockets(), 99);
+    }
+
+    @DataProvider
+    public Object[][] unusable() {
+        return new Object[][] {
+            {FILE, "GW_LISTEN", "nowhere", "GW_LISTEN is not host:port"},
+            {FILE, "GW_LISTEN", "h:70000", "GW_LISTEN is not host:port"},
+            {FILE, "GW_DISCOVERY", ":1", "GW_DISCOVERY is not host:port"},
+            {FILE, "GW_CONFIG", "/no/such", "cannot be read"},
+            {FILE, "GW_CONFIG", "", "GW_CONFIG is not set"},
+            {FILE.replace("\"name\":\"n\",", ""), "X", "", "neither GW_NAME"},
+            {FILE.replace("\"f\"", "\"xyz\""), "X", "", "not hexadecimal"},
+            {FILE.replace("99", "1"), "X", "", "limits.sockets"},
+            {FILE.replace("\"settings\":{}", "\"settings\":[]"), "X", "", "'settings' is not an object"},
+            {"{", "X", "", "not valid JSON"},
+        };
+    }
+
+    @Test(dataProvider = "unusable")
+    public void whatIsUnusableIsNamed(String file, String variable, String value, String why) {
+        String message = expectThrows(IllegalArgumentException.class, () -> read(file, variable, value)).getMessage();
+        assertTrue(message.contains(why), message);
+    }
+}
--- /dev/null
+++ b/src/test/java/peppergauge/servertable/ServerTableReaderTest.java
@@ -0,0 +1,56 @@
+package peppergauge.servertable;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.session.ServerTable;
+import peppergauge.settings.JsonTree;
+
+public class ServerTableReaderTest {
+
+    private static ServerTable read(String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        return new ServerTableReader(List.of("north", "bay")).read(JsonTree.parse(bytes, 0, bytes.length));
+    }
+
+    @DataProvider
+    public Object[][] rows() {
+        String row = "{'id':'s','addr':'h:1','zone':'bay','cell':3,'state':'active','weight':1.0,'started_ms':5}";
+        return new Object[][] {
+            {row, "s zone 1 cell 3 READY from 5 at h:1"},
+            {row.replace("active", "leaving"), "s zone 1 cell 3 DRAINING from 5 at h:1"},
+            {"{'id':'s','state':'left'}", "s zone -1 cell 0 GONE from 0 at null"},
+            {row.replace("'bay'", "'unheard'").replace("'cell':3,", ""), "s zone -1 cell 0 READY from 5 at h:1"},
+            {row.replace("'bay'", "0"), "s zone 0 cell 3 READY from 5 at h:1"},
+        };
+    }
+
+    @Test(dataProvider = "rows")
+    public void aRowIsRead(String row, String expected) {
+        ServerTable table = read(("{'version':41,'full':true,'servers':[" + row + "]}").replace('\'', '"'));
+        ServerTable.Row read = table.rows().get(0);
+        assertEquals(read.entry().server() + " zone " + read.entry().zone() + " cell " + read.entry().cell() + " "
+                + read.entry().state() + " from " + (long) read.entry().startedMs() + " at " + read.address(), expected);
+        assertEquals(table.version(), 41);
+    }
+
+    @DataProvider
+    public Object[][] malformed() {
+        return new Object[][] {
+            {"{'version':1}", "no list"}, {"{'servers':[1]}", "not an object"}, {"{'servers':[{}]}", "no id"},
+            {"{'servers':[{'id':'s','state':'odd','addr':'h:1'}]}", "state odd"},
+            {"{'servers':[{'id':'s','state':'active'}]}", "no addr"}, {"{'servers':[", "not valid JSON"},
+            {"[]", "not a JSON object"}, {"{} {}", "more than one"}, {"", "not a JSON object"},
+        };
+    }
+
+    @Test(dataProvider = "malformed")
+    public void whatIsMalformedIsNamed(String text, String why) {
+        String message = expectThrows(IllegalArgumentException.class, () -> read(text.replace('\'', '"'))).getMessage();
+        assertEquals(message.contains(why), true, message);
+    }
+}
