--- a/src/main/java/peppergauge/servertable/ServerTableReader.java
+++ b/src/main/java/peppergauge/servertable/ServerTableReader.java
@@ -4,9 +4,10 @@
 import java.util.Map;
 import peppergauge.decision.Balancer.ServerEntry;
 import peppergauge.decision.Balancer.ServerState;
+import peppergauge.log.Log;
 import peppergauge.session.ServerTable;
 
-/** Reads discovery's objects; an {@link IllegalArgumentException} says what is malformed. */
+/** Reads discovery's objects; an {@link IllegalArgumentException} says why one is none. */
 public final class ServerTableReader {
 
     private final List<String> zones;
@@ -21,17 +22,22 @@
         }
         List<ServerTable.Row> rows = new ArrayList<>();
         for (Object server : servers) {
-            if (!(server instanceof Map<?, ?> fields)) {
-                throw new IllegalArgumentException("a server is not an object");
+            try {
+                rows.add(row(server));
+            } catch (IllegalArgumentException malformed) {
+                // One bad row must not keep the others' news back: a server among them may be leaving.
+                Log.line("server table", "a row passed over: " + malformed.getMessage());
             }
-            rows.add(row(fields));
         }
         return new ServerTable((long) number(object.get("version")), Boolean.TRUE.equals(object.get("full")), rows);
     }
 
-    private ServerTable.Row row(Map<?, ?> fields) {
+    private ServerTable.Row row(Object server) {
+        if (!(server instanceof Map<?, ?> fields)) {
+            throw new IllegalArgumentException("it is not an object");
+        }
         if (!(fields.get("id") instanceof String id)) {
-            throw new IllegalArgumentException("a server has no id");
+            throw new IllegalArgumentException("it has no id");
         }
         ServerState state = switch (String.valueOf(fields.get("state"))) {
             case "active" -> ServerState.READY;
--- a/src/main/java/peppergauge/session/Sessions.java
+++ b/src/main/java/peppergauge/session/Sessions.java
@@ -319,7 +319,7 @@
         try {
             answer.run();
         } catch (RuntimeException bug) {
-            Log.bug("answer of session " + session.id(), bug);
+            Log.bug("answer", bug);
         }
     }
 
