Draw a server that fails fast by the floor alone, however idle it is

Cause, by reading Decide.drawAmong: the floor was laid under the condition before the in-flight factor was multiplied in. A server that fails at once has nothing in flight, so its floor, 0.69 to the root, beat sound servers with three in flight (1/16) by far.

Now a server under 0.7 of the soundest's success gets the floor's weight itself, unless half are bad (even spread as before).

--- a/src/main/java/peppergauge/decision/Decide.java
+++ b/src/main/java/peppergauge/decision/Decide.java
@@ -33,6 +33,8 @@
     private static final double CONDITION_FLOOR = 0.004;
     /** A server is bad when its condition is under this share of the fleet's upper quartile. */
     private static final double BAD_CUT = 0.5;
+    /** Under this share of the soundest's success a server fails, and is drawn by the floor alone. */
+    private static final double FAILING_CUT = 0.7;
     /** Expected latency up to this many times the fleet's unloaded latency leaves room to send. */
     private static final double ROOM = 2.8;
     /** Own requests in flight that a server may always have: less would idle it between answers. */
@@ -567,6 +569,10 @@
         double best = 0;
         boolean fresh = false;
         double bestUnit = Double.POSITIVE_INFINITY;
+        double bestSound = 0;
+        for (Server server : pool) {
+            bestSound = Math.max(bestSound, server.sound);
+        }
         for (Server server : among) {
             server.open = mayJoin(request, server, limit, trial);
             fresh |= server.open && !request.tried(server);
@@ -579,15 +585,18 @@
                 double condition = even ? 1 : server.sound * bestUnit / server.unitMs;
                 health = Math.max(condition, TRIAL_CONDITION) * server.load * server.capacity;
             }
-            scratch[i] = health;
-            best = Math.max(best, health);
+            // One that fails fast is always idle: the in-flight factor must not lift it above the floor.
+            boolean failing = health > 0 && !even && server.sound < FAILING_CUT * bestSound;
+            scratch[i] = failing ? -1 : health;
+            best = Math.max(best, failing ? 0 : health);
         }
         if (best <= 0) {
             return null;
         }
         double total = 0;
         for (int i = 0; i < among.size(); i++) {
-            scratch[i] = scratch[i] <= 0 ? 0 : Math.pow(scratch[i] / best, STEEPNESS);
+            scratch[i] = scratch[i] < 0 ? CONDITION_FLOOR
+                    : scratch[i] == 0 ? 0 : Math.pow(scratch[i] / best, STEEPNESS);
             total += scratch[i];
         }
         double mark = random.nextDouble() * total;
--- a/src/test/java/peppergauge/decision/DangersTest.java
+++ b/src/test/java/peppergauge/decision/DangersTest.java
@@ -327,4 +327,30 @@
         }
         return burst;
     }
+
+    /** The in-flight factor once lifted a server that fails at once, and so is always idle, over all busy ones. */
+    @Test
+    void aServerThatFailsAtOnceIsNotDrawnForBeingIdleAmongBusyOnes() {
+        Scripted s = Scripted.withServers(4);
+        java.util.ArrayDeque<Send> out = new java.util.ArrayDeque<>();
+        s.watcher = answer -> out.addAll(only(Send.class, answer));
+        int failed = 0;
+        for (int i = 0; i < 300; i++) {
+            s.request("r" + i, 2);
+            s.pass(6);
+            for (int busy = out.size(); busy > 0; busy--) {
+                Send send = out.poll();
+                boolean fails = send.server().equals("s0");
+                failed += fails && i >= 100 ? 1 : 0;
+                if (fails) {
+                    s.end(send.id(), 0, "s0", Outcome.ERROR, 1);
+                } else if (busy > 3) {
+                    s.end(send.id(), 0, send.server(), Outcome.SUCCESS, 60);
+                } else {
+                    out.add(send);
+                }
+            }
+        }
+        assertTrue(failed < 10, "the failing server got " + failed + " of 200");
+    }
 }
