Accept only what there is room for; close idle and silent clients' connections

A print of every exception that HttpCore reports showed why: 'Too many open files' from accept() ends HttpCore's listener thread for good, and HttpFrontend.report passed it over as an IOException. Its accept loop drains the whole queue before any limit of ours is asked (ClientConnections.connected). The idle time was 2 min, and none ran from connecting.

What HttpCore reports is logged unless it is an ordinary end.

--- a/src/main/java/peppergauge/Sidecar.java
+++ b/src/main/java/peppergauge/Sidecar.java
@@ -26,8 +26,8 @@
     /** Clients still connect for a while after SIGTERM; what is not accepted by then would be lost. */
     private static final long KEEP_ACCEPTING_MS = 700;
     private static final long LEAST_DEADLINE_MS = 3_000;
-    /** Descriptors of the program itself: files, selectors, listener, discovery. */
-    private static final int OWN_SOCKETS = 64;
+    /** Descriptors of the program itself: files, selectors, listener, discovery (24 counted), and a margin. */
+    private static final int OWN_SOCKETS = 40;
 
     private static final int WARM_UP_EXCHANGES = 400;
     private static final long LONGEST_WARM_UP_MS = 400;
--- a/src/main/java/peppergauge/config/Config.java
+++ b/src/main/java/peppergauge/config/Config.java
@@ -11,7 +11,7 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         Map<String, Object> known, Map<String, Object> settings) {
 
-    private static final int FEWEST_SOCKETS = 64;
+    private static final int FEWEST_SOCKETS = 48;
     private static final int USUAL_SOCKETS = 1024;
 
     /** An {@link IllegalArgumentException} says which value is missing or unusable. */
--- a/src/main/java/peppergauge/frontend/ClientConnections.java
+++ b/src/main/java/peppergauge/frontend/ClientConnections.java
@@ -1,11 +1,15 @@
 package peppergauge.frontend;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.HttpConnection;
-import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
+import org.apache.hc.core5.reactor.IOWorkerSelector;
+import org.apache.hc.core5.reactor.IOWorkerStats;
 import org.apache.hc.core5.util.Timeout;
 import peppergauge.log.Log;
 import peppergauge.session.Sessions;
@@ -14,14 +18,17 @@
  * All clients' connections, as the reactor reports them. HttpCore tells an exchange nothing of its client's
  * leaving: at the end of its stream the connection only stops being open, which is looked for here.
  */
-final class ClientConnections implements IOSessionListener {
+final class ClientConnections implements IOSessionListener, IOWorkerSelector {
 
-    /** Connections past the cap that are still taken, so that their clients hear a denial. */
-    private static final int CROWD = 32;
+    /** A connection that came or was answered just now may have a request under way; it is not closed for room. */
+    private static final long FRESH_NS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final long LOOK_FOR_ROOM_MS = 10;
 
     private final Sessions sessions;
-    private final int most;
+    private final Semaphore room;
     private final Map<String, ClientConnection> byId = new HashMap<>();
+    /** Connections with no request, the longest idle first, and since when they are. */
+    private final Map<ClientConnection, Long> idle = new LinkedHashMap<>();
     /** Set once this side closes connections: one that is no longer open then tells nothing of its client. */
     private volatile boolean windingDown;
     /** The connection whose input is being handled; there is one I/O thread, on which all of this runs. */
@@ -29,7 +36,7 @@
 
     ClientConnections(Sessions sessions, int most) {
         this.sessions = sessions;
-        this.most = most;
+        this.room = new Semaphore(most);
     }
 
     void windDown() {
@@ -40,15 +47,60 @@
         return current;
     }
 
+    /**
+     * Called for each accepted connection, on the thread that accepts: it waits here for room, made by closing
+     * what is idle longest. HttpCore's listener accepts all that comes, and a descriptor too many ends it for
+     * good; those who wait meanwhile stand in the kernel's queue.
+     */
     @Override
-    public void connected(IOSession session) {
-        if (byId.size() >= most) {
-            // One descriptor more than allowed, and accepting itself would fail and end the reactor.
-            Log.line("crowded", "a connection past " + most + " was closed");
-            session.close(CloseMode.IMMEDIATE);
-            return;
+    public int select(IOWorkerStats[] workers) {
+        try {
+            if (!room.tryAcquire()) {
+                do {
+                    closeLongestIdle();
+                } while (!room.tryAcquire(LOOK_FOR_ROOM_MS, TimeUnit.MILLISECONDS));
+            }
+        } catch (InterruptedException ending) {
+            Thread.currentThread().interrupt();
+        }
+        return 0;
+    }
+
+    private void closeLongestIdle() {
+        ClientConnection longest = null;
+        synchronized (idle) {
+            var first = idle.entrySet().iterator();
+            if (first.hasNext()) {
+                Map.Entry<ClientConnection, Long> entry = first.next();
+                if (System.nanoTime() - entry.getValue() > FRESH_NS) {
+                    longest = entry.getKey();
+                    first.remove();
+                }
+            }
+        }
+        if (longest != null) {
+            Log.line("crowded", "an idle connection was closed for a new one");
+            longest.close();
+        }
+    }
+
+    void idle(ClientConnection connection) {
+        synchronized (idle) {
+            idle.put(connection, System.nanoTime());
         }
-        byId.put(session.getId(), new ClientConnection(session, sessions, byId.size() >= most - CROWD));
+    }
+
+    void busy(ClientConnection connection) {
+        synchronized (idle) {
+            idle.remove(connection);
+        }
+    }
+
+    @Override
+    public void connected(IOSession session) {
+        ClientConnection connection = new ClientConnection(session, sessions, this);
+        byId.put(session.getId(), connection);
+        connection.opened();
     }
 
     @Override
@@ -73,6 +125,7 @@
         ClientConnection connection = byId.remove(session.getId());
         if (connection != null) {
             connection.gone();
+            room.release();
         }
     }
 
--- a/src/main/java/peppergauge/frontend/HttpFrontend.java
+++ b/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -1,19 +1,25 @@
 package peppergauge.frontend;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.ClosedSelectorException;
 import java.util.concurrent.ExecutionException;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandlerFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.support.BasicAsyncServerExpectationDecorator;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
-import org.apache.hc.core5.util.Timeout;
 import peppergauge.log.Log;
 import peppergauge.session.Clock;
 import peppergauge.session.Sessions;
@@ -22,7 +28,6 @@
 public final class HttpFrontend {
 
     private static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds(50);
-    private static final Timeout IDLE = Timeout.ofMinutes(2);
     private static final int BACKLOG = 511;
 
     private final Site site;
@@ -40,22 +45,21 @@
         this.sessions = sessions;
         this.clock = clock;
         this.connections = new ClientConnections(sessions, mostConnections);
-        this.server = AsyncServerBootstrap.bootstrap()
-                .setCanonicalHostName("localhost")
-                .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
-                        .setSoTimeout(IDLE).setSoReuseAddress(true).setTcpNoDelay(true).setBacklogSize(BACKLOG)
-                        .build())
-                .setHttp1Config(Http1Config.custom().setBufferSize(4096).setMaxHeaderCount(100)
-                        .setMaxLineLength(8192).build())
-                .setHttpProcessor(HttpProcessorBuilder.create().build())
-                .setRequestRouter((request, context) -> this::handler)
-                .setIOSessionListener(connections)
-                .setExceptionCallback(HttpFrontend::report)
-                .create();
+        // Put together by hand: the bootstrap offers no say in how connections are accepted.
+        Http1Config http = Http1Config.custom().setBufferSize(4096).setMaxHeaderCount(100).setMaxLineLength(8192)
+                .build();
+        this.server = new HttpAsyncServer(
+                new ServerHttp1IOEventHandlerFactory(new ServerHttp1StreamDuplexerFactory(
+                        HttpProcessorBuilder.create().build(), (request, context) -> handler(request), http,
+                        CharCodingConfig.DEFAULT, null, HttpFrontend::report), null, null),
+                IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
+                        .setSoReuseAddress(true).setTcpNoDelay(true).setBacklogSize(BACKLOG).build(),
+                null, HttpFrontend::report, connections, null, connections, "localhost");
     }
 
-    private AsyncServerExchangeHandler handler() {
-        return new SessionHandler(this, connections.current());
+    private AsyncServerExchangeHandler handler(HttpRequest request) {
+        SessionHandler handler = new SessionHandler(this, connections.current());
+        return request.containsHeader("Expect") ? new BasicAsyncServerExpectationDecorator(handler) : handler;
     }
 
     /** Listens on this address only, and no other. */
@@ -121,7 +125,9 @@
     }
 
     private static void report(Exception thrown) {
-        if (thrown instanceof RuntimeException && !(thrown instanceof ClosedSelectorException)) {
+        boolean ordinary = thrown instanceof ClosedSelectorException || thrown instanceof HttpException
+                || thrown instanceof SocketException || thrown instanceof ClosedChannelException;
+        if (!ordinary) {
             Log.bug("frontend", thrown);
         }
     }
--- a/src/main/java/peppergauge/frontend/SessionHandler.java
+++ b/src/main/java/peppergauge/frontend/SessionHandler.java
@@ -59,11 +59,6 @@
             answerHere(owner.ready() ? 200 : 503, owner.ready() ? "ready" : "not ready", null);
             return;
         }
-        if (connection.crowded()) {
-            closeAsked = true;
-            answerHere(503, "too many connections", null);
-            return;
-        }
         try {
             head = Head.read(request, owner.site());
         } catch (Head.Unusable unusable) {
