Count a closed socket's descriptor as free only after the reactor's next select

Seen: with accepting bounded, descriptors still reached 255 of 256 and accept() failed once more. A channel that is closed keeps its descriptor until its selector deregisters it, one select later, so places given away at once are descriptors too many in a burst. Ruled out by reading: HttpCore has no other bound on accepted or connecting sockets.

SocketRoom counts places per reactor and frees them a round later (IOReactorMetricsListener). Both ends use it.

--- a/src/main/java/peppergauge/backend/Connections.java
+++ b/src/main/java/peppergauge/backend/Connections.java
@@ -13,6 +13,7 @@
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import peppergauge.sockets.SocketRoom;
 
 /**
  * Connections to backend servers, the most recently used first. HttpCore's own requester is passed by since
@@ -24,14 +25,19 @@
     private static final double IDLE_SHARE = 0.75;
     private static final Timeout LONGEST_LOCK = Timeout.ofSeconds(1);
 
+    /** Sockets that are being closed still hold their descriptors for a moment. */
+    private static final int CLOSING = 12;
+
     private final HttpAsyncRequester requester;
+    private final SocketRoom room;
     private final StrictConnPool<HttpHost, IOSession> pool;
     private final Timeout connectTimeout;
     private final Timeout idle;
 
-    Connections(HttpAsyncRequester requester, int most, double connectTimeoutMs, double idleMs) {
+    Connections(HttpAsyncRequester requester, SocketRoom room, int most, double connectTimeoutMs, double idleMs) {
         this.requester = requester;
-        this.pool = new StrictConnPool<>(most, most, TimeValue.NEG_ONE_MILLISECOND, PoolReusePolicy.LIFO, null);
+        this.room = room;
+        this.pool = new StrictConnPool<>(most - CLOSING, most - CLOSING, TimeValue.NEG_ONE_MILLISECOND, PoolReusePolicy.LIFO, null);
         this.connectTimeout = Timeout.ofMilliseconds((long) Math.max(1, connectTimeoutMs));
         this.idle = Timeout.ofMilliseconds((long) Math.max(1, idleMs * IDLE_SHARE));
     }
@@ -66,6 +72,11 @@
 
     private void connect(HttpHost server, PoolEntry<HttpHost, IOSession> entry,
             FutureCallback<PoolEntry<HttpHost, IOSession>> leased) {
+        if (!room.take()) {
+            discard(entry);
+            leased.failed(new IOException("no socket left"));
+            return;
+        }
         requester.connect(server, new InetSocketAddress(server.getHostName(), server.getPort()), null, connectTimeout,
                 null, new FutureCallback<>() {
                     @Override
@@ -77,6 +88,7 @@
 
                     @Override
                     public void failed(Exception cause) {
+                        room.closed();
                         discard(entry);
                         leased.failed(cause);
                     }
--- a/src/main/java/peppergauge/backend/HttpBackend.java
+++ b/src/main/java/peppergauge/backend/HttpBackend.java
@@ -20,6 +20,7 @@
 import peppergauge.session.Backend;
 import peppergauge.session.Clock;
 import peppergauge.session.Message;
+import peppergauge.sockets.SocketRoom;
 
 /** Attempts and probes over HTTP/1.1. */
 public final class HttpBackend implements Backend {
@@ -40,6 +41,7 @@
         this.clock = clock;
         this.loadFields = loadFields;
         this.probeTimeoutMs = connectTimeoutMs;
+        SocketRoom room = new SocketRoom(mostConnections);
         this.requester = AsyncRequesterBootstrap.bootstrap()
                 .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
                         .setTcpNoDelay(true).build())
@@ -47,9 +49,11 @@
                         .setMaxLineLength(8192).build())
                 .setHttpProcessor(HttpProcessorBuilder.create().build())
                 .setExceptionCallback(HttpExchange::report)
+                .setIOReactorMetricsListener(room)
+                .setIOSessionListener(new Closings(room))
                 .create();
         // The processor is empty: what a request carries is settled by the message alone.
-        this.connections = new Connections(requester, mostConnections, connectTimeoutMs, idleMs);
+        this.connections = new Connections(requester, room, mostConnections, connectTimeoutMs, idleMs);
     }
 
     public void start() {
--- a/src/main/java/peppergauge/frontend/ClientConnections.java
+++ b/src/main/java/peppergauge/frontend/ClientConnections.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.reactor.IOSession;
@@ -13,6 +12,7 @@
 import org.apache.hc.core5.util.Timeout;
 import peppergauge.log.Log;
 import peppergauge.session.Sessions;
+import peppergauge.sockets.SocketRoom;
 
 /**
  * All clients' connections, as the reactor reports them. HttpCore tells an exchange nothing of its client's
@@ -25,7 +25,7 @@
     private static final long LOOK_FOR_ROOM_MS = 10;
 
     private final Sessions sessions;
-    private final Semaphore room;
+    private final SocketRoom room;
     private final Map<String, ClientConnection> byId = new HashMap<>();
     /** Connections with no request, the longest idle first, and since when they are. */
     private final Map<ClientConnection, Long> idle = new LinkedHashMap<>();
@@ -34,9 +34,9 @@
     /** The connection whose input is being handled; there is one I/O thread, on which all of this runs. */
     private ClientConnection current;
 
-    ClientConnections(Sessions sessions, int most) {
+    ClientConnections(Sessions sessions, SocketRoom room) {
         this.sessions = sessions;
-        this.room = new Semaphore(most);
+        this.room = room;
     }
 
     void windDown() {
@@ -55,10 +55,10 @@
     @Override
     public int select(IOWorkerStats[] workers) {
         try {
-            if (!room.tryAcquire()) {
+            if (!room.take()) {
                 do {
                     closeLongestIdle();
-                } while (!room.tryAcquire(LOOK_FOR_ROOM_MS, TimeUnit.MILLISECONDS));
+                } while (!room.take(LOOK_FOR_ROOM_MS));
             }
         } catch (InterruptedException ending) {
             Thread.currentThread().interrupt();
@@ -125,7 +125,7 @@
         ClientConnection connection = byId.remove(session.getId());
         if (connection != null) {
             connection.gone();
-            room.release();
+            room.closed();
         }
     }
 
--- a/src/main/java/peppergauge/frontend/HttpFrontend.java
+++ b/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -23,6 +23,7 @@
 import peppergauge.log.Log;
 import peppergauge.session.Clock;
 import peppergauge.session.Sessions;
+import peppergauge.sockets.SocketRoom;
 
 /** Where clients connect: turns their requests into sessions and sessions' answers into responses. */
 public final class HttpFrontend {
@@ -44,7 +45,8 @@
         this.site = site;
         this.sessions = sessions;
         this.clock = clock;
-        this.connections = new ClientConnections(sessions, mostConnections);
+        SocketRoom room = new SocketRoom(mostConnections);
+        this.connections = new ClientConnections(sessions, room);
         // Put together by hand: the bootstrap offers no say in how connections are accepted.
         Http1Config http = Http1Config.custom().setBufferSize(4096).setMaxHeaderCount(100).setMaxLineLength(8192)
                 .build();
@@ -54,7 +56,7 @@
                         CharCodingConfig.DEFAULT, null, HttpFrontend::report), null, null),
                 IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
                         .setSoReuseAddress(true).setTcpNoDelay(true).setBacklogSize(BACKLOG).build(),
-                null, HttpFrontend::report, connections, null, connections, "localhost");
+                null, HttpFrontend::report, connections, room, connections, "localhost");
     }
 
     private AsyncServerExchangeHandler handler(HttpRequest request) {
