--- a/src/main/java/peppergauge/backend/Connections.java
+++ b/src/main/java/peppergauge/backend/Connections.java
@@ -25,8 +25,8 @@
     private static final double IDLE_SHARE = 0.75;
     private static final Timeout LONGEST_LOCK = Timeout.ofSeconds(1);
 
-    /** Sockets that are being closed still hold their descriptors for a moment. */
-    private static final int CLOSING = 12;
+    /** Share of the places that is left to sockets being closed, which still hold descriptors for a moment. */
+    private static final double CLOSING_SHARE = 0.1;
 
     private final HttpAsyncRequester requester;
     private final SocketRoom room;
@@ -37,7 +37,8 @@
     Connections(HttpAsyncRequester requester, SocketRoom room, int most, double connectTimeoutMs, double idleMs) {
         this.requester = requester;
         this.room = room;
-        this.pool = new StrictConnPool<>(most - CLOSING, most - CLOSING, TimeValue.NEG_ONE_MILLISECOND, PoolReusePolicy.LIFO, null);
+        int pooled = (int) Math.ceil(most * (1 - CLOSING_SHARE));
+        this.pool = new StrictConnPool<>(pooled, pooled, TimeValue.NEG_ONE_MILLISECOND, PoolReusePolicy.LIFO, null);
         this.connectTimeout = Timeout.ofMilliseconds((long) Math.max(1, connectTimeoutMs));
         this.idle = Timeout.ofMilliseconds((long) Math.max(1, idleMs * IDLE_SHARE));
     }
