Ask servers for their load only where balancers outnumber them

Each request asked three servers for their load first, each probe on a connection of its own across zones; with none left, attempts ended as unreachable, servers rested, clients came back and asked again. At fault: surveys for two balancers and more (Decide constructor), toldUnloadedMs asking for probes.

Now surveys are for fleets in which balancers outnumber servers (as for the pool). The inherited tests hold.

--- a/src/main/java/peppergauge/decision/Decide.java
+++ b/src/main/java/peppergauge/decision/Decide.java
@@ -44,7 +44,7 @@
     /** Growth of the unloaded latency per second, so that a fleet that has become slower is believed. */
     private static final double UNLOADED_GROWTH_PER_S = 0.01;
     /** Reported service times in a mean answer of a busy, uncrowded fleet; 1 to 3 serve alike. */
-    private static final double TOLD_TIMES = 1.5;
+    private static final double TOLD_TIMES = 1.75;
     /** Service times left before the aim at which a hold, a client's wait and a service still fit in. */
     private static final double RETURN_SERVICES = 4;
     /** With less than this many mean service times left before the aim, sending is in vain. */
@@ -114,7 +114,7 @@
     private final Map<Integer, Decaying> probesByZone = new HashMap<>();
     /** Times of requests taken and of further attempts within the budget's window. */
     private final Recent taken = new Recent(), further = new Recent();
-    private final boolean surveys, reportsUse;
+    private final boolean mayProbe, reportsUse;
     private final long affinity;
     /** All servers, those that this instance has most affinity to first; and the ones it works with. */
     private List<Server> ordered = List.of();
@@ -137,7 +137,7 @@
         this.affinity = random.nextLong();
         boolean inFlightTold = settings.loadFields().contains(LoadField.IN_FLIGHT);
         this.cancelHelps = settings.limits().cancelling() && inFlightTold;
-        this.surveys = settings.limits().probing() && inFlightTold && settings.balancers() >= 2;
+        this.mayProbe = settings.limits().probing() && inFlightTold;
         this.reportsUse = !inFlightTold && settings.loadFields().contains(LoadField.UTILISATION);
         this.classStats = new ClassStats[settings.classes().size()];
         for (int i = 0; i < classStats.length; i++) {
@@ -331,13 +331,12 @@
     }
 
     /**
-     * The unloaded latency by the servers' own word: service time without waiting, and the way there and
-     * back. Covers an instance that starts into a crush, or whose first answers were slow for reasons of its
-     * own: it would take crowded latencies for usual and send twice too much.
+     * The unloaded latency by the servers' own word: service time without waiting, and some for the way.
+     * Covers an instance that starts into a crush, or whose first answers were slow for reasons of its own: it
+     * would take crowded latencies for usual and send twice too much.
      */
     private double toldUnloadedMs() {
-        boolean told = Math.min(served.weight(nowMs), probeTook.weight(nowMs)) >= PRIOR_OUTCOMES;
-        return told ? TOLD_TIMES * served.mean(nowMs) + probeTook.mean(nowMs) : Double.POSITIVE_INFINITY;
+        return served.weight(nowMs) >= PRIOR_OUTCOMES ? TOLD_TIMES * served.mean(nowMs) : Double.POSITIVE_INFINITY;
     }
 
     /** What one more request in flight adds to the latency, from each server's ups and downs. */
@@ -431,7 +430,7 @@
 
     /** Others' requests there: what peers told, or what it reported less what it worked off since. */
     private double others(Server server) {
-        if (surveys) {
+        if (surveys()) {
             // A report is worth a service time; then, or where a probe stays out, the fleet's mean stands in.
             double stale = Math.min(1, (nowMs - server.reportedAtMs) / Math.max(1, server.unitMs));
             return (1 - stale) * server.reportedOthers + stale * crowd.mean(nowMs);
@@ -473,7 +472,7 @@
             double throng = byUse ? rate(server) * server.unitMs / 1000 : 0;
             server.full = byUse && (throng > elsewhere + Math.sqrt(elsewhere) + 1 || use(server) > FULL_USE);
             double crowding2 = Math.pow(crowded, 2 / (1 + elsewhere));
-            server.load = answering * free * (surveys ? way(server, answeredShare) : 1) / crowding2;
+            server.load = answering * free * (surveys() ? way(server, answeredShare) : 1) / crowding2;
             server.sound = Math.max(1e-6, sound);
             if (server.usable) {
                 scratch[ready++] = server.condition;
@@ -512,6 +511,11 @@
         return mean + (told - mean) * Math.exp(-(nowMs - atMs) / USE_FADE_MS);
     }
 
+    /** Whether to ask for load: where own answers tell it often enough, asking only costs time and sockets. */
+    private boolean surveys() {
+        return mayProbe && thin();
+    }
+
     /** Whether balancers outnumber servers: then one's own requests say little of a server. */
     private boolean thin() {
         return settings.balancers() > servers.size();
@@ -541,7 +545,7 @@
         double most = wanted;
         if (settings.limits().dearConnections() && thin()) {
             double seenMs = Math.max(1_000, nowMs - firstEventMs);
-            int least = surveys ? 2 * SURVEY_SIZE : LEAST_MEMBERS;
+            int least = surveys() ? 2 * SURVEY_SIZE : LEAST_MEMBERS;
             double half = 4 * HALF_LIFE_MS;
             double seenShare = 1 - Math.exp(-LN2 * seenMs / half);
             double ratePerS = arrivals.weight(nowMs) * LN2 / half * 1000 / seenShare;
@@ -676,7 +680,7 @@
     }
 
     private void place(Request request) {
-        if (!surveys || !survey(request)) {
+        if (!surveys() || !survey(request)) {
             settle(request);
         }
     }
@@ -729,7 +733,7 @@
             return;
         }
         Server server = draw(request, false);
-        if (surveys && (server == null || server.inFlight >= 0.5) && request.surveys < SURVEYS_AT_ONCE
+        if (surveys() && (server == null || server.inFlight >= 0.5) && request.surveys < SURVEYS_AT_ONCE
                 && probes.mean(nowMs) > PROBES_HEARD && survey(request)) {
             return;
         }
@@ -765,7 +769,7 @@
 
     /** Waits for room. Covers overload, mass restarts and stalls; a hold ends at the last call. */
     private void hold(Request request) {
-        if (surveys && request.surveys < MOST_SURVEYS) {
+        if (surveys() && request.surveys < MOST_SURVEYS) {
             setTimer(nowMs + fleetUnitMs() / SURVEYS_PER_SERVICE, new Timer(TimerKind.SURVEY_AGAIN, request));
         }
         if (held.put(request.id, request) != null) {
@@ -798,7 +802,7 @@
     }
 
     private void offerHeld() {
-        while (!surveys && !held.isEmpty()) {
+        while (!surveys() && !held.isEmpty()) {
             Request request = nextHeld();
             Server server = draw(request, false);
             if (server == null) {
--- a/src/test/java/peppergauge/decision/BudgetAndSizeTest.java
+++ b/src/test/java/peppergauge/decision/BudgetAndSizeTest.java
@@ -150,6 +150,15 @@
         assertEquals(idle, sent);
     }
 
+    /** Probes for each request took all sockets of a sidecar, and none was left for attempts. */
+    @Test
+    void whereOwnAnswersBringReportsOftenEnoughNoServerIsAsked() {
+        Scripted s = new Scripted(settings(8, true, false, true, Budget.NONE, List.of(LoadField.IN_FLIGHT)), 5);
+        s.list(true, Scripted.servers(12));
+        assertNotNull(sentTo(s.request("a", 0)));
+        assertEquals(List.of(), only(Probe.class, s.actions));
+    }
+
     @Test
     void probesThatStayOutDelayARequestByTicksAndCondemnNobody() {
         Scripted s = new Scripted(settings(300, true, false, true, Budget.NONE, List.of(LoadField.IN_FLIGHT)), 5);
