--- a/src/main/java/peppergauge/decision/Decide.java
+++ b/src/main/java/peppergauge/decision/Decide.java
@@ -332,11 +332,12 @@
 
     /**
      * The unloaded latency by the servers' own word: service time without waiting, and some for the way.
-     * Covers an instance that starts into a crush, or whose first answers were slow for reasons of its own: it
-     * would take crowded latencies for usual and send twice too much.
+     * Covers an instance that starts into a crush, or whose first answers were slow for reasons of its own:
+     * it would take crowded latencies for usual and send twice too much.
      */
     private double toldUnloadedMs() {
-        return served.weight(nowMs) >= PRIOR_OUTCOMES ? TOLD_TIMES * served.mean(nowMs) : Double.POSITIVE_INFINITY;
+        boolean told = served.weight(nowMs) >= PRIOR_OUTCOMES;
+        return told ? TOLD_TIMES * served.mean(nowMs) : Double.POSITIVE_INFINITY;
     }
 
     /** What one more request in flight adds to the latency, from each server's ups and downs. */
@@ -511,7 +512,7 @@
         return mean + (told - mean) * Math.exp(-(nowMs - atMs) / USE_FADE_MS);
     }
 
-    /** Whether to ask for load: where own answers tell it often enough, asking only costs time and sockets. */
+    /** Whether to ask for load: where own answers tell it, asking only costs time and sockets. */
     private boolean surveys() {
         return mayProbe && thin();
     }
