On SIGHUP watch discovery where the configuration file says now

Nothing handled it (Main.serve).

HangUp handles the signal before the start is reported; Sidecar.reload rereads the file off the I/O threads and ServerTableWatch.moveTo opens the new watch at once. The former watch is listened to until the new one tells; then it is closed, and its end is neither reported nor followed by a reconnect. An unusable file changes nothing.

--- a/src/main/java/peppergauge/Main.java
+++ b/src/main/java/peppergauge/Main.java
@@ -25,6 +25,7 @@
         try {
             Sidecar sidecar = new Sidecar(Config.read(System.getenv()));
             Runtime.getRuntime().addShutdownHook(new Thread(sidecar::windDown, "wind-down"));
+            HangUp.handle(() -> sidecar.reload(System.getenv()));
             sidecar.start();
         } catch (IllegalArgumentException unusable) {
             exit(2, unusable.getMessage());
--- a/src/main/java/peppergauge/Sidecar.java
+++ b/src/main/java/peppergauge/Sidecar.java
@@ -32,7 +32,7 @@
     private static final int WARM_UP_EXCHANGES = 400;
     private static final long LONGEST_WARM_UP_MS = 400;
 
-    private final Config config;
+    private volatile Config config;
     private final HttpBackend backend;
     private final Sessions sessions;
     private final HttpFrontend frontend;
@@ -98,6 +98,22 @@
         }
     }
 
+    /** Rereads the configuration: discovery may be elsewhere now. What cannot be used changes nothing. */
+    synchronized void reload(Map<String, String> environment) {
+        try {
+            Config fresh = config.reread(environment);
+            if (fresh.discovery().equals(config.discovery())) {
+                Log.line("reload", "discovery stays at " + config.discovery());
+            } else {
+                Log.line("reload", "discovery moves from " + config.discovery() + " to " + fresh.discovery());
+                watch.moveTo(fresh.discovery());
+            }
+            config = fresh;
+        } catch (IllegalArgumentException unusable) {
+            Log.line("reload", "the configuration stays as it was: " + unusable.getMessage());
+        }
+    }
+
     InetSocketAddress address() {
         return frontend.address();
     }
--- a/src/main/java/peppergauge/config/Config.java
+++ b/src/main/java/peppergauge/config/Config.java
@@ -4,12 +4,14 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import peppergauge.settings.JsonTree;
 
 /** What a sidecar is told at its start; the variables {@code GW_*} go before the file that GW_CONFIG names. */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Map<String, Object> known, Map<String, Object> settings) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Object discoveryInFile,
+        long seed, int sockets, Map<String, Object> known, Map<String, Object> settings) {
 
     private static final int FEWEST_SOCKETS = 48;
     private static final int USUAL_SOCKETS = 1024;
@@ -31,12 +33,27 @@
                 text(environment, "GW_NAME", file, "name"),
                 address(text(environment, "GW_LISTEN", file, "listen"), "GW_LISTEN"),
                 address(text(environment, "GW_DISCOVERY", file, "discovery"), "GW_DISCOVERY"),
+                file.get("discovery"),
                 seed(file.get("seed")),
                 sockets(file.get("limits")),
                 object(file, "known"),
                 object(file, "settings"));
     }
 
+    /**
+     * Where discovery is by the file as it is now. GW_DISCOVERY goes before what the file said at the start, but
+     * not before what is put in there later: a variable cannot change while the program runs.
+     */
+    public Config reread(Map<String, String> environment) {
+        Config fresh = read(environment);
+        if (Objects.equals(fresh.discoveryInFile, discoveryInFile)) {
+            return this;
+        }
+        Map<String, String> fileOnly = new HashMap<>(environment);
+        fileOnly.remove("GW_DISCOVERY");
+        return read(fileOnly);
+    }
+
     private static String text(Map<String, String> environment, String variable, Map<String, Object> file,
             String key) {
         Object value = environment.containsKey(variable) ? environment.get(variable) : file.get(key);
--- a/src/main/java/peppergauge/servertable/ServerTableWatch.java
+++ b/src/main/java/peppergauge/servertable/ServerTableWatch.java
@@ -52,21 +52,18 @@
         void lost();
     }
 
-    private final HttpHost discovery;
     private final ServerTableReader reader;
     private final Listener listener;
     private final BiFunction<Double, Runnable, ?> timers;
     private final HttpAsyncRequester requester;
-    private volatile long version;
-    private volatile double backoffMs = FIRST_BACKOFF_MS;
+    private volatile Source source;
     private volatile boolean closed;
 
     /** {@code timers} runs a task after so many ms. */
     public ServerTableWatch(InetSocketAddress discovery, ServerTableReader reader, long version, Listener listener,
             BiFunction<Double, Runnable, ?> timers) {
-        this.discovery = new HttpHost(URIScheme.HTTP.id, discovery.getHostString(), discovery.getPort());
+        this.source = new Source(discovery, version, null);
         this.reader = reader;
-        this.version = version;
         this.listener = listener;
         this.timers = timers;
         this.requester = AsyncRequesterBootstrap.bootstrap()
@@ -78,7 +75,14 @@
 
     public void start() {
         requester.start();
-        connect();
+        source.connect();
+    }
+
+    /** From now on asks there; the watch before this one is listened to until the new one tells something. */
+    public synchronized void moveTo(InetSocketAddress discovery) {
+        // Another discovery may count versions of its own: it is asked for all that it has.
+        source = new Source(discovery, 0, source);
+        source.connect();
     }
 
     public void close() {
@@ -86,67 +90,108 @@
         requester.close(CloseMode.IMMEDIATE);
     }
 
-    private void connect() {
-        if (closed) {
-            return;
-        }
-        requester.connect(discovery, new InetSocketAddress(discovery.getHostName(), discovery.getPort()), null,
-                LONGEST_SILENCE, null, new FutureCallback<>() {
-                    @Override
-                    public void completed(IOSession connection) {
-                        connection.setSocketTimeout(LONGEST_SILENCE);
-                        connection.enqueue(new RequestExecutionCommand(new Watch(connection),
-                                HttpCoreContext.create()), Command.Priority.NORMAL);
-                    }
+    /** One address of discovery. Only the present one is asked again when its watch ends. */
+    private final class Source {
 
-                    @Override
-                    public void failed(Exception cause) {
-                        lost(cause.toString());
-                    }
+        private final HttpHost discovery;
+        private volatile long version;
+        private volatile double backoffMs = FIRST_BACKOFF_MS;
+        /** The one before, until this one has told something. */
+        private volatile Source before;
+        private volatile boolean over;
+        private volatile IOSession connection;
 
-                    @Override
-                    public void cancelled() {
-                        lost("connecting was cancelled");
-                    }
-                });
-    }
+        Source(InetSocketAddress discovery, long version, Source before) {
+            this.discovery = new HttpHost(URIScheme.HTTP.id, discovery.getHostString(), discovery.getPort());
+            this.version = version;
+            this.before = before;
+        }
 
-    private void lost(String why) {
-        if (closed) {
-            return;
+        private boolean present() {
+            return this == source && !closed;
         }
-        Log.line("server table", "watch lost at version " + version + ", asking again in " + (long) backoffMs
-                + " ms: " + why);
-        listener.lost();
-        timers.apply(backoffMs, this::connect);
-        backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2);
-    }
 
-    private void take(byte[] line) {
-        try {
-            ServerTable table = reader.read(JsonTree.parse(line, 0, line.length));
-            version = table.version();
-            listener.listed(table);
-        } catch (IllegalArgumentException malformed) {
-            Log.line("server table", "a line passed over: " + malformed.getMessage());
+        void connect() {
+            if (!present()) {
+                return;
+            }
+            requester.connect(discovery, new InetSocketAddress(discovery.getHostName(), discovery.getPort()), null,
+                    LONGEST_SILENCE, null, new FutureCallback<>() {
+                        @Override
+                        public void completed(IOSession up) {
+                            connection = up;
+                            up.setSocketTimeout(LONGEST_SILENCE);
+                            up.enqueue(new RequestExecutionCommand(new Watch(Source.this, up),
+                                    HttpCoreContext.create()), Command.Priority.NORMAL);
+                        }
+
+                        @Override
+                        public void failed(Exception cause) {
+                            lost(cause.toString());
+                        }
+
+                        @Override
+                        public void cancelled() {
+                            lost("connecting was cancelled");
+                        }
+                    });
+        }
+
+        void lost(String why) {
+            if (!present()) {
+                // Another address is watched by now, or the program ends: nobody misses this one.
+                return;
+            }
+            Log.line("server table", "watch lost at version " + version + ", asking again in " + (long) backoffMs
+                    + " ms: " + why);
+            listener.lost();
+            timers.apply(backoffMs, this::connect);
+            backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2);
+        }
+
+        void take(byte[] line) {
+            if (over) {
+                return;
+            }
+            try {
+                ServerTable table = reader.read(JsonTree.parse(line, 0, line.length));
+                version = table.version();
+                endTheOneBefore();
+                listener.listed(table);
+            } catch (IllegalArgumentException malformed) {
+                Log.line("server table", "a line passed over: " + malformed.getMessage());
+            }
+        }
+
+        /** Its news may be older than what is told here from now on. */
+        private void endTheOneBefore() {
+            for (Source former = before; former != null; former = former.before) {
+                former.over = true;
+                if (former.connection != null) {
+                    former.connection.close(CloseMode.IMMEDIATE);
+                }
+            }
+            before = null;
         }
     }
 
     /** One watch, from its request to the end of its connection. */
     private final class Watch implements AsyncClientExchangeHandler {
 
+        private final Source source;
         private final IOSession connection;
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         private boolean over;
 
-        Watch(IOSession connection) {
+        Watch(Source source, IOSession connection) {
+            this.source = source;
             this.connection = connection;
         }
 
         @Override
         public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
-            BasicHttpRequest request = new BasicHttpRequest("GET", "/discovery/hosts?watch=1&from=" + version);
-            request.addHeader("Host", discovery.toHostString());
+            BasicHttpRequest request = new BasicHttpRequest("GET", "/discovery/hosts?watch=1&from=" + source.version);
+            request.addHeader("Host", source.discovery.toHostString());
             channel.sendRequest(request, null, context);
         }
 
@@ -181,7 +226,7 @@
         /** An object may span reads, and a read may hold several. */
         @Override
         public void consume(ByteBuffer part) throws IOException {
-            backoffMs = FIRST_BACKOFF_MS;
+            source.backoffMs = FIRST_BACKOFF_MS;
             while (part.hasRemaining()) {
                 byte next = part.get();
                 if (next != '\n') {
@@ -190,7 +235,7 @@
                     byte[] whole = line.toByteArray();
                     line.reset();
                     if (!new String(whole, java.nio.charset.StandardCharsets.ISO_8859_1).isBlank()) {
-                        take(whole);
+                        source.take(whole);
                     }
                 }
             }
@@ -223,7 +268,7 @@
             if (!over) {
                 over = true;
                 connection.close(CloseMode.IMMEDIATE);
-                lost(why);
+                source.lost(why);
             }
         }
     }
