Read heads strictly, end the input at what cannot be used, close only after the answers owed

Checked in HttpCore (decompiled, then on sockets): its length strategy lets Transfer-Encoding go before a Content-Length; its parser ends lines at a bare LF, joins folded lines, bounds no head as a whole, and takes a head cut off by a close for a whole one; '+5' passes as a length; after an answer that closes, it parses on in its buffer. And told of a closing answer it closes at once, so pipelined answers before it were lost.

HeadReader takes heads in strictly (both ends can use it; lines are still HttpCore's to parse), Framing says where a body ends, once. After an unusable request nothing more is read as a request; ClientConnection closes when the last answer is written. GET with a body is 400. Of a body that is too long 512 KiB or 0.5 s more are read after the 413. At most 16 requests wait on one connection. Clients' faults and their leaving are no longer logged as ours. 21 new rows and 3 socket tests fail without it.

--- a/src/main/java/peppergauge/frontend/ClientConnection.java
+++ b/src/main/java/peppergauge/frontend/ClientConnection.java
@@ -20,6 +20,11 @@
     /** Clients that ask once and keep their connection for good would use up the descriptors. */
     private static final double LONGEST_IDLE_MS = 2_500;
 
+    /** After the last answer the client has so long to read it and close. */
+    private static final double LONGEST_CLOSING_MS = 500;
+    /** Input read after the answer, lest an early close destroys it; enough for what is under way, far from all. */
+    private static final int MOST_DISCARDED = 512 * 1024;
+
     private final IOSession connection;
     private final Sessions sessions;
     private final ClientConnections all;
@@ -28,6 +33,9 @@
     private boolean first = true;
     private boolean sending;
     private boolean gone;
+    private boolean inputOver;
+    private boolean lastAnswer;
+    private int discarded;
 
     ClientConnection(IOSession connection, Sessions sessions, ClientConnections all) {
         this.connection = connection;
@@ -65,12 +73,14 @@
     }
 
     private void cutOff(double afterMs) {
-        boolean slow;
         synchronized (this) {
-            slow = sending;
-        }
-        if (slow) {
-            Log.line("slow sender", "a request was not whole after " + afterMs + " ms");
+            if (!waiting.isEmpty()) {
+                // Sessions before the slow request are still owed their answers; the last of them starts a timer.
+                return;
+            }
+            if (sending) {
+                Log.line("slow sender", "a request was not whole after " + afterMs + " ms");
+            }
         }
         close();
     }
@@ -85,15 +95,70 @@
         stopTimer();
     }
 
+    /** The next request begins; false if it is not to be read any more. {@code last}: none is to come after it. */
+    synchronized boolean begins(boolean last) {
+        boolean read = !inputOver;
+        inputOver |= last;
+        return read;
+    }
+
+    /** Nothing that comes in from now on is read as a request. */
+    synchronized void endInput() {
+        inputOver = true;
+    }
+
+    /** Ends the input if no session is open here; whether that was so. */
+    synchronized boolean endInputIfIdle() {
+        inputOver |= waiting.isEmpty();
+        return waiting.isEmpty();
+    }
+
+    synchronized int waiting() {
+        return waiting.size();
+    }
+
     synchronized void waits(SessionHandler handler) {
         waiting.add(handler);
     }
 
     synchronized void answered(SessionHandler handler) {
         waiting.remove(handler);
-        if (waiting.isEmpty() && !sending && !gone) {
+        if (waiting.isEmpty() && !gone) {
             startTimer(LONGEST_IDLE_MS);
-            all.idle(this);
+            if (!sending) {
+                all.idle(this);
+            }
+        }
+    }
+
+    /** The head of an answer goes out, in the order of the requests. */
+    synchronized void answering(boolean last) {
+        lastAnswer |= last;
+    }
+
+    /**
+     * An answer is written. HttpCore itself would close as soon as it is told of an answer that is to be the last,
+     * and forget those before it that are still to be written.
+     */
+    void answerWritten() {
+        synchronized (this) {
+            if (!lastAnswer || gone) {
+                return;
+            }
+            if (sending) {
+                // A close with unread input is a reset, which could overtake the answer.
+                startTimer(LONGEST_CLOSING_MS);
+                return;
+            }
+        }
+        close();
+    }
+
+    /** Input of a request that has its answer: a client that sees it stops, any other is cut off. */
+    void discarded(int bytes) {
+        discarded += bytes;
+        if (discarded > MOST_DISCARDED) {
+            close();
         }
     }
 
--- a/src/main/java/peppergauge/frontend/ClientConnections.java
+++ b/src/main/java/peppergauge/frontend/ClientConnections.java
@@ -1,15 +1,19 @@
 package peppergauge.frontend;
 
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
 import org.apache.hc.core5.reactor.IOWorkerSelector;
 import org.apache.hc.core5.reactor.IOWorkerStats;
-import org.apache.hc.core5.util.Timeout;
+import org.apache.hc.core5.util.Identifiable;
 import peppergauge.log.Log;
 import peppergauge.session.Sessions;
 import peppergauge.sockets.SocketRoom;
@@ -18,7 +22,7 @@
  * All clients' connections, as the reactor reports them. HttpCore tells an exchange nothing of its client's
  * leaving: at the end of its stream the connection only stops being open, which is looked for here.
  */
-final class ClientConnections implements IOSessionListener, IOWorkerSelector {
+final class ClientConnections implements IOSessionListener, IOWorkerSelector, Http1StreamListener {
 
     /** A connection that came or was answered just now may have a request under way; it is not closed for room. */
     private static final long FRESH_NS = TimeUnit.MILLISECONDS.toNanos(20);
@@ -26,7 +30,7 @@
 
     private final Sessions sessions;
     private final SocketRoom room;
-    private final Map<String, ClientConnection> byId = new HashMap<>();
+    private final Map<String, ClientConnection> byId = new ConcurrentHashMap<>();
     /** Connections with no request, the longest idle first, and since when they are. */
     private final Map<ClientConnection, Long> idle = new LinkedHashMap<>();
     /** Set once this side closes connections: one that is no longer open then tells nothing of its client. */
@@ -129,6 +133,28 @@
         }
     }
 
+    @Override
+    public void onRequestHead(HttpConnection connection, HttpRequest request) {
+        // The exchange's handler reads it.
+    }
+
+    @Override
+    public void onResponseHead(HttpConnection connection, HttpResponse response) {
+        ClientConnection client = byId.get(((Identifiable) connection).getId());
+        Header option = response.getFirstHeader("Connection");
+        if (client != null) {
+            client.answering(option != null && "close".equals(option.getValue()));
+        }
+    }
+
+    @Override
+    public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
+        ClientConnection client = byId.get(((Identifiable) connection).getId());
+        if (client != null) {
+            client.answerWritten();
+        }
+    }
+
     @Override
     public void timeout(IOSession session) {
         // The connection was idle for too long; HttpCore closes it.
--- a/src/main/java/peppergauge/frontend/HttpFrontend.java
+++ b/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -1,11 +1,8 @@
 package peppergauge.frontend;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.SocketException;
-import java.nio.channels.ClosedChannelException;
 import java.nio.channels.ClosedSelectorException;
 import java.util.concurrent.ExecutionException;
-import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.HttpRequest;
@@ -20,6 +17,7 @@
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
+import peppergauge.http.HeadReader;
 import peppergauge.log.Log;
 import peppergauge.session.Clock;
 import peppergauge.session.Sessions;
@@ -48,12 +46,13 @@
         SocketRoom room = new SocketRoom(mostConnections);
         this.connections = new ClientConnections(sessions, room);
         // Put together by hand: the bootstrap offers no say in how connections are accepted.
-        Http1Config http = Http1Config.custom().setBufferSize(4096).setMaxHeaderCount(100).setMaxLineLength(8192)
-                .build();
+        Http1Config http = Http1Config.custom().setBufferSize(4096).build();
         this.server = new HttpAsyncServer(
                 new ServerHttp1IOEventHandlerFactory(new ServerHttp1StreamDuplexerFactory(
                         HttpProcessorBuilder.create().build(), (request, context) -> handler(request), http,
-                        CharCodingConfig.DEFAULT, null, HttpFrontend::report), null, null),
+                        CharCodingConfig.DEFAULT, (request, response, context) -> true, HeadReader.requests(), null,
+                        connections, HttpFrontend::report),
+                        null, null),
                 IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
                         .setSoReuseAddress(true).setTcpNoDelay(true).setBacklogSize(BACKLOG).build(),
                 null, HttpFrontend::report, connections, room, connections, "localhost");
@@ -126,10 +125,10 @@
         return closing;
     }
 
+    /** What bad clients send ends as an exception of its own class; these two are of this side's making. */
     private static void report(Exception thrown) {
-        boolean ordinary = thrown instanceof ClosedSelectorException || thrown instanceof HttpException
-                || thrown instanceof SocketException || thrown instanceof ClosedChannelException;
-        if (!ordinary) {
+        boolean ours = thrown instanceof RuntimeException && !(thrown instanceof ClosedSelectorException);
+        if (ours || thrown.getClass() == IOException.class) {
             Log.bug("frontend", thrown);
         }
     }
--- a/src/main/java/peppergauge/frontend/SessionHandler.java
+++ b/src/main/java/peppergauge/frontend/SessionHandler.java
@@ -2,6 +2,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
@@ -24,6 +25,8 @@
 final class SessionHandler implements AsyncServerExchangeHandler, Frontend {
 
     private static final int LARGEST_BODY = 64 * 1024;
+    /** Requests that may wait on one connection; clients of the protocol send one at a time. */
+    private static final int MOST_PIPELINED = 16;
     private static final String READY_PATH = "/up";
 
     private final HttpFrontend owner;
@@ -52,9 +55,15 @@
         context = exchange;
         Header option = request.getFirstHeader("Connection");
         closeAsked = option != null && "close".equalsIgnoreCase(option.getValue());
+        boolean ignored = !connection.begins(closeAsked);
         if (details == null) {
             connection.requestWhole();
         }
+        if (ignored) {
+            // After a request that could not be used, what follows may be a part of it: nothing of it is passed on.
+            answeredHere = true;
+            return;
+        }
         if (READY_PATH.equals(request.getRequestUri())) {
             answerHere(owner.ready() ? 200 : 503, owner.ready() ? "ready" : "not ready", null);
             return;
@@ -67,6 +76,10 @@
         }
         if (details != null && details.getContentLength() > LARGEST_BODY) {
             answerHere(413, "a body holds " + LARGEST_BODY + " bytes at most", null);
+        } else if (details != null && details.getContentLength() != 0 && "GET".equals(head.verb())) {
+            answerHere(400, "GET takes no body", null);
+        } else if (connection.waiting() >= MOST_PIPELINED) {
+            answerHere(503, "too many requests on one connection", null);
         } else if (details == null) {
             open();
         }
@@ -80,6 +93,7 @@
     @Override
     public void consume(ByteBuffer part) throws IOException {
         if (answeredHere) {
+            connection.discarded(part.remaining());
             part.position(part.limit());
             return;
         }
@@ -148,22 +162,27 @@
         if (allow != null) {
             response.addHeader("Allow", allow);
         }
-        closeAsked |= status >= 400 && status != 503;
+        if (status >= 400) {
+            closeAsked = true;
+            connection.endInput();
+        }
         send(response, (text + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
     private void answer(BasicHttpResponse response, byte[] content) {
         try {
             send(response, content);
-        } catch (HttpException | IOException gone) {
-            Log.line("frontend", "an answer could not be written: " + gone);
+        } catch (ClosedChannelException gone) {
+            // The client left just now; its session has ended either way.
+        } catch (HttpException | IOException failed) {
+            Log.line("frontend", "an answer could not be written: " + failed);
         }
     }
 
     private void send(BasicHttpResponse response, byte[] content) throws HttpException, IOException {
         done = true;
         connection.answered(this);
-        if (closeAsked || owner.closing()) {
+        if (closeAsked || owner.closing() && connection.endInputIfIdle()) {
             response.setHeader("Connection", "close");
         }
         response.setHeader("Content-Length", Integer.toString(content.length));
--- a/src/test/java/peppergauge/RulesOnSocketsTest.java
+++ b/src/test/java/peppergauge/RulesOnSocketsTest.java
@@ -65,9 +65,87 @@
             {Bed.post("t", 900, "x".repeat(65_537)), 413},
             {get.replace("\r\n\r\n", "\r\nX-Long: " + "x".repeat(9_000) + "\r\n\r\n"), 431},
             {"nonsense\r\n\r\n", 400},
+            {get.replace("\r\n\r\n", ("\r\nX-Many: " + "x".repeat(1_000)).repeat(20) + "\r\n\r\n"), 431},
+            {get.replace("GET", "GET /x GET"), 400},
+            {get.replace("X-Org", "X-Or\u0001g"), 400},
+            {get.replace("X-Org:", "X-Org :"), 400},
+            {get.replace("X-Org: acme\r\n", "X-Org:\r\n acme\r\n"), 400},
+            {get.replace("h\r\n", "h\n"), 400},
+            {get.replace("h\r\n", "h\rX-A: b\r\n"), 400},
+            {get.replace("\r\n\r\n", "\r\nContent-Length: 3\r\n\r\nabc"), 400},
+            // Where a body ends must be told once, in one way; what follows is never taken for a request.
+            {length("5\r\nTransfer-Encoding: chunked") + "0\r\n\r\n" + get, 400},
+            {length("5\r\nContent-Length: 6") + get, 400},
+            {length("5\r\nContent-Length: 5") + "12345" + get, 400},
+            {length("5, 5") + "12345" + get, 400},
+            {length("-5") + get, 400},
+            {length("+5") + "12345" + get, 400},
+            {length("0x5") + get, 400},
+            {length("99999999999999999999") + get, 400},
+            {length("").replace("Content-Length: ", "Transfer-Encoding: gzip, chunked") + "0\r\n\r\n" + get, 400},
+            {length("").replace("Content-Length: ", "Transfer-Encoding: chunked, chunked") + "0\r\n\r\n", 400},
+            {length("").replace("Content-Length: ", "Transfer-Encoding: chunked").replace("1.1", "1.0") + get, 400},
+            {length("3").replace("/gift", "/nothing") + "abc" + get, 404},
+            {length("65537") + get, 413},
         };
     }
 
+    private static String length(String value) {
+        return Bed.post("t", 900, "").replace("Length: 0", "Length: " + value);
+    }
+
+    @Test
+    public void aRequestThatBreaksOffIsNotPassedOn() throws Exception {
+        String post = Bed.post("t", 900, "body");
+        try (Bed bed = new Bed(OK)) {
+            for (int end : new int[] {30, post.indexOf("\r\nContent"), post.length() - 1}) {
+                try (Socket client = bed.client()) {
+                    client.getOutputStream().write(post.substring(0, end).getBytes(StandardCharsets.ISO_8859_1));
+                    client.shutdownOutput();
+                    assertEquals(client.getInputStream().read(), -1);
+                }
+            }
+            assertEquals(bed.backend.requests.size(), 0);
+        }
+    }
+
+    @Test
+    public void ofABodyThatIsFarTooLongLittleIsReadAndItsClientHearsWhy() throws Exception {
+        try (Bed bed = new Bed(OK); Socket client = bed.client()) {
+            CompletableFuture<Integer> sent = CompletableFuture.supplyAsync(() -> {
+                int megabytes = 0;
+                try {
+                    client.getOutputStream().write(length("60000000").getBytes(StandardCharsets.ISO_8859_1));
+                    for (; megabytes < 60; megabytes++) {
+                        client.getOutputStream().write(new byte[1_000_000]);
+                    }
+                } catch (IOException closed) {
+                    // As wanted.
+                }
+                return megabytes;
+            });
+            assertEquals(Bed.status(Toy.read(client.getInputStream())), 413);
+            assertTrue(sent.get() < 20, "read " + sent.get() + " MB");
+        }
+    }
+
+    /** HttpCore forgets the answers that are still owed when one before them closes the connection. */
+    @Test
+    public void pipelinedRequestsAreAnsweredInOrderAlsoBeforeOneThatCannotBeUsed() throws Exception {
+        try (Bed bed = new Bed((request, connection) -> {
+            Thread.sleep(request.line().contains("slow") ? 300 : 0);
+            Toy.write(connection, Toy.ok(request.header("X-Txn")));
+        }); Socket client = bed.client()) {
+            client.getOutputStream().write((Bed.get("t1", 900).replace("/k", "/slow") + Bed.get("t2", 900)
+                    + Bed.get("t3", 900).replace("/list", "/nothing") + Bed.get("t4", 900)).getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals(new String(Toy.read(client.getInputStream()).body()), "t1");
+            assertEquals(new String(Toy.read(client.getInputStream()).body()), "t2");
+            assertEquals(Bed.status(Toy.read(client.getInputStream())), 404);
+            assertEquals(client.getInputStream().read(), -1);
+            assertEquals(bed.backend.requests.size(), 2);
+        }
+    }
+
     @Test(dataProvider = "unusable")
     public void unusableInputIsAnsweredAtOnceAndNeverPassedOn(String message, int status) throws Exception {
         try (Bed bed = new Bed(OK)) {
