Judge errors just now beside the long record: leave a server that begins to fail in a second

Ruled out: garbled answers, rests, the even spread (never on). At fault: the one half-life of 5 s (a long record of successes hides a beginning), and that a server over the cut is still lifted by its idleness, which failing at once gives it.

A second share of errors with a half-life of 1 s; soundness is by the worse of the two; the cut is 0.85.

--- a/src/main/java/peppergauge/decision/Decide.java
+++ b/src/main/java/peppergauge/decision/Decide.java
@@ -21,8 +21,12 @@
 
     /** Half-life of failure shares and latencies, ms: the design's 5 s. */
     static final double HALF_LIFE_MS = 5_000;
+    /** Half-life of the share of errors just now: a server that begins to fail is idle and draws traffic. */
+    static final double LATELY_MS = 1_000;
     /** Outcomes' worth of the others' mean mixed into each server's figures: few outcomes are noise. */
     private static final double PRIOR_OUTCOMES = 6;
+    /** The same for errors just now: more would hide their beginning, less would take one for it. */
+    private static final double PRIOR_LATELY = 3;
     /** Most that a latency sample counts, in fleet means: one costly request is not a server. */
     private static final double SAMPLE_CAP = 4;
     /** Squared spread of in-flight counts at which what was seen outweighs the first guess of crowding. */
@@ -34,7 +38,7 @@
     /** A server is bad when its condition is under this share of the fleet's upper quartile. */
     private static final double BAD_CUT = 0.5;
     /** Under this share of the soundest's success a server fails, and is drawn by the floor alone. */
-    private static final double FAILING_CUT = 0.7;
+    private static final double FAILING_CUT = 0.85;
     /** Expected latency up to this many times the fleet's unloaded latency leaves room to send. */
     private static final double ROOM = 2.8;
     /** Own requests in flight that a server may always have: less would idle it between answers. */
@@ -367,6 +371,7 @@
         }
         if (outcome != Outcome.CANCELLED && outcome != Outcome.NEVER_SENT) {
             fleetErrors.add(nowMs, outcome == Outcome.ERROR ? 1 : 0);
+            server.lately.add(nowMs, outcome == Outcome.ERROR ? 1 : 0);
         }
         switch (outcome) {
             case SUCCESS -> {
@@ -463,7 +468,9 @@
             double excess = Math.max(0, server.errors.sum(nowMs) - n * errorShare);
             double fresh = server.streak * Math.exp(-Math.max(0, nowMs - server.restUntilMs) / HALF_LIFE_MS);
             double failures = server.outcomes.sum(nowMs) + excess + fresh;
-            double sound = 1 - failures / (n + PRIOR_OUTCOMES + fresh);
+            double lately = server.lately.sum(nowMs) - server.lately.weight(nowMs) * errorShare;
+            double sound = 1 - Math.max(failures / (n + PRIOR_OUTCOMES + fresh),
+                    lately / (server.lately.weight(nowMs) + PRIOR_LATELY));
             double expected = server.unitMs * (1 + crowding * server.inFlight) / server.capacity;
             server.expectedMs = Math.max(expected, silentMs(server));
             server.condition = Math.max(0, sound) * Math.min(1, unit / server.unitMs);
--- a/src/main/java/peppergauge/decision/Server.java
+++ b/src/main/java/peppergauge/decision/Server.java
@@ -11,6 +11,7 @@
     final Decaying latency = new Decaying(Decide.HALF_LIFE_MS);
     final Decaying warmLatency = new Decaying(Decide.HALF_LIFE_MS);
     final Decaying outcomes = new Decaying(Decide.HALF_LIFE_MS), errors = new Decaying(Decide.HALF_LIFE_MS);
+    final Decaying lately = new Decaying(Decide.LATELY_MS);
     final Decaying flights = new Decaying(Decide.HALF_LIFE_MS);
     final List<Request> askers = new ArrayList<>(0);
     long affinity;
@@ -39,6 +40,7 @@
         warmLatency.clear();
         outcomes.clear();
         errors.clear();
+        lately.clear();
         streak = 0;
         restUntilMs = 0;
         reportedOthers = 0;
--- a/src/test/java/peppergauge/decision/DangersTest.java
+++ b/src/test/java/peppergauge/decision/DangersTest.java
@@ -353,4 +353,28 @@
         }
         assertTrue(failed < 10, "the failing server got " + failed + " of 200");
     }
+
+    /** Against a long record of successes the failure share rose so slowly that the failing server drew the most. */
+    @Test
+    void aServerThatBeginsToFailAfterALongSoundTimeIsLeftWithinASecond() {
+        Scripted s = Scripted.withServers(6);
+        List<Send> busy = new java.util.ArrayList<>();
+        int failed = 0;
+        for (int i = 0; i < 2_000; i++) {
+            for (Send send : only(Send.class, s.request("r" + i, 2))) {
+                if (i >= 1_500 && send.server().equals("s0") && i % 3 > 0) {
+                    failed++;
+                    s.give(new AttemptEnded(send.id(), 0, "s0", Outcome.ERROR, 2, false, null));
+                } else {
+                    busy.add(send);
+                }
+            }
+            s.pass(5);
+            if (busy.size() > 8) {
+                Send oldest = busy.remove(0);
+                s.end(oldest.id(), 0, oldest.server(), Outcome.SUCCESS, 45);
+            }
+        }
+        assertTrue(failed < 25, "of 500 requests in 2.5 s " + failed + " failed");
+    }
 }
