Hold a slow server to its own latency, not the fleet's, when asking whether it has room

The limit of 2.8 unloaded latencies is the fleet's: servers of the older kind (85 to 110 ms against 30) are over it when idle, the fast ones reach their own in-flight limit, and what comes then is denied. At fault: Decide.roomMs, one limit for all. Now a server's share of the limit grows with its own unit latency, up to the time left.

--- a/src/main/java/peppergauge/decision/Decide.java
+++ b/src/main/java/peppergauge/decision/Decide.java
@@ -626,7 +626,8 @@
         return maySend(request, server) && coldMayTake(request, server) && server.restUntilMs <= nowMs
                 && server.out < flightLimit
                 && (trial ? server.inFlight < 0.5 && (elsewhere == 0 || outNow == 0)
-                        : !server.full && server.expectedMs <= limitMs);
+                        : !server.full
+                                && server.expectedMs <= Math.min(leftMs(request), slower(server) * limitMs));
     }
 
     /**
@@ -642,11 +643,19 @@
         return elsewhere + Math.max(LEAST_FLIGHT, busy + FLIGHT_SLACK * Math.sqrt(busy));
     }
 
-    /** The expected latency, for a mean request, up to which a send makes sense. */
+    /** The expected latency, for a mean request at a mean server, up to which a server is not crowded. */
     private double roomMs(Request request) {
-        double crowded = Math.max(request.over ? 0 : ROOM * unloadedMs, 1.5 * fleetUnitMs());
-        double left = Math.min(request.usefulUntilMs(), request.deadlineMs) - nowMs;
-        return Math.min(crowded, left / request.stats.lastFactor);
+        return Math.max(request.over ? 0 : ROOM * unloadedMs, 1.5 * fleetUnitMs());
+    }
+
+    /** How much slower than the fleet a server is: it is crowded by its own measure, not the fast ones'. */
+    private double slower(Server server) {
+        return Math.max(1, server.unitMs / fleetUnitMs());
+    }
+
+    /** Time left for a mean request, as far as an answer to this one is worth something. */
+    private double leftMs(Request request) {
+        return (Math.min(request.usefulUntilMs(), request.deadlineMs) - nowMs) / request.stats.lastFactor;
     }
 
     // ---- Attempts ----
--- a/src/test/java/peppergauge/decision/DangersTest.java
+++ b/src/test/java/peppergauge/decision/DangersTest.java
@@ -377,4 +377,28 @@
         }
         assertTrue(failed < 25, "of 500 requests in 2.5 s " + failed + " failed");
     }
+
+    /** Measured by the fleet's latency, a slow machine with nothing to do was as good as full, and work was denied. */
+    @Test
+    void anIdleSlowServerTakesWhatTheFastOnesHaveNoRoomFor() {
+        Scripted s = Scripted.withServers(3);
+        for (int round = 0; round < 100; round++) {
+            List<Send> out = new java.util.ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                out.addAll(only(Send.class, s.request("w" + round + "-" + i, 0)));
+            }
+            s.pass(20);
+            out.stream().filter(send -> !send.server().equals("s2"))
+                    .forEach(send -> s.end(send.id(), 0, send.server(), Outcome.SUCCESS, 20));
+            s.pass(130);
+            out.stream().filter(send -> send.server().equals("s2"))
+                    .forEach(send -> s.end(send.id(), 0, send.server(), Outcome.SUCCESS, 150));
+            s.pass(50);
+        }
+        int slow = 0;
+        for (int i = 0; i < 8; i++) {
+            slow += "s2".equals(sentTo(s.request("b" + i, 0))) ? 1 : 0;
+        }
+        assertTrue(slow >= 2, "the slow server got " + slow + " of 8");
+    }
 }
