Rehearse the whole way for a second before ready, with a module of its own

CPU of each thread by the second: the cap of half a core is reached for four seconds, 0.8 s of it compiling, the rest code that still runs interpreted; clients that wait come back and keep it there. The warm-up asked only /up, so neither sessions nor module nor attempts were warm.

Rehearsal sends the program its own requests through frontend, a module that is thrown away, and backend; the backend servers are the program's own listener. A first try let late ones through to clients' sessions and so to backend servers (a fault, seen at once): they carry a mark, and with it never get there, ready or not (RehearsalTest). Ruled out: one compiler thread, other compile thresholds, no verification (all within noise).

--- a/src/main/java/peppergauge/Sidecar.java
+++ b/src/main/java/peppergauge/Sidecar.java
@@ -29,13 +29,13 @@
     /** Descriptors of the program itself: files, selectors, listener, discovery (24 counted), and a margin. */
     private static final int OWN_SOCKETS = 40;
 
-    private static final int WARM_UP_EXCHANGES = 400;
-    private static final long LONGEST_WARM_UP_MS = 400;
+    private static final long LONGEST_REHEARSAL_MS = 1_000;
 
     private volatile Config config;
     private final HttpBackend backend;
     private final Sessions sessions;
     private final HttpFrontend frontend;
+    private final Rehearsal rehearsal;
     private final ServerTableWatch watch;
     private final ServerTable known;
     private final long longestDeadlineMs;
@@ -51,6 +51,7 @@
                 limits.connectionIdleMs(), mostConnections);
         sessions = new Sessions(new Decide(settings, config.seed()), backend, clock);
         frontend = new HttpFrontend(new Site(names, settings.classes()), sessions, clock, mostConnections);
+        rehearsal = new Rehearsal(config, settings, names, frontend, backend, clock);
         ServerTableReader reader = new ServerTableReader(names.zones());
         known = reader.read(config.known());
         watch = new ServerTableWatch(config.discovery(), reader, known.version(), new ServerTableWatch.Listener() {
@@ -78,24 +79,10 @@
         sessions.listed(new ServerTable(known.version(), true, known.rows()));
         frontend.start(config.listen());
         watch.start();
-        warmUp();
+        int rehearsed = rehearsal.run(address(), LONGEST_REHEARSAL_MS);
         frontend.setReady();
         Log.line("start", config.name() + " serves on " + address() + " with " + known.rows().size()
-                + " backend servers known");
-    }
-
-    /**
-     * Has the program ask itself before it says that it is ready: a cold Java machine falls behind its first
-     * clients so far that they have no answer by their deadlines. What comes back is not looked at.
-     */
-    private void warmUp() throws InterruptedException {
-        String self = address().getHostString() + ":" + address().getPort();
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_WARM_UP_MS);
-        for (int i = 0; i < WARM_UP_EXCHANGES && System.nanoTime() < until; i++) {
-            CountDownLatch ended = new CountDownLatch(1);
-            backend.probe(self, result -> ended.countDown());
-            ended.await(LONGEST_WARM_UP_MS, TimeUnit.MILLISECONDS);
-        }
+                + " backend servers known, " + rehearsed + " requests rehearsed");
     }
 
     /** Rereads the configuration: discovery may be elsewhere now. What cannot be used changes nothing. */
--- a/src/main/java/peppergauge/frontend/HttpFrontend.java
+++ b/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ExecutionException;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
@@ -28,6 +29,8 @@
 
     private static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds(50);
     private static final int BACKLOG = 511;
+    /** Marks the program's own requests before it is ready. */
+    public static final String REHEARSAL = "X-Rehearsal";
 
     private final Site site;
     private final Sessions sessions;
@@ -35,6 +38,7 @@
     private final ClientConnections connections;
     private final HttpAsyncServer server;
     private volatile ListenerEndpoint listener;
+    private volatile Rehearsal rehearsal;
     private volatile boolean ready;
     private volatile boolean closing;
 
@@ -77,11 +81,35 @@
         return (InetSocketAddress) listener.getAddress();
     }
 
+    /**
+     * Requests with this mark are the program's own: until {@link #setReady} they go to {@code own}, and what comes
+     * a second time, as an attempt that the program sent to itself, is answered as a backend server would.
+     */
+    public void rehearse(Sessions own, String mark) {
+        rehearsal = new Rehearsal(own, mark);
+    }
+
+    private record Rehearsal(Sessions sessions, String mark) { }
+
     /** From now on {@code /up} says so. */
     public void setReady() {
         ready = true;
     }
 
+    /** The sessions that the request is for: a rehearsal's, clients', or none for what comes after a rehearsal. */
+    Sessions sessions(HttpRequest request) {
+        Header mark = rehearsal == null ? null : request.getFirstHeader(REHEARSAL);
+        if (mark == null || !rehearsal.mark().equals(mark.getValue())) {
+            return sessions;
+        }
+        // A late one must not get to clients' sessions: it would be sent to backend servers.
+        return ready ? null : rehearsal.sessions();
+    }
+
+    boolean rehearses(Sessions some) {
+        return rehearsal != null && rehearsal.sessions() == some;
+    }
+
     /** From now on each answer closes its connection; new connections are still taken. */
     public void closeAfterAnswers() {
         closing = true;
@@ -109,10 +137,6 @@
         return site;
     }
 
-    Sessions sessions() {
-        return sessions;
-    }
-
     Clock clock() {
         return clock;
     }
--- a/src/main/java/peppergauge/frontend/SessionHandler.java
+++ b/src/main/java/peppergauge/frontend/SessionHandler.java
@@ -17,9 +17,11 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import peppergauge.http.Headers;
 import peppergauge.log.Log;
 import peppergauge.session.Frontend;
 import peppergauge.session.Message;
+import peppergauge.session.Sessions;
 
 /** One request of a client, from its head to the last byte of its answer. */
 final class SessionHandler implements AsyncServerExchangeHandler, Frontend {
@@ -27,12 +29,15 @@
     private static final int LARGEST_BODY = 64 * 1024;
     /** Requests that may wait on one connection; clients of the protocol send one at a time. */
     private static final int MOST_PIPELINED = 16;
+    private static final byte[] REHEARSED = new byte[200];
     private static final String READY_PATH = "/up";
 
     private final HttpFrontend owner;
     private final ClientConnection connection;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private Head head;
+    private Sessions sessions;
+    private boolean rehearsing;
     private ResponseChannel channel;
     private HttpContext context;
     private boolean closeAsked;
@@ -68,6 +73,12 @@
             answerHere(owner.ready() ? 200 : 503, owner.ready() ? "ready" : "not ready", null);
             return;
         }
+        sessions = owner.sessions(request);
+        if (sessions == null) {
+            answerHere(503, "the rehearsal is over", null);
+            return;
+        }
+        rehearsing = owner.rehearses(sessions);
         try {
             head = Head.read(request, owner.site());
         } catch (Head.Unusable unusable) {
@@ -122,7 +133,7 @@
     private void open() {
         opened = true;
         connection.waits(this);
-        owner.sessions().open(head.opening(owner.clock().nowMs(), body.toByteArray()), this);
+        sessions.open(head.opening(owner.clock().nowMs(), body.toByteArray()), this);
     }
 
     // ---- The one answer ----
@@ -152,6 +163,12 @@
 
     @Override
     public void duplicate() {
+        if (rehearsing) {
+            BasicHttpResponse response = new BasicHttpResponse(200);
+            response.addHeader(Headers.LOAD, "inflight=1,queue=0,latency_ms=1");
+            answer(response, REHEARSED);
+            return;
+        }
         answer(new BasicHttpResponse(409), "a session has this X-Txn\n".getBytes(StandardCharsets.UTF_8));
     }
 
@@ -220,7 +237,7 @@
     void clientGone() {
         if (opened && !done) {
             done = true;
-            owner.sessions().left(head.id(), this);
+            sessions.left(head.id(), this);
         }
     }
 }
--- a/src/test/java/peppergauge/Toy.java
+++ b/src/test/java/peppergauge/Toy.java
@@ -35,11 +35,12 @@
     final List<Socket> connections = new CopyOnWriteArrayList<>();
     volatile Script script;
     private final ServerSocket listener;
+    private final Thread accepting;
 
     Toy(Script script) throws IOException {
         this.script = script;
         this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        daemon(() -> {
+        accepting = daemon(() -> {
             while (true) {
                 Socket connection = listener.accept();
                 connections.add(connection);
@@ -90,6 +91,12 @@
     @Override
     public void close() throws IOException {
         listener.close();
+        try {
+            // Until it has returned from the system call, the thread could still accept one more.
+            accepting.join(1_000);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket connection : connections) {
             connection.close();
         }
@@ -99,7 +106,7 @@
         void run() throws Exception;
     }
 
-    private static void daemon(Task task) {
+    private static Thread daemon(Task task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
@@ -109,5 +116,6 @@
         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 }
--- /dev/null
+++ b/src/test/java/peppergauge/frontend/RehearsalTest.java
@@ -0,0 +1,37 @@
+package peppergauge.frontend;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertSame;
+import static org.testng.Assert.assertTrue;
+
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.testng.annotations.Test;
+import peppergauge.session.Clock;
+import peppergauge.session.Sessions;
+
+public class RehearsalTest {
+
+    /** One that came late was sent to a backend server, under an id that no client ever gave. */
+    @Test
+    public void noRequestOfARehearsalEverGetsToTheSessionsOfClients() {
+        Clock clock = new Clock();
+        Sessions clients = new Sessions(null, null, clock);
+        Sessions own = new Sessions(null, null, clock);
+        HttpFrontend frontend = new HttpFrontend(null, clients, clock, 8);
+        BasicHttpRequest usual = new BasicHttpRequest("GET", "/list/k");
+        BasicHttpRequest marked = new BasicHttpRequest("GET", "/list/k");
+        marked.addHeader(HttpFrontend.REHEARSAL, "mark");
+        assertSame(frontend.sessions(marked), clients);
+        frontend.rehearse(own, "mark");
+        assertSame(frontend.sessions(marked), own);
+        assertTrue(frontend.rehearses(own));
+        assertSame(frontend.sessions(usual), clients);
+        assertFalse(frontend.rehearses(clients));
+        frontend.setReady();
+        assertNull(frontend.sessions(marked));
+        assertSame(frontend.sessions(usual), clients);
+        clients.close();
+        own.close();
+    }
+}
