Judge answers strictly, never reuse a connection with surplus bytes, load no trust store

Cause: a session could be answered with what no server made for it. Bytes that came in after an answer (a second copy, noise) stood on the pooled connection and were read as the next request's answer; a server that came at the address of one that had gone inherited its connections; HttpCore takes a body without framing for chunked.

Change: an answer is judged by its head; ServerConnection makes sure on the I/O thread, right before the first byte, that nothing came in which no request asked for; connections belong to a server's id and address together; a probe has a timer of its own; the reactors are put together by hand, without the bootstraps that load the trust store; malformed addresses in the server table are passed over by row.

--- a/src/main/java/peppergauge/Rehearsal.java
+++ b/src/main/java/peppergauge/Rehearsal.java
@@ -37,14 +37,14 @@
     int run(InetSocketAddress self, long longestMs) throws InterruptedException {
         String address = self.getHostString() + ":" + self.getPort();
         String mark = "r" + Long.toHexString(config.seed() ^ System.nanoTime()) + "-";
-        Sessions own = new Sessions(new Decide(settings, config.seed()), backend, clock);
+        Sessions own = new Sessions(new Decide(settings, config.seed()), backend, clock, WAIT_MS);
         own.listed(new ServerTable(1, true, servers(address)));
         frontend.rehearse(own, mark);
         Semaphore free = new Semaphore(AT_ONCE);
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longestMs);
         int sent = 0;
         while (sent < REQUESTS && free.tryAcquire(until - System.nanoTime(), TimeUnit.NANOSECONDS)) {
-            backend.send(address, request(sent++, mark), clock.nowMs() + WAIT_MS, result -> free.release());
+            backend.send(new Backend.Server("self", address), request(sent++, mark), clock.nowMs() + WAIT_MS, result -> free.release());
         }
         free.tryAcquire(AT_ONCE, until - System.nanoTime(), TimeUnit.NANOSECONDS);
         own.close();
--- a/src/main/java/peppergauge/Sidecar.java
+++ b/src/main/java/peppergauge/Sidecar.java
@@ -47,9 +47,11 @@
         Limits limits = settings.limits();
         Clock clock = new Clock();
         int mostConnections = (config.sockets() - OWN_SOCKETS) / 2;
-        backend = new HttpBackend(clock, settings.loadFields(), connectTimeoutMs(config.settings()),
-                limits.connectionIdleMs(), mostConnections);
-        sessions = new Sessions(new Decide(settings, config.seed()), backend, clock);
+        double connectTimeoutMs = connectTimeoutMs(config.settings());
+        backend = new HttpBackend(clock, settings.loadFields(), connectTimeoutMs, limits.connectionIdleMs(),
+                mostConnections);
+        // What bounds connecting also bounds a probe: both are answered without waiting for other work.
+        sessions = new Sessions(new Decide(settings, config.seed()), backend, clock, connectTimeoutMs);
         frontend = new HttpFrontend(new Site(names, settings.classes()), sessions, clock, mostConnections);
         rehearsal = new Rehearsal(config, settings, names, frontend, backend, clock);
         ServerTableReader reader = new ServerTableReader(names.zones());
--- a/src/main/java/peppergauge/backend/Connections.java
+++ b/src/main/java/peppergauge/backend/Connections.java
@@ -1,23 +1,26 @@
 package peppergauge.backend;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URISyntaxException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import org.apache.hc.core5.concurrent.FutureCallback;
-import org.apache.hc.core5.http.HttpHost;
-import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.net.URIAuthority;
 import org.apache.hc.core5.pool.PoolEntry;
 import org.apache.hc.core5.pool.PoolReusePolicy;
 import org.apache.hc.core5.pool.StrictConnPool;
+import org.apache.hc.core5.reactor.ConnectionInitiator;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import peppergauge.session.Backend;
 import peppergauge.sockets.SocketRoom;
 
 /**
- * Connections to backend servers, the most recently used first. HttpCore's own requester is passed by since
- * it would leave the connect time-out in force as the connection's read time-out.
+ * Connections to backend servers, the most recently used first; a server that comes at the address of another gets
+ * none of the other's. HttpCore's own requester is passed by: it would leave the connect time-out in force as the
+ * connection's read time-out, and load the machine's trust store at each start.
  */
 final class Connections {
 
@@ -28,14 +31,14 @@
     /** Share of the places that is left to sockets being closed, which still hold descriptors for a moment. */
     private static final double CLOSING_SHARE = 0.1;
 
-    private final HttpAsyncRequester requester;
+    private final ConnectionInitiator initiator;
     private final SocketRoom room;
-    private final StrictConnPool<HttpHost, IOSession> pool;
+    private final StrictConnPool<Backend.Server, ServerConnection> pool;
     private final Timeout connectTimeout;
     private final Timeout idle;
 
-    Connections(HttpAsyncRequester requester, SocketRoom room, int most, double connectTimeoutMs, double idleMs) {
-        this.requester = requester;
+    Connections(ConnectionInitiator initiator, SocketRoom room, int most, double connectTimeoutMs, double idleMs) {
+        this.initiator = initiator;
         this.room = room;
         int pooled = (int) Math.ceil(most * (1 - CLOSING_SHARE));
         this.pool = new StrictConnPool<>(pooled, pooled, TimeValue.NEG_ONE_MILLISECOND, PoolReusePolicy.LIFO, null);
@@ -44,45 +47,46 @@
     }
 
     /** Hands on an open connection, at once if one is idle; fails if none comes up or no socket is left. */
-    void lease(HttpHost server, FutureCallback<PoolEntry<HttpHost, IOSession>> leased) {
-        Future<PoolEntry<HttpHost, IOSession>> lease = pool.lease(server, null, LONGEST_LOCK, null);
+    void lease(Backend.Server server, FutureCallback<PoolEntry<Backend.Server, ServerConnection>> leased) {
+        Future<PoolEntry<Backend.Server, ServerConnection>> lease = pool.lease(server, null, LONGEST_LOCK, null);
         if (!lease.isDone()) {
             // The pool would queue the send out of sight of its deadline; none may wait for a socket.
             lease.cancel(true);
             leased.failed(new IOException("no socket left"));
             return;
         }
-        PoolEntry<HttpHost, IOSession> entry;
+        PoolEntry<Backend.Server, ServerConnection> entry;
         try {
             entry = lease.get();
         } catch (ExecutionException | InterruptedException refused) {
             leased.failed(new IOException("no socket left", refused));
             return;
         }
-        IOSession idleOne = entry.getConnection();
-        if (idleOne != null && !idleOne.isOpen()) {
+        if (entry.hasConnection() && !entry.getConnection().isOpen()) {
             entry.discardConnection(CloseMode.IMMEDIATE);
         }
-        if (idleOne != null && entry.hasConnection()) {
-            idleOne.setSocketTimeout(Timeout.DISABLED);
+        if (entry.hasConnection()) {
+            entry.getConnection().setTimeout(Timeout.DISABLED);
             leased.completed(entry);
         } else {
             connect(server, entry, leased);
         }
     }
 
-    private void connect(HttpHost server, PoolEntry<HttpHost, IOSession> entry,
-            FutureCallback<PoolEntry<HttpHost, IOSession>> leased) {
+    private void connect(Backend.Server server, PoolEntry<Backend.Server, ServerConnection> entry,
+            FutureCallback<PoolEntry<Backend.Server, ServerConnection>> leased) {
         if (!room.take()) {
             discard(entry);
             leased.failed(new IOException("no socket left"));
             return;
         }
-        requester.connect(server, new InetSocketAddress(server.getHostName(), server.getPort()), null, connectTimeout,
-                null, new FutureCallback<>() {
+        ServerConnection connection = new ServerConnection();
+        URIAuthority to = authority(server.address());
+        initiator.connect(to, new InetSocketAddress(to.getHostName(), to.getPort()), null, connectTimeout, connection,
+                new FutureCallback<>() {
                     @Override
-                    public void completed(IOSession connection) {
-                        connection.setSocketTimeout(Timeout.DISABLED);
+                    public void completed(IOSession up) {
+                        up.setSocketTimeout(Timeout.DISABLED);
                         entry.assignConnection(connection);
                         leased.completed(entry);
                     }
@@ -101,21 +105,40 @@
                 });
     }
 
-    void reuse(PoolEntry<HttpHost, IOSession> entry) {
-        IOSession connection = entry.getConnection();
-        if (connection != null) {
+    private static URIAuthority authority(String address) {
+        try {
+            return URIAuthority.create(address);
+        } catch (URISyntaxException malformed) {
+            throw new IllegalArgumentException("not an address: " + address);
+        }
+    }
+
+    void reuse(PoolEntry<Backend.Server, ServerConnection> entry) {
+        ServerConnection connection = entry.getConnection();
+        boolean open = connection != null && connection.isOpen();
+        if (open) {
             // Only while it is idle: an attempt has a timer of its own, and may well take longer.
-            connection.setSocketTimeout(idle);
+            connection.setTimeout(idle);
         }
         entry.updateExpiry(idle);
-        pool.release(entry, connection != null && connection.isOpen());
+        pool.release(entry, open);
     }
 
-    void discard(PoolEntry<HttpHost, IOSession> entry) {
+    /** Closes the socket at once; nothing more is read, though a spoilt answer may go on for gigabytes. */
+    void discard(PoolEntry<Backend.Server, ServerConnection> entry) {
         entry.discardConnection(CloseMode.GRACEFUL);
         pool.release(entry, false);
     }
 
+    /** Drops what is idle there, and what has closed by itself anywhere. */
+    void forget(Backend.Server server) {
+        pool.enumAvailable(entry -> {
+            if (entry.getRoute().equals(server) || !entry.getConnection().isOpen()) {
+                entry.discardConnection(CloseMode.IMMEDIATE);
+            }
+        });
+    }
+
     void close() {
         pool.close(CloseMode.GRACEFUL);
     }
--- a/src/main/java/peppergauge/backend/HttpExchange.java
+++ b/src/main/java/peppergauge/backend/HttpExchange.java
@@ -10,9 +10,9 @@
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.RequestNotExecutedException;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
@@ -24,8 +24,6 @@
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.pool.PoolEntry;
-import org.apache.hc.core5.reactor.Command;
-import org.apache.hc.core5.reactor.IOSession;
 import peppergauge.decision.Balancer.LoadField;
 import peppergauge.decision.Balancer.Outcome;
 import peppergauge.http.Headers;
@@ -39,6 +37,8 @@
     /** A body holds 64 KiB at most. */
     private static final int LARGEST_BODY = 64 * 1024;
 
+    private static final int MOST_INTERIM_ANSWERS = 8;
+
     /** Connections that closed before a byte was written, after which the server counts as out of reach. */
     private static final int MOST_STALE_CONNECTIONS = 4;
 
@@ -46,17 +46,17 @@
     private enum State { WAITING, WRITING, ENDED }
 
     private final Connections connections;
-    private final HttpHost server;
+    private final Backend.Server server;
     private final Message message;
     private final RemainingTime remaining;
     private final List<LoadField> loadFields;
     private final Consumer<Backend.Result> ended;
     private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
-    private final AtomicReference<PoolEntry<HttpHost, IOSession>> connection = new AtomicReference<>();
+    private final AtomicReference<PoolEntry<Backend.Server, ServerConnection>> connection = new AtomicReference<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(256);
     private final ByteBuffer unsent;
     private HttpResponse response;
-    private boolean framed;
+    private int interimAnswers;
     private int staleConnections;
 
     /** Tells, when the request is written, how long its answer is waited for. */
@@ -64,7 +64,7 @@
         double ms();
     }
 
-    HttpExchange(Connections connections, HttpHost server, Message message, RemainingTime remaining,
+    HttpExchange(Connections connections, Backend.Server server, Message message, RemainingTime remaining,
             List<LoadField> loadFields, Consumer<Backend.Result> ended) {
         this.connections = connections;
         this.server = server;
@@ -78,7 +78,7 @@
     void start() {
         connections.lease(server, new FutureCallback<>() {
             @Override
-            public void completed(PoolEntry<HttpHost, IOSession> leased) {
+            public void completed(PoolEntry<Backend.Server, ServerConnection> leased) {
                 run(leased);
             }
 
@@ -94,23 +94,19 @@
         });
     }
 
-    private void run(PoolEntry<HttpHost, IOSession> leased) {
+    private void run(PoolEntry<Backend.Server, ServerConnection> leased) {
         connection.set(leased);
         if (state.get() != State.WAITING) {
             // Taken back while the connection came up: the connection is good and unused.
             giveBack(true);
             return;
         }
-        IOSession session = leased.getConnection();
-        if (session == null) {
+        ServerConnection up = leased.getConnection();
+        if (up == null) {
             failed(new RequestNotExecutedException());
             return;
         }
-        RequestExecutionCommand command = new RequestExecutionCommand(this, HttpCoreContext.create());
-        session.enqueue(command, Command.Priority.NORMAL);
-        if (!session.isOpen()) {
-            command.cancel();
-        }
+        up.execute(new RequestExecutionCommand(this, HttpCoreContext.create()));
     }
 
     // ---- What the owner of the sessions may ask ----
@@ -133,6 +129,10 @@
 
     @Override
     public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
+        PoolEntry<Backend.Server, ServerConnection> leased = connection.get();
+        if (leased == null || !leased.getConnection().isSilent()) {
+            throw new IOException("something came in that no request asked for");
+        }
         if (!state.compareAndSet(State.WAITING, State.WRITING)) {
             throw new IOException("taken back before its first byte");
         }
@@ -164,16 +164,27 @@
     // ---- Answer ----
 
     @Override
-    public void consumeInformation(HttpResponse information, HttpContext context) {
-        // An interim answer says nothing of how the attempt ends.
+    public void consumeInformation(HttpResponse information, HttpContext context) throws HttpException {
+        if (information.getCode() == 101 || ++interimAnswers > MOST_INTERIM_ANSWERS) {
+            throw new ProtocolException("an interim answer that nobody asked for");
+        }
     }
 
+    /** Spoilt answers are judged by their heads: their bodies may never end. */
     @Override
-    public void consumeResponse(HttpResponse head, EntityDetails details, HttpContext context) {
+    public void consumeResponse(HttpResponse head, EntityDetails details, HttpContext context) throws HttpException {
         response = head;
-        framed = details == null || details.getContentLength() >= 0 || details.isChunked();
+        boolean framed = details == null || details.getContentLength() >= 0 || head.containsHeader("Transfer-Encoding");
+        boolean tooLong = details != null && details.getContentLength() > LARGEST_BODY;
         if (details == null) {
             answered();
+        } else if (!framed && head.getCode() != 200) {
+            // The status says it all.
+            giveBack(false);
+            conclude(outcome(), null, load());
+        } else if (!framed || tooLong) {
+            // Without a length or chunks the end of the connection may cut the body short.
+            throw new ProtocolException(tooLong ? "an answer over " + LARGEST_BODY + " bytes" : "an unframed answer");
         }
     }
 
@@ -198,16 +209,19 @@
     }
 
     private void answered() {
-        giveBack(framed && !unsent.hasRemaining());
+        giveBack(!unsent.hasRemaining());
+        Outcome outcome = outcome();
+        conclude(outcome, outcome == Outcome.SUCCESS ? answer() : null, load());
+    }
+
+    private Outcome outcome() {
         int status = response.getCode();
+        return status == 200 ? Outcome.SUCCESS : turnedAway(status) ? Outcome.OVERLOADED : Outcome.ERROR;
+    }
+
+    private double[] load() {
         Header load = response.getFirstHeader(Headers.LOAD);
-        double[] figures = LoadReport.parse(load == null ? null : load.getValue(), loadFields);
-        if (status == 200) {
-            // Without a length or chunks the end of the connection may have cut the body short.
-            conclude(framed ? Outcome.SUCCESS : Outcome.BROKEN, framed ? answer() : null, figures);
-        } else {
-            conclude(turnedAway(status) ? Outcome.OVERLOADED : Outcome.ERROR, null, figures);
-        }
+        return LoadReport.parse(load == null ? null : load.getValue(), loadFields);
     }
 
     /** Only the mark proves that nothing ran; a bare 503 may come from anywhere behind the server. */
@@ -225,9 +239,8 @@
     @Override
     public void failed(Exception cause) {
         giveBack(false);
-        if (state.get() == State.WAITING && cause instanceof RequestNotExecutedException
-                && ++staleConnections < MOST_STALE_CONNECTIONS) {
-            // The idle connection turned out closed before a byte was written: this is no second attempt.
+        if (state.get() == State.WAITING && ++staleConnections < MOST_STALE_CONNECTIONS) {
+            // The idle connection turned out closed or spoilt before a byte was written: this is no second attempt.
             start();
             return;
         }
@@ -246,7 +259,7 @@
 
     /** The connection goes back to the pool, or is closed; the first call decides. */
     private void giveBack(boolean reusable) {
-        PoolEntry<HttpHost, IOSession> leased = connection.getAndSet(null);
+        PoolEntry<Backend.Server, ServerConnection> leased = connection.getAndSet(null);
         if (leased != null && reusable) {
             connections.reuse(leased);
         } else if (leased != null) {
--- a/src/main/java/peppergauge/backend/LoadReport.java
+++ b/src/main/java/peppergauge/backend/LoadReport.java
@@ -7,9 +7,12 @@
 /** The load that a backend server reports: {@code name=value,name=value}. */
 final class LoadReport {
 
+    /** No server holds so many requests, or takes so many ms. */
+    private static final double LARGEST = 1e7;
+
     private LoadReport() { }
 
-    /** The figures in the order of {@code fields}, NaN where one is missing; null if there is none. */
+    /** The figures in the order of {@code fields}, NaN where one is missing; null if there is none to go by. */
     static double[] parse(String text, List<LoadField> fields) {
         if (text == null || fields.isEmpty()) {
             return null;
@@ -17,11 +20,15 @@
         double[] figures = new double[fields.size()];
         Arrays.fill(figures, Double.NaN);
         boolean any = false;
-        for (String part : text.split(",")) {
+        for (String part : text.split(",", -1)) {
             int equals = part.indexOf('=');
-            int place = equals < 0 ? -1 : fields.indexOf(SettingsReader.loadField(part.substring(0, equals).trim()));
-            double figure = place < 0 ? Double.NaN : number(part.substring(equals + 1).trim());
-            if (figure >= 0 && figure < Double.POSITIVE_INFINITY) {
+            double figure = equals < 0 ? Double.NaN : number(part.substring(equals + 1).trim());
+            if (!(figure >= 0 && figure < LARGEST)) {
+                // A report that is spoilt in one place says nothing for sure in the others.
+                return null;
+            }
+            int place = fields.indexOf(SettingsReader.loadField(part.substring(0, equals).trim()));
+            if (place >= 0) {
                 figures[place] = figure;
                 any = true;
             }
@@ -29,7 +36,6 @@
         return any ? figures : null;
     }
 
-    /** A malformed figure counts as missing: a load report is a hint and must never fail an answer. */
     private static double number(String text) {
         try {
             return Double.parseDouble(text);
--- /dev/null
+++ b/src/main/java/peppergauge/backend/ServerConnection.java
@@ -0,0 +1,81 @@
+package peppergauge.backend;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.config.CharCodingConfig;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.io.ModalCloseable;
+import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.util.Timeout;
+import peppergauge.http.HeadReader;
+
+/**
+ * A connection to a backend server. It carries its own reader of heads, which shows whether anything came in that
+ * no request asked for: the next request would be answered with it.
+ */
+final class ServerConnection implements ModalCloseable {
+
+    /** The processor is empty: what a request carries is settled by the message alone. */
+    private static final HttpProcessor NOTHING_ADDED = HttpProcessorBuilder.create().build();
+    private static final Http1Config HTTP = Http1Config.custom().setBufferSize(4096).build();
+
+    private final HeadReader<HttpResponse> reader = HeadReader.response();
+    private final ByteBuffer spare = ByteBuffer.allocate(1);
+    private volatile IOSession session;
+
+    /** Called by the reactor once the connection is up. */
+    IOEventHandler comeUp(ProtocolIOSession up) {
+        session = up;
+        return new ClientHttp1IOEventHandler(new ClientHttp1StreamDuplexer(up, NOTHING_ADDED, HTTP,
+                CharCodingConfig.DEFAULT, DefaultConnectionReuseStrategy.INSTANCE, reader,
+                DefaultHttpRequestWriterFactory.INSTANCE.create(), null, null, null));
+    }
+
+    boolean isOpen() {
+        return session != null && session.isOpen();
+    }
+
+    /**
+     * Whether nothing came in since the last answer: neither bytes that HttpCore has taken in nor any that wait in
+     * the socket, nor the other side's close. Only for the reactor's thread, before the first byte of a request.
+     */
+    boolean isSilent() throws IOException {
+        spare.clear();
+        return !reader.begun() && session.read(spare) == 0;
+    }
+
+    void execute(RequestExecutionCommand command) {
+        session.enqueue(command, Command.Priority.NORMAL);
+        if (!session.isOpen()) {
+            command.cancel();
+        }
+    }
+
+    void setTimeout(Timeout timeout) {
+        session.setSocketTimeout(timeout);
+    }
+
+    @Override
+    public void close(CloseMode mode) {
+        if (session != null) {
+            session.close(mode);
+        }
+    }
+
+    @Override
+    public void close() {
+        close(CloseMode.IMMEDIATE);
+    }
+}
--- a/src/main/java/peppergauge/http/HeadReader.java
+++ b/src/main/java/peppergauge/http/HeadReader.java
@@ -1,7 +1,6 @@
 package peppergauge.http;
 
 import java.io.IOException;
-import java.util.function.Supplier;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
@@ -39,7 +38,7 @@
     private HeadReader() { }
 
     public static NHttpMessageParserFactory<HttpRequest> requests() {
-        return factory(() -> new HeadReader<HttpRequest>() {
+        return () -> new HeadReader<HttpRequest>() {
             @Override
             HttpRequest begin(CharArrayBuffer first) throws HttpException {
                 RequestLine asked = LINES.parseRequestLine(first);
@@ -48,11 +47,11 @@
                 request.setVersion(asked.getProtocolVersion());
                 return request;
             }
-        });
+        };
     }
 
-    public static NHttpMessageParserFactory<HttpResponse> responses() {
-        return factory(() -> new HeadReader<HttpResponse>() {
+    public static HeadReader<HttpResponse> response() {
+        return new HeadReader<>() {
             @Override
             HttpResponse begin(CharArrayBuffer first) throws HttpException {
                 StatusLine status = LINES.parseStatusLine(first);
@@ -61,11 +60,12 @@
                 response.setVersion(status.getProtocolVersion());
                 return response;
             }
-        });
+        };
     }
 
-    private static <M extends HttpMessage> NHttpMessageParserFactory<M> factory(Supplier<HeadReader<M>> readers) {
-        return readers::get;
+    /** Whether a part of a head has come in. */
+    public boolean begun() {
+        return read > 0;
     }
 
     /** The message that a first line begins. */
--- a/src/main/java/peppergauge/servertable/ServerTableReader.java
+++ b/src/main/java/peppergauge/servertable/ServerTableReader.java
@@ -1,7 +1,9 @@
 package peppergauge.servertable;
+import java.net.URISyntaxException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.apache.hc.core5.net.URIAuthority;
 import peppergauge.decision.Balancer.ServerEntry;
 import peppergauge.decision.Balancer.ServerState;
 import peppergauge.log.Log;
@@ -45,14 +47,26 @@
             case "left" -> ServerState.GONE;
             default -> throw new IllegalArgumentException("server " + id + " has state " + fields.get("state"));
         };
-        if (!(fields.get("addr") instanceof String address) && state != ServerState.GONE) {
+        if (!(fields.get("addr") instanceof String) && state != ServerState.GONE) {
             throw new IllegalArgumentException("server " + id + " has no addr");
         }
+        if (fields.get("addr") instanceof String address && state != ServerState.GONE && !isAddress(address)) {
+            throw new IllegalArgumentException("server " + id + " has addr " + address);
+        }
         ServerEntry entry = new ServerEntry(id, zone(fields.get("zone")), (int) number(fields.get("cell")), state,
                 number(fields.get("started_ms")));
         return new ServerTable.Row(entry, String.valueOf(fields.get("addr")));
     }
 
+    private static boolean isAddress(String text) {
+        try {
+            URIAuthority address = URIAuthority.create(text);
+            return address.getPort() > 0 && address.getPort() <= 65535 && address.getUserInfo() == null;
+        } catch (URISyntaxException malformed) {
+            return false;
+        }
+    }
+
     /** A zone that the settings do not name is like no other. */
     private int zone(Object zone) {
         return zone instanceof Number number ? number.intValue() : zones.indexOf(String.valueOf(zone));
--- a/src/main/java/peppergauge/servertable/ServerTableWatch.java
+++ b/src/main/java/peppergauge/servertable/ServerTableWatch.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedSelectorException;
 import java.util.List;
 import java.util.function.BiFunction;
+import org.apache.hc.core5.concurrent.DefaultThreadFactory;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -12,19 +14,23 @@
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.URIScheme;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
-import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
+import org.apache.hc.core5.http.config.CharCodingConfig;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandlerFactory;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.RequestChannel;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.DefaultConnectingIOReactor;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.TimeValue;
@@ -55,7 +61,7 @@
     private final ServerTableReader reader;
     private final Listener listener;
     private final BiFunction<Double, Runnable, ?> timers;
-    private final HttpAsyncRequester requester;
+    private final DefaultConnectingIOReactor reactor;
     private volatile Source source;
     private volatile boolean closed;
 
@@ -66,15 +72,25 @@
         this.reader = reader;
         this.listener = listener;
         this.timers = timers;
-        this.requester = AsyncRequesterBootstrap.bootstrap()
-                .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
-                        .setSoTimeout(LONGEST_SILENCE).build())
-                .setHttpProcessor(HttpProcessorBuilder.create().build())
-                .create();
+        // Put together by hand: the bootstrap would load the machine's trust store, a tenth of a second's work.
+        this.reactor = new DefaultConnectingIOReactor(
+                new ClientHttp1IOEventHandlerFactory(new ClientHttp1StreamDuplexerFactory(
+                        HttpProcessorBuilder.create().build(), Http1Config.DEFAULT, CharCodingConfig.DEFAULT), null, null),
+                IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
+                        .setSoTimeout(LONGEST_SILENCE).build(),
+                new DefaultThreadFactory("server-table", true), null, ServerTableWatch::report, null, null,
+                ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK, null);
+    }
+
+    /** Logs what HttpCore threw outside any watch. */
+    private static void report(Exception thrown) {
+        if (thrown instanceof RuntimeException && !(thrown instanceof ClosedSelectorException)) {
+            Log.bug("server table", thrown);
+        }
     }
 
     public void start() {
-        requester.start();
+        reactor.start();
         source.connect();
     }
 
@@ -87,7 +103,7 @@
 
     public void close() {
         closed = true;
-        requester.close(CloseMode.IMMEDIATE);
+        reactor.close(CloseMode.IMMEDIATE);
     }
 
     /** One address of discovery. Only the present one is asked again when its watch ends. */
@@ -115,7 +131,7 @@
             if (!present()) {
                 return;
             }
-            requester.connect(discovery, new InetSocketAddress(discovery.getHostName(), discovery.getPort()), null,
+            reactor.connect(discovery, new InetSocketAddress(discovery.getHostName(), discovery.getPort()), null,
                     LONGEST_SILENCE, null, new FutureCallback<>() {
                         @Override
                         public void completed(IOSession up) {
--- a/src/main/java/peppergauge/session/Backend.java
+++ b/src/main/java/peppergauge/session/Backend.java
@@ -5,6 +5,9 @@
 /** Carries attempts and probes to backend servers. */
 public interface Backend {
 
+    /** A backend server and where this sidecar reaches it; another server may have had the address before. */
+    record Server(String id, String address) { }
+
     /** An attempt that is out. */
     interface Exchange {
 
@@ -19,8 +22,11 @@
     record Result(Outcome outcome, Message answer, double[] load) { }
 
     /** Sends an attempt that waits until {@code untilMs}; {@code ended} is called once, from any thread. */
-    Exchange send(String address, Message message, double untilMs, Consumer<Result> ended);
+    Exchange send(Server server, Message message, double untilMs, Consumer<Result> ended);
 
     /** Asks a backend server for its load; {@code ended} is called once, from any thread. */
-    void probe(String address, Consumer<Result> ended);
+    Exchange probe(Server server, double untilMs, Consumer<Result> ended);
+
+    /** The server is gone: nothing that was kept for it is of use. */
+    void forget(Server server);
 }
--- a/src/main/java/peppergauge/session/Session.java
+++ b/src/main/java/peppergauge/session/Session.java
@@ -28,15 +28,18 @@
         final Session session;
         final int number;
         final String server;
+        /** Null where the server table names it no longer. */
+        final Backend.Server to;
         final double sentMs;
         Backend.Exchange exchange;
         Future<?> timeout;
         boolean ended;
 
-        Attempt(Session session, String server, double sentMs) {
+        Attempt(Session session, String server, Backend.Server to, double sentMs) {
             this.session = session;
             this.number = session.attempts.size();
             this.server = server;
+            this.to = to;
             this.sentMs = sentMs;
         }
     }
--- a/src/main/java/peppergauge/session/Sessions.java
+++ b/src/main/java/peppergauge/session/Sessions.java
@@ -35,14 +35,17 @@
     private final Map<String, Session> open = new HashMap<>();
     /** Ids that were open lately, the oldest first: one that comes again is another client's, not a new session. */
     private final Set<String> ended = new LinkedHashSet<>();
-    private final Map<String, String> addresses = new HashMap<>();
+    private final Map<String, Backend.Server> servers = new HashMap<>();
     private final Set<Attempt> out = new LinkedHashSet<>();
+    private final double probeWaitMs;
     private Runnable whenIdle;
 
-    public Sessions(Balancer balancer, Backend backend, Clock clock) {
+    /** {@code probeWaitMs}: how long a probe is waited for. */
+    public Sessions(Balancer balancer, Backend backend, Clock clock, double probeWaitMs) {
         this.balancer = balancer;
         this.backend = backend;
         this.clock = clock;
+        this.probeWaitMs = probeWaitMs;
         this.queue = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "sessions"));
         queue.setRemoveOnCancelPolicy(true);
     }
@@ -145,18 +148,19 @@
     private void onTable(ServerTable table) {
         List<ServerEntry> entries = new ArrayList<>();
         Set<String> leaving = new LinkedHashSet<>();
+        Map<String, Backend.Server> before = new HashMap<>(servers);
         if (table.whole()) {
-            leaving.addAll(addresses.keySet());
-            addresses.clear();
+            leaving.addAll(servers.keySet());
+            servers.clear();
         }
         for (ServerTable.Row row : table.rows()) {
             ServerEntry entry = row.entry();
             entries.add(entry);
             leaving.remove(entry.server());
             if (entry.state() == ServerState.GONE) {
-                addresses.remove(entry.server());
+                servers.remove(entry.server());
             } else {
-                addresses.put(entry.server(), row.address());
+                servers.put(entry.server(), new Backend.Server(entry.server(), row.address()));
             }
             if (entry.state() != ServerState.READY) {
                 leaving.add(entry.server());
@@ -168,9 +172,17 @@
                 ended(attempt, Outcome.NEVER_SENT, null, null);
             }
         }
+        before.values().forEach(this::forgetIfGone);
         tell(new Balancer.ServersListed(table.whole(), true, entries));
     }
 
+    /** Nothing kept for a server may serve another that comes under its id or at its address. */
+    private void forgetIfGone(Backend.Server server) {
+        if (!server.equals(servers.get(server.id()))) {
+            backend.forget(server);
+        }
+    }
+
     private void ended(Attempt attempt, Outcome outcome, Message answer, double[] load) {
         if (attempt.ended) {
             return;
@@ -178,6 +190,9 @@
         attempt.ended = true;
         attempt.timeout.cancel(false);
         out.remove(attempt);
+        if (attempt.to != null) {
+            forgetIfGone(attempt.to);
+        }
         Session session = attempt.session;
         session.out--;
         if (outcome == Outcome.SUCCESS && !session.answered) {
@@ -232,22 +247,22 @@
 
     private void send(Balancer.Send send) {
         Session session = open.get(send.id());
-        String address = addresses.get(send.server());
+        Backend.Server server = servers.get(send.server());
         if (session == null || session.answered) {
             return;
         }
         double now = clock.nowMs();
-        Attempt attempt = new Attempt(session, send.server(), now);
+        Attempt attempt = new Attempt(session, send.server(), server, now);
         session.attempts.add(attempt);
         session.out++;
         out.add(attempt);
         double waitMs = Math.max(0, send.timeoutMs() > 0 ? send.timeoutMs() : session.opening.deadlineMs() - now);
         attempt.timeout = after(waitMs, () -> onTimeout(attempt));
-        if (address == null) {
+        if (server == null) {
             attempt.exchange = NOTHING_OUT;
             post(() -> ended(attempt, Outcome.NEVER_SENT, null, null));
         } else {
-            attempt.exchange = backend.send(address, session.opening.message(), now + waitMs,
+            attempt.exchange = backend.send(server, session.opening.message(), now + waitMs,
                     result -> post(() -> ended(attempt, result.outcome(), result.answer(), result.load())));
         }
     }
@@ -298,15 +313,41 @@
         }
     }
 
-    private void probe(String server) {
-        String address = addresses.get(server);
+    private void probe(String id) {
+        Backend.Server server = servers.get(id);
         double sentMs = clock.nowMs();
-        if (address == null) {
-            post(() -> tell(new Balancer.ProbeEnded(server, Outcome.UNREACHABLE, 0, null)));
+        if (server == null) {
+            post(() -> tell(new Balancer.ProbeEnded(id, Outcome.UNREACHABLE, 0, null)));
             return;
         }
-        backend.probe(address, result -> post(() -> tell(new Balancer.ProbeEnded(server, result.outcome(),
-                clock.nowMs() - sentMs, result.load()))));
+        Probe probe = new Probe(id, sentMs);
+        probe.exchange = backend.probe(server, sentMs + probeWaitMs, result -> post(() -> ended(probe, result)));
+        probe.timeout = after(probeWaitMs, () -> {
+            probe.exchange.abandon();
+            ended(probe, new Backend.Result(Outcome.TIMED_OUT, null, null));
+        });
+    }
+
+    /** A probe that is out. */
+    private static final class Probe {
+
+        private final String server;
+        private final double sentMs;
+        private Backend.Exchange exchange;
+        private Future<?> timeout;
+
+        Probe(String server, double sentMs) {
+            this.server = server;
+            this.sentMs = sentMs;
+        }
+    }
+
+    private void ended(Probe probe, Backend.Result result) {
+        if (probe.timeout != null) {
+            probe.timeout.cancel(false);
+            probe.timeout = null;
+            tell(new Balancer.ProbeEnded(probe.server, result.outcome(), clock.nowMs() - probe.sentMs, result.load()));
+        }
     }
 
     // ---- The one answer ----
--- a/src/test/java/peppergauge/RulesOnSocketsTest.java
+++ b/src/test/java/peppergauge/RulesOnSocketsTest.java
@@ -180,6 +180,22 @@
             }, false},
             {says("nonsense\r\n\r\n"), false},
             {says("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + "x".repeat(70_000)), false},
+            // Spoilt answers: the request has run, and nothing of them is waited for or passed on.
+            {says("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"), false},
+            {says("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nbody"), false},
+            {says("HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nbody"), false},
+            {says("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody"), false},
+            {says("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), false},
+            {says("HTTP/1.1 200 OK\nContent-Length: 4\n\nbody"), false},
+            {says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\r\n"), false},
+            {says("HTTP/1.1 101 Switching\r\n\r\n" + Toy.ok("body")), false},
+            {says("HTTP/1.1 102 Wait\r\n\r\n".repeat(50) + Toy.ok("body")), false},
+            {says("HTTP/1.1 200 OK\r\nX-Long: " + "x".repeat(20_000)), false},
+            {says("HTTP/1.1 500 no\r\n\r\nno length"), false},
+            {(Toy.Script) (request, connection) -> {
+                Toy.write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 4");
+                connection.close();
+            }, false},
             {cut, false},
             {SILENT, false},
             {says("HTTP/1.1 503 no\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"), true},
@@ -195,6 +211,45 @@
             assertTrue((System.nanoTime() - start) / 1e6 < 650, "answered past its deadline");
             assertEquals(bed.backend.requests.size() > 1, neverRan);
             assertTrue(neverRan ? status == 503 : status == 502 || status == 504, "status " + status);
+            boolean silent = end == SILENT;
+            assertTrue(silent == (System.nanoTime() - start > 550_000_000L), "a spoilt answer was waited for");
+        }
+    }
+
+    /** A good answer may bring more than belongs to it; the next session must not be answered with that. */
+    @DataProvider
+    public Object[][] surplus() {
+        return new Object[][] {
+            {Toy.ok("other"), 0}, {Toy.ok("other"), 30}, {"noise", 0}, {"noise", 30}, {"HTTP/1.1 200", 0},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 1", 30}, {"\r\n\r\n\r\n", 0}, {"\n", 30},
+        };
+    }
+
+    @Test(dataProvider = "surplus")
+    public void aConnectionWithMoreThanItsAnswerIsNotUsedAgain(String more, int afterMs) throws Exception {
+        try (Bed bed = new Bed((request, connection) -> {
+            String answer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\n\r\n" + Toy.ok(request.header("X-Txn"));
+            Toy.write(connection, answer + (afterMs == 0 ? more : ""));
+            Thread.sleep(afterMs);
+            Toy.write(connection, afterMs > 0 ? more : "");
+        })) {
+            for (String id : new String[] {"t1", "t2", "t3"}) {
+                Toy.Request answer = bed.ask(Bed.post(id, 900, "x"));
+                assertEquals(new String(answer.body()), id);
+                Thread.sleep(afterMs * 2);
+            }
+            assertEquals(bed.backend.connections.size(), 3);
+        }
+    }
+
+    @Test
+    public void aServerAtTheAddressOfAnotherInheritsNoConnection() throws Exception {
+        try (Bed bed = new Bed(OK)) {
+            assertEquals(Bed.status(bed.ask(Bed.get("t1", 900))), 200);
+            bed.tell(bed.table(2, true, "active").replace("\"s\"", "\"successor\""));
+            Thread.sleep(50);
+            assertEquals(Bed.status(bed.ask(Bed.get("t2", 900))), 200);
+            assertEquals(bed.backend.connections.size(), 2);
         }
     }
 
--- a/src/test/java/peppergauge/backend/LoadReportTest.java
+++ b/src/test/java/peppergauge/backend/LoadReportTest.java
@@ -20,7 +20,11 @@
             {" latency_ms = 3 , inflight=0", new double[] {0, NONE, 3}},
             {"inflight=7,util=0.6,unheard_of=1", new double[] {7, NONE, NONE}},
             {"inflight=x,queue=-1,latency_ms=1e999", null},
-            {"inflight=x,queue=4", new double[] {NONE, 4, NONE}},
+            {"inflight=0,queue=4,latency_ms=\u00ff", null},
+            {"inflight=0,queue=4,", null},
+            {"inflight=0,queue", null},
+            {"inflight=99999999999", null},
+            {"inflight=NaN", null},
             {"inflight", null},
             {"=,=,,", null},
             {"", null},
@@ -29,7 +33,7 @@
     }
 
     @Test(dataProvider = "reports")
-    public void aReportIsReadByNameAndAMalformedFigureIsMissing(String text, double[] figures) {
+    public void aReportIsReadByNameAndOneThatIsSpoiltAnywhereIsNone(String text, double[] figures) {
         assertEquals(LoadReport.parse(text, FIELDS), figures);
     }
 }
--- a/src/test/java/peppergauge/frontend/ClientConnectionTest.java
+++ b/src/test/java/peppergauge/frontend/ClientConnectionTest.java
@@ -24,7 +24,7 @@
                     }
                     return "id";
                 });
-        Sessions sessions = new Sessions(null, null, new Clock());
+        Sessions sessions = new Sessions(null, null, new Clock(), 100);
         ClientConnections connections = new ClientConnections(sessions, new SocketRoom(1) {
             @Override
             public boolean take(long waitMs) {
--- a/src/test/java/peppergauge/frontend/RehearsalTest.java
+++ b/src/test/java/peppergauge/frontend/RehearsalTest.java
@@ -16,8 +16,8 @@
     @Test
     public void noRequestOfARehearsalEverGetsToTheSessionsOfClients() {
         Clock clock = new Clock();
-        Sessions clients = new Sessions(null, null, clock);
-        Sessions own = new Sessions(null, null, clock);
+        Sessions clients = new Sessions(null, null, clock, 100);
+        Sessions own = new Sessions(null, null, clock, 100);
         HttpFrontend frontend = new HttpFrontend(null, clients, clock, 8);
         BasicHttpRequest usual = new BasicHttpRequest("GET", "/list/k");
         BasicHttpRequest marked = new BasicHttpRequest("GET", "/list/k");
--- a/src/test/java/peppergauge/servertable/ServerTableReaderTest.java
+++ b/src/test/java/peppergauge/servertable/ServerTableReaderTest.java
@@ -56,6 +56,8 @@
     public Object[][] malformedRows() {
         return new Object[][] {
             {"1"}, {"{}"}, {"{'id':'s','state':'odd','addr':'h:1'}"}, {"{'id':'s','state':'active'}"}, {"null"},
+            {"{'id':'s','state':'active','addr':'h'}"}, {"{'id':'s','state':'active','addr':'h:0'}"},
+            {"{'id':'s','state':'active','addr':'h:x'}"}, {"{'id':'s','state':'active','addr':'a@h:1'}"},
         };
     }
 
