--- a/src/main/java/peppergauge/Rehearsal.java
+++ b/src/main/java/peppergauge/Rehearsal.java
@@ -15,6 +15,7 @@
 import peppergauge.session.Backend;
 import peppergauge.session.Clock;
 import peppergauge.session.Message;
+import peppergauge.session.Scheduler;
 import peppergauge.session.ServerTable;
 import peppergauge.session.Sessions;
 import peppergauge.settings.SiteNames;
@@ -26,7 +27,7 @@
  * and their only backend servers are this program's listener. No other party is spoken to.
  */
 record Rehearsal(Config config, Settings settings, SiteNames names, HttpFrontend frontend, Backend backend,
-        Clock clock) {
+        Clock clock, Scheduler scheduler) {
 
     private static final int REQUESTS = 1_500;
     private static final int AT_ONCE = 4;
@@ -37,14 +38,16 @@
     int run(InetSocketAddress self, long longestMs) throws InterruptedException {
         String address = self.getHostString() + ":" + self.getPort();
         String mark = "r" + Long.toHexString(config.seed() ^ System.nanoTime()) + "-";
-        Sessions own = new Sessions(new Decide(settings, config.seed()), backend, clock, WAIT_MS);
+        Sessions own = new Sessions(new Decide(settings, config.seed()), backend, clock, scheduler, WAIT_MS);
         own.listed(new ServerTable(1, true, servers(address)));
         frontend.rehearse(own, mark);
         Semaphore free = new Semaphore(AT_ONCE);
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longestMs);
         int sent = 0;
         while (sent < REQUESTS && free.tryAcquire(until - System.nanoTime(), TimeUnit.NANOSECONDS)) {
-            backend.send(new Backend.Server("self", address), request(sent++, mark), clock.nowMs() + WAIT_MS, result -> free.release());
+            Message request = request(sent++, mark);
+            scheduler.execute(() -> backend.send(new Backend.Server("self", address), request,
+                    clock.nowMs() + WAIT_MS, result -> free.release()));
         }
         free.tryAcquire(AT_ONCE, until - System.nanoTime(), TimeUnit.NANOSECONDS);
         own.close();
--- a/src/main/java/peppergauge/Sidecar.java
+++ b/src/main/java/peppergauge/Sidecar.java
@@ -19,6 +19,7 @@
 import peppergauge.session.Sessions;
 import peppergauge.settings.SettingsReader;
 import peppergauge.settings.SiteNames;
+import peppergauge.sockets.Loop;
 
 /** Wires one sidecar together, starts it and winds it down. */
 final class Sidecar {
@@ -26,12 +27,15 @@
     /** Clients still connect for a while after SIGTERM; what is not accepted by then would be lost. */
     private static final long KEEP_ACCEPTING_MS = 700;
     private static final long LEAST_DEADLINE_MS = 3_000;
+    /** How long the last answers may take into the kernel's buffers. */
+    private static final long LONGEST_WRITING_MS = 500;
     /** Descriptors of the program itself: files, selectors, listener, discovery (24 counted), and a margin. */
     private static final int OWN_SOCKETS = 40;
 
     private static final long LONGEST_REHEARSAL_MS = 1_000;
 
     private volatile Config config;
+    private final Loop loop = new Loop();
     private final HttpBackend backend;
     private final Sessions sessions;
     private final HttpFrontend frontend;
@@ -48,12 +52,13 @@
         Clock clock = new Clock();
         int mostConnections = (config.sockets() - OWN_SOCKETS) / 2;
         double connectTimeoutMs = connectTimeoutMs(config.settings());
-        backend = new HttpBackend(clock, settings.loadFields(), connectTimeoutMs, limits.connectionIdleMs(),
+        backend = new HttpBackend(clock, loop, settings.loadFields(), connectTimeoutMs, limits.connectionIdleMs(),
                 mostConnections);
         // What bounds connecting also bounds a probe: both are answered without waiting for other work.
-        sessions = new Sessions(new Decide(settings, config.seed()), backend, clock, connectTimeoutMs);
-        frontend = new HttpFrontend(new Site(names, settings.classes()), sessions, clock, mostConnections);
-        rehearsal = new Rehearsal(config, settings, names, frontend, backend, clock);
+        sessions = new Sessions(new Decide(settings, config.seed()), backend, clock, loop,
+                connectTimeoutMs);
+        frontend = new HttpFrontend(new Site(names, settings.classes()), sessions, clock, loop, mostConnections);
+        rehearsal = new Rehearsal(config, settings, names, frontend, backend, clock, loop);
         ServerTableReader reader = new ServerTableReader(names.zones());
         known = reader.read(config.known());
         watch = new ServerTableWatch(config.discovery(), reader, known.version(), new ServerTableWatch.Listener() {
@@ -66,7 +71,7 @@
             public void lost() {
                 sessions.tableLost();
             }
-        }, sessions::after);
+        }, loop);
         longestDeadlineMs = (long) Math.max(LEAST_DEADLINE_MS,
                 settings.classes().stream().mapToDouble(kind -> kind.deadlineMs()).max().orElse(0));
     }
@@ -77,7 +82,7 @@
     }
 
     void start() throws IOException, InterruptedException {
-        backend.start();
+        loop.start();
         sessions.listed(new ServerTable(known.version(), true, known.rows()));
         frontend.start(config.listen());
         watch.start();
@@ -119,7 +124,9 @@
             sessions.whenIdle(idle::countDown);
             boolean empty = idle.await(longestDeadlineMs, TimeUnit.MILLISECONDS);
             Log.line("stop", empty ? "all sessions are answered" : "sessions were open past the longest deadline");
-            frontend.close();
+            CountDownLatch written = new CountDownLatch(1);
+            frontend.whenWritten(written::countDown);
+            written.await(LONGEST_WRITING_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
@@ -128,10 +135,9 @@
 
     /** Closes everything, whatever is open. */
     void stopNow() {
-        frontend.closeNow();
         watch.close();
-        backend.close();
         sessions.close();
+        loop.close();
     }
 
     private void stopListening() {
--- a/src/main/java/peppergauge/adapter/Drill.java
+++ b/src/main/java/peppergauge/adapter/Drill.java
@@ -308,7 +308,12 @@
         } else {
             Balancer balancer = instances.get(instance);
             if (balancer != null) {
-                balancer.on(nowMs, (Event) arrival, actions::add);
+                balancer.on(nowMs, (Event) arrival, action -> {
+                    // On the wire a timer cannot be taken back.
+                    if (!(action instanceof Balancer.ClearTimer)) {
+                        actions.add(action);
+                    }
+                });
             }
         }
     }
--- a/src/main/java/peppergauge/backend/Connections.java
+++ b/src/main/java/peppergauge/backend/Connections.java
@@ -10,17 +10,17 @@
 import org.apache.hc.core5.pool.PoolEntry;
 import org.apache.hc.core5.pool.PoolReusePolicy;
 import org.apache.hc.core5.pool.StrictConnPool;
-import org.apache.hc.core5.reactor.ConnectionInitiator;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import peppergauge.session.Backend;
+import peppergauge.sockets.Loop;
 import peppergauge.sockets.SocketRoom;
 
 /**
  * Connections to backend servers, the most recently used first; a server that comes at the address of another gets
  * none of the other's. HttpCore's own requester is passed by: it would leave the connect time-out in force as the
- * connection's read time-out, and load the machine's trust store at each start.
+ * connection's read time-out, and load the machine's trust store at each start. Only the loop's thread comes here.
  */
 final class Connections {
 
@@ -31,14 +31,14 @@
     /** Share of the places that is left to sockets being closed, which still hold descriptors for a moment. */
     private static final double CLOSING_SHARE = 0.1;
 
-    private final ConnectionInitiator initiator;
+    private final Loop loop;
     private final SocketRoom room;
     private final StrictConnPool<Backend.Server, ServerConnection> pool;
     private final Timeout connectTimeout;
     private final Timeout idle;
 
-    Connections(ConnectionInitiator initiator, SocketRoom room, int most, double connectTimeoutMs, double idleMs) {
-        this.initiator = initiator;
+    Connections(Loop loop, SocketRoom room, int most, double connectTimeoutMs, double idleMs) {
+        this.loop = loop;
         this.room = room;
         int pooled = (int) Math.ceil(most * (1 - CLOSING_SHARE));
         this.pool = new StrictConnPool<>(pooled, pooled, TimeValue.NEG_ONE_MILLISECOND, PoolReusePolicy.LIFO, null);
@@ -80,9 +80,9 @@
             leased.failed(new IOException("no socket left"));
             return;
         }
-        ServerConnection connection = new ServerConnection();
+        ServerConnection connection = new ServerConnection(room);
         URIAuthority to = authority(server.address());
-        initiator.connect(to, new InetSocketAddress(to.getHostName(), to.getPort()), null, connectTimeout, connection,
+        loop.connect(to, new InetSocketAddress(to.getHostName(), to.getPort()), connectTimeout, connection,
                 new FutureCallback<>() {
                     @Override
                     public void completed(IOSession up) {
--- a/src/main/java/peppergauge/backend/HttpBackend.java
+++ b/src/main/java/peppergauge/backend/HttpBackend.java
@@ -2,50 +2,33 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.function.Consumer;
-import org.apache.hc.core5.concurrent.DefaultThreadFactory;
-import org.apache.hc.core5.http.nio.command.ShutdownCommand;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.DefaultConnectingIOReactor;
-import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.util.TimeValue;
 import peppergauge.decision.Balancer.LoadField;
 import peppergauge.decision.Balancer.Outcome;
 import peppergauge.session.Backend;
 import peppergauge.session.Clock;
 import peppergauge.session.Message;
+import peppergauge.sockets.Loop;
 import peppergauge.sockets.SocketRoom;
 
 /** Attempts and probes over HTTP/1.1. */
 public final class HttpBackend implements Backend {
 
-    /** HttpCore looks at its time-outs once in this time; its own second would make 200 ms of connecting 1 s. */
-    private static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds(20);
     private static final String PROBE_PATH = "/metrics/load";
     private final Clock clock;
     private final List<LoadField> loadFields;
-    private final DefaultConnectingIOReactor reactor;
     private final Connections connections;
 
-    public HttpBackend(Clock clock, List<LoadField> loadFields, double connectTimeoutMs, double idleMs,
+    /**
+     * @param connectTimeoutMs after which a connection that has not come up is given up, ms
+     * @param idleMs after which backend servers close a connection, ms
+     * @param mostConnections descriptors that these connections may hold together
+     */
+    public HttpBackend(Clock clock, Loop loop, List<LoadField> loadFields, double connectTimeoutMs, double idleMs,
             int mostConnections) {
         this.clock = clock;
         this.loadFields = loadFields;
-        SocketRoom room = new SocketRoom(mostConnections);
-        this.reactor = new DefaultConnectingIOReactor((up, connection) -> ((ServerConnection) connection).comeUp(up),
-                IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL).setTcpNoDelay(true)
-                        .build(),
-                new DefaultThreadFactory("backend", true), null, HttpExchange::report, new Closings(room), room,
-                ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK, null);
-        this.connections = new Connections(reactor, room, mostConnections, connectTimeoutMs, idleMs);
-    }
-
-    public void start() {
-        reactor.start();
-    }
-
-    public void close() {
-        connections.close();
-        reactor.close(CloseMode.IMMEDIATE);
+        this.connections = new Connections(loop, new SocketRoom(mostConnections, loop), mostConnections,
+                connectTimeoutMs, idleMs);
     }
 
     @Override
--- a/src/main/java/peppergauge/backend/HttpExchange.java
+++ b/src/main/java/peppergauge/backend/HttpExchange.java
@@ -2,9 +2,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.ClosedSelectorException;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.EntityDetails;
@@ -27,11 +25,13 @@
 import peppergauge.decision.Balancer.LoadField;
 import peppergauge.decision.Balancer.Outcome;
 import peppergauge.http.Headers;
-import peppergauge.log.Log;
 import peppergauge.session.Backend;
 import peppergauge.session.Message;
 
-/** One request to one backend server, from the lease of a connection to the last byte of the answer. */
+/**
+ * One request to one backend server, from the lease of a connection to the last byte of the answer. Only the loop's
+ * thread comes here.
+ */
 final class HttpExchange implements AsyncClientExchangeHandler, Backend.Exchange {
 
     /** A body holds 64 KiB at most. */
@@ -51,8 +51,8 @@
     private final RemainingTime remaining;
     private final List<LoadField> loadFields;
     private final Consumer<Backend.Result> ended;
-    private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
-    private final AtomicReference<PoolEntry<Backend.Server, ServerConnection>> connection = new AtomicReference<>();
+    private State state = State.WAITING;
+    private PoolEntry<Backend.Server, ServerConnection> connection;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(256);
     private final ByteBuffer unsent;
     private HttpResponse response;
@@ -95,8 +95,8 @@
     }
 
     private void run(PoolEntry<Backend.Server, ServerConnection> leased) {
-        connection.set(leased);
-        if (state.get() != State.WAITING) {
+        connection = leased;
+        if (state != State.WAITING) {
             // Taken back while the connection came up: the connection is good and unused.
             giveBack(true);
             return;
@@ -113,12 +113,15 @@
 
     @Override
     public boolean withdraw() {
-        return state.compareAndSet(State.WAITING, State.ENDED);
+        boolean waiting = state == State.WAITING;
+        state = waiting ? State.ENDED : state;
+        return waiting;
     }
 
     @Override
     public boolean abandon() {
-        State before = state.getAndSet(State.ENDED);
+        State before = state;
+        state = State.ENDED;
         if (before == State.WRITING) {
             giveBack(false);
         }
@@ -129,13 +132,13 @@
 
     @Override
     public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
-        PoolEntry<Backend.Server, ServerConnection> leased = connection.get();
-        if (leased == null || !leased.getConnection().isSilent()) {
+        if (connection == null || !connection.getConnection().isSilent()) {
             throw new IOException("something came in that no request asked for");
         }
-        if (!state.compareAndSet(State.WAITING, State.WRITING)) {
+        if (state != State.WAITING) {
             throw new IOException("taken back before its first byte");
         }
+        state = State.WRITING;
         BasicHttpRequest request = new BasicHttpRequest(message.verb(), message.target());
         for (Message.Field field : message.fields()) {
             request.addHeader(field.name(), field.value());
@@ -239,12 +242,12 @@
     @Override
     public void failed(Exception cause) {
         giveBack(false);
-        if (state.get() == State.WAITING && ++staleConnections < MOST_STALE_CONNECTIONS) {
+        if (state == State.WAITING && ++staleConnections < MOST_STALE_CONNECTIONS) {
             // The idle connection turned out closed or spoilt before a byte was written: this is no second attempt.
             start();
             return;
         }
-        conclude(state.get() == State.WAITING ? Outcome.UNREACHABLE : Outcome.BROKEN, null, null);
+        conclude(state == State.WAITING ? Outcome.UNREACHABLE : Outcome.BROKEN, null, null);
     }
 
     @Override
@@ -259,7 +262,8 @@
 
     /** The connection goes back to the pool, or is closed; the first call decides. */
     private void giveBack(boolean reusable) {
-        PoolEntry<Backend.Server, ServerConnection> leased = connection.getAndSet(null);
+        PoolEntry<Backend.Server, ServerConnection> leased = connection;
+        connection = null;
         if (leased != null && reusable) {
             connections.reuse(leased);
         } else if (leased != null) {
@@ -268,15 +272,9 @@
     }
 
     private void conclude(Outcome outcome, Message answer, double[] load) {
-        if (state.getAndSet(State.ENDED) != State.ENDED) {
+        if (state != State.ENDED) {
+            state = State.ENDED;
             ended.accept(new Backend.Result(outcome, answer, load));
         }
     }
-
-    /** Logs what HttpCore threw outside any exchange. */
-    static void report(Exception thrown) {
-        if (thrown instanceof RuntimeException && !(thrown instanceof ClosedSelectorException)) {
-            Log.bug("backend", thrown);
-        }
-    }
 }
--- a/src/main/java/peppergauge/backend/ServerConnection.java
+++ b/src/main/java/peppergauge/backend/ServerConnection.java
@@ -20,12 +20,14 @@
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.Timeout;
 import peppergauge.http.HeadReader;
+import peppergauge.sockets.Protocol;
+import peppergauge.sockets.SocketRoom;
 
 /**
  * A connection to a backend server. It carries its own reader of heads, which shows whether anything came in that
  * no request asked for: the next request would be answered with it.
  */
-final class ServerConnection implements ModalCloseable {
+final class ServerConnection implements ModalCloseable, Protocol {
 
     /** The processor is empty: what a request carries is settled by the message alone. */
     private static final HttpProcessor NOTHING_ADDED = HttpProcessorBuilder.create().build();
@@ -33,14 +35,26 @@
 
     private final HeadReader<HttpResponse> reader = HeadReader.response();
     private final ByteBuffer spare = ByteBuffer.allocate(1);
-    private volatile IOSession session;
+    private final SocketRoom room;
+    private IOSession session;
 
-    /** Called by the reactor once the connection is up. */
-    IOEventHandler comeUp(ProtocolIOSession up) {
+    /** {@code room}: where this connection's place is given back when it has ended. */
+    ServerConnection(SocketRoom room) {
+        this.room = room;
+    }
+
+    @Override
+    public IOEventHandler comeUp(ProtocolIOSession up) {
         session = up;
         return new ClientHttp1IOEventHandler(new ClientHttp1StreamDuplexer(up, NOTHING_ADDED, HTTP,
                 CharCodingConfig.DEFAULT, DefaultConnectionReuseStrategy.INSTANCE, reader,
-                DefaultHttpRequestWriterFactory.INSTANCE.create(), null, null, null));
+                DefaultHttpRequestWriterFactory.INSTANCE.create(), null, null, null)) {
+            @Override
+            public void disconnected(IOSession ended) {
+                super.disconnected(ended);
+                room.closed();
+            }
+        };
     }
 
     boolean isOpen() {
@@ -49,7 +63,7 @@
 
     /**
      * Whether nothing came in since the last answer: neither bytes that HttpCore has taken in nor any that wait in
-     * the socket, nor the other side's close. Only for the reactor's thread, before the first byte of a request.
+     * the socket, nor the other side's close. To be asked right before the first byte of a request.
      */
     boolean isSilent() throws IOException {
         spare.clear();
--- a/src/main/java/peppergauge/decision/Balancer.java
+++ b/src/main/java/peppergauge/decision/Balancer.java
@@ -189,6 +189,9 @@
     /** Ask to be woken with {@link TimerDue}. */
     record SetTimer(double atMs, long token) implements Action { }
 
+    /** The timer is of no use any more; where timers cannot be taken back, {@link TimerDue} still comes for it. */
+    record ClearTimer(long token) implements Action { }
+
     /** A line for the people on call. */
     record Log(String text) implements Action { }
 
--- a/src/main/java/peppergauge/decision/Decide.java
+++ b/src/main/java/peppergauge/decision/Decide.java
@@ -901,11 +901,20 @@
     private void forgetIfOver(Request request) {
         if (request.answered && request.outCount == 0) {
             requests.remove(request.id);
+            for (long token : request.timers) {
+                if (timers.remove(token) != null) {
+                    actions.accept(new ClearTimer(token));
+                }
+            }
+            request.timers.clear();
         }
     }
 
     private void setTimer(double atMs, Timer timer) {
         timers.put(++lastToken, timer);
+        if (timer.request() != null) {
+            timer.request().timers.add(lastToken);
+        }
         actions.accept(new SetTimer(atMs, lastToken));
     }
 
--- a/src/main/java/peppergauge/decision/Request.java
+++ b/src/main/java/peppergauge/decision/Request.java
@@ -15,6 +15,8 @@
     final double deadlineMs;
     final double clientGoneMs;
     final List<Attempt> attempts = new ArrayList<>(2);
+    /** Of this request, due ones too. */
+    final List<Long> timers = new ArrayList<>(2);
     double arrivedMs;
     int outCount;
     boolean answered;
--- a/src/main/java/peppergauge/frontend/ClientConnection.java
+++ b/src/main/java/peppergauge/frontend/ClientConnection.java
@@ -1,60 +1,112 @@
 package peppergauge.frontend;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.Future;
-import org.apache.hc.core5.http.nio.command.ShutdownCommand;
+import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.config.CharCodingConfig;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.Http1StreamListener;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.support.BasicAsyncServerExpectationDecorator;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.util.Timeout;
+import peppergauge.http.HeadReader;
 import peppergauge.log.Log;
-import peppergauge.session.Sessions;
+import peppergauge.session.Scheduler;
 
 /**
- * A client's connection: which of its requests wait for answers, and how long it may take to send one. While no
- * session is open on it one timer runs: it is cut off when a request is not whole in time or none comes.
+ * A client's connection: which of its requests wait for answers, and how long it may take to send one. Everything here
+ * runs on the loop's thread. While no session is open on it one timer runs: it is cut off when a request is not whole
+ * in time or none comes.
+ *
+ * <p>HttpCore tells an exchange nothing of its client's leaving: at the end of the input the connection only stops
+ * being open, which is looked for here.
  */
-final class ClientConnection {
+final class ClientConnection implements IOEventHandler, Http1StreamListener {
 
     /** A request must be whole so soon after connecting, or after its first byte on a connection in use. */
     private static final double LONGEST_SENDING_MS = 2_300;
     /** Clients that ask once and keep their connection for good would use up the descriptors. */
     private static final double LONGEST_IDLE_MS = 2_500;
-
     /** After the last answer the client has so long to read it and close. */
     private static final double LONGEST_CLOSING_MS = 500;
+    /** Times that the idle time may pass before a client that does not read its answer is cut off. */
+    private static final int MOST_WAITS_FOR_READER = 4;
     /** Input read after the answer, lest an early close destroys it; enough for what is under way, far from all. */
     private static final int MOST_DISCARDED = 512 * 1024;
+    /** Reads at once before a connection is closed; the largest request takes 17 of HttpCore's buffers. */
+    private static final int MOST_READS = 24;
+
+    private static final HttpProcessor NOTHING_ADDED = HttpProcessorBuilder.create().build();
+    private static final Http1Config HTTP = Http1Config.custom().setBufferSize(4096).build();
 
-    private final IOSession connection;
-    private final Sessions sessions;
+    private final ProtocolIOSession connection;
+    private final HttpFrontend owner;
     private final ClientConnections all;
+    private final HeadReader<HttpRequest> reader = HeadReader.request();
+    private final ServerHttp1IOEventHandler http;
     private final Set<SessionHandler> waiting = new LinkedHashSet<>();
-    private Future<?> timer;
-    private boolean first = true;
+    private Scheduler.Wait timer;
+    /** Part of a body is still to come. */
+    private boolean bodyOpen;
+    private long bodyBytes;
+    /** Part of a request has come in, and the time for the rest runs. */
     private boolean sending;
+    private boolean first = true;
     private boolean gone;
     private boolean closingHere;
     private boolean inputOver;
     private boolean lastAnswer;
+    /** Answers that are begun and not yet written to the last byte. */
+    private int unwritten;
+    private int waitsForReader;
     private int discarded;
 
-    ClientConnection(IOSession connection, Sessions sessions, ClientConnections all) {
+    ClientConnection(ProtocolIOSession connection, HttpFrontend owner, ClientConnections all) {
         this.connection = connection;
-        this.sessions = sessions;
+        this.owner = owner;
         this.all = all;
+        this.http = new ServerHttp1IOEventHandler(new ServerHttp1StreamDuplexer(connection, NOTHING_ADDED,
+                (request, context) -> handler(request), null, HTTP, CharCodingConfig.DEFAULT,
+                // Told of an answer that is to be the last, HttpCore would close at once: see answerWritten.
+                (request, response, context) -> true, reader, DefaultHttpResponseWriterFactory.INSTANCE.create(),
+                null, null, this, HttpFrontend::report));
+    }
+
+    private AsyncServerExchangeHandler handler(HttpRequest request) {
+        SessionHandler handler = new SessionHandler(owner, this);
+        return request.containsHeader("Expect") ? new BasicAsyncServerExpectationDecorator(handler) : handler;
     }
 
+    // ---- What the reactor tells ----
+
     /** The time for the first request runs from here: a client that says nothing holds a descriptor too. */
-    synchronized void opened() {
+    @Override
+    public void connected(IOSession session) throws IOException {
+        all.opened(this);
         startTimer(LONGEST_SENDING_MS);
-        all.idle(this);
+        http.connected(session);
     }
 
-    /** Bytes came in; the first after a whole request begin the next one. */
-    synchronized void reading() {
-        if (!sending && !gone) {
+    @Override
+    public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+        http.inputReady(session, source);
+        if (!http.isOpen() && !closingHere) {
+            gone();
+        } else if (!sending && midRequest()) {
             sending = true;
             all.busy(this);
             if (!first) {
@@ -63,117 +115,120 @@
         }
     }
 
-    private void startTimer(double ms) {
-        stopTimer();
-        timer = sessions.after(ms, () -> cutOff(ms));
-    }
-
-    private void stopTimer() {
-        if (timer != null) {
-            timer.cancel(false);
-            timer = null;
-        }
+    @Override
+    public void outputReady(IOSession session) throws IOException {
+        http.outputReady(session);
     }
 
-    private void cutOff(double afterMs) {
-        synchronized (this) {
-            if (!waiting.isEmpty()) {
-                // Sessions before the slow request are still owed their answers; the last of them starts a timer.
-                return;
-            }
-            if (sending) {
-                Log.line("slow sender", "a request was not whole after " + afterMs + " ms");
-                close();
-                return;
-            }
-        }
-        closeIdle();
+    @Override
+    public void timeout(IOSession session, Timeout timeout) throws IOException {
+        http.timeout(session, timeout);
     }
 
-    /**
-     * Closes a connection without a session, on the I/O thread and after what has come in: a request that is read
-     * in this moment is still answered, and one that is not read makes the close a reset, after which its client
-     * sends it again. Closed from here, a request could be read and never answered.
-     */
-    void closeIdle() {
-        synchronized (this) {
-            closingHere = true;
-        }
-        connection.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
+    /** A broken connection is an ordinary end; {@link #disconnected} follows. */
+    @Override
+    public void exception(IOSession session, Exception cause) {
+        http.exception(session, cause);
     }
 
-    private void close() {
-        connection.close(CloseMode.GRACEFUL);
+    @Override
+    public void disconnected(IOSession session) {
+        gone();
+        http.disconnected(session);
+        all.closed(this);
     }
 
-    /** Whether this side asked for the close; what HttpCore then says of the connection tells nothing of the client. */
-    synchronized boolean closingHere() {
-        return closingHere;
-    }
+    // ---- Requests ----
 
-    synchronized void requestWhole() {
-        first = false;
-        sending = false;
-        stopTimer();
+    private boolean midRequest() {
+        return bodyOpen || reader.begun();
     }
 
     /** The next request begins; false if it is not to be read any more. {@code last}: none is to come after it. */
-    synchronized boolean begins(boolean last) {
+    boolean begins(boolean last, boolean body) {
+        bodyOpen = body;
         boolean read = !inputOver;
         inputOver |= last;
         return read;
     }
 
+    void read(int bytes) {
+        bodyBytes += bytes;
+    }
+
+    void requestWhole() {
+        first = false;
+        sending = false;
+        bodyOpen = false;
+        stopTimer();
+    }
+
     /** Nothing that comes in from now on is read as a request. */
-    synchronized void endInput() {
+    void endInput() {
         inputOver = true;
     }
 
     /** Ends the input if no session is open here; whether that was so. */
-    synchronized boolean endInputIfIdle() {
+    boolean endInputIfIdle() {
         inputOver |= waiting.isEmpty();
         return waiting.isEmpty();
     }
 
-    synchronized int waiting() {
+    int waiting() {
         return waiting.size();
     }
 
-    synchronized void waits(SessionHandler handler) {
+    void waits(SessionHandler handler) {
         waiting.add(handler);
+        all.busy(this);
     }
 
-    synchronized void answered(SessionHandler handler) {
+    // ---- Answers ----
+
+    void answered(SessionHandler handler) {
         waiting.remove(handler);
         if (waiting.isEmpty() && !gone) {
             startTimer(LONGEST_IDLE_MS);
-            if (!sending) {
-                all.idle(this);
-            }
         }
     }
 
+    @Override
+    public void onRequestHead(HttpConnection same, HttpRequest request) {
+        // The exchange's handler reads it.
+    }
+
     /** The head of an answer goes out, in the order of the requests. */
-    synchronized void answering(boolean last) {
-        lastAnswer |= last;
+    @Override
+    public void onResponseHead(HttpConnection same, HttpResponse response) {
+        if (response.getCode() >= 200) {
+            unwritten++;
+            var option = response.getFirstHeader("Connection");
+            lastAnswer |= option != null && "close".equals(option.getValue());
+        }
     }
 
     /**
      * An answer is written. HttpCore itself would close as soon as it is told of an answer that is to be the last,
      * and forget those before it that are still to be written.
      */
-    void answerWritten() {
-        synchronized (this) {
-            if (!lastAnswer || gone) {
-                return;
-            }
-            if (sending) {
-                // A close with unread input is a reset, which could overtake the answer.
-                startTimer(LONGEST_CLOSING_MS);
-                return;
+    @Override
+    public void onExchangeComplete(HttpConnection same, boolean keepAlive) {
+        unwritten--;
+        waitsForReader = 0;
+        all.checkWritten();
+        if (gone) {
+            return;
+        }
+        if (!lastAnswer) {
+            if (isIdle()) {
+                all.idle(this);
             }
+        } else if (midRequest()) {
+            // A close with unread input is a reset, which could overtake the answer.
+            startTimer(LONGEST_CLOSING_MS);
+        } else {
+            close();
         }
-        close();
     }
 
     /** Input of a request that has its answer: a client that sees it stops, any other is cut off. */
@@ -184,20 +239,91 @@
         }
     }
 
+    boolean isWritten() {
+        return unwritten <= 0;
+    }
+
+    // ---- Ends ----
+
+    private void startTimer(double ms) {
+        stopTimer();
+        timer = owner.scheduler().after(ms, this::timeIsUp);
+    }
+
+    private void stopTimer() {
+        if (timer != null) {
+            timer.cancel();
+            timer = null;
+        }
+    }
+
+    private void timeIsUp() {
+        timer = null;
+        boolean slow = sending;
+        readWhatIsThere();
+        if (gone || !waiting.isEmpty()) {
+            // A session is open now, or sessions before a slow request are still owed; the last of them starts a timer.
+            return;
+        }
+        if (unwritten > 0 && !lastAnswer && ++waitsForReader < MOST_WAITS_FOR_READER) {
+            startTimer(LONGEST_IDLE_MS);
+        } else if (midRequest() && !slow) {
+            // It began in this very moment.
+            startTimer(LONGEST_SENDING_MS);
+        } else {
+            if (midRequest() && !lastAnswer) {
+                Log.line("slow sender", "a request was not whole after " + LONGEST_SENDING_MS + " ms");
+            }
+            close();
+        }
+    }
+
     /**
-     * The client closed: nobody waits for what is still out. HttpCore would keep this end open until an answer
-     * is written, and its client's sessions get none.
+     * Closes the connection unless it is wanted: the one place that decides so for every reason of this side's. What
+     * came in while this thread had no CPU is read first. A request that comes after this is not read: the close is a
+     * reset to its client, which sends it again.
      */
-    void gone() {
-        List<SessionHandler> left;
+    boolean closeIfIdle() {
+        readWhatIsThere();
+        if (gone || !isIdle()) {
+            return false;
+        }
+        close();
+        return true;
+    }
+
+    private boolean isIdle() {
+        return waiting.isEmpty() && unwritten <= 0 && !midRequest();
+    }
+
+    private void readWhatIsThere() {
+        long before = -1;
+        for (int i = 0; i < MOST_READS && !gone && connection.isOpen() && reader.taken() + bodyBytes != before; i++) {
+            before = reader.taken() + bodyBytes;
+            try {
+                inputReady(connection, null);
+            } catch (IOException | RuntimeException broken) {
+                exception(connection, broken);
+                close();
+            }
+        }
+    }
+
+    private void close() {
+        closingHere = true;
         connection.close(CloseMode.GRACEFUL);
-        synchronized (this) {
+    }
+
+    /** The connection is over: nobody waits for what is still out, and its sessions' clients get no answer. */
+    private void gone() {
+        if (!gone) {
             gone = true;
-            requestWhole();
+            stopTimer();
             all.busy(this);
-            left = List.copyOf(waiting);
+            connection.close(CloseMode.GRACEFUL);
+            List<SessionHandler> left = List.copyOf(waiting);
             waiting.clear();
+            left.forEach(SessionHandler::clientGone);
         }
-        left.forEach(SessionHandler::clientGone);
     }
 }
--- a/src/main/java/peppergauge/frontend/HttpFrontend.java
+++ b/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -2,79 +2,44 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ClosedSelectorException;
-import java.util.concurrent.ExecutionException;
-import org.apache.hc.core5.http.URIScheme;
-import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.config.CharCodingConfig;
-import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandlerFactory;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
-import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
-import org.apache.hc.core5.http.nio.support.BasicAsyncServerExpectationDecorator;
-import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
-import org.apache.hc.core5.util.TimeValue;
-import peppergauge.http.HeadReader;
 import peppergauge.log.Log;
 import peppergauge.session.Clock;
+import peppergauge.session.Scheduler;
 import peppergauge.session.Sessions;
+import peppergauge.sockets.Loop;
 import peppergauge.sockets.SocketRoom;
 
 /** Where clients connect: turns their requests into sessions and sessions' answers into responses. */
 public final class HttpFrontend {
 
-    private static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds(50);
-    private static final int BACKLOG = 511;
     /** Marks the program's own requests before it is ready. */
     public static final String REHEARSAL = "X-Rehearsal";
 
     private final Site site;
     private final Sessions sessions;
     private final Clock clock;
+    private final Loop loop;
     private final ClientConnections connections;
-    private final HttpAsyncServer server;
     private volatile ListenerEndpoint listener;
     private volatile Rehearsal rehearsal;
     private volatile boolean ready;
     private volatile boolean closing;
 
     /** {@code mostConnections}: descriptors that clients' connections may hold together. */
-    public HttpFrontend(Site site, Sessions sessions, Clock clock, int mostConnections) {
+    public HttpFrontend(Site site, Sessions sessions, Clock clock, Loop loop, int mostConnections) {
         this.site = site;
         this.sessions = sessions;
         this.clock = clock;
-        SocketRoom room = new SocketRoom(mostConnections);
-        this.connections = new ClientConnections(sessions, room);
-        // Put together by hand: the bootstrap offers no say in how connections are accepted.
-        Http1Config http = Http1Config.custom().setBufferSize(4096).build();
-        this.server = new HttpAsyncServer(
-                new ServerHttp1IOEventHandlerFactory(new ServerHttp1StreamDuplexerFactory(
-                        HttpProcessorBuilder.create().build(), (request, context) -> handler(request), http,
-                        CharCodingConfig.DEFAULT, (request, response, context) -> true, HeadReader.requests(), null,
-                        connections, HttpFrontend::report),
-                        null, null),
-                IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
-                        .setSoReuseAddress(true).setTcpNoDelay(true).setBacklogSize(BACKLOG).build(),
-                null, HttpFrontend::report, connections, room, connections, "localhost");
-    }
-
-    private AsyncServerExchangeHandler handler(HttpRequest request) {
-        SessionHandler handler = new SessionHandler(this, connections.current());
-        return request.containsHeader("Expect") ? new BasicAsyncServerExpectationDecorator(handler) : handler;
+        this.loop = loop;
+        this.connections = new ClientConnections(loop, new SocketRoom(mostConnections, loop));
     }
 
     /** Listens on this address only, and no other. */
     public void start(InetSocketAddress address) throws IOException, InterruptedException {
-        server.start();
-        try {
-            listener = server.listen(address, URIScheme.HTTP).get();
-        } catch (ExecutionException failed) {
-            throw new IOException("cannot listen on " + address + ": " + failed.getCause().getMessage(), failed);
-        }
+        listener = loop.listen(address, up -> new ClientConnection(up, this, connections), connections);
     }
 
     public InetSocketAddress address() {
@@ -121,16 +86,12 @@
 
     /** Closes what is idle at once, and each other connection after its answer. */
     public void closeIdle() {
-        connections.windDown();
-        server.initiateShutdown();
-    }
-
-    public void close() {
-        server.close(CloseMode.GRACEFUL);
+        loop.execute(connections::closeIdle);
     }
 
-    public void closeNow() {
-        server.close(CloseMode.IMMEDIATE);
+    /** Runs a task on the loop's thread as soon as every answer that was given is written, in whole. */
+    public void whenWritten(Runnable task) {
+        loop.execute(() -> connections.whenWritten(task));
     }
 
     Site site() {
@@ -141,6 +102,10 @@
         return clock;
     }
 
+    Scheduler scheduler() {
+        return loop;
+    }
+
     boolean ready() {
         return ready;
     }
@@ -150,7 +115,7 @@
     }
 
     /** What bad clients send ends as an exception of its own class; these two are of this side's making. */
-    private static void report(Exception thrown) {
+    static void report(Exception thrown) {
         boolean ours = thrown instanceof RuntimeException && !(thrown instanceof ClosedSelectorException);
         if (ours || thrown.getClass() == IOException.class) {
             Log.bug("frontend", thrown);
--- a/src/main/java/peppergauge/frontend/SessionHandler.java
+++ b/src/main/java/peppergauge/frontend/SessionHandler.java
@@ -43,8 +43,8 @@
     private boolean closeAsked;
     private boolean answeredHere;
     private ByteBuffer unsent = ByteBuffer.allocate(0);
-    private volatile boolean opened;
-    private volatile boolean done;
+    private boolean opened;
+    private boolean done;
 
     SessionHandler(HttpFrontend owner, ClientConnection connection) {
         this.owner = owner;
@@ -60,7 +60,7 @@
         context = exchange;
         Header option = request.getFirstHeader("Connection");
         closeAsked = option != null && "close".equalsIgnoreCase(option.getValue());
-        boolean ignored = !connection.begins(closeAsked);
+        boolean ignored = !connection.begins(closeAsked, details != null);
         if (details == null) {
             connection.requestWhole();
         }
@@ -103,6 +103,7 @@
 
     @Override
     public void consume(ByteBuffer part) throws IOException {
+        connection.read(part.remaining());
         if (answeredHere) {
             connection.discarded(part.remaining());
             part.position(part.limit());
--- a/src/main/java/peppergauge/http/HeadReader.java
+++ b/src/main/java/peppergauge/http/HeadReader.java
@@ -15,7 +15,6 @@
 import org.apache.hc.core5.http.message.RequestLine;
 import org.apache.hc.core5.http.message.StatusLine;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
-import org.apache.hc.core5.http.nio.NHttpMessageParserFactory;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
@@ -33,12 +32,13 @@
     private final CharArrayBuffer line = new CharArrayBuffer(128);
     private T head;
     private int read;
+    private long taken;
     private boolean carriageReturn;
 
     private HeadReader() { }
 
-    public static NHttpMessageParserFactory<HttpRequest> requests() {
-        return () -> new HeadReader<HttpRequest>() {
+    public static HeadReader<HttpRequest> request() {
+        return new HeadReader<>() {
             @Override
             HttpRequest begin(CharArrayBuffer first) throws HttpException {
                 RequestLine asked = LINES.parseRequestLine(first);
@@ -68,6 +68,11 @@
         return read > 0;
     }
 
+    /** Bytes of all heads that came in. */
+    public long taken() {
+        return taken;
+    }
+
     /** The message that a first line begins. */
     abstract T begin(CharArrayBuffer first) throws HttpException;
 
@@ -84,6 +89,7 @@
     public T parse(SessionInputBuffer input, boolean endOfStream) throws IOException, HttpException {
         while (input.hasData()) {
             char next = (char) input.read();
+            taken++;
             if (++read > LARGEST_HEAD) {
                 throw new RequestHeaderFieldsTooLargeException("a head over " + LARGEST_HEAD + " bytes");
             }
--- a/src/main/java/peppergauge/servertable/ServerTableWatch.java
+++ b/src/main/java/peppergauge/servertable/ServerTableWatch.java
@@ -3,10 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.nio.channels.ClosedSelectorException;
 import java.util.List;
-import java.util.function.BiFunction;
-import org.apache.hc.core5.concurrent.DefaultThreadFactory;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -16,37 +13,40 @@
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandlerFactory;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.RequestChannel;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
-import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.Command;
-import org.apache.hc.core5.reactor.DefaultConnectingIOReactor;
-import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.Timeout;
+import peppergauge.http.HeadReader;
 import peppergauge.log.Log;
 import peppergauge.session.ServerTable;
 import peppergauge.settings.JsonTree;
+import peppergauge.sockets.Loop;
 
 /** Watches discovery: hands on each change, and asks again from the last version when the watch is lost. */
 public final class ServerTableWatch {
 
     /** Discovery sends an empty line every 2 s; a silence of much more is a lost watch. */
     private static final Timeout LONGEST_SILENCE = Timeout.ofMilliseconds(3_500);
-    private static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds(100);
     private static final double FIRST_BACKOFF_MS = 50;
     private static final double LONGEST_BACKOFF_MS = 1_000;
+    private static final HttpProcessor NOTHING_ADDED = HttpProcessorBuilder.create().build();
     /** Bounds memory against a line that never ends. */
     private static final int LONGEST_LINE = 4 << 20;
 
@@ -60,37 +60,20 @@
 
     private final ServerTableReader reader;
     private final Listener listener;
-    private final BiFunction<Double, Runnable, ?> timers;
-    private final DefaultConnectingIOReactor reactor;
+    private final Loop loop;
     private volatile Source source;
     private volatile boolean closed;
 
-    /** {@code timers} runs a task after so many ms. */
+    /** {@code version}: of the table that is known already; changes after it are asked for. */
     public ServerTableWatch(InetSocketAddress discovery, ServerTableReader reader, long version, Listener listener,
-            BiFunction<Double, Runnable, ?> timers) {
+            Loop loop) {
         this.source = new Source(discovery, version, null);
         this.reader = reader;
         this.listener = listener;
-        this.timers = timers;
-        // Put together by hand: the bootstrap would load the machine's trust store, a tenth of a second's work.
-        this.reactor = new DefaultConnectingIOReactor(
-                new ClientHttp1IOEventHandlerFactory(new ClientHttp1StreamDuplexerFactory(
-                        HttpProcessorBuilder.create().build(), Http1Config.DEFAULT, CharCodingConfig.DEFAULT), null, null),
-                IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
-                        .setSoTimeout(LONGEST_SILENCE).build(),
-                new DefaultThreadFactory("server-table", true), null, ServerTableWatch::report, null, null,
-                ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK, null);
-    }
-
-    /** Logs what HttpCore threw outside any watch. */
-    private static void report(Exception thrown) {
-        if (thrown instanceof RuntimeException && !(thrown instanceof ClosedSelectorException)) {
-            Log.bug("server table", thrown);
-        }
+        this.loop = loop;
     }
 
     public void start() {
-        reactor.start();
         source.connect();
     }
 
@@ -103,7 +86,12 @@
 
     public void close() {
         closed = true;
-        reactor.close(CloseMode.IMMEDIATE);
+    }
+
+    private static IOEventHandler comeUp(ProtocolIOSession up) {
+        return new ClientHttp1IOEventHandler(new ClientHttp1StreamDuplexer(up, NOTHING_ADDED, Http1Config.DEFAULT,
+                CharCodingConfig.DEFAULT, DefaultConnectionReuseStrategy.INSTANCE, HeadReader.response(),
+                DefaultHttpRequestWriterFactory.INSTANCE.create(), null, null, null));
     }
 
     /** One address of discovery. Only the present one is asked again when its watch ends. */
@@ -131,8 +119,8 @@
             if (!present()) {
                 return;
             }
-            reactor.connect(discovery, new InetSocketAddress(discovery.getHostName(), discovery.getPort()), null,
-                    LONGEST_SILENCE, null, new FutureCallback<>() {
+            loop.connect(discovery, new InetSocketAddress(discovery.getHostName(), discovery.getPort()),
+                    LONGEST_SILENCE, ServerTableWatch::comeUp, new FutureCallback<>() {
                         @Override
                         public void completed(IOSession up) {
                             connection = up;
@@ -161,7 +149,7 @@
             Log.line("server table", "watch lost at version " + version + ", asking again in " + (long) backoffMs
                     + " ms: " + why);
             listener.lost();
-            timers.apply(backoffMs, this::connect);
+            loop.after(backoffMs, this::connect);
             backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2);
         }
 
--- a/src/main/java/peppergauge/session/Session.java
+++ b/src/main/java/peppergauge/session/Session.java
@@ -1,7 +1,6 @@
 package peppergauge.session;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Future;
 
 /** An open session: who waits for its answer and what is out for it. Only the owner thread touches it. */
 final class Session {
@@ -9,7 +8,7 @@
     final Opening opening;
     final Frontend frontend;
     final List<Attempt> attempts = new ArrayList<>(2);
-    Future<?> deadline;
+    Scheduler.Wait deadline;
     boolean answered;
     int out;
 
@@ -32,7 +31,7 @@
         final Backend.Server to;
         final double sentMs;
         Backend.Exchange exchange;
-        Future<?> timeout;
+        Scheduler.Wait timeout;
         boolean ended;
 
         Attempt(Session session, String server, Backend.Server to, double sentMs) {
--- a/src/main/java/peppergauge/session/Sessions.java
+++ b/src/main/java/peppergauge/session/Sessions.java
@@ -6,10 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.Future;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import peppergauge.decision.Balancer.Action;
 import peppergauge.decision.Balancer.Event;
 import peppergauge.decision.Balancer.Outcome;
@@ -20,15 +16,15 @@
 import peppergauge.session.Session.Attempt;
 
 /**
- * Owns the decision module and all open sessions: one thread, fed by one queue. Socket code calls the public
- * methods, each of which only puts a task on the queue; timers are tasks on it that fall due later.
+ * Owns the decision module and all open sessions, on the one thread of a {@link Scheduler}. Socket code calls the
+ * public methods, from any thread; each of them only hands a task in, and timers are tasks that fall due later.
  */
 public final class Sessions {
 
     /** Some seconds' worth of sessions; a copy of an id comes while its owner still waits, or hardly later. */
     private static final int IDS_KEPT = 2_048;
 
-    private final ScheduledThreadPoolExecutor queue;
+    private final Scheduler scheduler;
     private final Clock clock;
     private final Balancer balancer;
     private final Backend backend;
@@ -37,27 +33,25 @@
     private final Set<String> ended = new LinkedHashSet<>();
     private final Map<String, Backend.Server> servers = new HashMap<>();
     private final Set<Attempt> out = new LinkedHashSet<>();
+    /** The module's timers that are not due yet. */
+    private final Map<Long, Scheduler.Wait> timers = new HashMap<>();
     private final double probeWaitMs;
     private Runnable whenIdle;
+    private volatile boolean closed;
 
     /** {@code probeWaitMs}: how long a probe is waited for. */
-    public Sessions(Balancer balancer, Backend backend, Clock clock, double probeWaitMs) {
+    public Sessions(Balancer balancer, Backend backend, Clock clock, Scheduler scheduler, double probeWaitMs) {
         this.balancer = balancer;
         this.backend = backend;
         this.clock = clock;
         this.probeWaitMs = probeWaitMs;
-        this.queue = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "sessions"));
-        queue.setRemoveOnCancelPolicy(true);
+        this.scheduler = scheduler;
     }
 
-    // ---- What other threads may call ----
+    // ---- What any thread may call ----
 
     public void open(Opening opening, Frontend frontend) {
-        try {
-            queue.execute(() -> guarded(() -> onOpening(opening, frontend)));
-        } catch (RejectedExecutionException closed) {
-            frontend.denied(0);
-        }
+        post(() -> onOpening(opening, frontend));
     }
 
     /** The client of the session that this frontend answers no longer waits. */
@@ -82,24 +76,26 @@
         });
     }
 
-    /** Runs a task on the owner thread after a wait; cancelling the future removes it. */
-    public Future<?> after(double ms, Runnable task) {
-        return queue.schedule(() -> guarded(task), Math.max(0, (long) (ms * 1000)), TimeUnit.MICROSECONDS);
-    }
-
+    /** What comes from now on, ends of attempts and timers too, changes nothing any more. */
     public void close() {
-        queue.shutdownNow();
+        closed = true;
     }
 
     private void post(Runnable task) {
-        try {
-            queue.execute(() -> guarded(task));
-        } catch (RejectedExecutionException closed) {
-            Log.line("closing", "an event came after the end");
+        scheduler.execute(() -> unlessClosed(task));
+    }
+
+    private Scheduler.Wait after(double ms, Runnable task) {
+        return scheduler.after(ms, () -> unlessClosed(task));
+    }
+
+    private void unlessClosed(Runnable task) {
+        if (!closed) {
+            task.run();
         }
     }
 
-    /** A bug in one task must neither end the owner thread nor touch another session. */
+    /** A bug in carrying out one action must not keep the others from being carried out. */
     private static void guarded(Runnable task) {
         try {
             task.run();
@@ -145,6 +141,11 @@
         }
     }
 
+    private void onTimer(long token) {
+        timers.remove(token);
+        tell(new Balancer.TimerDue(token));
+    }
+
     private void onTable(ServerTable table) {
         List<ServerEntry> entries = new ArrayList<>();
         Set<String> leaving = new LinkedHashSet<>();
@@ -188,7 +189,7 @@
             return;
         }
         attempt.ended = true;
-        attempt.timeout.cancel(false);
+        attempt.timeout.cancel();
         out.remove(attempt);
         if (attempt.to != null) {
             forgetIfGone(attempt.to);
@@ -226,7 +227,12 @@
         if (action instanceof Balancer.Send send) {
             send(send);
         } else if (action instanceof Balancer.SetTimer timer) {
-            after(timer.atMs() - clock.nowMs(), () -> tell(new Balancer.TimerDue(timer.token())));
+            timers.put(timer.token(), after(timer.atMs() - clock.nowMs(), () -> onTimer(timer.token())));
+        } else if (action instanceof Balancer.ClearTimer timer) {
+            Scheduler.Wait wait = timers.remove(timer.token());
+            if (wait != null) {
+                wait.cancel();
+            }
         } else if (action instanceof Balancer.Refuse refuse) {
             deny(refuse);
         } else if (action instanceof Balancer.Fail failure) {
@@ -334,7 +340,7 @@
         private final String server;
         private final double sentMs;
         private Backend.Exchange exchange;
-        private Future<?> timeout;
+        private Scheduler.Wait timeout;
 
         Probe(String server, double sentMs) {
             this.server = server;
@@ -344,7 +350,7 @@
 
     private void ended(Probe probe, Backend.Result result) {
         if (probe.timeout != null) {
-            probe.timeout.cancel(false);
+            probe.timeout.cancel();
             probe.timeout = null;
             tell(new Balancer.ProbeEnded(probe.server, result.outcome(), clock.nowMs() - probe.sentMs, result.load()));
         }
@@ -359,7 +365,7 @@
 
     private void end(Session session) {
         session.answered = true;
-        session.deadline.cancel(false);
+        session.deadline.cancel();
     }
 
     private static void answer(Session session, Runnable answer) {
--- /dev/null
+++ b/src/main/java/peppergauge/sockets/Loop.java
@@ -0,0 +1,284 @@
+package peppergauge.sockets;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ClosedSelectorException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.net.Host;
+import org.apache.hc.core5.net.NamedEndpoint;
+import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorMetricsListener;
+import org.apache.hc.core5.reactor.IOReactorShutdownException;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import peppergauge.log.Log;
+import peppergauge.session.Scheduler;
+
+/**
+ * The one thread that owns all sockets, the sessions and the module: an HttpCore reactor with one worker. In each round
+ * it selects, handles what came in, and then runs the tasks that were handed in, which is the queue through which
+ * socket code reaches the module. What these write goes out at the end of the round ({@link LoopSession}).
+ *
+ * <p>Guards against what half a core cannot pay for: with a thread each for clients, for the module and for backend
+ * servers a session cost four switches between threads, and each hand-over a wake-up by a system call.
+ *
+ * <p>Two more threads hardly ever run: HttpCore's listener, which accepts, and the timers', which hands a task in when
+ * its wait is over.
+ */
+public final class Loop implements Scheduler {
+
+    /** HttpCore looks at its time-outs once in this time; its own second would make 200 ms of connecting 1 s. */
+    static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds(20);
+    private static final int BACKLOG = 511;
+    /** Times that one connection may write in a round, before the others get their turn. */
+    static final int MOST_WRITES = 4;
+    /** An address that nothing is ever sent to: see {@link #wakeUp}. */
+    private static final InetSocketAddress NOWHERE = InetSocketAddress.createUnresolved("nowhere.invalid", 1);
+    private static final NamedEndpoint NOBODY = new Host("nowhere.invalid", 1);
+
+    private final DefaultListeningIOReactor reactor;
+    private final ScheduledThreadPoolExecutor timers;
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final AtomicBoolean wakeUpAsked = new AtomicBoolean();
+    private final List<LoopSession> unwritten = new ArrayList<>();
+    private final List<Runnable> roundTasks = new ArrayList<>();
+    private volatile Thread thread;
+    private volatile Thread listener;
+    private volatile Gate gate = () -> { };
+    /** The listener's thread waits at the gate, and may wake the loop up from there; no other thread looks at it. */
+    private boolean atGate;
+
+    /** Passed by each accepted connection, on the thread that accepts; may wait there. */
+    public interface Gate {
+
+        void pass() throws InterruptedException;
+    }
+
+    /** Creates the reactor; no thread runs before {@link #start}. */
+    public Loop() {
+        timers = new ScheduledThreadPoolExecutor(1, task -> daemon(task, "timers"));
+        timers.setRemoveOnCancelPolicy(true);
+        timers.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        reactor = new DefaultListeningIOReactor((connection, protocol) -> ((Protocol) protocol).comeUp(connection),
+                IOReactorConfig.custom().setIoThreadCount(1).setSelectInterval(SELECT_INTERVAL)
+                        .setSoReuseAddress(true).setTcpNoDelay(true).setBacklogSize(BACKLOG).build(),
+                // The program lasts as long as this thread: it is the one that is no daemon.
+                worker -> thread = new Thread(worker, "loop"), worker -> listener = daemon(worker, "listener"),
+                session -> new LoopSession(session, this), Loop::report, null, new Rounds(),
+                ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK, workers -> admit());
+    }
+
+    private static Thread daemon(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    public void start() {
+        reactor.start();
+    }
+
+    /** Closes every connection as it is, and ends the threads. What is handed in afterwards never runs. */
+    public void close() {
+        timers.shutdownNow();
+        reactor.close(CloseMode.IMMEDIATE);
+    }
+
+    // ---- Sockets ----
+
+    /**
+     * Listens on this address only.
+     *
+     * @throws IOException if that is not to be had
+     */
+    public ListenerEndpoint listen(InetSocketAddress address, Protocol protocol, Gate passed)
+            throws IOException, InterruptedException {
+        gate = passed;
+        try {
+            return reactor.listen(address, protocol, null).get();
+        } catch (ExecutionException failed) {
+            throw new IOException("cannot listen on " + address + ": " + failed.getCause().getMessage(), failed);
+        }
+    }
+
+    /** Connects; the callback is told on this loop's thread, at the latest some 20 ms after the time-out. */
+    public void connect(NamedEndpoint name, InetSocketAddress address, Timeout timeout, Protocol protocol,
+            FutureCallback<IOSession> callback) {
+        try {
+            reactor.connect(name, address, null, timeout, protocol, callback);
+        } catch (IOReactorShutdownException closed) {
+            callback.failed(closed);
+        }
+    }
+
+    /** HttpCore asks this of accepted connections, on the listener's thread, and of those that are to be made. */
+    private int admit() {
+        if (Thread.currentThread() == listener && !atGate) {
+            atGate = true;
+            try {
+                gate.pass();
+            } catch (InterruptedException ending) {
+                Thread.currentThread().interrupt();
+            } finally {
+                atGate = false;
+            }
+        }
+        return 0;
+    }
+
+    /** Whether the caller runs on the loop's thread. */
+    public boolean isHere() {
+        return Thread.currentThread() == thread;
+    }
+
+    // ---- Tasks ----
+
+    @Override
+    public void execute(Runnable task) {
+        tasks.add(task);
+        if (!isHere()) {
+            wakeUp();
+        }
+    }
+
+    @Override
+    public Wait after(double ms, Runnable task) {
+        LoopWait wait = new LoopWait(task);
+        try {
+            wait.future = timers.schedule(wait, Math.max(0, (long) (ms * 1000)), TimeUnit.MICROSECONDS);
+        } catch (RejectedExecutionException closed) {
+            wait.cancelled = true;
+        }
+        return wait;
+    }
+
+    /** Runs a task at the end of each round. To be called before {@link #start}, or on the loop's thread. */
+    public void eachRound(Runnable task) {
+        roundTasks.add(task);
+    }
+
+    /** Ends a wait on the timers' thread by handing its task in. */
+    private final class LoopWait implements Wait, Runnable {
+
+        private final Runnable task;
+        private volatile Future<?> future;
+        private volatile boolean cancelled;
+
+        LoopWait(Runnable task) {
+            this.task = task;
+        }
+
+        @Override
+        public void run() {
+            execute(() -> {
+                if (!cancelled) {
+                    task.run();
+                }
+            });
+        }
+
+        @Override
+        public void cancel() {
+            cancelled = true;
+            if (future != null) {
+                future.cancel(false);
+            }
+        }
+    }
+
+    /**
+     * HttpCore has no call that wakes a reactor up. A wish to connect does; taken back at once it opens nothing, and
+     * were it looked at just before that, its address could not be connected to.
+     */
+    private void wakeUp() {
+        if (wakeUpAsked.compareAndSet(false, true)) {
+            try {
+                reactor.connect(NOBODY, NOWHERE, null, null, null, null).cancel(true);
+            } catch (IOReactorShutdownException closed) {
+                // Nothing runs any more.
+            }
+        }
+    }
+
+    // ---- Rounds ----
+
+    /** HttpCore reports its status at the end of each round: that is when the tasks run. */
+    private final class Rounds implements IOReactorMetricsListener {
+
+        @Override
+        public void onThreadPoolStatus(int active, int pending) {
+            wakeUpAsked.set(false);
+            for (Runnable task : roundTasks) {
+                guarded(task);
+            }
+            do {
+                for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+                    guarded(task);
+                }
+                write();
+            } while (!tasks.isEmpty());
+        }
+
+        @Override
+        public void onThreadPoolSaturation(double percentage) {
+            // Reckoned against a figure of HttpCore's own; means nothing here.
+        }
+
+        @Override
+        public void onResourceStarvationDetected() {
+            // Never reached with so few sockets.
+        }
+
+        @Override
+        public void onQueueWaitTime(long milliseconds) {
+            // Connecting has a timer of its own.
+        }
+    }
+
+    /** A bug in one task must neither end the thread nor touch another session. */
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | StackOverflowError bug) {
+            Log.bug("bug", bug);
+        }
+    }
+
+    /** A connection has something to write; it does so at the end of the round. */
+    void writeLater(LoopSession session) {
+        unwritten.add(session);
+    }
+
+    private void write() {
+        for (int i = 0; i < unwritten.size(); i++) {
+            unwritten.get(i).write();
+        }
+        for (LoopSession session : unwritten) {
+            session.endRound();
+        }
+        unwritten.clear();
+    }
+
+    /** Logs what HttpCore threw outside any exchange; of an ordinary broken connection its handler is told. */
+    private static void report(Exception thrown) {
+        boolean ours = thrown instanceof RuntimeException && !(thrown instanceof ClosedSelectorException);
+        if (ours || thrown.getClass() == IOException.class) {
+            Log.bug("loop", thrown);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/sockets/Protocol.java
@@ -0,0 +1,11 @@
+package peppergauge.sockets;
+
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
+
+/** What is spoken on a connection: given to the {@link Loop} with a listener, or with a connection to be made. */
+public interface Protocol {
+
+    /** The connection is up; called on the loop's thread, before anything is read or written. */
+    IOEventHandler comeUp(ProtocolIOSession connection);
+}
--- a/src/test/java/peppergauge/frontend/RehearsalTest.java
+++ b/src/test/java/peppergauge/frontend/RehearsalTest.java
@@ -9,6 +9,7 @@
 import org.testng.annotations.Test;
 import peppergauge.session.Clock;
 import peppergauge.session.Sessions;
+import peppergauge.sockets.Loop;
 
 public class RehearsalTest {
 
@@ -16,9 +17,10 @@
     @Test
     public void noRequestOfARehearsalEverGetsToTheSessionsOfClients() {
         Clock clock = new Clock();
-        Sessions clients = new Sessions(null, null, clock, 100);
-        Sessions own = new Sessions(null, null, clock, 100);
-        HttpFrontend frontend = new HttpFrontend(null, clients, clock, 8);
+        Loop loop = new Loop();
+        Sessions clients = new Sessions(null, null, clock, loop, 100);
+        Sessions own = new Sessions(null, null, clock, loop, 100);
+        HttpFrontend frontend = new HttpFrontend(null, clients, clock, loop, 8);
         BasicHttpRequest usual = new BasicHttpRequest("GET", "/list/k");
         BasicHttpRequest marked = new BasicHttpRequest("GET", "/list/k");
         marked.addHeader(HttpFrontend.REHEARSAL, "mark");
@@ -31,7 +33,6 @@
         frontend.setReady();
         assertNull(frontend.sessions(marked));
         assertSame(frontend.sessions(usual), clients);
-        clients.close();
-        own.close();
+        loop.close();
     }
 }
