Add decisions about the sidecar's own overload: delay, admission, claims, pace

Need: what waits unread in the kernel has no age here. Its deadline is reckoned from reading, so in an overload all is served too late; new work is taken before ends, the cheap beside the dear; the longest idle connection goes first, so connections that say nothing drive out usual clients.

Change: package overload, no I/O, clock or threads, called by nobody yet.

--- /dev/null
+++ b/src/main/java/peppergauge/overload/OverloadSettings.java
@@ -0,0 +1,48 @@
+package peppergauge.overload;
+import java.util.List;
+
+/**
+ * All that {@link Overload} is told at its start.
+ *
+ * @param classWorths the worth of each class of requests in the order of the settings, each 0 or more, at least one
+ * @param retryWorth what a client's marked retry is worth of its class, 0 to 1
+ * @param overShareWorth what a session over its tenant's share is worth of its class, 0 to 1
+ * @param retryAfter whether clients may be told when to come back
+ * @param maxRetryAfterMs the longest that they follow, 0 or more
+ * @param selectIntervalMs how long the reactor's select waits at most, over 0
+ * @param slackMs how much later it may return with nothing amiss, 0 or more
+ * @param targetMs the queue delay that may stand, over 0
+ * @param intervalMs for how long it may be over that, and how often the share is steered, over 0
+ * @param seed for the spread of ids over levels and of times to come back
+ */
+public record OverloadSettings(List<Double> classWorths, double retryWorth, double overShareWorth, boolean retryAfter,
+        double maxRetryAfterMs, double selectIntervalMs, double slackMs, double targetMs, double intervalMs,
+        long seed) {
+
+    /** Half: the first try's time is spent, so a retry's answer often comes after the time that it was wanted in. */
+    public static final double RETRY_WORTH = 0.5;
+    /** More than a timer's error and a short garbage collection, less than a throttled process's pause. */
+    public static final double SLACK_MS = 5;
+    /** About a twentieth of the shortest time that clients want an answer in, and 20 to 60 sessions' work. */
+    public static final double TARGET_MS = 15;
+    /** CoDel's; also the period by which a process that used up its share of CPU is let on. */
+    public static final double INTERVAL_MS = 100;
+
+    /** @throws IllegalArgumentException naming the figure that is out of its range */
+    public OverloadSettings {
+        Range.require(!classWorths.isEmpty(), "classWorths", classWorths);
+        classWorths.forEach(worth -> Range.require(worth >= 0, "classWorths", worth));
+        Range.require(retryWorth >= 0 && retryWorth <= 1, "retryWorth", retryWorth);
+        Range.require(overShareWorth >= 0 && overShareWorth <= 1, "overShareWorth", overShareWorth);
+        Range.require(maxRetryAfterMs >= 0 && maxRetryAfterMs < Double.POSITIVE_INFINITY, "maxRetryAfterMs",
+                maxRetryAfterMs);
+        classWorths = List.copyOf(classWorths);
+    }
+
+    /** With the defaults for all that a deployment does not state. */
+    public static OverloadSettings of(List<Double> classWorths, double overShareWorth, boolean retryAfter,
+            double maxRetryAfterMs, double selectIntervalMs, long seed) {
+        return new OverloadSettings(classWorths, RETRY_WORTH, overShareWorth, retryAfter, maxRetryAfterMs,
+                selectIntervalMs, SLACK_MS, TARGET_MS, INTERVAL_MS, seed);
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/overload/Rounds.java
@@ -0,0 +1,93 @@
+package peppergauge.overload;
+
+/**
+ * What the times of the reactor's rounds tell: since when the bytes of a round may have stood unread, how long that
+ * was, and whether the process stood still.
+ *
+ * <p>A round is a select, the handling of what it found ready, and the owner's queue. All times are milliseconds from
+ * one origin, as {@code session.Clock} gives them; one that lies before the last one counts as the last one. One
+ * thread only.
+ *
+ * <p>A deadline reckoned from when a request was read is too late by the time that its bytes stood in the kernel, and
+ * that time grows exactly when time is short. The kernel does not say when bytes came in, so this says the earliest
+ * time that the rounds leave possible.
+ */
+public final class Rounds {
+
+    /** A select that took less did not wait: something was ready when it was called. A bare call takes 0.01 ms. */
+    static final double NO_WAIT_MS = 0.2;
+
+    private final double intervalMs;
+    private final double slackMs;
+    private double lastMs = Double.NEGATIVE_INFINITY;
+    private double endedMs = Double.NaN;
+    private double selectedMs = Double.NaN;
+    private double earliestMs = Double.NEGATIVE_INFINITY;
+    private double stalledMs;
+
+    /**
+     * @param intervalMs how long a select waits at most, over 0
+     * @param slackMs how much later than that a select may return with nothing amiss, 0 or more
+     * @throws IllegalArgumentException if a figure is out of its range
+     */
+    public Rounds(double intervalMs, double slackMs) {
+        Range.require(intervalMs > 0, "selectIntervalMs", intervalMs);
+        Range.require(slackMs >= 0, "slackMs", slackMs);
+        this.intervalMs = intervalMs;
+        this.slackMs = slackMs;
+    }
+
+    /**
+     * The select of a new round has returned, whatever it found. The first one tells nothing of what came before; after
+     * a round whose end was not told (it broke off), bytes may have stood since that round's select.
+     */
+    public void selectReturned(double nowMs) {
+        double before = selectedMs;
+        selectedMs = forward(nowMs);
+        stalledMs = 0;
+        if (Double.isNaN(before)) {
+            earliestMs = selectedMs;
+            return;
+        }
+        double took = selectedMs - endedMs;
+        if (Double.isNaN(took) || took < NO_WAIT_MS) {
+            // Not the end of the last round: bytes that came in while it ran were left for this select.
+            earliestMs = before;
+        } else if (took > intervalMs + slackMs) {
+            // It should have returned by itself: paused or throttled, with no word on when the bytes came.
+            earliestMs = endedMs;
+            stalledMs = took - intervalMs;
+        } else {
+            earliestMs = selectedMs;
+        }
+        endedMs = Double.NaN;
+    }
+
+    /** All that the select found is handled and the owner's queue is empty: select is called next. */
+    public void ended(double nowMs) {
+        endedMs = forward(nowMs);
+    }
+
+    /** The earliest time at which bytes that this round handles may have come in. */
+    public double earliestArrivalMs() {
+        return earliestMs;
+    }
+
+    /** How long what this round handles may have stood unread when the select returned; 0 after a real wait. */
+    public double queueDelayMs() {
+        return Double.isNaN(selectedMs) ? 0 : selectedMs - earliestMs;
+    }
+
+    /**
+     * By how much the select of this round overstayed its interval, 0 if it did not. A pause while something was
+     * handled cannot be told from work and shows as a long round.
+     */
+    public double stalledMs() {
+        return stalledMs;
+    }
+
+    private double forward(double nowMs) {
+        lastMs = Math.max(lastMs, nowMs);
+        return lastMs;
+    }
+}
--- /dev/null
+++ b/src/main/java/peppergauge/overload/Verdict.java
@@ -0,0 +1,11 @@
+package peppergauge.overload;
+
+/** What becomes of a session that arrives. */
+public enum Verdict {
+    /** It goes to the module. */
+    ADMIT,
+    /** Denied: the time left cannot hold a service; coming back is of no use. */
+    LATE,
+    /** Denied: there is more to do than time for it, and this is what is worth least. */
+    SHED
+}
--- a/src/test/java/peppergauge/PackagesTest.java
+++ b/src/test/java/peppergauge/PackagesTest.java
@@ -1,5 +1,6 @@
 package peppergauge;
 
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
@@ -28,6 +29,15 @@
                 .orShould().callMethod(System.class, "currentTimeMillis").check(program);
     }
 
+    @Test
+    public void theOverloadDecisionsStandAloneWithNoInputOutputNoThreadsAndNoClock() {
+        classes().that().resideInAPackage("peppergauge.overload").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("java.lang..", "java.util", "java.util.stream", "java.util.function",
+                        "peppergauge.overload").check(program);
+        noClasses().that().resideInAPackage("peppergauge.overload").should().dependOnClassesThat()
+                .belongToAnyOf(System.class, Thread.class).check(program);
+    }
+
     @Test
     public void theSessionsKnowNoProtocol() {
         noClasses().that().resideInAPackage("peppergauge.session").should().dependOnClassesThat()
--- /dev/null
+++ b/src/test/java/peppergauge/overload/OverloadPropertiesTest.java
@@ -0,0 +1,105 @@
+package peppergauge.overload;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** What holds for overloads and pauses of any shape. */
+class OverloadPropertiesTest {
+
+    /** A program that is as busy as it is told, in virtual time. */
+    private static final class Program {
+
+        private final Overload<String, String> overload = DecisionsTest.overload();
+        private final SplittableRandom random = new SplittableRandom(1);
+        private double nowMs = 1;
+        private int shed;
+
+        /** A round: the select takes so long, then sessions are judged over the rest of it. */
+        void round(double selectMs, double handlingMs, int sessions) {
+            nowMs += selectMs;
+            overload.selectReturned(nowMs);
+            for (int i = 0; i < sessions; i++) {
+                nowMs += handlingMs / sessions;
+                shed += judge("x" + random.nextInt(), random.nextInt(3), random.nextBoolean()) == Verdict.SHED ? 1 : 0;
+            }
+            nowMs += sessions == 0 ? handlingMs : 0;
+            overload.roundEnded(nowMs);
+        }
+
+        Verdict judge(String id, int requestClass, boolean retry) {
+            return overload.judge(nowMs, new Arrival(id, requestClass, retry, false, 500));
+        }
+    }
+
+    @Property(seed = "1")
+    void anyOverloadIsForgottenTwoSecondsAfterItsEnd(@ForAll @Size(max = 40) List<@DoubleRange(max = 600) Double> shape,
+            @ForAll @DoubleRange(max = 19) double waitMs, @ForAll @DoubleRange(min = 0.5, max = 14) double handlingMs) {
+        Program program = new Program();
+        shape.forEach(ms -> program.round(ms % 7 < 1 ? ms : 0, ms, (int) (ms / 3)));
+        for (double endedMs = program.nowMs; program.nowMs < endedMs + 2_000;) {
+            program.round(waitMs, handlingMs, 1);
+        }
+        assertEquals(1, program.overload.share());
+    }
+
+    @Property(seed = "2")
+    void aPauseAloneShedsNothing(@ForAll @DoubleRange(max = 5_000) double pauseMs, @ForAll boolean inSelect,
+            @ForAll @DoubleRange(max = 49) double catchUpMs, @ForAll @IntRange(max = 50) int sessions) {
+        Program program = new Program();
+        program.round(5, 5, 2);
+        program.round(inSelect ? pauseMs : 5, inSelect ? 5 : pauseMs, 1);
+        program.round(0, catchUpMs, sessions);
+        for (int i = 0; i < 20; i++) {
+            program.round(0.1, 5, 2);
+        }
+        assertTrue(program.shed == 0 && program.overload.share() == 1);
+    }
+
+    @Property(seed = "3")
+    void aLastingOverloadIsShedByWorthButNoRankIsShutOutForGood(@ForAll @IntRange(min = 60, max = 90) int rounds,
+            @ForAll boolean retry) {
+        Program program = new Program();
+        for (int i = 0; i < rounds; i++) {
+            program.round(0, 150, 30);
+        }
+        assertTrue(program.shed > 0.8 * 30 * rounds, "shed " + program.shed);
+        int[] inARow = new int[3];
+        int wrong = 0;
+        for (int i = 0; i < 600; i++) {
+            Verdict dearer = Verdict.ADMIT;
+            for (int requestClass : new int[] {2, 0, 1}) {
+                Verdict verdict = program.judge("z" + i + requestClass, requestClass, retry);
+                inARow[requestClass] = verdict == Verdict.SHED ? inARow[requestClass] + 1 : 0;
+                assertTrue(inARow[requestClass] < Admission.TRIAL_EVERY, "shed in a row: " + inARow[requestClass]);
+                wrong += dearer == Verdict.SHED && verdict == Verdict.ADMIT ? 1 : 0;
+                dearer = verdict;
+            }
+        }
+        assertTrue(wrong <= 2 * (600 / Admission.TRIAL_EVERY + 1), "cheaper ones taken, not by trials: " + wrong);
+    }
+
+    @Property(seed = "4")
+    void acceptingNeverWaitsOverItsBoundAndATrickleFlows(@ForAll @Size(max = 60) List<Boolean> stood) {
+        Accepts accepts = new Accepts();
+        stood.forEach(accepts::step);
+        IntStream.range(0, 20).forEach(i -> accepts.step(true));
+        int accepted = 0;
+        for (double nowMs = 0, waitMs; nowMs < 3_000; nowMs += waitMs) {
+            waitMs = accepts.waitMs(nowMs);
+            assertTrue(waitMs >= 0 && waitMs <= Accepts.MOST_WAIT_MS, "wait " + waitMs);
+            accepted += waitMs == 0 ? 1 : 0;
+        }
+        assertTrue(accepted > 50 && accepted < 80, "accepted in 3 s: " + accepted);
+        IntStream.range(0, 15).forEach(i -> accepts.step(false));
+        assertEquals(Accepts.FULL_PER_S, accepts.perS());
+    }
+}
