Control the sidecar's own overload, and limit flights by each server's own way and rate

Its own figures, logged each second, showed why: the flight limit was 2 everywhere (least latency of the fleet 0.2 ms, where servers in other zones take 30 ms), samples of far servers were capped at four fleet means, attempts on connections that had fallen silent held both places for 0.4 s, and what answers waited for this process counted as the servers' latency.

Attempts carry how long they waited for this process (lagMs), and the module does not lay it to the servers. In the module: the limit of a server's flights counts its way and kind beyond the nearest, and its own rate where most of what it holds is ours; long overdue attempts hold no place while the server answers others; a sample is capped by the server's own mean.

--- a/src/main/java/peppergauge/Rehearsal.java
+++ b/src/main/java/peppergauge/Rehearsal.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import peppergauge.config.Config;
 import peppergauge.decision.Balancer.Effect;
 import peppergauge.decision.Balancer.ServerEntry;
@@ -12,6 +13,7 @@
 import peppergauge.decision.Decide;
 import peppergauge.frontend.HttpFrontend;
 import peppergauge.http.Headers;
+import peppergauge.overload.Overload;
 import peppergauge.session.Backend;
 import peppergauge.session.Clock;
 import peppergauge.session.Message;
@@ -27,7 +29,7 @@
  * and their only backend servers are this program's listener. No other party is spoken to.
  */
 record Rehearsal(Config config, Settings settings, SiteNames names, HttpFrontend frontend, Backend backend,
-        Clock clock, Scheduler scheduler) {
+        Clock clock, Scheduler scheduler, BooleanSupplier mayGoOn) {
 
     private static final int REQUESTS = 1_500;
     private static final int AT_ONCE = 4;
@@ -38,19 +40,25 @@
     int run(InetSocketAddress self, long longestMs) throws InterruptedException {
         String address = self.getHostString() + ":" + self.getPort();
         String mark = "r" + Long.toHexString(config.seed() ^ System.nanoTime()) + "-";
-        Sessions own = new Sessions(new Decide(settings, config.seed()), backend, clock, scheduler, WAIT_MS);
+        Sessions own = new Sessions(new Decide(settings, config.seed()), backend, clock, scheduler,
+                new Overload<>(Sidecar.overload(settings, config.seed())), settings.classes(), WAIT_MS);
         own.listed(new ServerTable(1, true, servers(address)));
         frontend.rehearse(own, mark);
         Semaphore free = new Semaphore(AT_ONCE);
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longestMs);
         int sent = 0;
-        while (sent < REQUESTS && free.tryAcquire(until - System.nanoTime(), TimeUnit.NANOSECONDS)) {
+        while (sent < REQUESTS && mayGoOn.getAsBoolean() && free.tryAcquire(until - System.nanoTime(), TimeUnit.NANOSECONDS)) {
             Message request = request(sent++, mark);
             scheduler.execute(() -> backend.send(new Backend.Server("self", address), request,
                     clock.nowMs() + WAIT_MS, result -> free.release()));
         }
         free.tryAcquire(AT_ONCE, until - System.nanoTime(), TimeUnit.NANOSECONDS);
         own.close();
+        // Its connections would keep clients out: they have a claim, as of clients that were served.
+        scheduler.execute(() -> {
+            backend.forget(new Backend.Server("self", address));
+            servers(address).forEach(row -> backend.forget(new Backend.Server(row.entry().server(), address)));
+        });
         return sent;
     }
 
--- a/src/main/java/peppergauge/Sidecar.java
+++ b/src/main/java/peppergauge/Sidecar.java
@@ -7,11 +7,15 @@
 import peppergauge.backend.HttpBackend;
 import peppergauge.config.Config;
 import peppergauge.decision.Balancer.Limits;
+import peppergauge.decision.Balancer.RequestClass;
 import peppergauge.decision.Balancer.Settings;
 import peppergauge.decision.Decide;
 import peppergauge.frontend.HttpFrontend;
 import peppergauge.frontend.Site;
 import peppergauge.log.Log;
+import peppergauge.overload.Extra;
+import peppergauge.overload.Overload;
+import peppergauge.overload.OverloadSettings;
 import peppergauge.servertable.ServerTableReader;
 import peppergauge.servertable.ServerTableWatch;
 import peppergauge.session.Clock;
@@ -19,6 +23,7 @@
 import peppergauge.session.Sessions;
 import peppergauge.settings.SettingsReader;
 import peppergauge.settings.SiteNames;
+import peppergauge.sockets.Claimant;
 import peppergauge.sockets.Loop;
 
 /** Wires one sidecar together, starts it and winds it down. */
@@ -35,6 +40,10 @@
     private static final long LONGEST_REHEARSAL_MS = 1_000;
 
     private volatile Config config;
+    private final Clock clock = new Clock();
+    private final Overload<Claimant, Sessions.Newcomer> overload;
+    /** Whether there is time for a rehearsal beside clients' sessions. */
+    private volatile boolean calm = true;
     private final Loop loop = new Loop();
     private final HttpBackend backend;
     private final Sessions sessions;
@@ -49,16 +58,18 @@
         Settings settings = SettingsReader.read(config.settings());
         SiteNames names = SiteNames.read(config.settings());
         Limits limits = settings.limits();
-        Clock clock = new Clock();
         int mostConnections = (config.sockets() - OWN_SOCKETS) / 2;
         double connectTimeoutMs = connectTimeoutMs(config.settings());
-        backend = new HttpBackend(clock, loop, settings.loadFields(), connectTimeoutMs, limits.connectionIdleMs(),
+        overload = new Overload<>(overload(settings, config.seed()));
+        backend = new HttpBackend(clock, loop, overload::likelyArrivalMs, settings.loadFields(), connectTimeoutMs, limits.connectionIdleMs(),
                 mostConnections);
         // What bounds connecting also bounds a probe: both are answered without waiting for other work.
-        sessions = new Sessions(new Decide(settings, config.seed()), backend, clock, loop,
-                connectTimeoutMs);
-        frontend = new HttpFrontend(new Site(names, settings.classes()), sessions, clock, loop, mostConnections);
-        rehearsal = new Rehearsal(config, settings, names, frontend, backend, clock, loop);
+        sessions = new Sessions(new Decide(settings, config.seed()), backend, clock, loop, overload,
+                settings.classes(), connectTimeoutMs);
+        frontend = new HttpFrontend(new Site(names, settings.classes()), sessions, clock, loop, overload,
+                mostConnections);
+        rehearsal = new Rehearsal(config, settings, names, frontend, backend, clock, loop,
+                () -> calm || !frontend.asked());
         ServerTableReader reader = new ServerTableReader(names.zones());
         known = reader.read(config.known());
         watch = new ServerTableWatch(config.discovery(), reader, known.version(), new ServerTableWatch.Listener() {
@@ -81,8 +92,32 @@
                 && limits.get("connectTimeoutMs") instanceof Number number ? number.doubleValue() : 1_000;
     }
 
+    /** What the program's own overload control is told: what the settings say of worth, and how the loop waits. */
+    static OverloadSettings overload(Settings settings, long seed) {
+        Limits limits = settings.limits();
+        return OverloadSettings.of(settings.classes().stream().map(RequestClass::worth).toList(),
+                settings.overShareWorth(), limits.retryAfter(), limits.maxRetryAfterMs(), Loop.SELECT_MS, seed);
+    }
+
+    /** Tells the overload control of the loop's rounds. */
+    private Loop.Watcher rounds() {
+        return new Loop.Watcher() {
+            @Override
+            public void selectReturned() {
+                overload.selectReturned(clock.nowMs());
+                calm = overload.runs(clock.nowMs(), Extra.REHEARSAL);
+                Log.fewer(!overload.runs(clock.nowMs(), Extra.LOG));
+            }
+
+            @Override
+            public void roundEnded() {
+                overload.roundEnded(clock.nowMs());
+            }
+        };
+    }
+
     void start() throws IOException, InterruptedException {
-        loop.start();
+        loop.start(rounds());
         sessions.listed(new ServerTable(known.version(), true, known.rows()));
         frontend.start(config.listen());
         watch.start();
--- a/src/main/java/peppergauge/backend/HttpBackend.java
+++ b/src/main/java/peppergauge/backend/HttpBackend.java
@@ -2,6 +2,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import peppergauge.decision.Balancer.LoadField;
 import peppergauge.decision.Balancer.Outcome;
 import peppergauge.session.Backend;
@@ -15,17 +16,20 @@
 
     private static final String PROBE_PATH = "/metrics/load";
     private final Clock clock;
+    private final DoubleSupplier arrivedMs;
     private final List<LoadField> loadFields;
     private final Connections connections;
 
     /**
+     * @param arrivedMs tells when what the loop is reading came in, as far as that is known, ms
      * @param connectTimeoutMs after which a connection that has not come up is given up, ms
      * @param idleMs after which backend servers close a connection, ms
      * @param mostConnections descriptors that these connections may hold together
      */
-    public HttpBackend(Clock clock, Loop loop, List<LoadField> loadFields, double connectTimeoutMs, double idleMs,
-            int mostConnections) {
+    public HttpBackend(Clock clock, Loop loop, DoubleSupplier arrivedMs, List<LoadField> loadFields,
+            double connectTimeoutMs, double idleMs, int mostConnections) {
         this.clock = clock;
+        this.arrivedMs = arrivedMs;
         this.loadFields = loadFields;
         this.connections = new Connections(loop, new SocketRoom(mostConnections, loop), mostConnections,
                 connectTimeoutMs, idleMs);
@@ -33,12 +37,30 @@
 
     @Override
     public Exchange send(Server server, Message message, double untilMs, Consumer<Result> ended) {
-        HttpExchange exchange = new HttpExchange(connections, server, message, () -> untilMs - clock.nowMs(),
+        HttpExchange exchange = new HttpExchange(connections, server, message, new Times(clock, arrivedMs, untilMs),
                 loadFields, ended);
         exchange.start();
         return exchange;
     }
 
+    private record Times(Clock clock, DoubleSupplier arrival, double untilMs) implements HttpExchange.Times {
+
+        @Override
+        public double nowMs() {
+            return clock.nowMs();
+        }
+
+        @Override
+        public double remainingMs() {
+            return untilMs - clock.nowMs();
+        }
+
+        @Override
+        public double arrivedMs() {
+            return arrival.getAsDouble();
+        }
+    }
+
     @Override
     public Exchange probe(Server server, double untilMs, Consumer<Result> ended) {
         Message probe = new Message("GET", PROBE_PATH, List.of(new Message.Field("Host", server.address())),
@@ -52,7 +74,7 @@
             return result;
         }
         String report = new String(result.answer().body(), StandardCharsets.ISO_8859_1).trim();
-        return new Result(Outcome.SUCCESS, null, LoadReport.parse(report, loadFields));
+        return new Result(Outcome.SUCCESS, null, LoadReport.parse(report, loadFields), result.tookMs());
     }
 
     @Override
--- a/src/main/java/peppergauge/backend/HttpExchange.java
+++ b/src/main/java/peppergauge/backend/HttpExchange.java
@@ -48,7 +48,7 @@
     private final Connections connections;
     private final Backend.Server server;
     private final Message message;
-    private final RemainingTime remaining;
+    private final Times times;
     private final List<LoadField> loadFields;
     private final Consumer<Backend.Result> ended;
     private State state = State.WAITING;
@@ -56,20 +56,28 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(256);
     private final ByteBuffer unsent;
     private HttpResponse response;
+    private double writtenMs = Double.NaN;
     private int interimAnswers;
     private int staleConnections;
 
-    /** Tells, when the request is written, how long its answer is waited for. */
-    interface RemainingTime {
-        double ms();
+    /** The times that matter to an exchange, ms. */
+    interface Times {
+
+        double nowMs();
+
+        /** How long the answer is waited for from now. */
+        double remainingMs();
+
+        /** When what is being read came in, as far as that is known. */
+        double arrivedMs();
     }
 
-    HttpExchange(Connections connections, Backend.Server server, Message message, RemainingTime remaining,
+    HttpExchange(Connections connections, Backend.Server server, Message message, Times times,
             List<LoadField> loadFields, Consumer<Backend.Result> ended) {
         this.connections = connections;
         this.server = server;
         this.message = message;
-        this.remaining = remaining;
+        this.times = times;
         this.loadFields = loadFields;
         this.ended = ended;
         this.unsent = ByteBuffer.wrap(message.body());
@@ -139,11 +147,12 @@
             throw new IOException("taken back before its first byte");
         }
         state = State.WRITING;
+        writtenMs = times.nowMs();
         BasicHttpRequest request = new BasicHttpRequest(message.verb(), message.target());
         for (Message.Field field : message.fields()) {
             request.addHeader(field.name(), field.value());
         }
-        request.setHeader(Headers.REMAINING_MS, Long.toString((long) Math.max(1, remaining.ms())));
+        request.setHeader(Headers.REMAINING_MS, Long.toString((long) Math.max(1, times.remainingMs())));
         int length = message.body().length;
         if (length > 0) {
             request.setHeader("Content-Length", Integer.toString(length));
@@ -274,7 +283,8 @@
     private void conclude(Outcome outcome, Message answer, double[] load) {
         if (state != State.ENDED) {
             state = State.ENDED;
-            ended.accept(new Backend.Result(outcome, answer, load));
+            double tookMs = response == null ? Double.NaN : Math.max(0, times.arrivedMs() - writtenMs);
+            ended.accept(new Backend.Result(outcome, answer, load, tookMs));
         }
     }
 }
--- a/src/main/java/peppergauge/decision/Balancer.java
+++ b/src/main/java/peppergauge/decision/Balancer.java
@@ -149,9 +149,23 @@
     record RequestArrived(String id, int requestClass, int tenant, double budgetMs, boolean clientRetry)
             implements Event { }
 
-    /** An attempt ended; {@code requestDone} when the client has its answer. {@code load} may be null. */
+    /**
+     * An attempt ended.
+     *
+     * @param tookMs from its send to its end, ms, less {@code lagMs}
+     * @param requestDone whether the client has its answer
+     * @param load null if none came along
+     * @param lagMs how long its bytes, going out or coming in, waited for the host itself, ms, 0 or more
+     */
     record AttemptEnded(String id, int attempt, String server, Outcome outcome, double tookMs,
-            boolean requestDone, double[] load) implements Event { }
+            boolean requestDone, double[] load, double lagMs) implements Event {
+
+        /** At a host that is never late. */
+        public AttemptEnded(String id, int attempt, String server, Outcome outcome, double tookMs,
+                boolean requestDone, double[] load) {
+            this(id, attempt, server, outcome, tookMs, requestDone, load, 0);
+        }
+    }
 
     /** A streamed answer began: deadline and time-out no longer count. */
     record AnswerStarted(String id, int attempt) implements Event { }
@@ -189,7 +203,7 @@
     /** Ask to be woken with {@link TimerDue}. */
     record SetTimer(double atMs, long token) implements Action { }
 
-    /** The timer is of no use any more; where timers cannot be taken back, {@link TimerDue} still comes for it. */
+    /** The timer is of no use any more; where none can be taken back, {@link TimerDue} comes all the same. */
     record ClearTimer(long token) implements Action { }
 
     /** A line for the people on call. */
--- a/src/main/java/peppergauge/decision/Decide.java
+++ b/src/main/java/peppergauge/decision/Decide.java
@@ -27,7 +27,7 @@
     private static final double PRIOR_OUTCOMES = 6;
     /** The same for errors just now: more would hide their beginning, less would take one for it. */
     private static final double PRIOR_LATELY = 3;
-    /** Most that a latency sample counts, in fleet means: one costly request is not a server. */
+    /** Most that a latency sample counts, in means of fleet or server: one costly request is not a server. */
     private static final double SAMPLE_CAP = 4;
     /** Squared spread of in-flight counts at which what was seen outweighs the first guess of crowding. */
     private static final double CROWDING_PRIOR = 10;
@@ -71,6 +71,8 @@
     private static final double MEMBERS_PER_RATE = 0.08;
     /** A member that owes answers for so many mean latencies is replaced for the time. */
     private static final double SILENT_TIMES = 3;
+    /** From so many times its expected latency on an attempt is overdue, if the server answers others. */
+    private static final double OVERDUE_TIMES = 6;
     /** Power of the free share of a server's cores in the weights: reports are late and noisy. */
     private static final double FREE_POWER = 1.5;
     /** From this use of cores on the queue outgrows the rest: nothing is sent until the figure fades. */
@@ -111,6 +113,8 @@
     private final Decaying fleetUse = new Decaying(HALF_LIFE_MS), fleetRate = new Decaying(HALF_LIFE_MS);
     private final Decaying crowd = new Decaying(HALF_LIFE_MS), probeTook = new Decaying(HALF_LIFE_MS);
     private final Decaying served = new Decaying(HALF_LIFE_MS);
+    /** How long answers and requests waited for this host itself. */
+    private final Decaying lag = new Decaying(LATELY_MS);
     private final Decaying covariance = new Decaying(4 * HALF_LIFE_MS);
     private final Decaying variance = new Decaying(4 * HALF_LIFE_MS);
     private final Decaying arrivals = new Decaying(4 * HALF_LIFE_MS);
@@ -126,7 +130,7 @@
     private double mostMembers;
     private double[] scratch = new double[16];
     private double nowMs, firstEventMs = Double.NaN;
-    private double crowding = 0.5, flightLimit, elsewhere;
+    private double crowding = 0.5, elsewhere;
     private double unloadedMs = Double.POSITIVE_INFINITY, unloadedAtMs;
     private int readyServers = 1, outNow, watchFailures;
     private boolean watchAsked;
@@ -235,7 +239,7 @@
         if (answered) {
             probeTook.add(nowMs, probed.tookMs());
             readLoad(server, probed.load());
-            crowd.add(nowMs, server.reportedOthers + server.out);
+            crowd.add(nowMs, server.reportedOthers + live(server));
         }
         List<Request> askers = List.copyOf(server.askers);
         server.askers.clear();
@@ -276,10 +280,16 @@
             further.remove(attempt.sentMs);
         }
         request.outCount--;
-        server.out--;
+        server.out.remove(attempt);
         outNow--;
         server.lastHeardMs = nowMs;
+        if (ended.outcome() == Outcome.SUCCESS) {
+            server.lastAnsweredSentMs = Math.max(server.lastAnsweredSentMs, attempt.sentMs);
+        }
         readLoad(server, ended.load());
+        if (ended.outcome() == Outcome.SUCCESS) {
+            lag.add(nowMs, ended.lagMs());
+        }
         double unitMs = unitLatency(request, attempt, ended);
         learn(server, ended.outcome(), unitMs);
         if (ended.requestDone() && !request.answered) {
@@ -365,9 +375,15 @@
 
     private void learn(Server server, Outcome outcome, double unitMs) {
         if (unitMs > 0) {
-            double sampleMs = Math.min(unitMs, SAMPLE_CAP * fleetUnitMs());
+            double usualMs = Math.max(fleetUnitMs(), server.latency.mean(nowMs));
+            double sampleMs = Math.min(unitMs, SAMPLE_CAP * usualMs);
             server.latency.add(nowMs, sampleMs);
             fleetUnit.add(nowMs, sampleMs);
+            if (server.latency.weight(nowMs) >= PRIOR_OUTCOMES) {
+                double growth = 1 + UNLOADED_GROWTH_PER_S * (nowMs - server.unloadedAtMs) / 1000;
+                server.unloadedMs = Math.min(server.unloadedMs * growth, server.latency.mean(nowMs));
+                server.unloadedAtMs = nowMs;
+            }
         }
         if (outcome != Outcome.CANCELLED && outcome != Outcome.NEVER_SENT) {
             fleetErrors.add(nowMs, outcome == Outcome.ERROR ? 1 : 0);
@@ -410,7 +426,7 @@
         List<LoadField> fields = settings.loadFields();
         for (int i = 0; i < Math.min(load.length, fields.size()); i++) {
             if (fields.get(i) == LoadField.IN_FLIGHT && load[i] >= 0) {
-                server.reportedOthers = Math.max(0, load[i] - server.out);
+                server.reportedOthers = Math.max(0, load[i] - live(server));
                 server.reportedAtMs = nowMs;
             } else if (fields.get(i) == LoadField.UTILISATION && load[i] >= 0) {
                 server.use = (use(server) + 3 * load[i]) / 4;
@@ -456,6 +472,7 @@
         // Own outcomes and requests count as what they are of a server's: one part in (1 + elsewhere).
         double prior = PRIOR_OUTCOMES * (1 + elsewhere);
         int ready = 0;
+        double nearest = Double.POSITIVE_INFINITY;
         if (scratch.length < pool.size()) {
             scratch = new double[pool.size() * 2];
         }
@@ -463,7 +480,8 @@
             double w = server.latency.weight(nowMs);
             server.unitMs = (server.latency.sum(nowMs) + prior * unit) / (w + prior);
             server.capacity = capacity(server);
-            server.inFlight = server.out + others(server);
+            server.live = live(server);
+            server.inFlight = server.live + others(server);
             double n = server.outcomes.weight(nowMs) + server.errors.weight(nowMs);
             double excess = Math.max(0, server.errors.sum(nowMs) - n * errorShare);
             double fresh = server.streak * Math.exp(-Math.max(0, nowMs - server.restUntilMs) / HALF_LIFE_MS);
@@ -482,12 +500,16 @@
             double crowding2 = Math.pow(crowded, 2 / (1 + elsewhere));
             server.load = answering * free * (surveys() ? way(server, answeredShare) : 1) / crowding2;
             server.sound = Math.max(1e-6, sound);
+            nearest = Math.min(nearest, server.unloadedMs);
             if (server.usable) {
                 scratch[ready++] = server.condition;
             }
         }
         readyServers = Math.max(1, ready);
-        flightLimit = flightLimit();
+        double share = answersPerMs(fleetLatency) / readyServers;
+        for (Server server : pool) {
+            server.flightLimit = flightLimit(server, share, nearest);
+        }
         if (ready == 0) {
             return false;
         }
@@ -502,7 +524,20 @@
 
     /** How long a server with own work in hand has not answered. */
     private double silentMs(Server server) {
-        return server.out == 0 ? 0 : nowMs - Math.max(server.lastHeardMs, server.busySinceMs);
+        return server.out.isEmpty() ? 0 : nowMs - Math.max(server.lastHeardMs, server.busySinceMs);
+    }
+
+    /**
+     * Own requests that a server has in hand: not those that are long overdue while it answered others sent
+     * later. A connection that fell silent would hold a place until the deadline, and a few of them all.
+     */
+    private int live(Server server) {
+        int live = server.out.size();
+        for (Request.Attempt attempt : server.out) {
+            live -= nowMs - attempt.sentMs > OVERDUE_TIMES * attempt.expectedMs
+                    && server.lastAnsweredSentMs > attempt.sentMs ? 1 : 0;
+        }
+        return live;
     }
 
     /** Use of a server's cores: as last reported, fading into the fleet's mean. */
@@ -624,25 +659,35 @@
 
     private boolean mayJoin(Request request, Server server, double limitMs, boolean trial) {
         return maySend(request, server) && coldMayTake(request, server) && server.restUntilMs <= nowMs
-                && server.out < flightLimit
+                && server.live < server.flightLimit
                 && (trial ? server.inFlight < 0.5 && (elsewhere == 0 || outNow == 0)
                         : !server.full
                                 && server.expectedMs <= Math.min(leftMs(request), slower(server) * limitMs));
     }
 
     /**
-     * Own requests in flight that one server may have: what the fleet's own rate of answers keeps busy when
-     * unloaded, and square-root slack for chance. It bites before latencies do, whatever makes the work pile
-     * up: demand over capacity, slowed servers, clients that come back. Could hurt a sudden burst, by a hold.
+     * Own requests in flight that one server may have: what its rate of answers keeps busy when unloaded, and
+     * what its way or kind takes beyond the nearest's and our own lateness, and square-root slack for chance.
+     * It bites before latencies do, whatever makes the work pile up: demand over capacity, slowed servers,
+     * clients that come back. Could hurt a sudden burst, by a hold.
      */
-    private double flightLimit() {
-        double seenMs = Math.max(1, nowMs - firstEventMs);
-        double answersPerMs = fleetLatency.weight(nowMs) * LN2 / HALF_LIFE_MS
-                / (1 - Math.exp(-LN2 * seenMs / HALF_LIFE_MS));
-        double busy = unloadedMs < Double.POSITIVE_INFINITY ? answersPerMs * unloadedMs / readyServers : 0;
+    private double flightLimit(Server server, double sharePerMs, double nearestMs) {
+        double furtherMs = server.unloadedMs < Double.POSITIVE_INFINITY ? server.unloadedMs - nearestMs : 0;
+        double besideMs = furtherMs + lag.mean(nowMs);
+        double busy = unloadedMs < Double.POSITIVE_INFINITY ? sharePerMs * (unloadedMs + besideMs) : 0;
+        double ownMs = Math.min(nearestMs, toldUnloadedMs());
+        // Where most of what a server holds is ours, its own rate shows what it bears.
+        if (ownMs < Double.POSITIVE_INFINITY && others(server) <= server.live) {
+            busy = Math.max(busy, answersPerMs(server.latency) * (ownMs + besideMs));
+        }
         return elsewhere + Math.max(LEAST_FLIGHT, busy + FLIGHT_SLACK * Math.sqrt(busy));
     }
 
+    private double answersPerMs(Decaying answers) {
+        double seenMs = Math.max(1, nowMs - firstEventMs);
+        return answers.weight(nowMs) * LN2 / HALF_LIFE_MS / (1 - Math.exp(-LN2 * seenMs / HALF_LIFE_MS));
+    }
+
     /** The expected latency, for a mean request at a mean server, up to which a server is not crowded. */
     private double roomMs(Request request) {
         return Math.max(request.over ? 0 : ROOM * unloadedMs, 1.5 * fleetUnitMs());
@@ -766,7 +811,7 @@
 
     private void send(Request request, Server server) {
         held.remove(request.id);
-        if (server.out == 0) {
+        if (server.out.isEmpty()) {
             server.busySinceMs = nowMs;
         }
         Request.Attempt attempt = new Request.Attempt(request.attempts.size(), server, nowMs,
@@ -776,7 +821,7 @@
         }
         request.attempts.add(attempt);
         request.outCount++;
-        server.out++;
+        server.out.add(attempt);
         outNow++;
         // A server that drops work whose time is up should know when the request will be given up on.
         boolean toAim = cancelHelps && request.kind.effect() != Effect.UNSAFE;
@@ -945,7 +990,7 @@
         for (Server server : servers.values()) {
             server.usable = !server.draining && (server.inList || !goneBinds);
         }
-        servers.values().removeIf(server -> !server.inList && server.out == 0
+        servers.values().removeIf(server -> !server.inList && server.out.isEmpty()
                 && (!server.usable || server.streak > REST_DOUBLINGS));
         ordered = new ArrayList<>(servers.values());
         ordered.sort(Comparator.comparingLong(server -> server.affinity));
@@ -993,7 +1038,8 @@
         double share = COLD_SAFETY * settings.rules().fallMultiple() * server.capacity
                 / Math.max(1, servers.size());
         double lot = request.lot + (server.affinity >>> 11) * 0x1p-53;
-        return lot - Math.floor(lot) < share && server.out < Math.max(1, server.capacity * flightLimit);
+        return lot - Math.floor(lot) < share
+                && server.live < Math.max(1, server.capacity * server.flightLimit);
     }
 
     // ---- What is remembered ----
--- a/src/main/java/peppergauge/decision/Server.java
+++ b/src/main/java/peppergauge/decision/Server.java
@@ -16,15 +16,20 @@
     final List<Request> askers = new ArrayList<>(0);
     long affinity;
     boolean inList, draining, usable;
-    double startedMs, lastHeardMs, busySinceMs, restUntilMs;
-    int out, streak;
+    double startedMs, lastHeardMs, lastAnsweredSentMs, busySinceMs, restUntilMs;
+    /** Own attempts that have not ended, the oldest first. */
+    final List<Request.Attempt> out = new ArrayList<>(4);
+    int streak, live;
+    /** Least mean latency of a request at this server when idle, its way included; infinite while unknown. */
+    double unloadedMs = Double.POSITIVE_INFINITY;
+    double unloadedAtMs;
     /** As last reported: others' requests in flight, use of cores, requests served a second. */
     double reportedOthers, use, rate;
     double reportedAtMs = Double.NEGATIVE_INFINITY;
     double usedAtMs = Double.NEGATIVE_INFINITY;
     double ratedAtMs = Double.NEGATIVE_INFINITY;
     /** As last weighed. */
-    double unitMs = 1, capacity = 1, inFlight, expectedMs, condition, load, sound;
+    double unitMs = 1, capacity = 1, inFlight, expectedMs, condition, load, sound, flightLimit;
     boolean open, full;
 
     Server(String id, int zone, int cell) {
@@ -36,6 +41,7 @@
     void restart(double atMs) {
         startedMs = atMs;
         latency.clear();
+        unloadedMs = Double.POSITIVE_INFINITY;
         flights.clear();
         warmLatency.clear();
         outcomes.clear();
--- a/src/main/java/peppergauge/frontend/ClientConnection.java
+++ b/src/main/java/peppergauge/frontend/ClientConnection.java
@@ -26,6 +26,7 @@
 import peppergauge.http.HeadReader;
 import peppergauge.log.Log;
 import peppergauge.session.Scheduler;
+import peppergauge.sockets.Claimant;
 
 /**
  * A client's connection: which of its requests wait for answers, and how long it may take to send one. Everything here
@@ -35,7 +36,7 @@
  * <p>HttpCore tells an exchange nothing of its client's leaving: at the end of the input the connection only stops
  * being open, which is looked for here.
  */
-final class ClientConnection implements IOEventHandler, Http1StreamListener {
+final class ClientConnection implements IOEventHandler, Http1StreamListener, Claimant {
 
     /** A request must be whole so soon after connecting, or after its first byte on a connection in use. */
     private static final double LONGEST_SENDING_MS = 2_300;
@@ -70,8 +71,9 @@
     private boolean closingHere;
     private boolean inputOver;
     private boolean lastAnswer;
-    /** Answers that are begun and not yet written to the last byte. */
+    /** Answers that are begun and not yet written to the last byte, and whether the first of them is a session's. */
     private int unwritten;
+    private boolean sessions;
     private int waitsForReader;
     private int discarded;
 
@@ -108,7 +110,7 @@
             gone();
         } else if (!sending && midRequest()) {
             sending = true;
-            all.busy(this);
+            all.reading(this);
             if (!first) {
                 startTimer(LONGEST_SENDING_MS);
             }
@@ -161,6 +163,7 @@
         sending = false;
         bodyOpen = false;
         stopTimer();
+        all.whole(this);
     }
 
     /** Nothing that comes in from now on is read as a request. */
@@ -180,13 +183,12 @@
 
     void waits(SessionHandler handler) {
         waiting.add(handler);
-        all.busy(this);
     }
 
     // ---- Answers ----
 
     void answered(SessionHandler handler) {
-        waiting.remove(handler);
+        sessions = waiting.remove(handler);
         if (waiting.isEmpty() && !gone) {
             startTimer(LONGEST_IDLE_MS);
         }
@@ -215,15 +217,11 @@
     public void onExchangeComplete(HttpConnection same, boolean keepAlive) {
         unwritten--;
         waitsForReader = 0;
-        all.checkWritten();
-        if (gone) {
+        all.answered(this, sessions);
+        if (gone || !lastAnswer) {
             return;
         }
-        if (!lastAnswer) {
-            if (isIdle()) {
-                all.idle(this);
-            }
-        } else if (midRequest()) {
+        if (midRequest()) {
             // A close with unread input is a reset, which could overtake the answer.
             startTimer(LONGEST_CLOSING_MS);
         } else {
@@ -267,6 +265,9 @@
         }
         if (unwritten > 0 && !lastAnswer && ++waitsForReader < MOST_WAITS_FOR_READER) {
             startTimer(LONGEST_IDLE_MS);
+        } else if (!midRequest() && unwritten == 0 && !all.sweeps()) {
+            // There is more to do than time for it: idle connections wait.
+            startTimer(LONGEST_SENDING_MS);
         } else if (midRequest() && !slow) {
             // It began in this very moment.
             startTimer(LONGEST_SENDING_MS);
@@ -283,7 +284,8 @@
      * came in while this thread had no CPU is read first. A request that comes after this is not read: the close is a
      * reset to its client, which sends it again.
      */
-    boolean closeIfIdle() {
+    @Override
+    public boolean closeIfIdle() {
         readWhatIsThere();
         if (gone || !isIdle()) {
             return false;
@@ -319,7 +321,6 @@
         if (!gone) {
             gone = true;
             stopTimer();
-            all.busy(this);
             connection.close(CloseMode.GRACEFUL);
             List<SessionHandler> left = List.copyOf(waiting);
             waiting.clear();
--- a/src/main/java/peppergauge/frontend/HttpFrontend.java
+++ b/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -6,9 +6,11 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import peppergauge.log.Log;
+import peppergauge.overload.Overload;
 import peppergauge.session.Clock;
 import peppergauge.session.Scheduler;
 import peppergauge.session.Sessions;
+import peppergauge.sockets.Claimant;
 import peppergauge.sockets.Loop;
 import peppergauge.sockets.SocketRoom;
 
@@ -22,19 +24,23 @@
     private final Sessions sessions;
     private final Clock clock;
     private final Loop loop;
+    private final Overload<Claimant, ?> overload;
     private final ClientConnections connections;
     private volatile ListenerEndpoint listener;
     private volatile Rehearsal rehearsal;
     private volatile boolean ready;
     private volatile boolean closing;
+    private volatile boolean asked;
 
     /** {@code mostConnections}: descriptors that clients' connections may hold together. */
-    public HttpFrontend(Site site, Sessions sessions, Clock clock, Loop loop, int mostConnections) {
+    public HttpFrontend(Site site, Sessions sessions, Clock clock, Loop loop, Overload<Claimant, ?> overload,
+            int mostConnections) {
+        this.overload = overload;
         this.site = site;
         this.sessions = sessions;
         this.clock = clock;
         this.loop = loop;
-        this.connections = new ClientConnections(loop, new SocketRoom(mostConnections, loop));
+        this.connections = new ClientConnections(loop, new SocketRoom(mostConnections, loop), clock, overload);
     }
 
     /** Listens on this address only, and no other. */
@@ -56,6 +62,11 @@
 
     private record Rehearsal(Sessions sessions, String mark) { }
 
+    /** Whether a client has asked for a session yet. */
+    public boolean asked() {
+        return asked;
+    }
+
     /** From now on {@code /up} says so. */
     public void setReady() {
         ready = true;
@@ -65,6 +76,7 @@
     Sessions sessions(HttpRequest request) {
         Header mark = rehearsal == null ? null : request.getFirstHeader(REHEARSAL);
         if (mark == null || !rehearsal.mark().equals(mark.getValue())) {
+            asked = true;
             return sessions;
         }
         // A late one must not get to clients' sessions: it would be sent to backend servers.
@@ -98,8 +110,9 @@
         return site;
     }
 
-    Clock clock() {
-        return clock;
+    /** When what is being read came in at the earliest, ms: what stood unread for lack of CPU came long ago. */
+    double arrivedMs() {
+        return Math.min(clock.nowMs(), overload.earliestArrivalMs());
     }
 
     Scheduler scheduler() {
--- a/src/main/java/peppergauge/frontend/SessionHandler.java
+++ b/src/main/java/peppergauge/frontend/SessionHandler.java
@@ -134,7 +134,7 @@
     private void open() {
         opened = true;
         connection.waits(this);
-        sessions.open(head.opening(owner.clock().nowMs(), body.toByteArray()), this);
+        sessions.open(head.opening(owner.arrivedMs(), body.toByteArray()), this);
     }
 
     // ---- The one answer ----
--- a/src/main/java/peppergauge/log/Log.java
+++ b/src/main/java/peppergauge/log/Log.java
@@ -7,6 +7,7 @@
 public final class Log {
 
     private static final int LINES_OF_A_KIND_PER_S = 5;
+    private static volatile boolean fewer;
     private static final int LONGEST_LINE = 400;
     private static final Map<String, Kind> KINDS = new ConcurrentHashMap<>();
 
@@ -25,7 +26,7 @@
                 second = nowS;
                 lines = 0;
             }
-            if (++lines > LINES_OF_A_KIND_PER_S) {
+            if (++lines > (fewer ? 1 : LINES_OF_A_KIND_PER_S)) {
                 passedOver++;
                 return -1;
             }
@@ -35,6 +36,11 @@
         }
     }
 
+    /** From now on one line of a kind a second, or the usual number again: lines cost what a session costs. */
+    public static void fewer(boolean only) {
+        fewer = only;
+    }
+
     /** Writes a line; {@code kind} is a fixed word, since each kind has a rate limit of its own. */
     public static void line(String kind, String text) {
         int passedOver = KINDS.computeIfAbsent(kind, fresh -> new Kind()).admit(System.nanoTime() / 1_000_000_000L);
--- a/src/main/java/peppergauge/overload/Overload.java
+++ b/src/main/java/peppergauge/overload/Overload.java
@@ -50,6 +50,11 @@
         return rounds.earliestArrivalMs();
     }
 
+    /** When what this round read came in most likely: what servers took is to be reckoned up to then. */
+    public double likelyArrivalMs() {
+        return rounds.likelyArrivalMs();
+    }
+
     /** By how much this round's select overstayed its interval, ms: the process was paused or throttled. */
     public double stalledMs() {
         return rounds.stalledMs();
--- a/src/main/java/peppergauge/overload/Rounds.java
+++ b/src/main/java/peppergauge/overload/Rounds.java
@@ -73,6 +73,11 @@
         return earliestMs;
     }
 
+    /** The likely time at which bytes that this round handles came in: halfway between the earliest and the latest. */
+    public double likelyArrivalMs() {
+        return (earliestMs + selectedMs) / 2;
+    }
+
     /** How long what this round handles may have stood unread when the select returned; 0 after a real wait. */
     public double queueDelayMs() {
         return Double.isNaN(selectedMs) ? 0 : selectedMs - earliestMs;
--- a/src/main/java/peppergauge/session/Backend.java
+++ b/src/main/java/peppergauge/session/Backend.java
@@ -18,8 +18,21 @@
         boolean abandon();
     }
 
-    /** How an attempt or a probe ended; {@code answer} only for a success, {@code load} may be null. */
-    record Result(Outcome outcome, Message answer, double[] load) { }
+    /**
+     * How an attempt or a probe ended.
+     *
+     * @param answer only for a success, else null
+     * @param load null if none came along
+     * @param tookMs from the last byte written to the answer's arrival as far as that is known, ms, without the time
+     *     that either waited here; NaN where nothing was written or no answer came
+     */
+    record Result(Outcome outcome, Message answer, double[] load, double tookMs) {
+
+        /** Without an answer. */
+        public Result(Outcome outcome) {
+            this(outcome, null, null, Double.NaN);
+        }
+    }
 
     /** Sends an attempt that waits until {@code untilMs}; {@code ended} is called once, from any thread. */
     Exchange send(Server server, Message message, double untilMs, Consumer<Result> ended);
--- a/src/main/java/peppergauge/session/Sessions.java
+++ b/src/main/java/peppergauge/session/Sessions.java
@@ -9,10 +9,15 @@
 import peppergauge.decision.Balancer.Action;
 import peppergauge.decision.Balancer.Event;
 import peppergauge.decision.Balancer.Outcome;
+import peppergauge.decision.Balancer.RequestClass;
 import peppergauge.decision.Balancer.ServerEntry;
 import peppergauge.decision.Balancer.ServerState;
 import peppergauge.decision.Balancer;
 import peppergauge.log.Log;
+import peppergauge.overload.Arrival;
+import peppergauge.overload.Extra;
+import peppergauge.overload.Overload;
+import peppergauge.overload.Verdict;
 import peppergauge.session.Session.Attempt;
 
 /**
@@ -36,11 +41,24 @@
     /** The module's timers that are not due yet. */
     private final Map<Long, Scheduler.Wait> timers = new HashMap<>();
     private final double probeWaitMs;
+    private final Overload<?, Newcomer> overload;
+    private final List<RequestClass> classes;
+    private boolean newcomersAwaited;
     private Runnable whenIdle;
     private volatile boolean closed;
 
-    /** {@code probeWaitMs}: how long a probe is waited for. */
-    public Sessions(Balancer balancer, Backend backend, Clock clock, Scheduler scheduler, double probeWaitMs) {
+    /** A session that has come in and has not met the module yet. */
+    public record Newcomer(Opening opening, Frontend frontend) { }
+
+    /**
+     * @param overload asked before the module about each session, and told of each service
+     * @param classes of the sessions, in the settings' order
+     * @param probeWaitMs how long a probe is waited for, ms
+     */
+    public Sessions(Balancer balancer, Backend backend, Clock clock, Scheduler scheduler,
+            Overload<?, Newcomer> overload, List<RequestClass> classes, double probeWaitMs) {
+        this.overload = overload;
+        this.classes = classes;
         this.balancer = balancer;
         this.backend = backend;
         this.clock = clock;
@@ -51,7 +69,7 @@
     // ---- What any thread may call ----
 
     public void open(Opening opening, Frontend frontend) {
-        post(() -> onOpening(opening, frontend));
+        post(() -> onArrival(new Newcomer(opening, frontend)));
     }
 
     /** The client of the session that this frontend answers no longer waits. */
@@ -106,11 +124,41 @@
 
     // ---- Events ----
 
-    private void onOpening(Opening opening, Frontend frontend) {
-        if (open.containsKey(opening.id()) || ended.contains(opening.id())) {
-            frontend.duplicate();
-            return;
+    /** New sessions wait until what is owed to the open ones is done; under a standing queue the newest go first. */
+    private void onArrival(Newcomer newcomer) {
+        String id = newcomer.opening().id();
+        if (open.containsKey(id) || ended.contains(id) || !overload.order().arrived(id, newcomer)) {
+            newcomer.frontend().duplicate();
+        } else if (!newcomersAwaited) {
+            newcomersAwaited = true;
+            post(this::takeNewcomers);
+        }
+    }
+
+    private void takeNewcomers() {
+        newcomersAwaited = false;
+        for (Newcomer next = overload.next(); next != null; next = overload.next()) {
+            Newcomer newcomer = next;
+            guarded(() -> take(newcomer));
         }
+        checkIdle();
+    }
+
+    private void take(Newcomer newcomer) {
+        Opening opening = newcomer.opening();
+        double now = clock.nowMs();
+        Verdict verdict = overload.judge(now, new Arrival(opening.id(), opening.requestClass(), opening.clientRetry(),
+                false, opening.deadlineMs() - now));
+        if (verdict == Verdict.ADMIT) {
+            onOpening(opening, newcomer.frontend());
+        } else {
+            remember(opening.id());
+            double leftMs = classes.get(opening.requestClass()).deadlineMs() - (now - opening.arrivedMs());
+            newcomer.frontend().denied(overload.retryAfterMs(now, leftMs));
+        }
+    }
+
+    private void onOpening(Opening opening, Frontend frontend) {
         Session session = new Session(opening, frontend);
         open.put(opening.id(), session);
         double now = clock.nowMs();
@@ -123,7 +171,10 @@
 
     private void onLeft(String id, Frontend frontend) {
         Session session = open.get(id);
-        if (session != null && session.frontend == frontend && !session.answered) {
+        if (session == null) {
+            // Another's copy of the id is never among them: it was answered at once.
+            overload.order().withdraw(id);
+        } else if (session.frontend == frontend && !session.answered) {
             end(session);
             tell(new Balancer.ClientLeft(id));
             forgetIfOver(session);
@@ -170,7 +221,7 @@
         // A send that still waits for its connection must not reach a server that now leaves.
         for (Attempt attempt : List.copyOf(out)) {
             if (leaving.contains(attempt.server) && attempt.exchange.withdraw()) {
-                ended(attempt, Outcome.NEVER_SENT, null, null);
+                ended(attempt, new Backend.Result(Outcome.NEVER_SENT));
             }
         }
         before.values().forEach(this::forgetIfGone);
@@ -184,7 +235,7 @@
         }
     }
 
-    private void ended(Attempt attempt, Outcome outcome, Message answer, double[] load) {
+    private void ended(Attempt attempt, Backend.Result result) {
         if (attempt.ended) {
             return;
         }
@@ -196,12 +247,18 @@
         }
         Session session = attempt.session;
         session.out--;
-        if (outcome == Outcome.SUCCESS && !session.answered) {
-            end(session);
-            answer(session, () -> session.frontend.served(answer));
+        double now = clock.nowMs();
+        double wholeMs = now - attempt.sentMs;
+        double tookMs = result.tookMs() < wholeMs ? result.tookMs() : wholeMs;
+        if (result.outcome() == Outcome.SUCCESS) {
+            overload.served(now, tookMs);
+            if (!session.answered) {
+                end(session);
+                answer(session, () -> session.frontend.served(result.answer()));
+            }
         }
-        tell(new Balancer.AttemptEnded(session.id(), attempt.number, attempt.server, outcome,
-                clock.nowMs() - attempt.sentMs, session.answered, load));
+        tell(new Balancer.AttemptEnded(session.id(), attempt.number, attempt.server, result.outcome(), tookMs,
+                session.answered, result.load(), wholeMs - tookMs));
         forgetIfOver(session);
     }
 
@@ -266,10 +323,10 @@
         attempt.timeout = after(waitMs, () -> onTimeout(attempt));
         if (server == null) {
             attempt.exchange = NOTHING_OUT;
-            post(() -> ended(attempt, Outcome.NEVER_SENT, null, null));
+            post(() -> ended(attempt, new Backend.Result(Outcome.NEVER_SENT)));
         } else {
             attempt.exchange = backend.send(server, session.opening.message(), now + waitMs,
-                    result -> post(() -> ended(attempt, result.outcome(), result.answer(), result.load())));
+                    result -> post(() -> ended(attempt, result)));
         }
     }
 
@@ -288,7 +345,7 @@
     private void onTimeout(Attempt attempt) {
         if (!attempt.ended) {
             boolean neverWritten = attempt.exchange.abandon();
-            ended(attempt, neverWritten ? Outcome.UNREACHABLE : Outcome.TIMED_OUT, null, null);
+            ended(attempt, new Backend.Result(neverWritten ? Outcome.UNREACHABLE : Outcome.TIMED_OUT));
         }
     }
 
@@ -306,7 +363,7 @@
     private void abandon(Attempt attempt) {
         if (!attempt.ended) {
             attempt.exchange.abandon();
-            post(() -> ended(attempt, Outcome.CANCELLED, null, null));
+            post(() -> ended(attempt, new Backend.Result(Outcome.CANCELLED)));
         }
     }
 
@@ -322,15 +379,15 @@
     private void probe(String id) {
         Backend.Server server = servers.get(id);
         double sentMs = clock.nowMs();
-        if (server == null) {
-            post(() -> tell(new Balancer.ProbeEnded(id, Outcome.UNREACHABLE, 0, null)));
+        if (server == null || !overload.runs(sentMs, Extra.SURVEY)) {
+            post(() -> tell(new Balancer.ProbeEnded(id, Outcome.NEVER_SENT, 0, null)));
             return;
         }
         Probe probe = new Probe(id, sentMs);
         probe.exchange = backend.probe(server, sentMs + probeWaitMs, result -> post(() -> ended(probe, result)));
         probe.timeout = after(probeWaitMs, () -> {
             probe.exchange.abandon();
-            ended(probe, new Backend.Result(Outcome.TIMED_OUT, null, null));
+            ended(probe, new Backend.Result(Outcome.TIMED_OUT));
         });
     }
 
@@ -352,7 +409,9 @@
         if (probe.timeout != null) {
             probe.timeout.cancel();
             probe.timeout = null;
-            tell(new Balancer.ProbeEnded(probe.server, result.outcome(), clock.nowMs() - probe.sentMs, result.load()));
+            double wholeMs = clock.nowMs() - probe.sentMs;
+            tell(new Balancer.ProbeEnded(probe.server, result.outcome(),
+                    result.tookMs() < wholeMs ? result.tookMs() : wholeMs, result.load()));
         }
     }
 
@@ -378,18 +437,22 @@
 
     private void forgetIfOver(Session session) {
         if (session.answered && session.out == 0 && open.remove(session.id(), session)) {
-            ended.add(session.id());
-            if (ended.size() > IDS_KEPT) {
-                Iterator<String> oldest = ended.iterator();
-                oldest.next();
-                oldest.remove();
-            }
+            remember(session.id());
             checkIdle();
         }
     }
 
+    private void remember(String id) {
+        ended.add(id);
+        if (ended.size() > IDS_KEPT) {
+            Iterator<String> oldest = ended.iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
     private void checkIdle() {
-        if (whenIdle != null && open.isEmpty()) {
+        if (whenIdle != null && open.isEmpty() && overload.order().size() == 0) {
             Runnable task = whenIdle;
             whenIdle = null;
             task.run();
--- a/src/main/java/peppergauge/sockets/Loop.java
+++ b/src/main/java/peppergauge/sockets/Loop.java
@@ -43,7 +43,8 @@
 public final class Loop implements Scheduler {
 
     /** HttpCore looks at its time-outs once in this time; its own second would make 200 ms of connecting 1 s. */
-    static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds(20);
+    public static final double SELECT_MS = 20;
+    private static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds((long) SELECT_MS);
     private static final int BACKLOG = 511;
     /** Times that one connection may write in a round, before the others get their turn. */
     static final int MOST_WRITES = 4;
@@ -60,6 +61,8 @@
     private volatile Thread thread;
     private volatile Thread listener;
     private volatile Gate gate = () -> { };
+    private Watcher watcher = new Watcher() { };
+    private boolean inRound;
     /** The listener's thread waits at the gate, and may wake the loop up from there; no other thread looks at it. */
     private boolean atGate;
 
@@ -69,6 +72,16 @@
         void pass() throws InterruptedException;
     }
 
+    /** Told of the rounds, on the loop's thread. */
+    public interface Watcher {
+
+        /** A round begins: its select has returned, and nothing that it found is handled yet. */
+        default void selectReturned() { }
+
+        /** A round is over. */
+        default void roundEnded() { }
+    }
+
     /** Creates the reactor; no thread runs before {@link #start}. */
     public Loop() {
         timers = new ScheduledThreadPoolExecutor(1, task -> daemon(task, "timers"));
@@ -89,7 +102,9 @@
         return thread;
     }
 
-    public void start() {
+    /** {@code told} is told of each round. */
+    public void start(Watcher told) {
+        watcher = told;
         reactor.start();
     }
 
@@ -202,10 +217,10 @@
     }
 
     /**
-     * HttpCore has no call that wakes a reactor up. A wish to connect does; taken back at once it opens nothing, and
+     * Has the next select return at once, whether or not there is anything. HttpCore has no call that wakes a reactor up. A wish to connect does; taken back at once it opens nothing, and
      * were it looked at just before that, its address could not be connected to.
      */
-    private void wakeUp() {
+    void wakeUp() {
         if (wakeUpAsked.compareAndSet(false, true)) {
             try {
                 reactor.connect(NOBODY, NOWHERE, null, null, null, null).cancel(true);
@@ -222,6 +237,7 @@
 
         @Override
         public void onThreadPoolStatus(int active, int pending) {
+            event();
             wakeUpAsked.set(false);
             for (Runnable task : roundTasks) {
                 guarded(task);
@@ -232,6 +248,8 @@
                 }
                 write();
             } while (!tasks.isEmpty());
+            inRound = false;
+            watcher.roundEnded();
         }
 
         @Override
@@ -250,6 +268,14 @@
         }
     }
 
+    /** A socket is about to be handled: the first in a round tells that its select has returned. */
+    void event() {
+        if (!inRound) {
+            inRound = true;
+            watcher.selectReturned();
+        }
+    }
+
     /** A bug in one task must neither end the thread nor touch another session. */
     private static void guarded(Runnable task) {
         try {
--- a/src/main/java/peppergauge/sockets/LoopSession.java
+++ b/src/main/java/peppergauge/sockets/LoopSession.java
@@ -84,6 +84,8 @@
             raw.clearEvent(op);
         } else if (raw.getStatus() != Status.CLOSED) {
             wantsOutput &= op != EventMask.WRITE;
+            // Also the reactor's first call for a socket that is up.
+            loop.event();
             if ((raw.getEventMask() & op) != 0) {
                 raw.clearEvent(op);
             }
@@ -209,6 +211,8 @@
 
     @Override
     public void updateReadTime() {
+        // The reactor's first call for a socket that has something to read.
+        loop.event();
         raw.updateReadTime();
     }
 
--- a/src/main/java/peppergauge/sockets/SocketRoom.java
+++ b/src/main/java/peppergauge/sockets/SocketRoom.java
@@ -11,12 +11,14 @@
  */
 public class SocketRoom {
 
+    private final Loop loop;
     private final Semaphore free;
     private final AtomicInteger closedThisRound = new AtomicInteger();
     /** Closed in an earlier round; only the loop's thread touches it. */
     private int closedBefore;
 
     public SocketRoom(int most, Loop loop) {
+        this.loop = loop;
         free = new Semaphore(most);
         loop.eachRound(this::roundEnded);
     }
@@ -39,5 +41,8 @@
             free.release(closedBefore);
         }
         closedBefore = closedThisRound.getAndSet(0);
+        if (closedBefore > 0 && free.hasQueuedThreads()) {
+            loop.wakeUp();
+        }
     }
 }
--- a/src/test/java/peppergauge/frontend/RehearsalTest.java
+++ b/src/test/java/peppergauge/frontend/RehearsalTest.java
@@ -5,10 +5,14 @@
 import static org.testng.Assert.assertSame;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.testng.annotations.Test;
+import peppergauge.overload.Overload;
+import peppergauge.overload.OverloadSettings;
 import peppergauge.session.Clock;
 import peppergauge.session.Sessions;
+import peppergauge.sockets.Claimant;
 import peppergauge.sockets.Loop;
 
 public class RehearsalTest {
@@ -18,9 +22,11 @@
     public void noRequestOfARehearsalEverGetsToTheSessionsOfClients() {
         Clock clock = new Clock();
         Loop loop = new Loop();
-        Sessions clients = new Sessions(null, null, clock, loop, 100);
-        Sessions own = new Sessions(null, null, clock, loop, 100);
-        HttpFrontend frontend = new HttpFrontend(null, clients, clock, loop, 8);
+        Overload<Claimant, Sessions.Newcomer> overload =
+                new Overload<>(OverloadSettings.of(List.of(1.0), 1, true, 1_000, 20, 1));
+        Sessions clients = new Sessions(null, null, clock, loop, overload, List.of(), 100);
+        Sessions own = new Sessions(null, null, clock, loop, overload, List.of(), 100);
+        HttpFrontend frontend = new HttpFrontend(null, clients, clock, loop, overload, 8);
         BasicHttpRequest usual = new BasicHttpRequest("GET", "/list/k");
         BasicHttpRequest marked = new BasicHttpRequest("GET", "/list/k");
         marked.addHeader(HttpFrontend.REHEARSAL, "mark");
