--- a/src/main/java/peppergauge/frontend/ClientConnection.java
+++ b/src/main/java/peppergauge/frontend/ClientConnection.java
@@ -284,20 +284,25 @@
      * came in while this thread had no CPU is read first. A request that comes after this is not read: the close is a
      * reset to its client, which sends it again.
      */
+    boolean closeIfIdle() {
+        return closeUnlessWanted(false);
+    }
+
     @Override
-    public boolean closeIfIdle() {
+    public boolean closeForRoom() {
+        return closeUnlessWanted(first);
+    }
+
+    private boolean closeUnlessWanted(boolean evenMidRequest) {
         readWhatIsThere();
-        if (gone || !isIdle()) {
+        boolean wanted = !waiting.isEmpty() || unwritten > 0 || midRequest() && !(evenMidRequest && first);
+        if (gone || wanted) {
             return false;
         }
         close();
         return true;
     }
 
-    private boolean isIdle() {
-        return waiting.isEmpty() && unwritten <= 0 && !midRequest();
-    }
-
     private void readWhatIsThere() {
         long before = -1;
         for (int i = 0; i < MOST_READS && !gone && connection.isOpen() && reader.taken() + bodyBytes != before; i++) {
--- a/src/main/java/peppergauge/frontend/ClientConnections.java
+++ b/src/main/java/peppergauge/frontend/ClientConnections.java
@@ -55,7 +55,7 @@
     private void makeRoom() {
         for (Claimant least = claims.nextToClose(clock.nowMs()); least != null;
                 least = claims.nextToClose(clock.nowMs())) {
-            if (least.closeIfIdle()) {
+            if (least.closeForRoom()) {
                 Log.line("crowded", "an idle connection was closed for a new one");
                 return;
             }
--- a/src/main/java/peppergauge/overload/Claims.java
+++ b/src/main/java/peppergauge/overload/Claims.java
@@ -10,8 +10,10 @@
  * <p>A connection has a claim by what it has done: less if it never sent a byte, more if it sent a part of a request,
  * or only what was refused, most if it asked for a session before. Within a kind the longest idle goes first. By
  * idleness alone, 500 clients that connect and say nothing drive out every usual client that pauses: each of them is
- * fresher. Never named is a connection with an open session or in the middle of a request, or one that was accepted
- * or answered in the last 50 ms, whose request may be under way.
+ * fresher. Never named is a connection with an open session or in the middle of a request, or one that was answered in
+ * the last 50 ms or accepted in the last 5, whose request may be under way. Who asks sends at once, and where there is
+ * no room has waited in the kernel's queue: what it sent is there when it is accepted. With a longer grace a few silent
+ * connections that come one after the other keep all others waiting in that queue.
  *
  * <p>All calls are O(1) but for {@link #nextToClose}, which looks at four connections. Times are ms and never go
  * backwards. Calls for connections that were never opened or are closed do nothing. One thread only.
@@ -22,7 +24,7 @@
 
     /** What idle connections have done, the least claim first, and how long they must have done nothing since, ms. */
     private enum Kind {
-        SILENT(50), BROKEN_OFF(500), REFUSED(50), SERVED(50);
+        SILENT(5), BROKEN_OFF(500), REFUSED(50), SERVED(50);
 
         private static final Kind[] ALL = values();
         private final double graceMs;
@@ -112,7 +114,7 @@
 
     /**
      * The connection to close now; null if none may be, or if one with a lesser claim may be in a moment: silent ones
-     * are waited for (50 ms), others if they outnumber the served ones (500 ms). To be asked after the input of a round
+     * are waited for (5 ms), others if they outnumber the served ones (500 ms). To be asked after the input of a round
      * was read, not before: what came in during a pause has not been told yet. A connection is named once; if it is
      * not closed, it may be named again after its next byte or answer.
      */
--- a/src/main/java/peppergauge/sockets/Claimant.java
+++ b/src/main/java/peppergauge/sockets/Claimant.java
@@ -4,10 +4,11 @@
 public interface Claimant {
 
     /**
-     * Closes the connection unless a session is open on it, a part of a request has come or an answer is not written
-     * yet; what has come in is read first. On the loop's thread.
+     * Closes the connection to make room, unless a session is open on it, an answer is not written yet, or a part of a
+     * further request has come; what has come in is read first. A first request that is still not whole when this
+     * is asked goes with it. On the loop's thread.
      *
      * @return whether it was closed
      */
-    boolean closeIfIdle();
+    boolean closeForRoom();
 }
