--- a/src/main/java/peppergauge/frontend/ClientConnections.java
+++ b/src/main/java/peppergauge/frontend/ClientConnections.java
@@ -15,7 +15,9 @@
 /** All clients' connections, and room for new ones. All but {@link #pass} runs on the loop's thread. */
 final class ClientConnections implements Loop.Gate {
 
-    private static final long LOOK_FOR_ROOM_MS = 10;
+    private static final long LOOK_FOR_ROOM_MS = 2;
+    /** Places made at once of those that no usual client holds: a crowd fills the kernel's queue, and so before it. */
+    private static final int PLACES_AT_ONCE = 16;
 
     private final Loop loop;
     private final SocketRoom room;
@@ -53,11 +55,16 @@
 
     /** At the end of a round: what came in during a pause has been read by then, and counts for its connection. */
     private void makeRoom() {
-        for (Claimant least = claims.nextToClose(clock.nowMs()); least != null;
-                least = claims.nextToClose(clock.nowMs())) {
+        int made = 0;
+        double now = clock.nowMs();
+        while (made == 0 || made < PLACES_AT_ONCE && claims.crowded(now)) {
+            Claimant least = claims.nextToClose(now);
+            if (least == null) {
+                return;
+            }
             if (least.closeForRoom()) {
+                made++;
                 Log.line("crowded", "an idle connection was closed for a new one");
-                return;
             }
         }
     }
--- a/src/main/java/peppergauge/overload/Claims.java
+++ b/src/main/java/peppergauge/overload/Claims.java
@@ -8,14 +8,15 @@
  * Whose connection is closed when there is no room for a new one.
  *
  * <p>A connection has a claim by what it has done: less if it never sent a byte, more if it sent a part of a request,
- * or only what was refused, most if it asked for a session before. Within a kind the longest idle goes first. By
- * idleness alone, 500 clients that connect and say nothing drive out every usual client that pauses: each of them is
- * fresher. Never named is a connection with an open session or in the middle of a request, or one that was answered in
+ * or only what was refused, more if it asked for one session, and most if it came back for another: clients that ask
+ * once and keep their connection for good would hold all places against those that come. Within a kind the longest
+ * idle goes first. By idleness alone, 500 clients that connect and say nothing drive out every usual client that
+ * pauses: each of them is fresher. Never named is a connection with an open session or in the middle of a request, or one that was answered in
  * the last 50 ms or accepted in the last 5, whose request may be under way. Who asks sends at once, and where there is
  * no room has waited in the kernel's queue: what it sent is there when it is accepted. With a longer grace a few silent
  * connections that come one after the other keep all others waiting in that queue.
  *
- * <p>All calls are O(1) but for {@link #nextToClose}, which looks at four connections. Times are ms and never go
+ * <p>All calls are O(1) but for {@link #nextToClose}, which looks at five connections. Times are ms and never go
  * backwards. Calls for connections that were never opened or are closed do nothing. One thread only.
  *
  * @param <C> a connection, by identity or with a stable {@code equals}
@@ -24,7 +25,7 @@
 
     /** What idle connections have done, the least claim first, and how long they must have done nothing since, ms. */
     private enum Kind {
-        SILENT(5), BROKEN_OFF(500), REFUSED(50), SERVED(50);
+        SILENT(5), BROKEN_OFF(500), REFUSED(50), ONCE(100), SERVED(50);
 
         private static final Kind[] ALL = values();
         private final double graceMs;
@@ -38,7 +39,7 @@
     private static final class State {
 
         private boolean reading;
-        private boolean served;
+        private int served;
         private int sessions;
         private Kind listed;
     }
@@ -67,7 +68,7 @@
         if (state != null && !state.reading) {
             state.reading = true;
             // From the first byte on: who drips a byte now and then does not stay for it.
-            list(connection, state, state.served || state.sessions > 0 ? null : Kind.BROKEN_OFF, nowMs);
+            list(connection, state, state.served > 0 || state.sessions > 0 ? null : Kind.BROKEN_OFF, nowMs);
         }
     }
 
@@ -96,10 +97,10 @@
             return;
         }
         state.sessions--;
-        state.served |= session;
+        state.served += session ? 1 : 0;
         if (state.sessions == 0) {
-            Kind waiting = state.served ? Kind.SERVED : Kind.REFUSED;
-            Kind broken = state.served ? null : Kind.BROKEN_OFF;
+            Kind waiting = state.served == 0 ? Kind.REFUSED : state.served == 1 ? Kind.ONCE : Kind.SERVED;
+            Kind broken = state.served > 0 ? null : Kind.BROKEN_OFF;
             list(connection, state, state.reading ? broken : waiting, nowMs);
         }
     }
@@ -113,10 +114,10 @@
     }
 
     /**
-     * The connection to close now; null if none may be, or if one with a lesser claim may be in a moment: silent ones
-     * are waited for (5 ms), others if they outnumber the served ones (500 ms). To be asked after the input of a round
-     * was read, not before: what came in during a pause has not been told yet. A connection is named once; if it is
-     * not closed, it may be named again after its next byte or answer.
+     * The connection to close now; null if none may be. One that was served is not named while one with a lesser claim
+     * may be in a moment: silent ones are waited for (5 ms), others if they outnumber the served ones (500 ms). To be
+     * asked after the input of a round was read, not before: what came in during a pause has not been told yet. A
+     * connection is named once; if it is not closed, it may be named again after its next byte or answer.
      */
     public C nextToClose(double nowMs) {
         for (Kind kind : Kind.ALL) {
@@ -125,19 +126,33 @@
                 continue;
             }
             Map.Entry<C, Double> longest = waiting.entrySet().iterator().next();
-            if (nowMs - longest.getValue() > kind.graceMs) {
+            if (nowMs - longest.getValue() > kind.graceMs && (kind != Kind.SERVED || !lesserSoon())) {
                 C connection = longest.getKey();
                 list(connection, states.get(connection), null, nowMs);
                 return connection;
             }
-            // A crowd that comes at once is in its grace as a whole: it would be let through to those it drives out.
-            if (kind == Kind.SILENT || waiting.size() > idle.get(Kind.SERVED).size()) {
-                return null;
-            }
         }
         return null;
     }
 
+    /** Whether who is in its grace may go instead of a served one: a crowd that comes at once is so as a whole. */
+    private boolean lesserSoon() {
+        int served = idle.get(Kind.SERVED).size();
+        return !idle.get(Kind.SILENT).isEmpty() || idle.get(Kind.BROKEN_OFF).size() > served
+                || idle.get(Kind.REFUSED).size() > served || idle.get(Kind.ONCE).size() > served;
+    }
+
+    /** Whether a connection that was never served may be closed now, and so whether more room costs no usual client. */
+    public boolean crowded(double nowMs) {
+        for (Kind kind : Kind.ALL) {
+            var waiting = idle.get(kind).values().iterator();
+            if (kind != Kind.SERVED && waiting.hasNext() && nowMs - waiting.next() > kind.graceMs) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void list(C connection, State state, Kind kind, double nowMs) {
         if (state.listed != null) {
             idle.get(state.listed).remove(connection);
--- a/src/test/java/peppergauge/overload/ClaimsPropertiesTest.java
+++ b/src/test/java/peppergauge/overload/ClaimsPropertiesTest.java
@@ -87,8 +87,10 @@
         int open = 20;
         for (int usual = 0; usual < 20; usual++) {
             claims.opened(usual, 0);
-            claims.whole(usual);
-            claims.answered(usual, 2 + usual, true);
+            for (int asked = 0; asked < 2; asked++) {
+                claims.whole(usual);
+                claims.answered(usual, 2 + usual, true);
+            }
         }
         double nowMs = 500;
         for (int rude = 20; rude < 520; rude++) {
