--- a/src/main/java/peppergauge/frontend/ClientConnections.java
+++ b/src/main/java/peppergauge/frontend/ClientConnections.java
@@ -19,15 +19,21 @@
     /** Places made at once of those that no usual client holds: a crowd fills the kernel's queue, and so before it. */
     private static final int PLACES_AT_ONCE = 16;
 
+    /** Share of the places that connections may hold which asked once and are kept for nothing. */
+    private static final double ONCE_SHARE = 0.25;
+
     private final Loop loop;
     private final SocketRoom room;
     private final Clock clock;
     private final Overload<Claimant, ?> overload;
     private final Claims<Claimant> claims;
     private final Set<ClientConnection> open = new LinkedHashSet<>();
+    /** Connections that asked once and are idle; more of them are closed before their time. */
+    private final int mostOnce;
     private Runnable whenWritten;
 
-    ClientConnections(Loop loop, SocketRoom room, Clock clock, Overload<Claimant, ?> overload) {
+    ClientConnections(Loop loop, SocketRoom room, int places, Clock clock, Overload<Claimant, ?> overload) {
+        this.mostOnce = (int) (places * ONCE_SHARE);
         this.loop = loop;
         this.room = room;
         this.clock = clock;
@@ -83,7 +89,11 @@
     }
 
     void answered(ClientConnection connection, boolean session) {
-        claims.answered(connection, clock.nowMs(), session);
+        double now = clock.nowMs();
+        claims.answered(connection, now, session);
+        for (Claimant spare = claims.surplus(now, mostOnce); spare != null; spare = claims.surplus(now, mostOnce)) {
+            spare.closeForRoom();
+        }
         checkWritten();
     }
 
--- a/src/main/java/peppergauge/frontend/HttpFrontend.java
+++ b/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -40,7 +40,8 @@
         this.sessions = sessions;
         this.clock = clock;
         this.loop = loop;
-        this.connections = new ClientConnections(loop, new SocketRoom(mostConnections, loop), clock, overload);
+        this.connections = new ClientConnections(loop, new SocketRoom(mostConnections, loop), mostConnections,
+                clock, overload);
     }
 
     /** Listens on this address only, and no other. */
--- a/src/main/java/peppergauge/overload/Claims.java
+++ b/src/main/java/peppergauge/overload/Claims.java
@@ -135,6 +135,25 @@
         return null;
     }
 
+    /**
+     * The connection to close although there is room, null if none is: of those that asked once and are kept for
+     * nothing, the longest idle when there are more than {@code most}. Where each request comes on a connection of its
+     * own that is never closed, clients run out of theirs long before the sidecar does.
+     */
+    public C surplus(double nowMs, int most) {
+        LinkedHashMap<C, Double> once = idle.get(Kind.ONCE);
+        if (once.size() <= most) {
+            return null;
+        }
+        Map.Entry<C, Double> longest = once.entrySet().iterator().next();
+        if (nowMs - longest.getValue() <= Kind.ONCE.graceMs) {
+            return null;
+        }
+        C connection = longest.getKey();
+        list(connection, states.get(connection), null, nowMs);
+        return connection;
+    }
+
     /** Whether who is in its grace may go instead of a served one: a crowd that comes at once is so as a whole. */
     private boolean lesserSoon() {
         int served = idle.get(Kind.SERVED).size();
--- a/src/test/java/peppergauge/overload/ClaimsPropertiesTest.java
+++ b/src/test/java/peppergauge/overload/ClaimsPropertiesTest.java
@@ -118,4 +118,29 @@
         }
         assertNull(claims.nextToClose(nowMs + 1_000));
     }
+
+    /** On a recorded day each request came on a connection of its own that stayed: clients ran out of theirs. */
+    @Property(seed = "3", tries = 20)
+    void whoAskedOnceAndStaysHoldsNoMoreThanItsShare(@ForAll @IntRange(min = 1, max = 50) int most) {
+        Claims<Integer> claims = new Claims<>();
+        claims.opened(-1, 0);
+        for (int asked = 0; asked < 2; asked++) {
+            claims.whole(-1);
+            claims.answered(-1, 0, true);
+        }
+        int open = 0;
+        for (int client = 0; client < 200; client++) {
+            double nowMs = client * 150.0;
+            claims.opened(client, nowMs);
+            claims.whole(client);
+            claims.answered(client, nowMs, true);
+            open++;
+            for (Integer spare = claims.surplus(nowMs, most); spare != null; spare = claims.surplus(nowMs, most)) {
+                assertTrue(spare >= 0 && spare < client, "who came back, or was answered just now, stays");
+                claims.closed(spare);
+                open--;
+            }
+            assertTrue(open <= most + 1, open + " are kept");
+        }
+    }
 }
