Split the build into the modules sidecar, operator and lab

What runs beside an application should be told from what works with it elsewhere: the lab and the reader for operators' files must not reach the sidecar's jar.

--- a/src/test/java/peppergauge/PackagesTest.java
+++ b/sidecar/src/test/java/peppergauge/PackagesTest.java
@@ -1,5 +1,7 @@
 package peppergauge;
 
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideOutsideOfPackages;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
@@ -20,6 +22,14 @@
         slices().matching("peppergauge.(*)..").should().beFreeOfCycles().check(program);
     }
 
+    /** Every class more is slower to start, in every sidecar: only what runs there may be asked for. */
+    @Test
+    public void theSidecarKnowsNeitherTheLabNorItsLibraries() {
+        classes().should().onlyDependOnClassesThat(resideOutsideOfPackages("peppergauge.lab..",
+                "peppergauge.operator..").and(resideInAnyPackage("java..", "sun.misc", "peppergauge..",
+                "org.apache.hc.core5..", "com.fasterxml.jackson.core.."))).check(program);
+    }
+
     @Test
     public void theDecisionsDoNoInputOutputAndHaveNoThreadsAndNoClock() {
         noClasses().that().resideInAPackage("peppergauge.decision").should().dependOnClassesThat()
