Add bin/peppergauge: one launcher for all commands, check and schema first

Need: one place to start everything from, with help and exit codes, that makes no sidecar slower to start and brings no class to its jar.

Change: the launcher becomes serve or adapter with the flags of deploy/balancer.toml, without a fork before, and hands all else to the lab's jar (picocli). check reads operator files; schema prints what may stand in them, which the page and the examples are compared with. A further command is one class and its name.

--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/files/Kinds.java
@@ -0,0 +1,22 @@
+package peppergauge.lab.files;
+
+import java.util.List;
+import peppergauge.lab.scenario.RunSection;
+import peppergauge.operator.FileKind;
+import peppergauge.operator.OperatorFiles;
+
+/**
+ * All kinds of operator files there are, and the sections of each. A subsystem adds its own here, and then
+ * {@code deploy/examples/} and {@code docs/OPERATOR-FILES.md} from what {@code peppergauge schema} prints.
+ */
+public final class Kinds {
+
+    private static final FileKind SCENARIO = new FileKind("scenario",
+            "A rehearsed incident: a fleet, its clients, and what goes wrong when.", List.of(new RunSection()));
+
+    private Kinds() { }
+
+    public static OperatorFiles all() {
+        return new OperatorFiles(List.of(SCENARIO));
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/command/LabTest.java
@@ -0,0 +1,80 @@
+package peppergauge.lab.command;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class LabTest {
+
+    private static final Path ROOT = Path.of("..");
+
+    private record Outcome(int code, String out, String err) { }
+
+    private static Outcome run(String line) {
+        StringWriter out = new StringWriter();
+        StringWriter err = new StringWriter();
+        int code = Lab.run(new PrintWriter(out, true), new PrintWriter(err, true),
+                line.isEmpty() ? new String[0] : line.split(" "));
+        return new Outcome(code, out.toString(), err.toString());
+    }
+
+    @DataProvider
+    public Object[][] lines() {
+        return new Object[][] {
+            {"--help", 0, "check    Reads operator files", ""},
+            {"--version", 0, "peppergauge ", ""},
+            {"help check", 0, "Usage: peppergauge check", ""},
+            {"check ../deploy/examples/scenario.toml", 0, "scenario.toml: fine, kind scenario", ""},
+            {"schema scenario", 0, "kind = \"scenario\"", ""},
+            {"", 2, "", "a command is missing"},
+            {"chek", 2, "", "Did you mean: peppergauge check"},
+            {"check", 2, "", "Missing required parameter: 'FILE'"},
+            {"check ../deploy/balancer.toml", 2, "", "balancer.toml:1:1: kind: is missing"},
+            {"check ../nowhere ../deploy/examples/scenario.toml", 2, "fine", "../nowhere: cannot be read"},
+            {"schema zz", 2, "", "unknown kind zz; known: scenario"},
+            {"serve", 2, "", "start it by bin/peppergauge serve"},
+        };
+    }
+
+    @Test(dataProvider = "lines")
+    public void eachLineEndsWithItsExitCodeAndSaysWhy(String line, int code, String out, String err) {
+        Outcome outcome = run(line);
+        assertEquals(outcome.code(), code, outcome.err());
+        assertTrue(outcome.out().contains(out), outcome.out());
+        assertTrue(outcome.err().contains(err), outcome.err());
+    }
+
+    @DataProvider
+    public Object[][] commands() {
+        return run("--help").out().lines().filter(line -> line.matches("  [a-z]+ +[A-Z].*"))
+                .map(line -> new Object[] {line.trim().split(" ")[0]}).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "commands")
+    public void eachCommandHasHelpWithExitCodesAndALineInTheDocuments(String command) throws IOException {
+        Outcome outcome = run(command + " --help");
+        assertEquals(outcome.code(), 0);
+        assertTrue(outcome.out().contains("Exit codes:"), outcome.out());
+        assertTrue(Files.readString(ROOT.resolve("docs/COMMANDS.md")).contains("| `" + command), command);
+    }
+
+    /** The page and the examples are what the schemas print; else they would drift from what is read. */
+    @Test
+    public void thePageAndTheExamplesAreWhatTheSchemasPrint() throws IOException {
+        String page = Files.readString(ROOT.resolve("docs/OPERATOR-FILES.md"));
+        assertEquals(page.substring(page.indexOf("## `kind")), run("schema --markdown").out());
+        try (var examples = Files.list(ROOT.resolve("deploy/examples"))) {
+            for (Path example : examples.toList()) {
+                String kind = example.getFileName().toString().replace(".toml", "");
+                assertEquals(Files.readString(example), run("schema " + kind).out());
+            }
+        }
+    }
+}
