Additions: what an installation puts round, before and beside the plain sidecar

Change: Additions has one method for each place (round the module, round the backend, before the sessions, in place of discovery's watch, further listeners, SIGHUP, the end); each adds nothing by default. Intake is what frontends hand sessions to. Clients keeps places, claims and the pace of accepting for the connections of every protocol; the loop's gate is one for all listeners.

No path of the platform's changes.

--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -19,15 +19,17 @@
 import peppergauge.servertable.ServerTableReader;
 import peppergauge.servertable.ServerTableWatch;
 import peppergauge.session.Clock;
+import peppergauge.session.Intake;
 import peppergauge.session.ServerTable;
 import peppergauge.session.Sessions;
 import peppergauge.settings.SettingsReader;
 import peppergauge.settings.SiteNames;
 import peppergauge.sockets.Claimant;
+import peppergauge.sockets.Clients;
 import peppergauge.sockets.Loop;
 
 /** Wires one sidecar together, starts it and winds it down. */
-final class Sidecar {
+public final class Sidecar {
 
     /** Clients still connect for a while after SIGTERM; what is not accepted by then would be lost. */
     private static final long KEEP_ACCEPTING_MS = 700;
@@ -45,30 +47,41 @@
     /** Whether there is time for a rehearsal beside clients' sessions. */
     private volatile boolean calm = true;
     private final Loop loop = new Loop();
-    private final HttpBackend backend;
+    private final Additions additions;
+    private final Additions.Parts parts;
     private final Sessions sessions;
+    private final Intake intake;
     private final HttpFrontend frontend;
     private final Rehearsal rehearsal;
     private final ServerTableWatch watch;
     private final ServerTable known;
     private final long longestDeadlineMs;
 
+    /** The platform's. */
     Sidecar(Config config) {
+        this(config, Additions.NONE);
+    }
+
+    /** One to which an installation adds; an {@link IllegalArgumentException} says what of the settings is unusable. */
+    public Sidecar(Config config, Additions additions) {
         this.config = config;
+        this.additions = additions;
         Settings settings = SettingsReader.read(config.settings());
         SiteNames names = SiteNames.read(config.settings());
         Limits limits = settings.limits();
         int mostConnections = (config.sockets() - OWN_SOCKETS) / 2;
         double connectTimeoutMs = connectTimeoutMs(config.settings());
         overload = new Overload<>(overload(settings, config.seed()));
-        backend = new HttpBackend(clock, loop, overload::likelyArrivalMs, settings.loadFields(), connectTimeoutMs, limits.connectionIdleMs(),
-                mostConnections);
+        Clients clients = new Clients(loop, mostConnections, clock, overload);
+        parts = new Additions.Parts(config, settings, names, clock, loop, overload, clients);
+        HttpBackend http = new HttpBackend(clock, loop, overload::likelyArrivalMs, settings.loadFields(),
+                connectTimeoutMs, limits.connectionIdleMs(), mostConnections);
         // What bounds connecting also bounds a probe: both are answered without waiting for other work.
-        sessions = new Sessions(new Decide(settings, config.seed()), backend, clock, loop, overload,
-                settings.classes(), connectTimeoutMs);
-        frontend = new HttpFrontend(new Site(names, settings.classes()), sessions, clock, loop, overload,
-                mostConnections);
-        rehearsal = new Rehearsal(config, settings, names, frontend, backend, clock, loop,
+        sessions = new Sessions(additions.balancer(new Decide(settings, config.seed()), parts),
+                additions.backend(http, parts), clock, loop, overload, settings.classes(), connectTimeoutMs);
+        intake = additions.intake(sessions, parts);
+        frontend = new HttpFrontend(new Site(names, settings.classes()), intake, clock, loop, overload, clients);
+        rehearsal = new Rehearsal(config, settings, names, frontend, http, clock, loop,
                 () -> calm || !frontend.asked());
         ServerTableReader reader = new ServerTableReader(names.zones());
         known = reader.read(config.known());
@@ -116,11 +129,15 @@
         };
     }
 
-    void start() throws IOException, InterruptedException {
-        loop.start(rounds());
+    /** Returns once it is ready; a failure leaves threads behind, for the program ends then. */
+    public void start() throws IOException, InterruptedException {
+        loop.start(rounds(), parts.clients());
         sessions.listed(new ServerTable(known.version(), true, known.rows()));
         frontend.start(config.listen());
-        watch.start();
+        if (additions.watchesDiscovery()) {
+            watch.start();
+        }
+        additions.starting(intake, sessions, parts);
         int rehearsed = rehearsal.run(address(), LONGEST_REHEARSAL_MS);
         frontend.setReady();
         Log.line("start", config.name() + " serves on " + address() + " with " + known.rows().size()
@@ -128,10 +145,11 @@
     }
 
     /** Rereads the configuration: discovery may be elsewhere now. What cannot be used changes nothing. */
-    synchronized void reload(Map<String, String> environment) {
+    public synchronized void reload(Map<String, String> environment) {
         try {
             Config fresh = config.reread(environment);
-            if (fresh.discovery().equals(config.discovery())) {
+            additions.reload(environment);
+            if (fresh.discovery().equals(config.discovery()) || !additions.watchesDiscovery()) {
                 Log.line("reload", "discovery stays at " + config.discovery());
             } else {
                 Log.line("reload", "discovery moves from " + config.discovery() + " to " + fresh.discovery());
@@ -143,18 +161,19 @@
         }
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return frontend.address();
     }
 
     /** Keeps accepting, then closes the listener and what is idle, and ends when no session is open. */
-    void windDown() {
+    public void windDown() {
         Log.line("stop", config.name() + " was told to end");
         frontend.closeAfterAnswers();
         CountDownLatch idle = new CountDownLatch(1);
         try {
             TimeUnit.MILLISECONDS.sleep(KEEP_ACCEPTING_MS);
             stopListening();
+            additions.stopping();
             frontend.closeIdle();
             sessions.whenIdle(idle::countDown);
             boolean empty = idle.await(longestDeadlineMs, TimeUnit.MILLISECONDS);
@@ -169,10 +188,11 @@
     }
 
     /** Closes everything, whatever is open. */
-    void stopNow() {
+    public void stopNow() {
         watch.close();
         sessions.close();
         loop.close();
+        additions.stopped();
     }
 
     private void stopListening() {
--- a/sidecar/src/main/java/peppergauge/frontend/ClientConnection.java
+++ b/sidecar/src/main/java/peppergauge/frontend/ClientConnection.java
@@ -27,6 +27,7 @@
 import peppergauge.log.Log;
 import peppergauge.session.Scheduler;
 import peppergauge.sockets.Claimant;
+import peppergauge.sockets.Clients;
 
 /**
  * A client's connection: which of its requests wait for answers, and how long it may take to send one. Everything here
@@ -56,7 +57,7 @@
 
     private final ProtocolIOSession connection;
     private final HttpFrontend owner;
-    private final ClientConnections all;
+    private final Clients all;
     private final HeadReader<HttpRequest> reader = HeadReader.request();
     private final ServerHttp1IOEventHandler http;
     private final Set<SessionHandler> waiting = new LinkedHashSet<>();
@@ -77,7 +78,7 @@
     private int waitsForReader;
     private int discarded;
 
-    ClientConnection(ProtocolIOSession connection, HttpFrontend owner, ClientConnections all) {
+    ClientConnection(ProtocolIOSession connection, HttpFrontend owner, Clients all) {
         this.connection = connection;
         this.owner = owner;
         this.all = all;
@@ -237,7 +238,8 @@
         }
     }
 
-    boolean isWritten() {
+    @Override
+    public boolean isWritten() {
         return unwritten <= 0;
     }
 
@@ -284,7 +286,8 @@
      * came in while this thread had no CPU is read first. A request that comes after this is not read: the close is a
      * reset to its client, which sends it again.
      */
-    boolean closeIfIdle() {
+    @Override
+    public boolean closeIfIdle() {
         return closeUnlessWanted(false);
     }
 
--- a/sidecar/src/main/java/peppergauge/frontend/HttpFrontend.java
+++ b/sidecar/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -8,11 +8,11 @@
 import peppergauge.log.Log;
 import peppergauge.overload.Overload;
 import peppergauge.session.Clock;
+import peppergauge.session.Intake;
 import peppergauge.session.Scheduler;
-import peppergauge.session.Sessions;
 import peppergauge.sockets.Claimant;
+import peppergauge.sockets.Clients;
 import peppergauge.sockets.Loop;
-import peppergauge.sockets.SocketRoom;
 
 /** Where clients connect: turns their requests into sessions and sessions' answers into responses. */
 public final class HttpFrontend {
@@ -21,32 +21,31 @@
     public static final String REHEARSAL = "X-Rehearsal";
 
     private final Site site;
-    private final Sessions sessions;
+    private final Intake intake;
     private final Clock clock;
     private final Loop loop;
     private final Overload<Claimant, ?> overload;
-    private final ClientConnections connections;
+    private final Clients connections;
     private volatile ListenerEndpoint listener;
     private volatile Rehearsal rehearsal;
     private volatile boolean ready;
     private volatile boolean closing;
     private volatile boolean asked;
 
-    /** {@code mostConnections}: descriptors that clients' connections may hold together. */
-    public HttpFrontend(Site site, Sessions sessions, Clock clock, Loop loop, Overload<Claimant, ?> overload,
-            int mostConnections) {
+    /** {@code intake} takes what clients ask, and {@code clients} keeps the places for their connections. */
+    public HttpFrontend(Site site, Intake intake, Clock clock, Loop loop, Overload<Claimant, ?> overload,
+            Clients clients) {
         this.overload = overload;
         this.site = site;
-        this.sessions = sessions;
+        this.intake = intake;
         this.clock = clock;
         this.loop = loop;
-        this.connections = new ClientConnections(loop, new SocketRoom(mostConnections, loop), mostConnections,
-                clock, overload);
+        this.connections = clients;
     }
 
     /** Listens on this address only, and no other. */
     public void start(InetSocketAddress address) throws IOException, InterruptedException {
-        listener = loop.listen(address, up -> new ClientConnection(up, this, connections), connections);
+        listener = loop.listen(address, up -> new ClientConnection(up, this, connections));
     }
 
     public InetSocketAddress address() {
@@ -57,11 +56,11 @@
      * Requests with this mark are the program's own: until {@link #setReady} they go to {@code own}, and what comes
      * a second time, as an attempt that the program sent to itself, is answered as a backend server would.
      */
-    public void rehearse(Sessions own, String mark) {
+    public void rehearse(Intake own, String mark) {
         rehearsal = new Rehearsal(own, mark);
     }
 
-    private record Rehearsal(Sessions sessions, String mark) { }
+    private record Rehearsal(Intake intake, String mark) { }
 
     /** Whether a client has asked for a session yet. */
     public boolean asked() {
@@ -74,18 +73,18 @@
     }
 
     /** The sessions that the request is for: a rehearsal's, clients', or none for what comes after a rehearsal. */
-    Sessions sessions(HttpRequest request) {
+    Intake intake(HttpRequest request) {
         Header mark = rehearsal == null ? null : request.getFirstHeader(REHEARSAL);
         if (mark == null || !rehearsal.mark().equals(mark.getValue())) {
             asked = true;
-            return sessions;
+            return intake;
         }
         // A late one must not get to clients' sessions: it would be sent to backend servers.
-        return ready ? null : rehearsal.sessions();
+        return ready ? null : rehearsal.intake();
     }
 
-    boolean rehearses(Sessions some) {
-        return rehearsal != null && rehearsal.sessions() == some;
+    boolean rehearses(Intake some) {
+        return rehearsal != null && rehearsal.intake() == some;
     }
 
     /** From now on each answer closes its connection; new connections are still taken. */
--- a/sidecar/src/main/java/peppergauge/frontend/SessionHandler.java
+++ b/sidecar/src/main/java/peppergauge/frontend/SessionHandler.java
@@ -20,8 +20,8 @@
 import peppergauge.http.Headers;
 import peppergauge.log.Log;
 import peppergauge.session.Frontend;
+import peppergauge.session.Intake;
 import peppergauge.session.Message;
-import peppergauge.session.Sessions;
 
 /** One request of a client, from its head to the last byte of its answer. */
 final class SessionHandler implements AsyncServerExchangeHandler, Frontend {
@@ -36,7 +36,7 @@
     private final ClientConnection connection;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private Head head;
-    private Sessions sessions;
+    private Intake intake;
     private boolean rehearsing;
     private ResponseChannel channel;
     private HttpContext context;
@@ -73,12 +73,12 @@
             answerHere(owner.ready() ? 200 : 503, owner.ready() ? "ready" : "not ready", null);
             return;
         }
-        sessions = owner.sessions(request);
-        if (sessions == null) {
+        intake = owner.intake(request);
+        if (intake == null) {
             answerHere(503, "the rehearsal is over", null);
             return;
         }
-        rehearsing = owner.rehearses(sessions);
+        rehearsing = owner.rehearses(intake);
         try {
             head = Head.read(request, owner.site());
         } catch (Head.Unusable unusable) {
@@ -134,7 +134,7 @@
     private void open() {
         opened = true;
         connection.waits(this);
-        sessions.open(head.opening(owner.arrivedMs(), body.toByteArray()), this);
+        intake.open(head.opening(owner.arrivedMs(), body.toByteArray()), this);
     }
 
     // ---- The one answer ----
@@ -238,7 +238,7 @@
     void clientGone() {
         if (opened && !done) {
             done = true;
-            sessions.left(head.id(), this);
+            intake.left(head.id(), this);
         }
     }
 }
--- a/sidecar/src/main/java/peppergauge/session/Sessions.java
+++ b/sidecar/src/main/java/peppergauge/session/Sessions.java
@@ -24,7 +24,7 @@
  * Owns the decision module and all open sessions, on the one thread of a {@link Scheduler}. Socket code calls the
  * public methods, from any thread; each of them only hands a task in, and timers are tasks that fall due later.
  */
-public final class Sessions {
+public final class Sessions implements Intake {
 
     /** Some seconds' worth of sessions; a copy of an id comes while its owner still waits, or hardly later. */
     private static final int IDS_KEPT = 2_048;
@@ -68,11 +68,12 @@
 
     // ---- What any thread may call ----
 
+    @Override
     public void open(Opening opening, Frontend frontend) {
         post(() -> onArrival(new Newcomer(opening, frontend)));
     }
 
-    /** The client of the session that this frontend answers no longer waits. */
+    @Override
     public void left(String id, Frontend frontend) {
         post(() -> onLeft(id, frontend));
     }
--- a/sidecar/src/main/java/peppergauge/sockets/Claimant.java
+++ b/sidecar/src/main/java/peppergauge/sockets/Claimant.java
@@ -11,4 +11,10 @@
      * @return whether it was closed
      */
     boolean closeForRoom();
+
+    /** The same without lack of room: what has come of a first request is waited for. */
+    boolean closeIfIdle();
+
+    /** Whether every answer that was given is written, in whole. */
+    boolean isWritten();
 }
--- a/sidecar/src/main/java/peppergauge/frontend/ClientConnections.java
+++ b/sidecar/src/main/java/peppergauge/sockets/Clients.java
@@ -1,4 +1,4 @@
-package peppergauge.frontend;
+package peppergauge.sockets;
 
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -8,12 +8,12 @@
 import peppergauge.overload.Extra;
 import peppergauge.overload.Overload;
 import peppergauge.session.Clock;
-import peppergauge.sockets.Claimant;
-import peppergauge.sockets.Loop;
-import peppergauge.sockets.SocketRoom;
 
-/** All clients' connections, and room for new ones. All but {@link #pass} runs on the loop's thread. */
-final class ClientConnections implements Loop.Gate {
+/**
+ * All clients' connections, of every protocol, and room for new ones: who is accepted when, and whose connection goes
+ * for it. All but {@link #pass} runs on the loop's thread.
+ */
+public final class Clients implements Loop.Gate {
 
     private static final long LOOK_FOR_ROOM_MS = 2;
     /** Places made at once of those that no usual client holds: a crowd fills the kernel's queue, and so before it. */
@@ -27,15 +27,16 @@
     private final Clock clock;
     private final Overload<Claimant, ?> overload;
     private final Claims<Claimant> claims;
-    private final Set<ClientConnection> open = new LinkedHashSet<>();
+    private final Set<Claimant> open = new LinkedHashSet<>();
     /** Connections that asked once and are idle; more of them are closed before their time. */
     private final int mostOnce;
     private Runnable whenWritten;
 
-    ClientConnections(Loop loop, SocketRoom room, int places, Clock clock, Overload<Claimant, ?> overload) {
+    /** {@code places}: connections that clients may hold together; each is a descriptor. */
+    public Clients(Loop loop, int places, Clock clock, Overload<Claimant, ?> overload) {
         this.mostOnce = (int) (places * ONCE_SHARE);
         this.loop = loop;
-        this.room = room;
+        this.room = new SocketRoom(places, loop);
         this.clock = clock;
         this.overload = overload;
         this.claims = overload.claims();
@@ -75,20 +76,24 @@
         }
     }
 
-    void opened(ClientConnection connection) {
+    /** A connection that passed here is up. */
+    public void opened(Claimant connection) {
         open.add(connection);
         claims.opened(connection, clock.nowMs());
     }
 
-    void reading(ClientConnection connection) {
+    /** Bytes of a request came in on it. */
+    public void reading(Claimant connection) {
         claims.reading(connection, clock.nowMs());
     }
 
-    void whole(ClientConnection connection) {
+    /** A request is whole; an answer is owed from now on. */
+    public void whole(Claimant connection) {
         claims.whole(connection);
     }
 
-    void answered(ClientConnection connection, boolean session) {
+    /** An answer is written; {@code session}: not one to what could not be used. */
+    public void answered(Claimant connection, boolean session) {
         double now = clock.nowMs();
         claims.answered(connection, now, session);
         for (Claimant spare = claims.surplus(now, mostOnce); spare != null; spare = claims.surplus(now, mostOnce)) {
@@ -97,7 +102,8 @@
         checkWritten();
     }
 
-    void closed(ClientConnection connection) {
+    /** It is over, by whichever side; to be told once. */
+    public void closed(Claimant connection) {
         open.remove(connection);
         claims.closed(connection);
         room.closed();
@@ -105,23 +111,23 @@
     }
 
     /** Whether connections that are idle, not for lack of room, are to be closed just now. */
-    boolean sweeps() {
+    public boolean sweeps() {
         return overload.runs(clock.nowMs(), Extra.IDLE_SWEEP);
     }
 
     /** Closes what is idle; each other connection closes after its answers. */
-    void closeIdle() {
-        new ArrayList<>(open).forEach(ClientConnection::closeIfIdle);
+    public void closeIdle() {
+        new ArrayList<>(open).forEach(Claimant::closeIfIdle);
     }
 
     /** Runs a task as soon as every answer that was given is written. */
-    void whenWritten(Runnable task) {
+    public void whenWritten(Runnable task) {
         whenWritten = task;
         checkWritten();
     }
 
     private void checkWritten() {
-        if (whenWritten != null && open.stream().allMatch(ClientConnection::isWritten)) {
+        if (whenWritten != null && open.stream().allMatch(Claimant::isWritten)) {
             whenWritten.run();
             whenWritten = null;
         }
--- a/sidecar/src/main/java/peppergauge/sockets/Loop.java
+++ b/sidecar/src/main/java/peppergauge/sockets/Loop.java
@@ -102,9 +102,10 @@
         return thread;
     }
 
-    /** {@code told} is told of each round. */
-    public void start(Watcher told) {
+    /** {@code told} is told of each round; {@code passed} by each accepted connection, whatever its listener. */
+    public void start(Watcher told, Gate passed) {
         watcher = told;
+        gate = passed;
         reactor.start();
     }
 
@@ -121,9 +122,8 @@
      *
      * @throws IOException if that is not to be had
      */
-    public ListenerEndpoint listen(InetSocketAddress address, Protocol protocol, Gate passed)
+    public ListenerEndpoint listen(InetSocketAddress address, Protocol protocol)
             throws IOException, InterruptedException {
-        gate = passed;
         try {
             return reactor.listen(address, protocol, null).get();
         } catch (ExecutionException failed) {
--- a/sidecar/src/test/java/peppergauge/frontend/RehearsalTest.java
+++ b/sidecar/src/test/java/peppergauge/frontend/RehearsalTest.java
@@ -13,6 +13,7 @@
 import peppergauge.session.Clock;
 import peppergauge.session.Sessions;
 import peppergauge.sockets.Claimant;
+import peppergauge.sockets.Clients;
 import peppergauge.sockets.Loop;
 
 public class RehearsalTest {
@@ -26,19 +27,20 @@
                 new Overload<>(OverloadSettings.of(List.of(1.0), 1, true, 1_000, 20, 1));
         Sessions clients = new Sessions(null, null, clock, loop, overload, List.of(), 100);
         Sessions own = new Sessions(null, null, clock, loop, overload, List.of(), 100);
-        HttpFrontend frontend = new HttpFrontend(null, clients, clock, loop, overload, 8);
+        HttpFrontend frontend = new HttpFrontend(null, clients, clock, loop, overload,
+                new Clients(loop, 8, clock, overload));
         BasicHttpRequest usual = new BasicHttpRequest("GET", "/list/k");
         BasicHttpRequest marked = new BasicHttpRequest("GET", "/list/k");
         marked.addHeader(HttpFrontend.REHEARSAL, "mark");
-        assertSame(frontend.sessions(marked), clients);
+        assertSame(frontend.intake(marked), clients);
         frontend.rehearse(own, "mark");
-        assertSame(frontend.sessions(marked), own);
+        assertSame(frontend.intake(marked), own);
         assertTrue(frontend.rehearses(own));
-        assertSame(frontend.sessions(usual), clients);
+        assertSame(frontend.intake(usual), clients);
         assertFalse(frontend.rehearses(clients));
         frontend.setReady();
-        assertNull(frontend.sessions(marked));
-        assertSame(frontend.sessions(usual), clients);
+        assertNull(frontend.intake(marked));
+        assertSame(frontend.intake(usual), clients);
         loop.close();
     }
 }
