Measure what one sidecar costs: bin/cost, with stand-ins whose load reports are true

Need: CPU a request was measured by hand with an outside generator in the closed loop, and with a stand-in that reported a service time of 5 ms for a delay of 35; the module then takes the servers for crushed and denies half.

Change: a harness of the project's own under src/test/java/peppergauge/cost, on selectors and the JDK alone. It starts the deploy file's `run` (of this or another checkout) pinned to one CPU, loads it in the open loop at Poisson times or in the closed one, and prints CPU and context switches a request, answers by status, percentiles, memory, threads, CPU by thread, and starts and stops; on half a core by stopping the process for half of each 20 ms. docs/COST.md says how to read it. The load's threads do not sleep: one that did was woken up to 3 ms late, which showed as a p99 of 38 ms instead of 35.

--- /dev/null
+++ b/src/test/java/peppergauge/cost/Deploy.java
@@ -0,0 +1,27 @@
+package peppergauge.cost;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads the command that starts one sidecar from a checkout's deploy file. */
+final class Deploy {
+
+    private static final Pattern RUN = Pattern.compile("^run\\s*=\\s*\"((?:[^\"\\\\]|\\\\.)*)\"", Pattern.MULTILINE);
+
+    private Deploy() { }
+
+    static String run(Path checkout) throws IOException {
+        return run(Files.readString(checkout.resolve("deploy").resolve("balancer.toml")));
+    }
+
+    static String run(String toml) {
+        Matcher line = RUN.matcher(toml);
+        if (!line.find()) {
+            throw new IllegalArgumentException("the deploy file has no line run = \"...\"");
+        }
+        return line.group(1).replaceAll("\\\\([\"\\\\])", "$1");
+    }
+}
--- /dev/null
+++ b/src/test/java/peppergauge/cost/LoadRun.java
@@ -0,0 +1,123 @@
+package peppergauge.cost;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** One load on a sidecar of its own: its start, a warm-up, and rounds without a pause between them. */
+final class LoadRun {
+
+    private static final int ROUNDS = 3;
+    /** Once to warm the harness up, once to count. */
+    private static final int ALONE_S = 2;
+
+    /** One round's figures. {@code othersShare} is the part of the sidecar's CPU that something else took. */
+    record Round(int requests, double cpuUs, double switches, Map<String, Integer> ends, double p50Ms, double p99Ms,
+            double p999Ms, long rssMb, int threads, double perS, double othersShare, double lagMs, double probes,
+            long connections) {
+
+        static Round of(Tally tally, Usage before, Usage after, double busyMs, StandIns.Counts came) {
+            Usage.Spent spent = after.since(before);
+            double requests = Math.max(1, tally.requests());
+            return new Round(tally.requests(), spent.cpuMs() * 1000 / requests, spent.switches() / requests,
+                    tally.ends, tally.latencies.ms(0.5), tally.latencies.ms(0.99), tally.latencies.ms(0.999),
+                    after.rssKb() / 1024, after.threads().size(), requests * 1000 / spent.wallMs(),
+                    Math.max(0, busyMs - spent.cpuMs()) / spent.wallMs(), tally.lags.ms(0.99),
+                    came.probes() / requests, came.connections());
+        }
+
+        Map<String, Object> json() {
+            Map<String, Object> json = new LinkedHashMap<>();
+            json.put("requests", requests);
+            json.put("requestsPerS", perS);
+            json.put("cpuUsPerRequest", cpuUs);
+            json.put("switchesPerRequest", switches);
+            json.put("ends", ends);
+            json.put("p50Ms", p50Ms);
+            json.put("p99Ms", p99Ms);
+            json.put("p999Ms", p999Ms);
+            json.put("rssMb", rssMb);
+            json.put("threads", threads);
+            json.put("othersShare", othersShare);
+            json.put("lagP99Ms", lagMs);
+            json.put("probesPerRequest", probes);
+            json.put("newServerConnections", connections);
+            return json;
+        }
+    }
+
+    private final Options options;
+    private final Scenario scenario;
+    private final Map<String, Object> example;
+
+    LoadRun(Options options, Scenario scenario, Map<String, Object> example) {
+        this.options = options;
+        this.scenario = scenario;
+        this.example = example;
+    }
+
+    /** The load straight to a stand-in: what it shows is the harness's own, and the machine's. */
+    private Tally alone() throws IOException, InterruptedException {
+        try (StandIns standIns = new StandIns(1, scenario.delay(), Example.zone(example), options.seed());
+                Generator generator = new Generator(standIns.address(0), scenario, Example.settings(example),
+                        options.seed())) {
+            TimeUnit.SECONDS.sleep(ALONE_S);
+            generator.nextRound();
+            TimeUnit.SECONDS.sleep(ALONE_S);
+            return generator.nextRound();
+        }
+    }
+
+    Map<String, Object> run() throws IOException, InterruptedException {
+        System.out.println("\n" + scenario + ", " + options.servers() + " backend servers");
+        Tally alone = alone();
+        Print.alone(alone);
+        try (StandIns standIns = new StandIns(options.servers(), scenario.delay(), Example.zone(example),
+                options.seed()); SidecarProcess sidecar = Cost.start(options, example, standIns)) {
+            SidecarProcess.Took start = sidecar.awaitUp();
+            Print.start(start);
+            List<Object> rounds = new ArrayList<>();
+            Usage first;
+            Usage last;
+            try (Generator generator = new Generator(sidecar.address(), scenario, Example.settings(example),
+                    options.seed())) {
+                TimeUnit.SECONDS.sleep(options.warmup());
+                Print.roundHead();
+                first = sidecar.usage();
+                last = first;
+                double busyMs = Proc.busyMs(options.cpu());
+                StandIns.Counts counts = standIns.counts();
+                generator.nextRound();
+                for (int i = 1; i <= options.roundsOr(ROUNDS); i++) {
+                    TimeUnit.SECONDS.sleep(options.seconds());
+                    Tally tally = generator.nextRound();
+                    Usage now = sidecar.usage();
+                    double nowBusyMs = Proc.busyMs(options.cpu());
+                    StandIns.Counts nowCounts = standIns.counts();
+                    Round round = Round.of(tally, last, now, nowBusyMs - busyMs, nowCounts.since(counts));
+                    Print.round(i, round);
+                    rounds.add(round.json());
+                    last = now;
+                    busyMs = nowBusyMs;
+                    counts = nowCounts;
+                }
+            }
+            Usage.Spent spent = last.since(first);
+            Print.threads(spent);
+            sidecar.terminate();
+            Map<String, Object> result = new LinkedHashMap<>();
+            result.put("scenario", scenario.toString());
+            result.put("aloneP50Ms", alone.latencies.ms(0.5));
+            result.put("aloneP99Ms", alone.latencies.ms(0.99));
+            result.put("aloneP999Ms", alone.latencies.ms(0.999));
+            result.put("startWallMs", start.wallMs());
+            result.put("startCpuMs", start.cpuMs());
+            result.put("rounds", rounds);
+            result.put("cpuMsByThread", spent.cpuMsByThread());
+            return result;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/peppergauge/cost/Message.java
@@ -0,0 +1,97 @@
+package peppergauge.cost;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** An HTTP/1.1 message as the harness reads it: a head, and a body of its Content-Length. */
+record Message(String head, byte[] body) {
+
+    /** The word at a place of the first line: the method or version, the path or status. */
+    String word(int place) {
+        return head.substring(0, head.indexOf("\r\n")).split(" ", 3)[place];
+    }
+
+    /** A header's value, or null. */
+    String header(String name) {
+        for (int at = head.indexOf("\r\n"); at + 2 < head.length(); at = head.indexOf("\r\n", at + 2)) {
+            int colon = at + 2 + name.length();
+            if (head.regionMatches(true, at + 2, name, 0, name.length()) && head.charAt(colon) == ':') {
+                return head.substring(colon + 1, head.indexOf("\r\n", colon)).trim();
+            }
+        }
+        return null;
+    }
+
+    boolean closes() {
+        return "close".equalsIgnoreCase(header("Connection"));
+    }
+
+    String text() {
+        return new String(body, StandardCharsets.ISO_8859_1);
+    }
+
+    /** What has come in on a connection and is not yet taken. */
+    static final class Inbox {
+
+        /** A body holds 64 KiB at most, and a head 8. */
+        private static final int LARGEST = 80 * 1024;
+
+        private byte[] bytes = new byte[4096];
+        private int size;
+
+        /** Whether the peer has not ended its sending. */
+        boolean fill(SocketChannel channel) throws IOException {
+            if (size == bytes.length) {
+                if (size >= LARGEST) {
+                    throw new IOException("a message of more than " + LARGEST + " bytes");
+                }
+                bytes = Arrays.copyOf(bytes, size * 2);
+            }
+            int read = channel.read(ByteBuffer.wrap(bytes, size, bytes.length - size));
+            size += Math.max(0, read);
+            return read >= 0;
+        }
+
+        /** The next whole message, or null. */
+        Message next() throws IOException {
+            int headEnd = headEnd();
+            if (headEnd < 0) {
+                return null;
+            }
+            Message message = new Message(new String(bytes, 0, headEnd, StandardCharsets.ISO_8859_1), new byte[0]);
+            int end = headEnd + length(message);
+            if (size < end) {
+                return null;
+            }
+            byte[] body = Arrays.copyOfRange(bytes, headEnd, end);
+            System.arraycopy(bytes, end, bytes, 0, size - end);
+            size -= end;
+            return new Message(message.head, body);
+        }
+
+        /** Chunks are not read here: taken for no body they would be read as the next message. */
+        private static int length(Message message) throws IOException {
+            if (message.header("Transfer-Encoding") != null) {
+                throw new IOException("chunked messages are not read");
+            }
+            String length = message.header("Content-Length");
+            try {
+                return length == null ? 0 : Integer.parseInt(length);
+            } catch (NumberFormatException malformed) {
+                throw new IOException("Content-Length is " + length);
+            }
+        }
+
+        private int headEnd() {
+            for (int i = 3; i < size; i++) {
+                if (bytes[i] == '\n' && bytes[i - 1] == '\r' && bytes[i - 2] == '\n' && bytes[i - 3] == '\r') {
+                    return i + 1;
+                }
+            }
+            return -1;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/peppergauge/cost/Print.java
@@ -0,0 +1,67 @@
+package peppergauge.cost;
+
+import java.util.Comparator;
+import java.util.Locale;
+import java.util.Map;
+
+/** The figures as lines for people. */
+final class Print {
+
+    private Print() { }
+
+    static void start(SidecarProcess.Took took) {
+        line("up after %.0f ms, %.0f ms of CPU", took.wallMs(), took.cpuMs());
+    }
+
+    static void alone(Tally tally) {
+        line("the load without a sidecar: p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms", tally.latencies.ms(0.5),
+                tally.latencies.ms(0.99), tally.latencies.ms(0.999));
+    }
+
+    static void roundHead() {
+        line("%5s %8s %8s %8s %8s %8s %8s %8s %7s %8s %8s %8s %8s %8s  %s", "round", "requests", "per s", "us CPU",
+                "switches", "p50 ms", "p99 ms", "p99.9 ms", "RSS MB", "threads", "others %", "lag ms", "probes",
+                "connects", "ends");
+    }
+
+    static void round(int number, LoadRun.Round round) {
+        line("%5d %8d %8.0f %8.0f %8.2f %8.2f %8.2f %8.2f %7d %8d %8.1f %8s %8.3f %8d  %s", number,
+                round.requests(), round.perS(), round.cpuUs(), round.switches(), round.p50Ms(), round.p99Ms(),
+                round.p999Ms(), round.rssMb(), round.threads(), round.othersShare() * 100, lag(round.lagMs()),
+                round.probes(), round.connections(), ends(round.ends()));
+    }
+
+    /** The closed loop has no intended times to be late for. */
+    private static String lag(double ms) {
+        return Double.isNaN(ms) ? "-" : String.format(Locale.ROOT, "%.2f", ms);
+    }
+
+    private static String ends(Map<String, Integer> ends) {
+        return ends.toString().replaceAll("[{}]", "").replace('=', ':');
+    }
+
+    /** Largest first; the rest belongs to threads that have ended or were never seen at work. */
+    static void threads(Usage.Spent spent) {
+        line("CPU by thread over all rounds, %.0f ms in all:", spent.cpuMs());
+        spent.cpuMsByThread().entrySet().stream().filter(thread -> thread.getValue() > 0)
+                .sorted(Map.Entry.<String, Double>comparingByValue(Comparator.reverseOrder()))
+                .forEach(thread -> line("  %-16s %7.0f ms %5.1f %%", thread.getKey(), thread.getValue(),
+                        100 * thread.getValue() / spent.cpuMs()));
+    }
+
+    static void yardstick(double beforeMs, double afterMs) {
+        line("fixed work on this CPU: %.2f ms before, %.2f ms after", beforeMs, afterMs);
+    }
+
+    static void spreadHead() {
+        line("%-12s %8s %8s %8s", "", "min", "median", "max");
+    }
+
+    static void spread(String name, double least, double median, double most) {
+        line("%-12s %8.0f %8.0f %8.0f", name, least, median, most);
+    }
+
+    private static void line(String format, Object... values) {
+        System.out.println(String.format(Locale.ROOT, format, values));
+    }
+}
--- /dev/null
+++ b/src/test/java/peppergauge/cost/Throttle.java
@@ -0,0 +1,68 @@
+package peppergauge.cost;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.Writer;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * Gives a process group a share of its CPU by stopping it for the rest of each period. This is harsher than a quota
+ * of the kernel's: it takes the time away whether or not the group wanted it. A shell sends the signals, since Java
+ * has no call for it and a process for each would cost more than it measures.
+ */
+final class Throttle implements Closeable {
+
+    private static final long PERIOD_NS = 20_000_000;
+
+    private final Process shell = new ProcessBuilder("/bin/sh").redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+    private final Writer signals = shell.outputWriter();
+    private final Thread thread;
+    private final long group;
+    private volatile boolean closed;
+
+    Throttle(long group, double share) throws IOException {
+        this.group = group;
+        long runNs = (long) (PERIOD_NS * share);
+        thread = new Thread(() -> {
+            long periodNs = System.nanoTime();
+            while (!closed) {
+                signal("CONT");
+                sleepUntil(periodNs + runNs);
+                signal("STOP");
+                periodNs += PERIOD_NS;
+                sleepUntil(periodNs);
+            }
+            signal("CONT");
+        }, "throttle");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** The signal fails harmlessly in the first ms, before the process has made its group, and after its end. */
+    private void signal(String name) {
+        try {
+            signals.write("kill -s " + name + " -- -" + group + "\n");
+            signals.flush();
+        } catch (IOException ended) {
+            closed = true;
+        }
+    }
+
+    private static void sleepUntil(long atNs) {
+        for (long waitNs = atNs - System.nanoTime(); waitNs > 0; waitNs = atNs - System.nanoTime()) {
+            LockSupport.parkNanos(waitNs);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        try {
+            thread.join(1_000);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        signals.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/peppergauge/cost/Usage.java
@@ -0,0 +1,62 @@
+package peppergauge.cost;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What a process and all processes below it have used up to now. */
+record Usage(long atNs, double cpuMs, long rssKb, Map<String, ThreadUse> threads) {
+
+    record ThreadUse(String name, double cpuMs, long switches) { }
+
+    /** What was used between two looks. */
+    record Spent(double wallMs, double cpuMs, long switches, Map<String, Double> cpuMsByThread) { }
+
+    static Usage of(ProcessHandle root) {
+        double cpuMs = cpuMs(root);
+        long rssKb = 0;
+        Map<String, ThreadUse> threads = new HashMap<>();
+        for (long pid : tree(root)) {
+            rssKb += Proc.status(Proc.process(pid), "VmRSS");
+            for (Path thread : Proc.threads(pid)) {
+                Proc.Stat stat = Proc.stat(thread);
+                if (stat != null) {
+                    threads.put(thread.toString(), new ThreadUse(stat.name(), stat.cpuMs(),
+                            Proc.status(thread, "voluntary_ctxt_switches", "nonvoluntary_ctxt_switches")));
+                }
+            }
+        }
+        return new Usage(System.nanoTime(), cpuMs, rssKb, threads);
+    }
+
+    /** CPU time alone, with that of children that have ended. */
+    static double cpuMs(ProcessHandle root) {
+        double sum = 0;
+        for (long pid : tree(root)) {
+            Proc.Stat stat = Proc.stat(Proc.process(pid));
+            sum += stat == null ? 0 : stat.cpuMs() + stat.reapedChildrenMs();
+        }
+        return sum;
+    }
+
+    private static List<Long> tree(ProcessHandle root) {
+        List<Long> pids = new ArrayList<>(List.of(root.pid()));
+        root.descendants().forEach(child -> pids.add(child.pid()));
+        return pids;
+    }
+
+    /** Switches of threads that ended in between are not seen, their CPU time is. */
+    Spent since(Usage before) {
+        long switches = 0;
+        Map<String, Double> byThread = new HashMap<>();
+        for (Map.Entry<String, ThreadUse> entry : threads.entrySet()) {
+            ThreadUse now = entry.getValue();
+            ThreadUse then = before.threads.getOrDefault(entry.getKey(), new ThreadUse(now.name, 0, 0));
+            switches += now.switches - then.switches;
+            byThread.merge(now.name, now.cpuMs - then.cpuMs, Double::sum);
+        }
+        return new Spent((atNs - before.atNs) / 1e6, cpuMs - before.cpuMs, switches, byThread);
+    }
+}
