Move the cost harness into the lab as a command, its stand-ins and load made general

The harness stood in a source folder that no module builds since the split, and its servers and clients could do one thing only. It is bin/peppergauge cost now; lab.standin has a backend server that can die, vanish and come back, and discovery with watch, changes, silence and emptiness; lab.load has the generator, which opens connections when all are busy, sends once more what crossed a close, and keeps latencies in HdrHistogram. Toy and Bed stay with the sidecar's tests, which cannot use the lab; Toy is public for the lab's own.

--- a/src/test/java/peppergauge/cost/Example.java
+++ b/lab/src/main/java/peppergauge/lab/cost/Example.java
@@ -1,4 +1,4 @@
-package peppergauge.cost;
+package peppergauge.lab.cost;
 
 import java.io.IOException;
 import java.nio.file.Files;
--- a/src/test/java/peppergauge/cost/Requests.java
+++ b/lab/src/main/java/peppergauge/lab/cost/ExampleRequests.java
@@ -1,13 +1,15 @@
-package peppergauge.cost;
+package peppergauge.lab.cost;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import peppergauge.lab.load.Request;
+import peppergauge.lab.load.Source;
+import peppergauge.lab.standin.Delay;
 
-/** Draws requests of the classes and tenants that the settings name; each has an id of its own. */
-final class Requests {
+/** Draws requests of the classes and tenants that the settings name, at Poisson times. */
+final class ExampleRequests implements Source {
 
     /** Share of requests that must not run twice, where the settings have both kinds. */
     private static final double UNSAFE_SHARE = 0.31;
@@ -16,27 +18,20 @@
 
     private record Kind(String name, boolean safe, long patienceMs) { }
 
-    /** The client waits for {@code patienceMs} from the time at which it wants to send. */
-    record Request(String id, String path, boolean safe, String tenant, long patienceMs) {
-
-        byte[] text(long remainingMs) {
-            return ((safe ? "GET " : "POST ") + path + " HTTP/1.1\r\nHost: api.internal\r\nX-Txn: " + id
-                    + "\r\nX-Org: " + tenant + "\r\nX-Remaining-Ms: " + remainingMs + "\r\n"
-                    + (safe ? "\r\n" : "Content-Length: " + BODY.length() + "\r\n\r\n" + BODY))
-                    .getBytes(StandardCharsets.ISO_8859_1);
-        }
-    }
-
     private final List<Kind> safe = new ArrayList<>();
     private final List<Kind> unsafe = new ArrayList<>();
     private final List<String> tenants = new ArrayList<>();
-    private final SplittableRandom random;
+    private final double ratePerS;
+    private final SplittableRandom times;
+    private final SplittableRandom kinds;
     private final String prefix;
     private long count;
 
-    Requests(Map<String, Object> settings, SplittableRandom random) {
-        this.random = random;
-        this.prefix = Long.toHexString(random.nextLong());
+    ExampleRequests(Map<String, Object> settings, double ratePerS, long seed) {
+        this.ratePerS = ratePerS;
+        times = new SplittableRandom(seed);
+        kinds = times.split();
+        prefix = Long.toHexString(kinds.nextLong());
         for (Object element : (List<?>) settings.get("profiles")) {
             Map<?, ?> profile = (Map<?, ?>) element;
             boolean repeats = !"at_most_once".equals(profile.get("effect"));
@@ -48,14 +43,20 @@
         }
     }
 
-    Request next() {
-        boolean repeats = unsafe.isEmpty() || !safe.isEmpty() && random.nextDouble() >= UNSAFE_SHARE;
+    @Override
+    public long nextNs(long lastNs) {
+        return lastNs + (long) Delay.exponential(times, 1e9 / ratePerS);
+    }
+
+    @Override
+    public Request next() {
+        boolean repeats = unsafe.isEmpty() || !safe.isEmpty() && kinds.nextDouble() >= UNSAFE_SHARE;
         Kind kind = one(repeats ? safe : unsafe);
-        return new Request(prefix + "-" + count++, "/" + kind.name + "/listener-" + random.nextInt(KEYS), kind.safe,
-                one(tenants), kind.patienceMs);
+        return new Request(prefix + "-" + count++, "/" + kind.name + "/listener-" + kinds.nextInt(KEYS),
+                one(tenants), kind.safe ? "" : BODY, kind.patienceMs * 1_000_000, false);
     }
 
     private <T> T one(List<T> list) {
-        return list.get(random.nextInt(list.size()));
+        return list.get(kinds.nextInt(list.size()));
     }
 }
--- a/src/test/java/peppergauge/cost/LoadRun.java
+++ b/lab/src/main/java/peppergauge/lab/cost/LoadRun.java
@@ -1,11 +1,18 @@
-package peppergauge.cost;
+package peppergauge.lab.cost;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import peppergauge.lab.load.Generator;
+import peppergauge.lab.load.Tally;
+import peppergauge.lab.process.Proc;
+import peppergauge.lab.process.SidecarProcess;
+import peppergauge.lab.process.Usage;
+import peppergauge.lab.wire.Loop;
 
 /** One load on a sidecar of its own: its start, a warm-up, and rounds without a pause between them. */
 final class LoadRun {
@@ -23,9 +30,9 @@
             Usage.Spent spent = after.since(before);
             double requests = Math.max(1, tally.requests());
             return new Round(tally.requests(), spent.cpuMs() * 1000 / requests, spent.switches() / requests,
-                    tally.ends, tally.latencies.ms(0.5), tally.latencies.ms(0.99), tally.latencies.ms(0.999),
+                    tally.ends(), tally.latencyMs(50), tally.latencyMs(99), tally.latencyMs(99.9),
                     after.rssKb() / 1024, after.threads().size(), requests * 1000 / spent.wallMs(),
-                    Math.max(0, busyMs - spent.cpuMs()) / spent.wallMs(), tally.lags.ms(0.99),
+                    Math.max(0, busyMs - spent.cpuMs()) / spent.wallMs(), tally.lagMs(99),
                     came.probes() / requests, came.connections());
         }
 
@@ -62,8 +69,8 @@
     /** The load straight to a stand-in: what it shows is the harness's own, and the machine's. */
     private Tally alone() throws IOException, InterruptedException {
         try (StandIns standIns = new StandIns(1, scenario.delay(), Example.zone(example), options.seed());
-                Generator generator = new Generator(standIns.address(0), scenario, Example.settings(example),
-                        options.seed())) {
+                Loop loop = new Loop("generator")) {
+            Generator generator = generator(loop, standIns.address(0));
             TimeUnit.SECONDS.sleep(ALONE_S);
             generator.nextRound();
             TimeUnit.SECONDS.sleep(ALONE_S);
@@ -71,34 +78,42 @@
         }
     }
 
+    private Generator generator(Loop loop, InetSocketAddress target) {
+        Generator generator = new Generator(loop, target, scenario.shape(),
+                new ExampleRequests(Example.settings(example), scenario.ratePerS(), options.seed()));
+        loop.start();
+        return generator;
+    }
+
     Map<String, Object> run() throws IOException, InterruptedException {
-        System.out.println("\n" + scenario + ", " + options.servers() + " backend servers");
+        options.out().println("\n" + scenario + ", " + options.servers() + " backend servers");
+        Print print = new Print(options.out());
         Tally alone = alone();
-        Print.alone(alone);
+        print.alone(alone);
         try (StandIns standIns = new StandIns(options.servers(), scenario.delay(), Example.zone(example),
                 options.seed()); SidecarProcess sidecar = Cost.start(options, example, standIns)) {
             SidecarProcess.Took start = sidecar.awaitUp();
-            Print.start(start);
+            print.start(start);
             List<Object> rounds = new ArrayList<>();
             Usage first;
             Usage last;
-            try (Generator generator = new Generator(sidecar.address(), scenario, Example.settings(example),
-                    options.seed())) {
+            try (Loop loop = new Loop("generator")) {
+                Generator generator = generator(loop, sidecar.address());
                 TimeUnit.SECONDS.sleep(options.warmup());
-                Print.roundHead();
+                print.roundHead();
                 first = sidecar.usage();
                 last = first;
-                double busyMs = Proc.busyMs(options.cpu());
+                double busyMs = Proc.busyMs(options.launch().cpu());
                 StandIns.Counts counts = standIns.counts();
                 generator.nextRound();
                 for (int i = 1; i <= options.roundsOr(ROUNDS); i++) {
                     TimeUnit.SECONDS.sleep(options.seconds());
                     Tally tally = generator.nextRound();
                     Usage now = sidecar.usage();
-                    double nowBusyMs = Proc.busyMs(options.cpu());
+                    double nowBusyMs = Proc.busyMs(options.launch().cpu());
                     StandIns.Counts nowCounts = standIns.counts();
                     Round round = Round.of(tally, last, now, nowBusyMs - busyMs, nowCounts.since(counts));
-                    Print.round(i, round);
+                    print.round(i, round);
                     rounds.add(round.json());
                     last = now;
                     busyMs = nowBusyMs;
@@ -106,13 +121,13 @@
                 }
             }
             Usage.Spent spent = last.since(first);
-            Print.threads(spent);
+            print.threads(spent);
             sidecar.terminate();
             Map<String, Object> result = new LinkedHashMap<>();
             result.put("scenario", scenario.toString());
-            result.put("aloneP50Ms", alone.latencies.ms(0.5));
-            result.put("aloneP99Ms", alone.latencies.ms(0.99));
-            result.put("aloneP999Ms", alone.latencies.ms(0.999));
+            result.put("aloneP50Ms", alone.latencyMs(50));
+            result.put("aloneP99Ms", alone.latencyMs(99));
+            result.put("aloneP999Ms", alone.latencyMs(99.9));
             result.put("startWallMs", start.wallMs());
             result.put("startCpuMs", start.cpuMs());
             result.put("rounds", rounds);
--- a/src/test/java/peppergauge/cost/Machine.java
+++ b/lab/src/main/java/peppergauge/lab/cost/Machine.java
@@ -1,4 +1,4 @@
-package peppergauge.cost;
+package peppergauge.lab.cost;
 
 import java.io.IOException;
 import java.nio.file.Path;
@@ -8,16 +8,13 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import peppergauge.lab.process.Proc;
 
 /** The machine's CPUs, and which of them are for the load. */
 final class Machine {
 
     private Machine() { }
 
-    static int lastCpu() {
-        return cpus().get(cpus().size() - 1);
-    }
-
     /** Those that this process may use, as in {@code 0-3,6}. */
     static List<Integer> cpus() {
         String allowed = line("/proc/self/status", "Cpus_allowed_list");
--- a/src/test/java/peppergauge/cost/Print.java
+++ b/lab/src/main/java/peppergauge/lab/cost/Print.java
@@ -1,30 +1,38 @@
-package peppergauge.cost;
+package peppergauge.lab.cost;
 
+import java.io.PrintWriter;
 import java.util.Comparator;
 import java.util.Locale;
 import java.util.Map;
+import peppergauge.lab.load.Tally;
+import peppergauge.lab.process.SidecarProcess;
+import peppergauge.lab.process.Usage;
 
 /** The figures as lines for people. */
 final class Print {
 
-    private Print() { }
+    private final PrintWriter out;
 
-    static void start(SidecarProcess.Took took) {
+    Print(PrintWriter out) {
+        this.out = out;
+    }
+
+    void start(SidecarProcess.Took took) {
         line("up after %.0f ms, %.0f ms of CPU", took.wallMs(), took.cpuMs());
     }
 
-    static void alone(Tally tally) {
-        line("the load without a sidecar: p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms", tally.latencies.ms(0.5),
-                tally.latencies.ms(0.99), tally.latencies.ms(0.999));
+    void alone(Tally tally) {
+        line("the load without a sidecar: p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms", tally.latencyMs(50),
+                tally.latencyMs(99), tally.latencyMs(99.9));
     }
 
-    static void roundHead() {
+    void roundHead() {
         line("%5s %8s %8s %8s %8s %8s %8s %8s %7s %8s %8s %8s %8s %8s  %s", "round", "requests", "per s", "us CPU",
                 "switches", "p50 ms", "p99 ms", "p99.9 ms", "RSS MB", "threads", "others %", "lag ms", "probes",
                 "connects", "ends");
     }
 
-    static void round(int number, LoadRun.Round round) {
+    void round(int number, LoadRun.Round round) {
         line("%5d %8d %8.0f %8.0f %8.2f %8.2f %8.2f %8.2f %7d %8d %8.1f %8s %8.3f %8d  %s", number,
                 round.requests(), round.perS(), round.cpuUs(), round.switches(), round.p50Ms(), round.p99Ms(),
                 round.p999Ms(), round.rssMb(), round.threads(), round.othersShare() * 100, lag(round.lagMs()),
@@ -41,7 +49,7 @@
     }
 
     /** Largest first; the rest belongs to threads that have ended or were never seen at work. */
-    static void threads(Usage.Spent spent) {
+    void threads(Usage.Spent spent) {
         line("CPU by thread over all rounds, %.0f ms in all:", spent.cpuMs());
         spent.cpuMsByThread().entrySet().stream().filter(thread -> thread.getValue() > 0)
                 .sorted(Map.Entry.<String, Double>comparingByValue(Comparator.reverseOrder()))
@@ -49,19 +57,19 @@
                         100 * thread.getValue() / spent.cpuMs()));
     }
 
-    static void yardstick(double beforeMs, double afterMs) {
+    void yardstick(double beforeMs, double afterMs) {
         line("fixed work on this CPU: %.2f ms before, %.2f ms after", beforeMs, afterMs);
     }
 
-    static void spreadHead() {
+    void spreadHead() {
         line("%-12s %8s %8s %8s", "", "min", "median", "max");
     }
 
-    static void spread(String name, double least, double median, double most) {
+    void spread(String name, double least, double median, double most) {
         line("%-12s %8.0f %8.0f %8.0f", name, least, median, most);
     }
 
-    private static void line(String format, Object... values) {
-        System.out.println(String.format(Locale.ROOT, format, values));
+    private void line(String format, Object... values) {
+        out.println(String.format(Locale.ROOT, format, values));
     }
 }
--- a/src/test/java/peppergauge/cost/Scenario.java
+++ b/lab/src/main/java/peppergauge/lab/cost/Scenario.java
@@ -1,6 +1,9 @@
-package peppergauge.cost;
+package peppergauge.lab.cost;
 
 import java.util.List;
+import java.util.stream.Stream;
+import peppergauge.lab.load.Generator;
+import peppergauge.lab.standin.Delay;
 
 /** A load: requests a second in the open loop, or 0 for the closed one. */
 record Scenario(String name, double ratePerS, int connections, Delay delay) {
@@ -15,7 +18,16 @@
 
     static Scenario named(String name) {
         return LOADS.stream().filter(load -> load.name.equals(name)).findFirst()
-                .orElseThrow(() -> new IllegalArgumentException("no scenario is called " + name));
+                .orElseThrow(
+                        () -> new IllegalArgumentException("no scenario is called " + name + "; there are " + String.join(", ", all())));
+    }
+
+    static List<String> all() {
+        return Stream.concat(LOADS.stream().map(Scenario::name), Stream.of(START)).toList();
+    }
+
+    Generator.Shape shape() {
+        return new Generator.Shape(connections, connections, ratePerS == 0);
     }
 
     Scenario with(Delay other) {
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/cost/StandIns.java
@@ -0,0 +1,74 @@
+package peppergauge.lab.cost;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.ToLongFunction;
+import peppergauge.lab.standin.BackendServer;
+import peppergauge.lab.standin.Delay;
+import peppergauge.lab.standin.Discovery;
+import peppergauge.lab.standin.FixedService;
+import peppergauge.lab.standin.ServerList;
+import peppergauge.lab.standin.ServerRow;
+import peppergauge.lab.wire.Loop;
+
+/** All that a measured sidecar talks to, on one thread: its backend servers, all alike, and discovery. */
+final class StandIns implements Closeable {
+
+    /** What came in at the backend servers so far. */
+    record Counts(long requests, long probes, long connections) {
+
+        Counts since(Counts before) {
+            return new Counts(requests - before.requests, probes - before.probes, connections - before.connections);
+        }
+    }
+
+    private final Loop loop = new Loop("stand-ins");
+    private final List<FixedService> services = new ArrayList<>();
+    private final List<BackendServer> servers = new ArrayList<>();
+    private final Discovery discovery;
+    private final ServerList table;
+
+    StandIns(int count, Delay delay, String zone, long seed) throws IOException {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<ServerRow> rows = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            FixedService service = new FixedService(loop, delay, random.split());
+            services.add(service);
+            servers.add(new BackendServer(loop, service));
+            rows.add(ServerRow.active("s-" + i, servers.get(i).address(), zone));
+        }
+        discovery = new Discovery(loop, rows);
+        table = discovery.list();
+        loop.start();
+    }
+
+    /** The server table in discovery's form. */
+    ServerList table() {
+        return table;
+    }
+
+    InetSocketAddress address(int server) {
+        return servers.get(server).socketAddress();
+    }
+
+    InetSocketAddress discovery() {
+        return discovery.address();
+    }
+
+    Counts counts() {
+        return new Counts(sum(FixedService::requests), sum(FixedService::probes), sum(FixedService::connections));
+    }
+
+    private long sum(ToLongFunction<FixedService> count) {
+        return services.stream().mapToLong(count).sum();
+    }
+
+    @Override
+    public void close() throws IOException {
+        loop.close();
+    }
+}
--- a/src/test/java/peppergauge/cost/StartRun.java
+++ b/lab/src/main/java/peppergauge/lab/cost/StartRun.java
@@ -1,4 +1,4 @@
-package peppergauge.cost;
+package peppergauge.lab.cost;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
+import peppergauge.lab.process.SidecarProcess;
+import peppergauge.lab.standin.Delay;
 
 /** Starts and stops a sidecar without load, again and again. */
 final class StartRun {
@@ -18,7 +20,7 @@
             throws IOException, InterruptedException {
         List<SidecarProcess.Took> starts = new ArrayList<>();
         List<SidecarProcess.Took> stops = new ArrayList<>();
-        System.out.println("\nstart: " + options.roundsOr(STARTS) + " starts and stops without load");
+        options.out().println("\nstart: " + options.roundsOr(STARTS) + " starts and stops without load");
         try (StandIns standIns = new StandIns(options.servers(), new Delay(0, false), Example.zone(example),
                 options.seed())) {
             for (int i = 0; i < options.roundsOr(STARTS); i++) {
@@ -30,20 +32,21 @@
         }
         Map<String, Object> result = new LinkedHashMap<>();
         result.put("scenario", Scenario.START);
-        Print.spreadHead();
-        spread(result, "startWallMs", starts, SidecarProcess.Took::wallMs);
-        spread(result, "startCpuMs", starts, SidecarProcess.Took::cpuMs);
-        spread(result, "stopWallMs", stops, SidecarProcess.Took::wallMs);
-        spread(result, "stopCpuMs", stops, SidecarProcess.Took::cpuMs);
+        Print print = new Print(options.out());
+        print.spreadHead();
+        spread(print, result, "startWallMs", starts, SidecarProcess.Took::wallMs);
+        spread(print, result, "startCpuMs", starts, SidecarProcess.Took::cpuMs);
+        spread(print, result, "stopWallMs", stops, SidecarProcess.Took::wallMs);
+        spread(print, result, "stopCpuMs", stops, SidecarProcess.Took::cpuMs);
         return result;
     }
 
-    private static void spread(Map<String, Object> result, String name, List<SidecarProcess.Took> took,
+    private static void spread(Print print, Map<String, Object> result, String name, List<SidecarProcess.Took> took,
             ToDoubleFunction<SidecarProcess.Took> figure) {
         double[] sorted = took.stream().mapToDouble(figure).sorted().toArray();
         int half = sorted.length / 2;
         double median = sorted.length % 2 == 1 ? sorted[half] : (sorted[half - 1] + sorted[half]) / 2;
-        Print.spread(name, sorted[0], median, sorted[sorted.length - 1]);
+        print.spread(name, sorted[0], median, sorted[sorted.length - 1]);
         result.put(name, took.stream().mapToDouble(figure).boxed().toList());
     }
 }
--- a/src/test/java/peppergauge/cost/Deploy.java
+++ b/lab/src/main/java/peppergauge/lab/process/Deploy.java
@@ -1,4 +1,4 @@
-package peppergauge.cost;
+package peppergauge.lab.process;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -7,17 +7,24 @@
 import java.util.regex.Pattern;
 
 /** Reads the command that starts one sidecar from a checkout's deploy file. */
-final class Deploy {
+public final class Deploy {
 
     private static final Pattern RUN = Pattern.compile("^run\\s*=\\s*\"((?:[^\"\\\\]|\\\\.)*)\"", Pattern.MULTILINE);
 
     private Deploy() { }
 
-    static String run(Path checkout) throws IOException {
+    /**
+     * The {@code run} line of {@code deploy/balancer.toml}.
+     *
+     * @throws IOException if there is no such file
+     * @throws IllegalArgumentException if it has no such line
+     */
+    public static String run(Path checkout) throws IOException {
         return run(Files.readString(checkout.resolve("deploy").resolve("balancer.toml")));
     }
 
-    static String run(String toml) {
+    /** The same from the text of such a file. */
+    public static String run(String toml) {
         Matcher line = RUN.matcher(toml);
         if (!line.find()) {
             throw new IllegalArgumentException("the deploy file has no line run = \"...\"");
--- a/src/test/java/peppergauge/cost/Proc.java
+++ b/lab/src/main/java/peppergauge/lab/process/Proc.java
@@ -1,4 +1,4 @@
-package peppergauge.cost;
+package peppergauge.lab.process;
 
 import java.io.IOException;
 import java.nio.file.DirectoryIteratorException;
@@ -10,10 +10,10 @@
 import java.util.List;
 
 /** What Linux tells of processes under /proc. What has ended between two looks is passed over. */
-final class Proc {
+public final class Proc {
 
     /** Of a process or one of its threads: its name, and user and system time. */
-    record Stat(String name, double cpuMs, double reapedChildrenMs) { }
+    public record Stat(String name, double cpuMs, double reapedChildrenMs) { }
 
     /** The unit of times under /proc: 100 a second on every Linux that runs Java. */
     private static final double TICK_MS = 10;
@@ -21,7 +21,8 @@
 
     private Proc() { }
 
-    static Path process(long pid) {
+    /** Where a process's files are. */
+    public static Path process(long pid) {
         return ROOT.resolve(Long.toString(pid));
     }
 
@@ -37,13 +38,13 @@
     }
 
     /** The figures of a process or thread, or null. */
-    static Stat stat(Path of) {
+    public static Stat stat(Path of) {
         String line = read(of.resolve("stat"));
         return line.isEmpty() ? null : parse(line);
     }
 
     /** The name stands in parentheses and may hold spaces and parentheses itself. */
-    static Stat parse(String line) {
+    public static Stat parse(String line) {
         int end = line.lastIndexOf(')');
         String[] fields = line.substring(end + 2).trim().split(" ");
         return new Stat(line.substring(line.indexOf('(') + 1, end), ms(fields, 11, 12), ms(fields, 13, 14));
@@ -61,7 +62,7 @@
     }
 
     /** For how long a CPU has been at work, or was taken away by the host. */
-    static double busyMs(int cpu) {
+    public static double busyMs(int cpu) {
         String line = read(ROOT.resolve("stat")).lines().filter(row -> row.startsWith("cpu" + cpu + " ")).findFirst()
                 .orElseThrow(() -> new IllegalArgumentException("there is no CPU " + cpu));
         String[] fields = line.split(" +");
@@ -73,7 +74,8 @@
         return TICK_MS * ticks;
     }
 
-    static String read(Path file) {
+    /** A whole file, or nothing if it is gone. */
+    public static String read(Path file) {
         try {
             return Files.readString(file);
         } catch (IOException ended) {
--- a/src/test/java/peppergauge/cost/SidecarProcess.java
+++ b/lab/src/main/java/peppergauge/lab/process/SidecarProcess.java
@@ -1,5 +1,6 @@
-package peppergauge.cost;
+package peppergauge.lab.process;
 
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -9,16 +10,28 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import peppergauge.lab.wire.Listener;
 
-/** A sidecar's process, alone in a process group and pinned to one CPU. */
-final class SidecarProcess implements Closeable {
+/** A sidecar's process, alone in a process group, perhaps pinned to one CPU or with a share of its time. */
+public final class SidecarProcess implements Closeable {
 
-    /** From the command's start until /up said 200, or from SIGTERM to the end. */
-    record Took(double wallMs, double cpuMs) { }
+    /**
+     * How to start it.
+     *
+     * @param checkout where the command is run
+     * @param run a shell command, as in {@code deploy/balancer.toml}
+     * @param cpu the one it may use; -1 for all
+     * @param quota share of the time that it may run, over 0 up to 1
+     */
+    public record Launch(Path checkout, String run, int cpu, double quota) { }
+
+    /** From the command's start until /up said 200, or from SIGTERM to the end; ms. */
+    public record Took(double wallMs, double cpuMs) { }
 
     private static final long LONGEST_START_NS = 30_000_000_000L;
     private static final long LONGEST_STOP_NS = 10_000_000_000L;
@@ -34,29 +47,37 @@
     private final Throttle throttle;
     private final long startedNs;
 
-    /** The settings come from the example, the rest is told here. */
-    SidecarProcess(Options options, Map<String, Object> example, StandIns standIns) throws IOException {
-        listen = freeAddress();
-        directory = Files.createTempDirectory("cost");
-        Map<String, Object> config = new LinkedHashMap<>(example);
-        config.put("listen", StandIns.text(listen));
-        config.put("discovery", StandIns.text(standIns.discovery()));
-        config.put("known", standIns.table(Example.zone(example)));
-        Path file = Files.writeString(directory.resolve("config.json"), Json.text(config));
-        ProcessBuilder builder = new ProcessBuilder("setsid", "taskset", "-c", Integer.toString(options.cpu()),
-                "/bin/sh", "-c", options.run());
-        builder.directory(options.checkout().toFile());
+    /**
+     * Starts it.
+     *
+     * @param config in the form of {@code GW_CONFIG}, without {@code listen}
+     * @throws IOException if it cannot be started
+     */
+    public SidecarProcess(Launch launch, InetSocketAddress listen, Map<String, Object> config) throws IOException {
+        this.listen = listen;
+        directory = Files.createTempDirectory("sidecar");
+        Map<String, Object> whole = new LinkedHashMap<>(config);
+        whole.put("listen", Listener.text(listen));
+        Path file = directory.resolve("config.json");
+        new JsonMapper().writeValue(file.toFile(), whole);
+        List<String> command = new ArrayList<>(List.of("setsid"));
+        if (launch.cpu() >= 0) {
+            command.addAll(List.of("taskset", "-c", Integer.toString(launch.cpu())));
+        }
+        command.addAll(List.of("/bin/sh", "-c", launch.run()));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.directory(launch.checkout().toFile());
         builder.environment().keySet().removeIf(name -> name.startsWith("GW_"));
         builder.environment().put("GW_CONFIG", file.toString());
         builder.environment().put("TMPDIR", directory.toString());
         builder.redirectErrorStream(true).redirectOutput(log().toFile());
         startedNs = System.nanoTime();
         process = builder.start();
-        throttle = options.quota() < 1 ? new Throttle(process.pid(), options.quota()) : null;
+        throttle = launch.quota() < 1 ? new Throttle(process.pid(), launch.quota()) : null;
     }
 
     /** Free now; in the rare case that something else gets it meanwhile the start fails and says so. */
-    private static InetSocketAddress freeAddress() throws IOException {
+    public static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return (InetSocketAddress) probe.getLocalSocketAddress();
         }
@@ -66,16 +87,21 @@
         return directory.resolve("log");
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return listen;
     }
 
-    Usage usage() {
+    /** Of the process and all below it. */
+    public Usage usage() {
         return Usage.of(process.toHandle());
     }
 
-    /** Waits until /up says 200. */
-    Took awaitUp() throws IOException, InterruptedException {
+    /**
+     * Waits until /up says 200.
+     *
+     * @throws IOException with its log, if it ends first or takes 30 s
+     */
+    public Took awaitUp() throws IOException, InterruptedException {
         while (true) {
             String status = askUp();
             long tookNs = System.nanoTime() - startedNs;
@@ -101,8 +127,12 @@
         }
     }
 
-    /** SIGTERM, and waits for the end. The CPU time is the last that was seen, up to 2 ms before. */
-    Took terminate() throws IOException, InterruptedException {
+    /**
+     * SIGTERM, and waits for the end. The CPU time is the last that was seen, up to 2 ms before.
+     *
+     * @throws IOException with its log, if that takes 10 s
+     */
+    public Took terminate() throws IOException, InterruptedException {
         long startNs = System.nanoTime();
         double beforeMs = Usage.cpuMs(process.toHandle());
         double cpuMs = beforeMs;
@@ -123,6 +153,20 @@
         return shell ? process.toHandle().children().findFirst().orElse(process.toHandle()) : process.toHandle();
     }
 
+    /** Has it stand still, or go on. */
+    public void pause(boolean now) throws IOException {
+        new ProcessBuilder("kill", "-s", now ? "STOP" : "CONT", "--", "-" + process.pid()).start();
+    }
+
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** What it has written so far. */
+    public String said() {
+        return Proc.read(log());
+    }
+
     /** Kills what is left of it. */
     @Override
     public void close() throws IOException {
--- a/src/test/java/peppergauge/cost/Throttle.java
+++ b/lab/src/main/java/peppergauge/lab/process/Throttle.java
@@ -1,4 +1,4 @@
-package peppergauge.cost;
+package peppergauge.lab.process;
 
 import java.io.Closeable;
 import java.io.IOException;
--- a/src/test/java/peppergauge/cost/Usage.java
+++ b/lab/src/main/java/peppergauge/lab/process/Usage.java
@@ -1,4 +1,4 @@
-package peppergauge.cost;
+package peppergauge.lab.process;
 
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -6,15 +6,23 @@
 import java.util.List;
 import java.util.Map;
 
-/** What a process and all processes below it have used up to now. */
-record Usage(long atNs, double cpuMs, long rssKb, Map<String, ThreadUse> threads) {
+/**
+ * What a process and all processes below it have used up to now.
+ *
+ * @param atNs when, in System.nanoTime
+ * @param rssKb resident memory, KiB
+ * @param threads by their path under /proc
+ */
+public record Usage(long atNs, double cpuMs, long rssKb, Map<String, ThreadUse> threads) {
 
-    record ThreadUse(String name, double cpuMs, long switches) { }
+    /** One thread's, by its name. */
+    public record ThreadUse(String name, double cpuMs, long switches) { }
 
     /** What was used between two looks. */
-    record Spent(double wallMs, double cpuMs, long switches, Map<String, Double> cpuMsByThread) { }
+    public record Spent(double wallMs, double cpuMs, long switches, Map<String, Double> cpuMsByThread) { }
 
-    static Usage of(ProcessHandle root) {
+    /** As of now. */
+    public static Usage of(ProcessHandle root) {
         double cpuMs = cpuMs(root);
         long rssKb = 0;
         Map<String, ThreadUse> threads = new HashMap<>();
@@ -32,7 +40,7 @@
     }
 
     /** CPU time alone, with that of children that have ended. */
-    static double cpuMs(ProcessHandle root) {
+    public static double cpuMs(ProcessHandle root) {
         double sum = 0;
         for (long pid : tree(root)) {
             Proc.Stat stat = Proc.stat(Proc.process(pid));
@@ -48,7 +56,7 @@
     }
 
     /** Switches of threads that ended in between are not seen, their CPU time is. */
-    Spent since(Usage before) {
+    public Spent since(Usage before) {
         long switches = 0;
         Map<String, Double> byThread = new HashMap<>();
         for (Map.Entry<String, ThreadUse> entry : threads.entrySet()) {
--- a/src/test/java/peppergauge/cost/Delay.java
+++ b/lab/src/main/java/peppergauge/lab/standin/Delay.java
@@ -1,12 +1,12 @@
-package peppergauge.cost;
+package peppergauge.lab.standin;
 
 import java.util.SplittableRandom;
 
 /** How long a stand-in takes to answer: always the mean, or drawn from the exponential distribution around it. */
-record Delay(double meanMs, boolean exponential) {
+public record Delay(double meanMs, boolean exponential) {
 
     /** {@code 35} or {@code exp:35}, in ms. */
-    static Delay parse(String text) {
+    public static Delay parse(String text) {
         boolean exponential = text.startsWith("exp:");
         double meanMs = Double.parseDouble(exponential ? text.substring(4) : text);
         if (!(meanMs >= 0 && meanMs < 60_000)) {
@@ -15,11 +15,11 @@
         return new Delay(meanMs, exponential);
     }
 
-    long drawNs(SplittableRandom random) {
+    public long drawNs(SplittableRandom random) {
         return (long) (1e6 * (exponential ? exponential(random, meanMs) : meanMs));
     }
 
-    static double exponential(SplittableRandom random, double mean) {
+    public static double exponential(SplittableRandom random, double mean) {
         return -mean * Math.log(1 - random.nextDouble());
     }
 
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/standin/Discovery.java
@@ -0,0 +1,163 @@
+package peppergauge.lab.standin;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import peppergauge.lab.wire.Listener;
+import peppergauge.lab.wire.Loop;
+import peppergauge.lab.wire.Message;
+import peppergauge.lab.wire.Peer;
+
+/**
+ * Discovery's stand-in: tells the whole list to who asks, and to a watch the whole list, then each change, and an
+ * empty line every 2 s while nothing changes. All methods are for the loop's thread only, but for the constructor.
+ */
+public final class Discovery implements Closeable {
+
+    private static final long HEARTBEAT_NS = 2_000_000_000L;
+
+    private final Loop loop;
+    private final Listener listener;
+    private final Map<String, ServerRow> rows = new LinkedHashMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private long version;
+    private boolean silent;
+    private boolean empty;
+
+    /**
+     * Opens a free port.
+     *
+     * @param first what is told from the start on; its version is 1
+     * @throws IOException if none can be had
+     */
+    public Discovery(Loop loop, List<ServerRow> first) throws IOException {
+        this.loop = loop;
+        listener = new Listener(loop, Watch::new);
+        version = 1;
+        first.forEach(row -> rows.put(row.id(), row));
+    }
+
+    public InetSocketAddress address() {
+        return listener.address();
+    }
+
+    /** All that was told so far. */
+    public ServerList list() {
+        return new ServerList(version, true, empty ? List.of() : List.copyOf(rows.values()));
+    }
+
+    /** Tells changes, at once; {@code left} ones are forgotten. While it is silent they are told at its end. */
+    public void tell(List<ServerRow> changes) {
+        version++;
+        for (ServerRow row : changes) {
+            if (row.state().equals("left")) {
+                rows.remove(row.id());
+            } else {
+                rows.put(row.id(), row);
+            }
+        }
+        if (!empty) {
+            toWatches(new ServerList(version, false, changes).json());
+        }
+    }
+
+    /** While silent it answers nobody, and open watches hear nothing; at the end they hear the whole list. */
+    public void silent(boolean now) {
+        silent = now;
+        if (!now) {
+            toWatches(list().json());
+        }
+    }
+
+    /** While empty it says that there are no servers. */
+    public void empty(boolean now) {
+        version++;
+        empty = now;
+        toWatches(list().json());
+    }
+
+    /** Ends all watches by a reset, and refuses connections. */
+    @Override
+    public void close() throws IOException {
+        List.copyOf(watches).forEach(Watch::reset);
+        watches.clear();
+        listener.close();
+    }
+
+    /** Listens again, under the same address. */
+    public void reopen() throws IOException {
+        listener.reopen();
+    }
+
+    /** One watch: its head goes out before the first thing that it is told. */
+    private final class Watch extends Peer {
+
+        private boolean watching;
+        private boolean headed;
+
+        Watch(SocketChannel channel) throws IOException {
+            super(channel);
+        }
+
+        @Override
+        protected void received(Message message) throws IOException {
+            if (message.word(1).contains("watch=1")) {
+                watching = true;
+                watches.add(this);
+                beatAt(System.nanoTime() + HEARTBEAT_NS);
+                tell(list().json());
+            } else if (!silent) {
+                String text = list().json();
+                write(ascii("HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text));
+            }
+        }
+
+        void tell(String line) throws IOException {
+            if (silent) {
+                return;
+            }
+            String text = line + "\n";
+            write(ascii((headed ? "" : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    + Integer.toHexString(text.length()) + "\r\n" + text + "\r\n"));
+            headed = true;
+        }
+
+        private void beatAt(long atNs) {
+            loop.at(atNs, () -> {
+                if (isOpen() && watching) {
+                    toldOrClosed(headed ? "" : list().json());
+                    beatAt(atNs + HEARTBEAT_NS);
+                }
+            });
+        }
+
+        void toldOrClosed(String line) {
+            try {
+                tell(line);
+            } catch (IOException gone) {
+                close();
+                broken();
+            }
+        }
+
+        @Override
+        public void broken() {
+            watching = false;
+            watches.remove(this);
+        }
+    }
+
+    private void toWatches(String line) {
+        List.copyOf(watches).forEach(watch -> watch.toldOrClosed(line));
+    }
+
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/standin/Exchange.java
@@ -0,0 +1,41 @@
+package peppergauge.lab.standin;
+
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import peppergauge.lab.wire.Message;
+import peppergauge.lab.wire.Peer;
+
+/** A client's connection to a backend server's stand-in. */
+public final class Exchange extends Peer {
+
+    private final Service service;
+
+    Exchange(SocketChannel channel, Service service) throws IOException {
+        super(channel);
+        this.service = service;
+        service.opened(this);
+    }
+
+    @Override
+    protected void received(Message message) throws IOException {
+        service.asked(message, this);
+    }
+
+    @Override
+    public void broken() {
+        service.closed(this);
+    }
+
+    /**
+     * Answers.
+     *
+     * @param status with its words, as in {@code 200 OK}
+     * @param headers each with its line end, or nothing
+     * @throws IOException if the client does not read, or is gone
+     */
+    public void answer(String status, String headers, String body) throws IOException {
+        write(("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.ISO_8859_1));
+    }
+}
--- a/src/test/java/peppergauge/cost/Loop.java
+++ b/lab/src/main/java/peppergauge/lab/wire/Loop.java
@@ -1,4 +1,4 @@
-package peppergauge.cost;
+package peppergauge.lab.wire;
 
 import java.io.Closeable;
 import java.io.IOException;
@@ -15,10 +15,10 @@
  * One thread with a selector and timers. Under load it never sleeps: a selector waits in whole milliseconds, and
  * sends in step with these would reach the sidecar in batches, which cost it less than requests that come one by one.
  */
-final class Loop implements Closeable {
+public final class Loop implements Closeable {
 
     /** Who is told of a channel; called on the loop's thread only. */
-    interface Handler {
+    public interface Handler {
 
         void ready(SelectionKey key) throws IOException;
 
@@ -43,27 +43,35 @@
     private final Thread thread;
     private volatile boolean closed;
 
-    Loop(String name) throws IOException {
+    /** @throws IOException if no selector can be had */
+    public Loop(String name) throws IOException {
         selector = Selector.open();
         thread = new Thread(this::run, name);
         thread.setDaemon(true);
     }
 
-    void start() {
+    /** The tasks that were posted before run first. */
+    public void start() {
         thread.start();
     }
 
     /** Runs a task on the loop's thread; the only method for other threads. */
-    void post(Runnable task) {
+    public void post(Runnable task) {
         posted.add(task);
         selector.wakeup();
     }
 
-    void at(long atNs, Runnable task) {
+    /** Runs a task at a time of System.nanoTime, or soon after; for the loop's thread only. */
+    public void at(long atNs, Runnable task) {
         timers.add(new Timer(atNs, task));
     }
 
-    SelectionKey register(SelectableChannel channel, int interest, Handler handler) throws IOException {
+    /**
+     * From now on the handler is told of the channel.
+     *
+     * @throws IOException if the channel is closed
+     */
+    public SelectionKey register(SelectableChannel channel, int interest, Handler handler) throws IOException {
         channel.configureBlocking(false);
         return channel.register(selector, interest, handler);
     }
--- a/src/test/java/peppergauge/cost/Message.java
+++ b/lab/src/main/java/peppergauge/lab/wire/Message.java
@@ -1,4 +1,4 @@
-package peppergauge.cost;
+package peppergauge.lab.wire;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -6,16 +6,21 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
-/** An HTTP/1.1 message as the harness reads it: a head, and a body of its Content-Length. */
-record Message(String head, byte[] body) {
+/**
+ * An HTTP/1.1 message as the lab reads it.
+ *
+ * @param head the first line and the headers, with the empty line
+ * @param body of its Content-Length; chunks are not read
+ */
+public record Message(String head, byte[] body) {
 
     /** The word at a place of the first line: the method or version, the path or status. */
-    String word(int place) {
+    public String word(int place) {
         return head.substring(0, head.indexOf("\r\n")).split(" ", 3)[place];
     }
 
     /** A header's value, or null. */
-    String header(String name) {
+    public String header(String name) {
         for (int at = head.indexOf("\r\n"); at + 2 < head.length(); at = head.indexOf("\r\n", at + 2)) {
             int colon = at + 2 + name.length();
             if (head.regionMatches(true, at + 2, name, 0, name.length()) && head.charAt(colon) == ':') {
@@ -25,11 +30,11 @@
         return null;
     }
 
-    boolean closes() {
+    public boolean closes() {
         return "close".equalsIgnoreCase(header("Connection"));
     }
 
-    String text() {
+    public String text() {
         return new String(body, StandardCharsets.ISO_8859_1);
     }
 
@@ -55,6 +60,11 @@
             return read >= 0;
         }
 
+        /** Forgets what came in. */
+        void clear() {
+            size = 0;
+        }
+
         /** The next whole message, or null. */
         Message next() throws IOException {
             int headEnd = headEnd();
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/wire/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP/1.1 on loopback as the lab speaks it: one thread with timers, connections on it, and messages whole. */
+package peppergauge.lab.wire;
--- a/lab/src/test/java/peppergauge/lab/command/LauncherTest.java
+++ b/lab/src/test/java/peppergauge/lab/command/LauncherTest.java
@@ -71,8 +71,10 @@
     public void allElseGoesToTheLab() throws Exception {
         for (String line : List.of("check f", "serve --help", "adapter -V", "--version", "")) {
             assertEquals(start(".", "bin/peppergauge " + line),
-                    ("java -jar lab/target/peppergauge-lab.jar " + line).trim());
+                    ("java -Dpeppergauge.home=. -jar lab/target/peppergauge-lab.jar " + line).trim());
         }
+        assertEquals(start(".", "bin/peppergauge cost 220"), "java -Dpeppergauge.home=. -XX:+UseSerialGC -Xms256m"
+                + " -Xmx256m -Xmn192m -jar lab/target/peppergauge-lab.jar cost 220");
     }
 
     @Test
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/standin/StandInTest.java
@@ -0,0 +1,163 @@
+package peppergauge.lab.standin;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.Toy;
+import peppergauge.lab.wire.Loop;
+
+public class StandInTest {
+
+    private static final ServerRow ROW = ServerRow.active("s", "127.0.0.1:1", "z");
+    private Loop loop;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        loop = new Loop("test");
+        loop.start();
+    }
+
+    @AfterMethod
+    public void end() throws IOException {
+        loop.close();
+    }
+
+    private interface Step<T> {
+        T run() throws IOException;
+    }
+
+    /** On the loop's thread. */
+    private <T> T on(Step<T> step) {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.post(() -> {
+            try {
+                done.complete(step.run());
+            } catch (IOException failed) {
+                done.completeExceptionally(failed);
+            }
+        });
+        return done.join();
+    }
+
+    private static Socket connect(InetSocketAddress address) throws IOException {
+        Socket socket = new Socket();
+        socket.connect(address, 300);
+        socket.setSoTimeout(300);
+        return socket;
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0) {
+                throw new IOException("ended");
+            }
+            line.append((char) next);
+        }
+        return line.toString().trim();
+    }
+
+    /** The next thing told, without its chunk's length and end. */
+    private static String told(InputStream in) throws IOException {
+        int length = Integer.parseInt(line(in), 16);
+        String text = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+        line(in);
+        return text.trim();
+    }
+
+    @Test
+    public void aWatchHearsTheListAndChangesAndNothingWhileSilent() throws Exception {
+        Discovery discovery = on(() -> new Discovery(loop, List.of(ROW)));
+        try (Socket socket = connect(discovery.address())) {
+            Toy.write(socket, "GET /discovery/hosts?watch=1&from=0 HTTP/1.1\r\n\r\n");
+            InputStream in = socket.getInputStream();
+            assertEquals(line(in) + line(in) + line(in), "HTTP/1.1 200 OKTransfer-Encoding: chunked");
+            assertEquals(told(in), "{\"version\":1,\"full\":true,\"servers\":[{\"id\":\"s\",\"addr\":\"127.0.0.1:1\","
+                    + "\"zone\":\"z\",\"cell\":0,\"state\":\"active\",\"weight\":1.0,\"started_ms\":0}]}");
+            loop.post(() -> discovery.tell(List.of(ROW.in("leaving"))));
+            assertTrue(told(in).matches(".*:2,\"full\":false.*\"leaving\".*"));
+            loop.post(() -> discovery.silent(true));
+            loop.post(() -> discovery.tell(List.of(ROW.in("left"))));
+            assertThrows(SocketTimeoutException.class, in::read);
+            loop.post(() -> discovery.silent(false));
+            assertEquals(told(in), "{\"version\":3,\"full\":true,\"servers\":[]}");
+            socket.setSoTimeout(3_000);
+            assertEquals(told(in), "", "the empty line of each 2 s");
+        }
+    }
+
+    @Test
+    public void emptiedDiscoveryTellsNoServersAndLaterAllAgain() throws Exception {
+        Discovery discovery = on(() -> new Discovery(loop, List.of(ROW)));
+        on(() -> {
+            discovery.empty(true);
+            return null;
+        });
+        assertEquals(ask(discovery.address(), "/discovery/hosts"), "{\"version\":2,\"full\":true,\"servers\":[]}");
+        loop.post(() -> discovery.empty(false));
+        assertTrue(ask(discovery.address(), "/discovery/hosts").contains("\"id\":\"s\""));
+    }
+
+    private static String ask(InetSocketAddress address, String path) throws IOException {
+        try (Socket socket = connect(address)) {
+            Toy.write(socket, "GET " + path + " HTTP/1.1\r\nX-Txn: t\r\n\r\n");
+            return new String(Toy.read(socket.getInputStream()).body(), StandardCharsets.ISO_8859_1).trim();
+        }
+    }
+
+    private interface Blow {
+        void strike(BackendServer server) throws IOException;
+    }
+
+    @DataProvider
+    public Object[][] blows() {
+        return new Object[][] {
+            {(Blow) BackendServer::die, SocketException.class, SocketException.class},
+            {(Blow) BackendServer::vanish, SocketTimeoutException.class, SocketTimeoutException.class},
+        };
+    }
+
+    /** Loopback cannot drop packets: that a silent port lets nobody in hangs on the kernel's queue. */
+    @Test(dataProvider = "blows")
+    public void aServerThatIsGoneComesBackUnderItsAddress(Blow blow, Class<? extends Exception> toOpen,
+            Class<? extends Exception> toNew) throws Exception {
+        BackendServer server = on(() -> new BackendServer(loop,
+                new FixedService(loop, new Delay(0, false), new SplittableRandom(1))));
+        assertEquals(ask(server.socketAddress(), "/list/k"), "t");
+        try (Socket open = connect(server.socketAddress())) {
+            Toy.write(open, "GET /list/k HTTP/1.1\r\nX-Txn: u\r\n\r\n");
+            assertTrue(Toy.read(open.getInputStream()).line().contains("200"));
+            on(() -> {
+                blow.strike(server);
+                return null;
+            });
+            Thread.sleep(20);
+            assertThrows(toNew, () -> connect(server.socketAddress()).close());
+            assertThrows(toOpen, () -> {
+                Toy.write(open, "GET /list/k HTTP/1.1\r\nX-Txn: v\r\n\r\n");
+                open.getInputStream().read();
+            });
+        }
+        on(() -> {
+            server.comeBack();
+            return null;
+        });
+        Thread.sleep(20);
+        assertEquals(ask(server.socketAddress(), "/list/k"), "t");
+    }
+}
--- a/sidecar/src/test/java/peppergauge/Toy.java
+++ b/sidecar/src/test/java/peppergauge/Toy.java
@@ -11,33 +11,38 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** A backend server or discovery on a real socket, answering each request by a script. */
-final class Toy implements Closeable {
+/**
+ * A backend server or discovery on a real socket, answering each request by a script, byte by byte if need be. It is
+ * the raw one of the stand-ins: what breaks off, lies about its length or says nothing is written here, while
+ * {@code lab.standin} behaves as real servers do. The sidecar's tests cannot use the lab, which depends on them.
+ */
+public final class Toy implements Closeable {
 
     /** What a request is answered with. */
-    interface Script {
+    public interface Script {
         void answer(Request request, Socket connection) throws Exception;
     }
 
-    record Request(String head, byte[] body) {
+    /** A message: its head with the empty line, and its body. */
+    public record Request(String head, byte[] body) {
 
-        String line() {
+        public String line() {
             return head.substring(0, head.indexOf("\r\n"));
         }
 
-        String header(String name) {
+        public String header(String name) {
             return head.lines().filter(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1))
                     .map(line -> line.substring(name.length() + 1).trim()).findFirst().orElse(null);
         }
     }
 
-    final List<Request> requests = new CopyOnWriteArrayList<>();
-    final List<Socket> connections = new CopyOnWriteArrayList<>();
+    public final List<Request> requests = new CopyOnWriteArrayList<>();
+    public final List<Socket> connections = new CopyOnWriteArrayList<>();
     volatile Script script;
     private final ServerSocket listener;
     private final Thread accepting;
 
-    Toy(Script script) throws IOException {
+    public Toy(Script script) throws IOException {
         this.script = script;
         this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         accepting = daemon(() -> {
@@ -49,19 +54,19 @@
         });
     }
 
-    static Toy saying(String answer) throws IOException {
+    public static Toy saying(String answer) throws IOException {
         return new Toy((request, connection) -> write(connection, answer));
     }
 
-    static String ok(String body) {
+    public static String ok(String body) {
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
-    static void write(Socket connection, String text) throws IOException {
+    public static void write(Socket connection, String text) throws IOException {
         connection.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    String address() {
+    public String address() {
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
@@ -75,7 +80,7 @@
     }
 
     /** One message: its head and a body of its Content-Length; null at the end of the stream. */
-    static Request read(InputStream in) throws IOException {
+    public static Request read(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int next = in.read();
