--- a/lab/src/main/java/peppergauge/lab/files/Kinds.java
+++ b/lab/src/main/java/peppergauge/lab/files/Kinds.java
@@ -1,7 +1,7 @@
 package peppergauge.lab.files;
 
 import java.util.List;
-import peppergauge.lab.scenario.RunSection;
+import peppergauge.lab.scenario.Scenario;
 import peppergauge.operator.FileKind;
 import peppergauge.operator.OperatorFiles;
 
@@ -12,7 +12,7 @@
 public final class Kinds {
 
     private static final FileKind SCENARIO = new FileKind("scenario",
-            "A rehearsed incident: a fleet, its clients, and what goes wrong when.", List.of(new RunSection()));
+            "A rehearsed incident: a fleet, its clients, and what goes wrong when.", Scenario.sections());
 
     private Kinds() { }
 
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/scenario/Entry.java
@@ -0,0 +1,40 @@
+package peppergauge.lab.scenario;
+
+import java.time.Duration;
+import java.util.Optional;
+import peppergauge.operator.Key;
+import peppergauge.operator.Table;
+import peppergauge.operator.Types;
+
+/**
+ * One {@code [[at]]}: what happens when, to whom.
+ *
+ * @param target see {@link Target}
+ * @param length how long; what that is, and whether it may be left out, depends on {@code what}
+ * @param size how much, likewise
+ * @param part which share, likewise
+ */
+public record Entry(Duration time, Incident what, String target, Optional<Duration> length, Optional<Double> size,
+        Optional<Double> part) {
+
+    static final Key<Duration> TIME = Key.required("time", Scenario.time(0, 86_400_000), "\"10 s\"",
+            "When it happens, from the start of the run.");
+    static final Key<Incident> WHAT = Key.required("what", Types.oneOf(Incident.class), "\"pause\"",
+            "What happens; docs/LAB.md says what each one does, and what its length, size and part are.");
+    static final Key<String> TARGET = Key.preset("target", Types.text(1, 60), "\"all\"", "Whom it happens to: all; "
+            + "zone:NAME; share:0.2 of the servers; a kind or a server, gen-a or gen-a-1; sidecars; sidecar-1; "
+            + "sidecars:0.5 of them; class:NAME; tenant:NAME.");
+    static final Key<Duration> LENGTH = Key.optional("length", Scenario.time(1, 86_400_000), "\"10 s\"",
+            "How long it lasts. Without: to the end of the run.");
+    static final Key<Double> SIZE = Key.optional("size", Types.number(0, 1_000_000), "3",
+            "How much: what this counts depends on what happens.");
+    static final Key<Double> PART = Key.optional("part", Types.number(0, 1), "0.5",
+            "Which share: what this counts depends on what happens.");
+    static final Table TABLE = Table.repeated("at", 0, 1_000, "Something that happens.", TIME, WHAT, TARGET, LENGTH,
+            SIZE, PART);
+
+    /** Length in ms; infinite if left out. */
+    public double lengthMs() {
+        return length.map(Scenario::ms).orElse(Double.POSITIVE_INFINITY);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/scenario/EntrySection.java
@@ -0,0 +1,50 @@
+package peppergauge.lab.scenario;
+
+import java.util.Optional;
+import peppergauge.operator.Key;
+import peppergauge.operator.Problems;
+import peppergauge.operator.Section;
+import peppergauge.operator.Table;
+import peppergauge.operator.Values;
+
+/** {@code [[at]]}: what each entry says must fit what happens, and name what exists. */
+final class EntrySection implements Section {
+
+    @Override
+    public Table table() {
+        return Entry.TABLE;
+    }
+
+    @Override
+    public void check(Values file, Problems problems) {
+        Scenario scenario = Scenario.read(file);
+        for (Values values : file.all(Entry.TABLE)) {
+            Incident what = values.get(Entry.WHAT);
+            Optional<Target> target = Target.of(values.get(Entry.TARGET), scenario);
+            if (target.isEmpty()) {
+                problems.add(values.place(Entry.TARGET), "at.target", '"' + values.get(Entry.TARGET)
+                        + "\" names nothing of this scenario; " + what.written() + " takes "
+                        + what.targets().words());
+            } else if (!what.targets().allows(target.get().form())) {
+                problems.add(values.place(Entry.TARGET), "at.target", "must be " + what.targets().words()
+                        + ", since " + what.written() + " happens to nothing else");
+            }
+            if (values.get(Entry.TIME).compareTo(scenario.run().length()) > 0) {
+                problems.add(values.place(Entry.TIME), "at.time", "is after the end of the run");
+            }
+            figure(values, Entry.SIZE, what, what.size(), problems);
+            figure(values, Entry.PART, what, what.part(), problems);
+        }
+    }
+
+    private static void figure(Values values, Key<Double> key, Incident what, Optional<Incident.Range> range,
+            Problems problems) {
+        Optional<Double> found = values.find(key);
+        if (range.isEmpty() && found.isPresent()) {
+            problems.add(values.place(key), "at." + key.name(), "means nothing for " + what.written());
+        } else if (range.isPresent() && !found.map(range.get()::holds).orElse(false)) {
+            problems.add(values.place(key), "at." + key.name(), "must be from " + range.get().least() + " to "
+                    + range.get().most() + " for " + what.written() + ": " + range.get().about());
+        }
+    }
+}
