--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/ClientRequest.java
@@ -0,0 +1,53 @@
+package peppergauge.lab.emulator;
+
+/** What a client wants, over all its tries. */
+final class ClientRequest {
+
+    final World world;
+    final long number;
+    final int kind;
+    final int tenant;
+    /** 0 is none. */
+    final int key;
+    final double workMs;
+    final double worth;
+    final long arrived;
+    final long deadline;
+    final boolean honours;
+    boolean poison;
+    /** Of its first try, for the counts by second. */
+    int second;
+    int tries;
+    boolean settled;
+    private int ran;
+
+    ClientRequest(World world, long number, int kind, int tenant, int key, double workMs, double worth,
+            boolean honours) {
+        this.world = world;
+        this.number = number;
+        this.kind = kind;
+        this.tenant = tenant;
+        this.key = key;
+        this.workMs = workMs;
+        this.worth = worth;
+        this.honours = honours;
+        this.arrived = world.time.now();
+        this.deadline = arrived + VirtualTime.ticks(world.figures.classes.get(kind).deadlineMs());
+    }
+
+    boolean unsafe() {
+        return world.figures.classes.get(kind).effect() == peppergauge.decision.Balancer.Effect.UNSAFE;
+    }
+
+    /** A server has begun to work on it, whether anybody will ever know or not. */
+    void ran(BackendServer server) {
+        if (++ran > 1 && unsafe()) {
+            world.rulebook.broken(Rulebook.Rule.TWICE, "request " + number + " of class "
+                    + world.scenario.classes().get(kind).name() + " ran again, at " + server.id());
+        }
+    }
+
+    boolean hasRun() {
+        return ran > 0;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/Connection.java
@@ -0,0 +1,30 @@
+package peppergauge.lab.emulator;
+
+/** An open connection to one life of a backend server's process. */
+final class Connection {
+
+    private final BackendServer server;
+    private final int incarnation;
+    private boolean open = true;
+    long idleSince;
+
+    Connection(BackendServer server) {
+        this.server = server;
+        this.incarnation = server.incarnation();
+    }
+
+    BackendServer server() {
+        return server;
+    }
+
+    int incarnation() {
+        return incarnation;
+    }
+
+    void close() {
+        if (open) {
+            open = false;
+            server.disconnected(incarnation);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/Director.java
@@ -0,0 +1,202 @@
+package peppergauge.lab.emulator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import peppergauge.decision.Balancer.ServerState;
+import peppergauge.lab.result.RunResult.ScriptEvent;
+import peppergauge.lab.scenario.Entry;
+import peppergauge.lab.scenario.Scenario;
+import peppergauge.lab.scenario.Target;
+
+/** Makes the script's entries happen. */
+final class Director {
+
+    /** After which a server that a poisoned request killed is up again, ms. */
+    static final double POISONED_MS = 3_000;
+
+    private final World world;
+    private final Demand demand;
+    private final List<Application> applications;
+    private final List<ScriptEvent> events = new ArrayList<>();
+    private int generation = 1;
+
+    Director(World world, Demand demand, List<Application> applications) {
+        this.world = world;
+        this.demand = demand;
+        this.applications = applications;
+    }
+
+    void start() {
+        List<Entry> entries = world.scenario.entries();
+        double endMs = Scenario.ms(world.scenario.run().length());
+        for (int i = 0; i < entries.size(); i++) {
+            Entry entry = entries.get(i);
+            int number = i;
+            double atMs = Scenario.ms(entry.time());
+            events.add(new ScriptEvent(atMs / 1e3, Math.min(endMs, atMs + entry.lengthMs()) / 1e3,
+                    entry.what().written(), entry.target()));
+            world.time.after(atMs, () -> {
+                world.note(Trace.Kind.INCIDENT, -1, -1, -1, number);
+                happen(entry, number);
+            });
+        }
+    }
+
+    List<ScriptEvent> events() {
+        return events;
+    }
+
+    private void happen(Entry entry, int number) {
+        Target target = world.scenario.target(entry);
+        UniformRandomProvider luck = world.streams.of("script/" + number);
+        double ms = entry.lengthMs();
+        double size = entry.size().orElse(0.0);
+        double part = entry.part().orElse(0.0);
+        switch (entry.what()) {
+            case KILL -> servers(target, luck).forEach(server -> kill(server, ms));
+            case VANISH -> servers(target, luck).forEach(server -> vanish(server, ms));
+            case SLOW -> during(servers(target, luck), ms, server -> server.slow(size), server -> server.slow(1 / size));
+            case PAUSE -> servers(target, luck).forEach(server -> server.pause(ms));
+            case FAST_ERRORS -> during(servers(target, luck), ms, server -> server.fail(part),
+                    server -> server.fail(0));
+            case LOSE_ANSWERS -> during(servers(target, luck), ms, server -> server.loseAnswers(part),
+                    server -> server.loseAnswers(0));
+            case DEPLOY -> deploy(servers(target, luck), ms, size * 1e3, part);
+            case DRAIN -> during(servers(target, luck), ms, BackendServer::drain, BackendServer::leave);
+            case CUT -> world.links.cut(zone(target), ms);
+            case DELAY -> during(List.of(zone(target)), ms, zone -> world.links.add(zone, size),
+                    zone -> world.links.add(zone, -size));
+            case BURST -> burst(target, ms, size);
+            case RETRY_STORM -> during(List.of((int) size), ms, retries -> demand.storm(retries, 1),
+                    retries -> demand.storm(retries, -1));
+            case HEAVY_TAIL -> during(List.of(kind(target)), ms, kind -> demand.tail(kind, size, part),
+                    kind -> demand.tail(kind, 1, 0));
+            case POISON -> during(List.of(kind(target)), ms, kind -> demand.poison(kind, (int) size),
+                    kind -> demand.poison(kind, 0));
+            case DISCOVERY_DOWN -> world.discovery.down(ms);
+            case DISCOVERY_EMPTY -> world.discovery.empty(ms);
+            case DISCOVERY_LATE -> world.discovery.late(size * 1e3, ms);
+            case SIDECAR_CRASH -> sidecars(target, luck).forEach(sidecar -> crash(sidecar, ms));
+            case SIDECAR_PAUSE -> sidecars(target, luck).forEach(sidecar -> sidecar.pause(ms));
+        }
+    }
+
+    private <T> void during(List<T> them, double ms, Consumer<T> begin, Consumer<T> end) {
+        them.forEach(begin);
+        world.time.after(ms, () -> them.forEach(end));
+    }
+
+    private void kill(BackendServer server, double ms) {
+        if (server.up()) {
+            server.die();
+            world.discovery.changed(server, true);
+            world.time.after(ms, () -> {
+                if (!server.up() && server.state() == ServerState.READY) {
+                    server.start();
+                }
+            });
+        }
+    }
+
+    private void vanish(BackendServer server, double ms) {
+        if (server.up()) {
+            server.vanish();
+            world.discovery.changed(server, true);
+            world.time.after(ms, server::comeBack);
+        }
+    }
+
+    /** Batch after batch drains, leaves, and is replaced at the same addresses by others that start cold. */
+    private void deploy(List<BackendServer> servers, double ms, double drainMs, double part) {
+        int batch = Math.max(1, (int) Math.round(part * servers.size()));
+        int batches = (servers.size() + batch - 1) / batch;
+        int ofDeploy = generation++;
+        for (int i = 0; i < servers.size(); i++) {
+            BackendServer server = servers.get(i);
+            world.time.after(ms * (i / batch) / batches, () -> {
+                if (server.state() == ServerState.READY) {
+                    server.drain();
+                    world.time.after(drainMs, () -> {
+                        server.leave();
+                        world.fleet.replace(server, ofDeploy);
+                    });
+                }
+            });
+        }
+    }
+
+    private void burst(Target target, double ms, double times) {
+        Consumer<Double> scale = switch (target.form()) {
+            case CLASS -> factor -> {
+                demand.scaleKind(kind(target), factor);
+                applications.forEach(Application::changed);
+            };
+            case TENANT -> factor -> {
+                demand.scaleTenant(IntStream.range(0, world.scenario.tenants().size()).filter(i ->
+                        world.scenario.tenants().get(i).name().equals(target.name())).findFirst().orElseThrow(), factor);
+                applications.forEach(Application::changed);
+            };
+            case SIDECAR -> applications.get(target.number() - 1)::scale;
+            default -> factor -> applications.forEach(each -> each.scale(factor));
+        };
+        // A rate of nothing is multiplied back by nothing else.
+        double factor = Math.max(1e-9, times);
+        during(List.of(factor), ms, scale, up -> scale.accept(1 / up));
+    }
+
+    private void crash(EmulatedSidecar sidecar, double ms) {
+        if (sidecar.up()) {
+            sidecar.crash();
+            world.time.after(ms, () -> {
+                sidecar.start();
+                world.discovery.watch(sidecar);
+            });
+        }
+    }
+
+    // ---- Whom it happens to ----
+
+    private List<BackendServer> servers(Target target, UniformRandomProvider luck) {
+        List<BackendServer> present = world.fleet.present();
+        return switch (target.form()) {
+            case ZONE -> present.stream().filter(server -> server.zone() == zone(target)).toList();
+            case SERVER_KIND -> present.stream().filter(server -> server.kind().name().equals(target.name())).toList();
+            // What stands at its place now, if it was replaced.
+            case SERVER -> present.stream().filter(server -> server.id().replaceAll("\\.\\d+$", "")
+                    .equals(target.name() + '-' + target.number())).toList();
+            case SHARE -> drawn(present, target.share(), luck);
+            default -> present;
+        };
+    }
+
+    private List<EmulatedSidecar> sidecars(Target target, UniformRandomProvider luck) {
+        return switch (target.form()) {
+            case SIDECAR -> List.of(world.sidecars.get(target.number() - 1));
+            case ZONE -> world.sidecars.stream().filter(sidecar -> sidecar.zone() == zone(target)).toList();
+            default -> drawn(world.sidecars, target.share(), luck);
+        };
+    }
+
+    /** So many of them, at least one, drawn by lot; in their own order. */
+    private static <T> List<T> drawn(List<T> all, double share, UniformRandomProvider luck) {
+        List<Integer> places = new ArrayList<>(IntStream.range(0, all.size()).boxed().toList());
+        int count = Math.max(1, (int) Math.round(share * all.size()));
+        while (places.size() > count) {
+            places.remove(luck.nextInt(places.size()));
+        }
+        return places.stream().map(all::get).toList();
+    }
+
+    private int zone(Target target) {
+        return world.scenario.network().zones().indexOf(target.name());
+    }
+
+    /** -1 for all. */
+    private int kind(Target target) {
+        return IntStream.range(0, world.scenario.classes().size())
+                .filter(i -> world.scenario.classes().get(i).name().equals(target.name())).findFirst().orElse(-1);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
@@ -0,0 +1,236 @@
+package peppergauge.lab.emulator;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import peppergauge.decision.Balancer.Settings;
+import peppergauge.decision.Balancer.ServerState;
+import peppergauge.decision.Balancer;
+import peppergauge.decision.Decide;
+import peppergauge.lab.scenario.Scenario;
+import peppergauge.overload.Overload;
+import peppergauge.overload.OverloadSettings;
+import peppergauge.session.Backend;
+import peppergauge.session.Message;
+import peppergauge.session.Opening;
+import peppergauge.session.ServerTable;
+import peppergauge.session.Sessions;
+import peppergauge.sockets.Loop;
+
+/** A sidecar over all lives of its process: the real sessions, module and overload control between emulated ends. */
+final class EmulatedSidecar {
+
+    private static final double SWEEP_MS = 1_000;
+
+    private final World world;
+    private final Sabotage sabotage;
+    private final int index;
+    private final int zone;
+    private final Settings settings;
+    /** The list as it was told last; survives a crash. */
+    private final Map<String, ServerTable.Row> known = new LinkedHashMap<>();
+    /** Since when this process knows that a server leaves, in ticks. */
+    private final Map<String, Long> leaving = new HashMap<>();
+    private final Map<String, Try> sessionsById = new HashMap<>();
+    private final Set<Try> open = new LinkedHashSet<>();
+    private int life;
+    private boolean up;
+    private SidecarLoop loop;
+    private SidecarBackend backend;
+    private Sessions sessions;
+    /** When it stood still last, or was down, in ticks. */
+    private long troubledUntil = -1;
+
+    EmulatedSidecar(World world, Sabotage sabotage, int index) {
+        this.world = world;
+        this.sabotage = sabotage;
+        this.index = index;
+        this.zone = index % world.scenario.network().zones().size();
+        this.settings = world.figures.settings(index, zone);
+    }
+
+    // ---- The process ----
+
+    void start() {
+        life++;
+        up = true;
+        long seed = world.streams.number("module/" + name() + '/' + life);
+        Balancer.Limits limits = settings.limits();
+        Overload<Object, Sessions.Newcomer> overload = new Overload<>(OverloadSettings.of(
+                settings.classes().stream().map(Balancer.RequestClass::worth).toList(), settings.overShareWorth(),
+                limits.retryAfter(), limits.maxRetryAfterMs(), Loop.SELECT_MS, seed));
+        loop = new SidecarLoop(world.time, overload, sabotage, Scenario.ms(world.scenario.sidecars().work()),
+                thrown -> world.rulebook.broken(Rulebook.Rule.BUG, name() + " threw " + thrown));
+        backend = new SidecarBackend(world, this, world.streams.of("ways/" + name() + '/' + life));
+        sessions = new Sessions(watched(sabotage.instead(new Decide(settings, seed), settings)), backend,
+                world.time.clock(), loop, overload, settings.classes(), world.figures.connectTimeoutMs);
+        world.note(Trace.Kind.STARTED, index, -1, -1, life);
+        sweepLater(life);
+        listed(new ServerTable(0, true, List.copyOf(known.values())));
+    }
+
+    /** Sessions go on after a module that throws; here that is a finding. */
+    private Balancer watched(Balancer module) {
+        return (now, event, actions) -> {
+            try {
+                module.on(now, event, actions);
+            } catch (RuntimeException | StackOverflowError bug) {
+                world.rulebook.broken(Rulebook.Rule.BUG, "the module of " + name() + " threw " + bug + " at " + event);
+                throw bug;
+            }
+        };
+    }
+
+    private void sweepLater(int ofLife) {
+        world.time.after(SWEEP_MS, () -> {
+            if (life == ofLife && up) {
+                backend.connections().sweep();
+                sweepLater(ofLife);
+            }
+        });
+    }
+
+    void crash() {
+        up = false;
+        world.note(Trace.Kind.CRASHED, index, -1, -1, life);
+        sessions.close();
+        loop.die();
+        backend.close();
+        leaving.clear();
+        List<Try> lost = new ArrayList<>(open);
+        open.clear();
+        sessionsById.clear();
+        lost.forEach(Try::sidecarGone);
+    }
+
+    void pause(double ms) {
+        if (up) {
+            loop.pause(ms);
+            troubledUntil = Math.max(troubledUntil, world.time.now() + VirtualTime.ticks(ms));
+        }
+    }
+
+    boolean up() {
+        return up;
+    }
+
+    /** Whether it stood still at any time since. */
+    boolean troubledSince(long tick) {
+        return troubledUntil >= tick;
+    }
+
+    /** Calls back from the loop once no session is open. */
+    void whenIdle(Runnable task) {
+        sessions.whenIdle(task);
+    }
+
+    // ---- What comes in ----
+
+    void open(Try session, double remainingMs, boolean marked) {
+        ClientRequest request = session.request;
+        String id = Long.toString(session.number);
+        sessionsById.put(id, session);
+        open.add(session);
+        world.note(Trace.Kind.ASKED, index, session.number, -1, request.kind);
+        sessions.open(new Opening(id, request.kind, request.tenant, remainingMs, marked, world.time.nowMs(),
+                new Message("GET", id, List.of(), NOTHING)), session);
+    }
+
+    private static final byte[] NOTHING = new byte[0];
+
+    void left(Try session) {
+        sessions.left(Long.toString(session.number), session);
+        loop.execute(() -> over(session));
+    }
+
+    /** The sidecar knows that the session is over. */
+    void over(Try session) {
+        if (session.knownOver < 0) {
+            session.knownOver = world.time.now();
+        }
+        open.remove(session);
+        sessionsById.remove(Long.toString(session.number));
+    }
+
+    /** Null if there is none that is open, to the sidecar's own knowledge. */
+    Try session(String id) {
+        return sessionsById.get(id);
+    }
+
+    void listed(ServerTable table) {
+        world.note(Trace.Kind.TOLD, index, -1, -1, table.version());
+        sessions.listed(table);
+        loop.execute(() -> told(table));
+    }
+
+    void tableLost() {
+        sessions.tableLost();
+    }
+
+    private void told(ServerTable table) {
+        Set<String> before = new LinkedHashSet<>(known.keySet());
+        if (table.whole()) {
+            known.clear();
+        }
+        for (ServerTable.Row row : table.rows()) {
+            String id = row.entry().server();
+            before.remove(id);
+            if (row.entry().state() == ServerState.READY) {
+                leaving.remove(id);
+            } else {
+                leaving.putIfAbsent(id, world.time.now());
+            }
+            if (row.entry().state() == ServerState.GONE) {
+                known.remove(id);
+            } else {
+                known.put(id, row);
+            }
+        }
+        if (table.whole()) {
+            before.forEach(id -> leaving.putIfAbsent(id, world.time.now()));
+        }
+    }
+
+    long leavingSince(String server) {
+        return leaving.getOrDefault(server, -1L);
+    }
+
+    boolean knowsStartOf(BackendServer server) {
+        ServerTable.Row row = known.get(server.id());
+        return row != null && row.entry().startedMs() == server.startedMs();
+    }
+
+    /** What the sidecar's first list is. */
+    void knows(List<ServerTable.Row> rows) {
+        rows.forEach(row -> known.put(row.entry().server(), row));
+    }
+
+    /** A machine resets its connections. */
+    void reset(BackendServer server) {
+        if (up) {
+            SidecarBackend then = backend;
+            world.links.carry(server.zone(), zone, then.luck(), () -> then.forget(new Backend.Server(server.id(),
+                    server.address())));
+        }
+    }
+
+    void execute(Runnable task) {
+        loop.execute(task);
+    }
+
+    int index() {
+        return index;
+    }
+
+    int zone() {
+        return zone;
+    }
+
+    String name() {
+        return "sidecar-" + (index + 1);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/Fleet.java
@@ -0,0 +1,66 @@
+package peppergauge.lab.emulator;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import peppergauge.lab.scenario.ServerKind;
+
+/** All backend servers that ever stood, and who stands at which address now. */
+final class Fleet {
+
+    /** Servers that share a cell, as the module is told. */
+    private static final int CELL = 6;
+
+    private final World world;
+    private final List<BackendServer> servers = new ArrayList<>();
+    private final Map<String, BackendServer> byAddress = new LinkedHashMap<>();
+
+    Fleet(World world) {
+        this.world = world;
+    }
+
+    /** The servers of the script's beginning: warm, and dealt out to zones in turn. */
+    void open() {
+        int zones = world.scenario.network().zones().size();
+        for (ServerKind kind : world.scenario.servers()) {
+            for (int i = 1; i <= kind.count(); i++) {
+                int index = servers.size();
+                add(new BackendServer(world, index, kind.name() + '-' + i, "server-" + index + ":80", kind,
+                        index % zones, index / CELL));
+            }
+        }
+    }
+
+    /** Another machine at the address of one that has gone; cold. */
+    BackendServer replace(BackendServer gone, int generation) {
+        BackendServer fresh = new BackendServer(world, servers.size(),
+                gone.id().replaceAll("\\.\\d+$", "") + '.' + generation, gone.address(), gone.kind(), gone.zone(),
+                gone.cell());
+        add(fresh);
+        fresh.start();
+        return fresh;
+    }
+
+    private void add(BackendServer server) {
+        servers.add(server);
+        byAddress.put(server.address(), server);
+    }
+
+    BackendServer server(int index) {
+        return servers.get(index);
+    }
+
+    List<BackendServer> all() {
+        return servers;
+    }
+
+    /** Those at an address now, up or not. */
+    List<BackendServer> present() {
+        return List.copyOf(byAddress.values());
+    }
+
+    BackendServer at(String address) {
+        return byAddress.get(address);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/Sabotage.java
@@ -0,0 +1,24 @@
+package peppergauge.lab.emulator;
+
+import peppergauge.decision.Balancer.Settings;
+import peppergauge.decision.Balancer;
+
+/**
+ * Faults planted in a run, to show that the checkers find them: they stand between the program and the emulator, and
+ * the program itself stays as it is.
+ */
+interface Sabotage {
+
+    /** None. */
+    Sabotage NONE = new Sabotage() { };
+
+    /** What stands in for a sidecar's module. */
+    default Balancer instead(Balancer module, Settings settings) {
+        return module;
+    }
+
+    /** Whether a wait of this length, ms, that a sidecar asks for never ends. */
+    default boolean swallows(double ms) {
+        return false;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/Shrinker.java
@@ -0,0 +1,125 @@
+package peppergauge.lab.emulator;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import peppergauge.lab.result.RunResult;
+import peppergauge.lab.scenario.Entry;
+import peppergauge.lab.scenario.Run;
+import peppergauge.lab.scenario.Scenario;
+import peppergauge.lab.scenario.ServerKind;
+
+/**
+ * Cuts a scenario that breaks a rule down to a smaller one that breaks the same rule under the same seed: no longer than
+ * up to the breach, without entries that it does not need, with shorter entries, and with fewer servers.
+ */
+public final class Shrinker {
+
+    /** Left after the breach, ms: none is needed, but a script that ends in it would look as if that mattered. */
+    private static final double MARGIN_MS = 500;
+
+    private final String rule;
+    private final Predicate<Scenario> fails;
+    private final Consumer<String> told;
+
+    private Shrinker(String rule, Consumer<String> told, Predicate<Scenario> fails) {
+        this.rule = rule;
+        this.told = told;
+        this.fails = fails;
+    }
+
+    /**
+     * The smallest found; empty if the scenario breaks no rule.
+     *
+     * @param told of each step that was kept, in words
+     */
+    public static Optional<Scenario> shrink(Scenario scenario, Consumer<String> told) {
+        return shrink(scenario, Sabotage.NONE, told);
+    }
+
+    static Optional<Scenario> shrink(Scenario scenario, Sabotage sabotage, Consumer<String> told) {
+        RunResult first = Emulator.run("shrink", scenario, sabotage);
+        if (first.broken().isEmpty()) {
+            return Optional.empty();
+        }
+        String rule = first.broken().get(0).rule();
+        Shrinker shrinker = new Shrinker(rule, told, smaller -> {
+            RunResult result = Emulator.run("shrink", smaller, sabotage);
+            return !result.broken().isEmpty() && result.broken().get(0).rule().equals(rule);
+        });
+        Scenario kept = shrinker.cutAt(scenario, first.broken().get(0).atS() * 1e3 + MARGIN_MS);
+        for (Scenario before = null; before != kept;) {
+            before = kept;
+            kept = shrinker.shorterEntries(shrinker.fewerServers(shrinker.fewerEntries(kept)));
+        }
+        return Optional.of(kept);
+    }
+
+    private Optional<Scenario> tried(Scenario smaller, String what) {
+        if (!fails.test(smaller)) {
+            return Optional.empty();
+        }
+        told.accept(what + ": still breaks " + rule);
+        return Optional.of(smaller);
+    }
+
+    private Scenario cutAt(Scenario whole, double endMs) {
+        if (endMs >= Scenario.ms(whole.run().length())) {
+            return whole;
+        }
+        Duration length = Duration.ofMillis((long) Math.ceil(endMs));
+        List<Entry> begun = whole.entries().stream().filter(entry -> entry.time().compareTo(length) <= 0).toList();
+        return tried(whole.with(new Run(length, whole.run().seed()), whole.servers(), begun),
+                "run of " + length.toMillis() + " ms").orElse(whole);
+    }
+
+    private Scenario fewerEntries(Scenario from) {
+        Scenario kept = from;
+        for (int i = from.entries().size() - 1; i >= 0; i--) {
+            List<Entry> rest = new ArrayList<>(kept.entries());
+            Entry gone = rest.remove(i);
+            kept = tried(kept.with(kept.run(), kept.servers(), rest), "without " + gone.what().written() + " at "
+                    + gone.time().toMillis() + " ms").orElse(kept);
+        }
+        return kept;
+    }
+
+    private Scenario shorterEntries(Scenario from) {
+        Scenario kept = from;
+        for (int i = 0; i < from.entries().size(); i++) {
+            Entry entry = kept.entries().get(i);
+            if (entry.length().map(length -> length.toMillis() >= 1_000).orElse(false)) {
+                Duration half = entry.length().get().dividedBy(2);
+                List<Entry> rest = new ArrayList<>(kept.entries());
+                rest.set(i, new Entry(entry.time(), entry.what(), entry.target(), Optional.of(half), entry.size(),
+                        entry.part()));
+                kept = tried(kept.with(kept.run(), kept.servers(), rest), entry.what().written() + " for "
+                        + half.toMillis() + " ms").orElse(kept);
+            }
+        }
+        return kept;
+    }
+
+    /** Fewer of each kind; entries must go on naming servers that exist. */
+    private Scenario fewerServers(Scenario from) {
+        Scenario kept = from;
+        for (int i = 0; i < from.servers().size(); i++) {
+            ServerKind kind = kept.servers().get(i);
+            // Halves first, then one fewer: the load for each server grows with every step, and few steps are wanted.
+            for (long count : new long[] {kind.count() / 2, kind.count() - 1}) {
+                List<ServerKind> kinds = new ArrayList<>(kept.servers());
+                kinds.set(i, kind.counted(count));
+                Scenario smaller = kept.with(kept.run(), kinds, kept.entries());
+                if (count >= 1 && smaller.namesExist() && fails.test(smaller)) {
+                    told.accept(count + " servers of " + kind.name() + ": still breaks " + rule);
+                    kept = smaller;
+                    break;
+                }
+            }
+        }
+        return kept;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/SidecarBackend.java
@@ -0,0 +1,153 @@
+package peppergauge.lab.emulator;
+
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import peppergauge.decision.Balancer.Outcome;
+import peppergauge.session.Backend;
+import peppergauge.session.Message;
+
+/** A sidecar's end towards backend servers, for one life of its process. */
+final class SidecarBackend implements Backend {
+
+    private final World world;
+    private final EmulatedSidecar sidecar;
+    private final UniformRandomProvider luck;
+    private final Connections connections;
+    private boolean closed;
+
+    SidecarBackend(World world, EmulatedSidecar sidecar, UniformRandomProvider luck) {
+        this.world = world;
+        this.sidecar = sidecar;
+        this.luck = luck;
+        this.connections = new Connections(world, this);
+    }
+
+    @Override
+    public Exchange send(Server server, Message message, double untilMs, Consumer<Result> ended) {
+        Try session = sidecar.session(message.target());
+        if (session == null) {
+            world.rulebook.broken(Rulebook.Rule.GIVEN_UP, sidecar.name() + " sent session " + message.target()
+                    + ", which was over");
+            return new Probe(ended);
+        }
+        world.note(Trace.Kind.SENT, sidecar.index(), session.number, world.fleet.at(server.address()).index(), -1);
+        if (session.out > 0) {
+            world.rulebook.broken(Rulebook.Rule.ONE_ATTEMPT, "session " + session.number + " of " + sidecar.name()
+                    + " has a second attempt out, to " + server.id());
+        }
+        session.out++;
+        world.meters.attempt(world.fleet.at(server.address()), session.attempts++ > 0);
+        Attempt attempt = new Attempt(this, server, session, untilMs, ended);
+        attempt.start();
+        return attempt;
+    }
+
+    /** The rules on what may be written, looked at when it is. */
+    void written(Try session, Server to) {
+        long leaving = sidecar.leavingSince(to.id());
+        if (leaving >= 0 && world.time.now() - leaving > VirtualTime.ticks(world.figures.drainGraceMs)) {
+            world.rulebook.broken(Rulebook.Rule.DRAIN, sidecar.name() + " sent session " + session.number + " to "
+                    + to.id() + ", " + VirtualTime.ms(world.time.now() - leaving)
+                    + " ms after it was told that this leaves");
+        }
+        if (session.knownOver >= 0 && world.time.now() > session.knownOver) {
+            world.rulebook.broken(Rulebook.Rule.GIVEN_UP, sidecar.name() + " sent session " + session.number
+                    + ", which was over");
+        }
+    }
+
+    @Override
+    public Exchange probe(Server server, double untilMs, Consumer<Result> ended) {
+        Probe probe = new Probe(ended);
+        world.meters.probed();
+        BackendServer at = world.fleet.at(server.address());
+        double sentMs = world.time.nowMs();
+        world.links.carry(sidecar.zone(), at.zone(), luck, () -> {
+            if (!at.silent()) {
+                double[] load = at.probed();
+                world.links.carry(at.zone(), sidecar.zone(), luck, () -> {
+                    if (!closed) {
+                        world.note(Trace.Kind.PROBED, sidecar.index(), -1, at.index(), -1);
+                        probe.end(load == null ? new Result(Outcome.UNREACHABLE) : new Result(Outcome.SUCCESS, null,
+                                load, world.time.nowMs() - sentMs));
+                    }
+                });
+            }
+        });
+        return probe;
+    }
+
+    private static final class Probe implements Exchange {
+
+        private Consumer<Result> ended;
+
+        Probe(Consumer<Result> ended) {
+            this.ended = ended;
+        }
+
+        void end(Result result) {
+            if (ended != null) {
+                ended.accept(result);
+                ended = null;
+            }
+        }
+
+        @Override
+        public boolean withdraw() {
+            return false;
+        }
+
+        @Override
+        public boolean abandon() {
+            ended = null;
+            return false;
+        }
+    }
+
+    @Override
+    public void forget(Server server) {
+        connections.forget(server);
+    }
+
+    /** The process is gone, and its connections with it. */
+    void close() {
+        closed = true;
+        connections.closeAll();
+    }
+
+    boolean closed() {
+        return closed;
+    }
+
+    void execute(Runnable task) {
+        sidecar.execute(task);
+    }
+
+    boolean knowsStartOf(BackendServer server) {
+        return sidecar.knowsStartOf(server);
+    }
+
+    Connections connections() {
+        return connections;
+    }
+
+    World world() {
+        return world;
+    }
+
+    VirtualTime time() {
+        return world.time;
+    }
+
+    UniformRandomProvider luck() {
+        return luck;
+    }
+
+    int zone() {
+        return sidecar.zone();
+    }
+
+    int sidecar() {
+        return sidecar.index();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/SidecarLoop.java
@@ -0,0 +1,147 @@
+package peppergauge.lab.emulator;
+
+import java.util.ArrayDeque;
+import peppergauge.overload.Overload;
+import peppergauge.session.Scheduler;
+import peppergauge.session.Sessions;
+import peppergauge.sockets.Loop;
+
+/**
+ * The one thread of a sidecar, in virtual time: it runs in rounds, as the real loop does, and tells the overload control
+ * of them. A round takes no time, or a set time for each task; what comes meanwhile, or while the process stands still,
+ * waits for the next.
+ */
+final class SidecarLoop implements Scheduler {
+
+    /** After so many rounds without work, more of them tell the overload control nothing new. */
+    private static final int MOST_IDLE_ROUNDS = 100;
+
+    private final VirtualTime time;
+    private final Overload<?, Sessions.Newcomer> overload;
+    private final Sabotage sabotage;
+    private final double taskMs;
+    private final java.util.function.Consumer<RuntimeException> bug;
+    private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
+    private boolean awake;
+    private boolean dead;
+    private long busyUntil;
+    private long pausedUntil;
+    private double endedMs;
+
+    /** @param taskMs what a task takes, ms, 0 or more */
+    SidecarLoop(VirtualTime time, Overload<?, Sessions.Newcomer> overload, Sabotage sabotage, double taskMs,
+            java.util.function.Consumer<RuntimeException> bug) {
+        this.time = time;
+        this.overload = overload;
+        this.sabotage = sabotage;
+        this.taskMs = taskMs;
+        this.bug = bug;
+        endedMs = time.nowMs();
+        overload.selectReturned(endedMs);
+        overload.roundEnded(endedMs);
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        if (!dead) {
+            tasks.addLast(task);
+            if (!awake) {
+                awake = true;
+                time.at(Math.max(busyUntil, pausedUntil), this::round);
+            }
+        }
+    }
+
+    @Override
+    public Wait after(double ms, Runnable task) {
+        Pending pending = new Pending(task);
+        if (!sabotage.swallows(ms)) {
+            pending.event = time.after(ms, () -> execute(pending));
+        }
+        return pending;
+    }
+
+    /** A wait, which can also be taken back while it is due and stands in the queue. */
+    private static final class Pending implements Wait, Runnable {
+
+        private Runnable task;
+        private VirtualTime.Event event;
+
+        Pending(Runnable task) {
+            this.task = task;
+        }
+
+        @Override
+        public void cancel() {
+            task = null;
+            if (event != null) {
+                event.cancel();
+            }
+        }
+
+        @Override
+        public void run() {
+            Runnable once = task;
+            task = null;
+            if (once != null) {
+                once.run();
+            }
+        }
+    }
+
+    void pause(double ms) {
+        pausedUntil = Math.max(pausedUntil, time.now() + VirtualTime.ticks(ms));
+    }
+
+    /** Until when the process stands still, in ticks; in the past if it does not. */
+    long pausedUntil() {
+        return pausedUntil;
+    }
+
+    void die() {
+        dead = true;
+        tasks.clear();
+    }
+
+    private void round() {
+        if (dead) {
+            return;
+        }
+        if (time.now() < pausedUntil) {
+            time.at(pausedUntil, this::round);
+            return;
+        }
+        idleRounds();
+        double nowMs = time.nowMs();
+        overload.selectReturned(nowMs);
+        int done = 0;
+        for (Runnable task = tasks.pollFirst(); task != null; task = tasks.pollFirst()) {
+            done++;
+            try {
+                task.run();
+            } catch (RuntimeException thrown) {
+                bug.accept(thrown);
+            }
+        }
+        awake = false;
+        busyUntil = time.now() + VirtualTime.ticks(done * taskMs);
+        endedMs = nowMs + done * taskMs;
+        overload.roundEnded(endedMs);
+    }
+
+    /** The select returns by itself now and then; not while the process stands still. */
+    private void idleRounds() {
+        double idleMs = time.nowMs() - endedMs;
+        if (time.now() == pausedUntil) {
+            return;
+        }
+        int rounds = (int) Math.min(MOST_IDLE_ROUNDS, idleMs / Loop.SELECT_MS);
+        for (int i = rounds; i > 0; i--) {
+            double at = time.nowMs() - i * Loop.SELECT_MS;
+            if (at > endedMs) {
+                overload.selectReturned(at);
+                overload.roundEnded(at);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/Trace.java
@@ -0,0 +1,79 @@
+package peppergauge.lab.emulator;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.IntFunction;
+
+/** The trace of events: its digest, and the last of them in words. */
+final class Trace {
+
+    static final int KEPT = 200;
+    private static final int FIELDS = 6;
+
+    /** What is noted. */
+    enum Kind { ASKED, SENT, WRITTEN, REACHED, RAN, DONE, ENDED, SERVED, DENIED, FAILED, LEFT, TOLD, STATE, INCIDENT,
+        PROBED, CRASHED, STARTED }
+
+    private final MessageDigest digest;
+    private final byte[] buffer = new byte[FIELDS * Long.BYTES * 256];
+    private int filled;
+    private final long[] ring = new long[KEPT * FIELDS];
+    private long noted;
+
+    Trace() {
+        try {
+            digest = MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    /** Each number is -1 where it has no meaning. */
+    void note(long tick, Kind kind, long sidecar, long session, long server, long detail) {
+        int at = (int) (noted++ % KEPT) * FIELDS;
+        put(at, tick);
+        put(at + 1, kind.ordinal());
+        put(at + 2, sidecar);
+        put(at + 3, session);
+        put(at + 4, server);
+        put(at + 5, detail);
+    }
+
+    private void put(int at, long value) {
+        ring[at] = value;
+        for (int shift = 0; shift < Long.SIZE; shift += Byte.SIZE) {
+            buffer[filled++] = (byte) (value >>> shift);
+        }
+        if (filled == buffer.length) {
+            digest.update(buffer, 0, filled);
+            filled = 0;
+        }
+    }
+
+    /** Of all that was noted; the trace takes nothing more after it. */
+    String digest() {
+        digest.update(buffer, 0, filled);
+        filled = 0;
+        return HexFormat.of().formatHex(digest.digest());
+    }
+
+    /** The last events, the oldest first. */
+    List<String> last(IntFunction<String> serverName) {
+        List<String> lines = new ArrayList<>();
+        for (long i = Math.max(0, noted - KEPT); i < noted; i++) {
+            int at = (int) (i % KEPT) * FIELDS;
+            StringBuilder line = new StringBuilder(String.format(Locale.ROOT, "%.3f ms %s",
+                    VirtualTime.ms(ring[at]), Kind.values()[(int) ring[at + 1]].name().toLowerCase(Locale.ROOT)));
+            line.append(ring[at + 2] < 0 ? "" : " sidecar-" + (ring[at + 2] + 1));
+            line.append(ring[at + 3] < 0 ? "" : " session " + ring[at + 3]);
+            line.append(ring[at + 4] < 0 ? "" : " " + serverName.apply((int) ring[at + 4]));
+            line.append(ring[at + 5] < 0 ? "" : " (" + ring[at + 5] + ")");
+            lines.add(line.toString());
+        }
+        return lines;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/Try.java
@@ -0,0 +1,105 @@
+package peppergauge.lab.emulator;
+
+import peppergauge.session.Frontend;
+import peppergauge.session.Message;
+
+/** One try of a client at its sidecar, which is one session there; also the frontend that the session answers. */
+final class Try implements Frontend {
+
+    final long number;
+    final ClientRequest request;
+    final EmulatedSidecar sidecar;
+    private final Application client;
+    private final World world;
+    private VirtualTime.Event giveUp;
+    private boolean over;
+    private int answers;
+    /** Attempts that are out now, and attempts at all. */
+    int out;
+    int attempts;
+    /** Since when the sidecar knows that it is over, in ticks; -1 as long as it does not. */
+    long knownOver = -1;
+
+    Try(long number, ClientRequest request, EmulatedSidecar sidecar, Application client) {
+        this.number = number;
+        this.request = request;
+        this.sidecar = sidecar;
+        this.client = client;
+        this.world = request.world;
+    }
+
+    /** Asks, and waits for so long, and a little more for an answer that is just in time. */
+    void ask(double remainingMs, double patienceMs, boolean marked) {
+        long began = world.time.now();
+        giveUp = world.time.after(Math.min(remainingMs, patienceMs) + world.figures.answerSlackMs,
+                () -> giveUp(patienceMs >= remainingMs, began));
+        sidecar.open(this, remainingMs, marked);
+    }
+
+    private void giveUp(boolean owed, long began) {
+        if (owed && !sidecar.troubledSince(began)) {
+            world.rulebook.broken(Rulebook.Rule.ANSWER, "session " + number + " of " + sidecar.name()
+                    + " had no answer by its deadline");
+        }
+        over = true;
+        world.note(Trace.Kind.LEFT, sidecar.index(), number, -1, -1);
+        sidecar.left(this);
+        client.failed(this);
+    }
+
+    private boolean answered(Trace.Kind how) {
+        sidecar.over(this);
+        if (++answers > 1) {
+            world.rulebook.broken(Rulebook.Rule.ANSWER, "session " + number + " of " + sidecar.name()
+                    + " was answered twice");
+        }
+        if (over) {
+            return false;
+        }
+        over = true;
+        giveUp.cancel();
+        world.note(how, sidecar.index(), number, -1, request.number);
+        return true;
+    }
+
+    @Override
+    public void served(Message answer) {
+        if (answered(Trace.Kind.SERVED)) {
+            client.served(this);
+        }
+    }
+
+    @Override
+    public void denied(double retryAfterMs) {
+        if (answered(Trace.Kind.DENIED)) {
+            world.meters.denied();
+            if (request.unsafe() && request.hasRun()) {
+                world.rulebook.broken(Rulebook.Rule.TWICE, "session " + number + " of " + sidecar.name()
+                        + " was denied, although its request had run");
+            }
+            client.denied(this, retryAfterMs);
+        }
+    }
+
+    @Override
+    public void failed(boolean late) {
+        if (answered(Trace.Kind.FAILED)) {
+            world.meters.failed();
+            client.failed(this);
+        }
+    }
+
+    @Override
+    public void duplicate() {
+        world.rulebook.broken(Rulebook.Rule.ANSWER, "session " + number + " was taken for another's copy");
+    }
+
+    /** The sidecar's process died with the session in hand. */
+    void sidecarGone() {
+        if (!over) {
+            over = true;
+            giveUp.cancel();
+            client.failed(this);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/Warmth.java
@@ -0,0 +1,40 @@
+package peppergauge.lab.emulator;
+
+import peppergauge.lab.scenario.Scenario;
+import peppergauge.lab.scenario.ServerKind;
+
+/** How much of its capacity a server has since its start: rises evenly, with time or with the work that it did. */
+final class Warmth {
+
+    private final double from;
+    private final double coldMs;
+    private final boolean byWork;
+    private final double workPerMs;
+    private long started = Long.MIN_VALUE;
+    private double workedMs;
+
+    Warmth(ServerKind kind, double workPerMs) {
+        this.from = kind.coldFrom();
+        this.coldMs = Scenario.ms(kind.coldTime());
+        this.byWork = kind.warmBy() == ServerKind.WarmBy.WORK;
+        this.workPerMs = workPerMs;
+    }
+
+    void start(long now) {
+        started = now;
+        workedMs = 0;
+    }
+
+    void worked(double standardMs) {
+        workedMs += standardMs;
+    }
+
+    /** Share of the full capacity, 0 to 1. */
+    double share(long now) {
+        if (started == Long.MIN_VALUE) {
+            return 1;
+        }
+        double passedMs = byWork ? workedMs / workPerMs : VirtualTime.ms(now - started);
+        return passedMs >= coldMs ? 1 : from + (1 - from) * passedMs / coldMs;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/World.java
@@ -0,0 +1,35 @@
+package peppergauge.lab.emulator;
+
+import java.util.ArrayList;
+import java.util.List;
+import peppergauge.lab.scenario.Scenario;
+
+/** What all parts of one run share. */
+final class World {
+
+    final Scenario scenario;
+    final Streams streams;
+    final VirtualTime time = new VirtualTime();
+    final Trace trace = new Trace();
+    final Links links;
+    final Fleet fleet;
+    final Rulebook rulebook;
+    final Meters meters;
+    final Figures figures;
+    final List<EmulatedSidecar> sidecars = new ArrayList<>();
+    DiscoveryModel discovery;
+
+    World(Scenario scenario) {
+        this.scenario = scenario;
+        streams = new Streams(scenario.run().seed());
+        figures = new Figures(scenario);
+        links = new Links(time, scenario.network(), streams);
+        fleet = new Fleet(this);
+        rulebook = new Rulebook(time, trace, fleet);
+        meters = new Meters(scenario, time, fleet);
+    }
+
+    void note(Trace.Kind kind, long sidecar, long session, long server, long detail) {
+        trace.note(time.now(), kind, sidecar, session, server, detail);
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/scenario/EntrySection.java
+++ b/lab/src/main/java/peppergauge/lab/scenario/EntrySection.java
@@ -32,6 +32,9 @@
             if (values.get(Entry.TIME).compareTo(scenario.run().length()) > 0) {
                 problems.add(values.place(Entry.TIME), "at.time", "is after the end of the run");
             }
+            if (what == Incident.DEPLOY && values.find(Entry.LENGTH).isEmpty()) {
+                problems.add(values.place(), "at.length", "is missing; a deploy must say how long it takes");
+            }
             figure(values, Entry.SIZE, what, what.size(), problems);
             figure(values, Entry.PART, what, what.part(), problems);
         }
--- a/lab/src/main/java/peppergauge/lab/scenario/Scenario.java
+++ b/lab/src/main/java/peppergauge/lab/scenario/Scenario.java
@@ -80,6 +80,11 @@
         return Target.of(entry.target(), this).orElseThrow();
     }
 
+    /** Whether every entry names something of this scenario; of a file that was read, it does. */
+    public boolean namesExist() {
+        return entries.stream().allMatch(entry -> Target.of(entry.target(), this).isPresent());
+    }
+
     /** The same with another length, seed, fleet and entries; what names something that is gone must be left out. */
     public Scenario with(Run other, List<ServerKind> kinds, List<Entry> kept) {
         return new Scenario(other, network, kinds, classes, tenants, clients, sidecars, discovery, rules, kept);
--- a/lab/src/main/java/peppergauge/lab/scenario/ServerKind.java
+++ b/lab/src/main/java/peppergauge/lab/scenario/ServerKind.java
@@ -71,4 +71,11 @@
             Key.preset("choke-rest", Scenario.time(1, 600_000), "\"3 s\"",
                     "It chokes until it was mostly idle for so long."),
             Key.preset("choke-most", Scenario.time(1, 600_000), "\"25 s\"", "But for no longer than this."));
+
+    /** The same with another count. */
+    public ServerKind counted(long other) {
+        return new ServerKind(name, other, cores, speed, speedSpread, slots, room, coldFrom, coldTime, warmBy, errors,
+                dropsExpired, connectionWork, connections, probeWork, memoryKeys, memoryTime, memorySaving, pauseEvery,
+                pauseLength, chokeAt, chokeOver, chokeSlower, chokeRest, chokeMost);
+    }
 }
