Add play: a scenario in real time, real sidecars between modelled stand-ins

A script could be emulated and not tried on sockets. bin/peppergauge play starts a serve process for each sidecar, between modelled servers behind loopback listeners (one for each pair of sidecar and server, so that ways differ by zone), discovery's stand-in and open-loop clients that retry and give up. The emulator's own server model is closed to other packages; the one here has cores, speed, slots, room, warm-up, key memory and pauses, but no choke and no falling over.

--- a/lab/src/main/java/peppergauge/lab/command/Lab.java
+++ b/lab/src/main/java/peppergauge/lab/command/Lab.java
@@ -12,7 +12,8 @@
         synopsisSubcommandLabel = "COMMAND", versionProvider = Lab.Version.class, mixinStandardHelpOptions = true,
         scope = CommandLine.ScopeType.INHERIT,
         subcommands = {ServeHelp.class, AdapterHelp.class, Check.class, Schema.class,
-            Emulate.class, Shrink.class, CostCommand.class, HelpCommand.class})
+            Emulate.class, Shrink.class, CostCommand.class, PlayCommand.class,
+            HelpCommand.class})
 public final class Lab implements Runnable {
 
     @CommandLine.Spec
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/command/PlayCommand.java
@@ -0,0 +1,120 @@
+package peppergauge.lab.command;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import peppergauge.lab.play.Play;
+import peppergauge.lab.play.Play.Played;
+import peppergauge.lab.process.Deploy;
+import peppergauge.lab.process.SidecarProcess.Launch;
+import peppergauge.lab.result.ResultJson;
+import peppergauge.lab.result.RunResult;
+import peppergauge.lab.scenario.Run;
+import peppergauge.lab.scenario.Scenario;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code play FILE}: a scenario in real time. */
+@Command(name = "play", description = {"Plays a scenario in real time, with real sidecars on loopback sockets.",
+    "Backend servers, discovery and clients are stand-ins; docs/PLAY.md says what they do not show."})
+final class PlayCommand implements Callable<Integer> {
+
+    @CommandLine.Spec
+    private CommandSpec spec;
+
+    @Parameters(paramLabel = "FILE", description = "A scenario, such as scenarios/calm.toml")
+    private Path file;
+
+    @Option(names = "--seed", paramLabel = "N", description = "In place of the scenario's own seed.")
+    private Long seed;
+
+    @Option(names = "--out", paramLabel = "DIR", description = "Write the result to DIR/NAME-SEED-play.json.")
+    private Path out;
+
+    @Option(names = "--cores", paramLabel = "Q", defaultValue = "1",
+            description = "Share of a core's time that each sidecar may run, over 0 up to 1 (1: no limit).")
+    private double cores;
+
+    @Option(names = "--length", paramLabel = "S", description = "Only the first S seconds of the scenario.")
+    private Double lengthS;
+
+    @Option(names = "--dir", paramLabel = "DIR", description = "Play the build of another checkout.")
+    private Path checkout;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Optional<Scenario> read = ScenarioFile.read(file, spec.commandLine().getErr());
+        if (read.isEmpty()) {
+            return ExitCode.UNUSABLE_INPUT;
+        }
+        PrintWriter console = spec.commandLine().getOut();
+        Scenario scenario = shaped(read.get());
+        Play.leftOut(scenario).forEach(what -> console.println("not played: " + what));
+        String name = ScenarioFile.name(file);
+        try (Play play = new Play(scenario, launch())) {
+            // Sidecars have process groups of their own, which an interrupt from the terminal does not reach.
+            Thread end = new Thread(() -> close(play), "end");
+            Runtime.getRuntime().addShutdownHook(end);
+            Played played = play.run(name, second -> { });
+            Runtime.getRuntime().removeShutdownHook(end);
+            report(played);
+            return played.result().broken().isEmpty() ? ExitCode.FINE : ExitCode.RULE_BROKEN;
+        }
+    }
+
+    private static void close(Play play) {
+        try {
+            play.close();
+        } catch (IOException failed) {
+            System.err.println("play: " + failed.getMessage());
+        }
+    }
+
+    private Launch launch() {
+        if (!(cores > 0 && cores <= 1)) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--cores must be over 0 and at most 1");
+        }
+        Path from = (checkout == null ? Home.path() : checkout).toAbsolutePath();
+        try {
+            return new Launch(from, Deploy.run(from), -1, cores);
+        } catch (IllegalArgumentException | IOException unusable) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "no build to play: " + unusable, unusable);
+        }
+    }
+
+    private Scenario shaped(Scenario whole) {
+        Duration length = lengthS == null ? whole.run().length() : Duration.ofMillis(Math.round(lengthS * 1e3));
+        if (length.isZero() || length.isNegative() || length.compareTo(whole.run().length()) > 0) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--length must be over 0 and at most "
+                    + whole.run().length().toMillis() / 1e3 + ", the scenario's own");
+        }
+        return whole.with(new Run(length, seed == null ? whole.run().seed() : seed), whole.servers(),
+                whole.entries().stream().filter(entry -> entry.time().compareTo(length) <= 0).toList());
+    }
+
+    private void report(Played played) throws IOException {
+        PrintWriter console = spec.commandLine().getOut();
+        RunResult result = played.result();
+        RunResult.Totals totals = result.totals();
+        console.println(String.format(Locale.ROOT, "%s, seed %d: service %.4f; asked %d, in time %d, late %d, lost %d;"
+                + " attempts %d, denied %d, failed %d; %.0f us of the sidecars' CPU a try, load late by %.2f ms at 99%%",
+                result.scenario(), result.seed(), totals.service(), totals.asked(), totals.inTime(), totals.late(),
+                totals.lost(), totals.attempts(), totals.denied(), totals.failed(), played.cpuUs(), played.lagMs()));
+        result.classes().forEach(each -> console.println(String.format(Locale.ROOT,
+                "  %s: service %.4f, latency %.1f ms median, %.1f ms at 99%%", each.name(),
+                each.worthAsked() > 0 ? each.worth() / each.worthAsked() : 1, each.latency().p50Ms(),
+                each.latency().p99Ms())));
+        if (out != null) {
+            ResultJson.write(result, out.resolve(result.scenario() + '-' + result.seed() + "-play.json"));
+        }
+        result.broken().forEach(broken -> spec.commandLine().getErr().println(String.format(Locale.ROOT,
+                "rule %s broken, at %.3f s: %s", broken.rule(), broken.atS(), broken.about())));
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/cost/ExampleRequests.java
+++ b/lab/src/main/java/peppergauge/lab/cost/ExampleRequests.java
@@ -52,8 +52,9 @@
     public Request next() {
         boolean repeats = unsafe.isEmpty() || !safe.isEmpty() && kinds.nextDouble() >= UNSAFE_SHARE;
         Kind kind = one(repeats ? safe : unsafe);
+        long patienceNs = kind.patienceMs * 1_000_000;
         return new Request(prefix + "-" + count++, "/" + kind.name + "/listener-" + kinds.nextInt(KEYS),
-                one(tenants), kind.safe ? "" : BODY, kind.patienceMs * 1_000_000, false);
+                one(tenants), kind.safe ? "" : BODY, patienceNs, patienceNs, false);
     }
 
     private <T> T one(List<T> list) {
--- a/lab/src/main/java/peppergauge/lab/load/Generator.java
+++ b/lab/src/main/java/peppergauge/lab/load/Generator.java
@@ -185,7 +185,7 @@
 
         void send(Call next) {
             call = next;
-            long remainingMs = (call.giveUpNs() - System.nanoTime()) / 1_000_000;
+            long remainingMs = Math.max(0, (call.wantedNs + call.request.saysNs() - System.nanoTime()) / 1_000_000);
             loop.at(call.giveUpNs() + GRACE_NS, () -> giveUp(next));
             try {
                 write(call.request.text(remainingMs));
--- a/lab/src/main/java/peppergauge/lab/load/Tally.java
+++ b/lab/src/main/java/peppergauge/lab/load/Tally.java
@@ -31,6 +31,13 @@
         histogram.recordValue(Math.max(0, Math.min(MOST_NS, ns)));
     }
 
+    /** Adds another's counts. */
+    public void add(Tally other) {
+        other.ends.forEach((how, count) -> ends.merge(how, count, Integer::sum));
+        latencies.add(other.latencies);
+        lags.add(other.lags);
+    }
+
     /** Counts by status, or by {@link Ending}'s words. */
     public Map<String, Integer> ends() {
         return ends;
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/play/Rules.java
@@ -0,0 +1,60 @@
+package peppergauge.lab.play;
+
+import java.util.ArrayList;
+import java.util.List;
+import peppergauge.lab.result.RunResult.Broken;
+
+/** The rules as they show from outside a sidecar's process. */
+final class Rules {
+
+    /** On sockets each time limit is longer by this, ms. */
+    static final double SLACK_MS = 50;
+    /** A broken run may break thousands. */
+    private static final int MOST = 20;
+
+    private final Stage stage;
+    private final List<Broken> broken = new ArrayList<>();
+
+    Rules(Stage stage) {
+        this.stage = stage;
+    }
+
+    void broken(String rule, String about) {
+        if (broken.size() < MOST) {
+            broken.add(new Broken(rule, stage.nowMs() / 1e3, about, List.of()));
+        }
+    }
+
+    List<Broken> all() {
+        return broken;
+    }
+
+    /** A server has begun to work on it. */
+    void ran(Wish wish, String server) {
+        if (++wish.ran > 1 && wish.unsafe) {
+            broken("twice", "a request of class " + stage.scenario.classes().get(wish.kind).name()
+                    + " ran again, at " + server);
+        }
+    }
+
+    /** A request has arrived at a server. */
+    void arrived(Try session, String id, Seat seat, Machine machine) {
+        double leavingMs = seat.leavingMs(machine.id());
+        double graceMs = stage.scenario.rules().drainGrace().toMillis() + SLACK_MS;
+        if (leavingMs >= 0 && stage.nowMs() - leavingMs > graceMs) {
+            broken("drain", seat.name() + " sent session " + id + " to " + machine.id() + ", "
+                    + Math.round(stage.nowMs() - leavingMs) + " ms after it was told that this leaves");
+        }
+        if (session.out != null && session.out.isOpen()) {
+            broken("one-attempt", "session " + id + " of " + seat.name() + " has a second attempt out, to "
+                    + machine.id());
+        }
+    }
+
+    /** A client has waited for its time and the slack, and has no answer. */
+    void unanswered(Try session, Seat seat, String how) {
+        if (!session.impatient && !seat.troubledSince(session.sentMs)) {
+            broken("answer", "a session of " + seat.name() + " had no answer: " + how);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/play/SidecarConfig.java
@@ -0,0 +1,69 @@
+package peppergauge.lab.play;
+
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import peppergauge.lab.scenario.RequestKind;
+import peppergauge.lab.scenario.Rules;
+import peppergauge.lab.scenario.Scenario;
+import peppergauge.lab.scenario.Sidecars;
+import peppergauge.lab.standin.ServerList;
+import peppergauge.lab.wire.Listener;
+
+/** A scenario's figures as a sidecar's configuration file has them. */
+final class SidecarConfig {
+
+    /** Both are the platform's, and the emulator's. */
+    private static final int TICK_MS = 5;
+    private static final int KEY_WINDOW_MS = 5_000;
+
+    private SidecarConfig() { }
+
+    static Map<String, Object> of(Scenario scenario, int index, int zone, InetSocketAddress discovery,
+            ServerList known, long seed) {
+        Map<String, Object> config = new LinkedHashMap<>();
+        config.put("name", "sidecar-" + (index + 1));
+        config.put("discovery", Listener.text(discovery));
+        config.put("seed", Long.toHexString(seed));
+        config.put("limits", Map.of("sockets", 1024));
+        config.put("known", known);
+        config.put("settings", settings(scenario, index, zone));
+        return config;
+    }
+
+    private static Map<String, Object> settings(Scenario scenario, int index, int zone) {
+        Sidecars sidecars = scenario.sidecars();
+        Rules rules = scenario.rules();
+        boolean dear = scenario.servers().stream().anyMatch(kind -> !kind.connectionWork().isZero());
+        Map<String, Object> settings = new LinkedHashMap<>();
+        settings.put("balancers", sidecars.count());
+        settings.put("me", index);
+        settings.put("zone", zone);
+        settings.put("areas", scenario.network().zones());
+        settings.put("tickMs", TICK_MS);
+        settings.put("registryMode", "automatic");
+        settings.put("overShareWorth", rules.overShareWorth());
+        settings.put("limits", Map.of("cancelling", sidecars.cancels(), "mayProbe", sidecars.probes(),
+                "mostTries", sidecars.attempts(), "parallelTries", false, "retryAfter", sidecars.retryAfter(),
+                "maxRetryAfterMs", Scenario.ms(sidecars.maxRetryAfter()),
+                "connIdleMs", Scenario.ms(sidecars.connectionIdle()),
+                "connectTimeoutMs", Scenario.ms(sidecars.connectTimeout())));
+        settings.put("charges", Map.of("connection", dear ? 1 : 0));
+        settings.put("profiles", scenario.classes().stream().map(SidecarConfig::profile).toList());
+        settings.put("report", Map.of("how", "piggyback", "names", List.of("active", "waiting", "avg_ms")));
+        settings.put("rules", Map.of("coldShare", rules.coldShare(), "coldMs", Scenario.ms(rules.coldTime()),
+                "tipMultiple", rules.fallMultiple(), "fallMs", Scenario.ms(rules.fallTime()),
+                "drainGraceMs", Scenario.ms(rules.drainGrace())));
+        settings.put("tenants", scenario.tenants().stream()
+                .map(tenant -> Map.of("name", tenant.name(), "quotaPerS", tenant.quota())).toList());
+        return settings;
+    }
+
+    private static Map<String, Object> profile(RequestKind kind) {
+        return Map.of("name", kind.name(), "aimMs", Scenario.ms(kind.aim()),
+                "deadlineMs", Scenario.ms(kind.deadline()), "worth", kind.worth(), "lateWorth", kind.lateWorth(),
+                "effect", kind.effect() == RequestKind.Effect.UNSAFE ? "at_most_once" : "idempotent",
+                "group", "all", "keyTtlMs", KEY_WINDOW_MS);
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/process/SidecarProcess.java
+++ b/lab/src/main/java/peppergauge/lab/process/SidecarProcess.java
@@ -155,6 +155,10 @@
 
     /** Has it stand still, or go on. */
     public void pause(boolean now) throws IOException {
+        if (throttle != null) {
+            throttle.hold(now);
+            return;
+        }
         new ProcessBuilder("kill", "-s", now ? "STOP" : "CONT", "--", "-" + process.pid()).start();
     }
 
--- a/lab/src/main/java/peppergauge/lab/process/Throttle.java
+++ b/lab/src/main/java/peppergauge/lab/process/Throttle.java
@@ -20,6 +20,7 @@
     private final Thread thread;
     private final long group;
     private volatile boolean closed;
+    private volatile boolean held;
 
     Throttle(long group, double share) throws IOException {
         this.group = group;
@@ -27,7 +28,7 @@
         thread = new Thread(() -> {
             long periodNs = System.nanoTime();
             while (!closed) {
-                signal("CONT");
+                signal(held ? "STOP" : "CONT");
                 sleepUntil(periodNs + runNs);
                 signal("STOP");
                 periodNs += PERIOD_NS;
@@ -39,6 +40,11 @@
         thread.start();
     }
 
+    /** Has the group stand still all the time, or not. */
+    void hold(boolean now) {
+        held = now;
+    }
+
     /** The signal fails harmlessly in the first ms, before the process has made its group, and after its end. */
     private void signal(String name) {
         try {
