Add report and compare: pictures of results, and paired differences

Results were JSON that nobody reads, and whether a change helps was a look at two numbers. report makes one HTML page with SVG pictures, the script's events drawn in, and the same as JSON; compare runs two builds or settings on the same scripts and seeds and gives the 95% interval of the difference by the paired t method.

--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/command/CompareCommand.java
@@ -0,0 +1,109 @@
+package peppergauge.lab.command;
+
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import peppergauge.lab.compare.Comparison;
+import peppergauge.lab.compare.Comparison.Outcome;
+import peppergauge.lab.compare.Difference;
+import peppergauge.lab.compare.Figure;
+import peppergauge.lab.compare.Variant;
+import peppergauge.lab.scenario.Scenario;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code compare A B SCENARIO...}: is B better, and how sure is that. */
+@Command(name = "compare", description = {"Compares two builds or settings on the same scenarios and seeds.",
+    "A and B: this, a checkout's folder or a lab's jar; behind it, changes to the scenarios, as in",
+    "this@sidecars.attempts=1,clients.rate=300. Paired: the interval is of the difference B less A."})
+final class CompareCommand implements Callable<Integer> {
+
+    @CommandLine.Spec
+    private CommandSpec spec;
+
+    @Parameters(index = "0", paramLabel = "A", description = "What is now.")
+    private String a;
+
+    @Parameters(index = "1", paramLabel = "B", description = "What is weighed.")
+    private String b;
+
+    @Parameters(index = "2..*", paramLabel = "SCENARIO", arity = "1..*", description = "Scenario files.")
+    private List<Path> files;
+
+    @Option(names = "--seeds", paramLabel = "A..B", required = true, converter = SeedRange.Converter.class,
+            description = "Seeds from A to B; each is one pair.")
+    private SeedRange seeds;
+
+    @Option(names = "--out", paramLabel = "DIR", description = "Keep all results in DIR/a and DIR/b.")
+    private Path out;
+
+    @Option(names = "--json", paramLabel = "FILE", description = "Write the differences there as well.")
+    private Path json;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Map<String, String> scenarios = new LinkedHashMap<>();
+        for (Path file : files) {
+            Optional<Scenario> read = ScenarioFile.read(file, spec.commandLine().getErr());
+            if (read.isEmpty()) {
+                return ExitCode.UNUSABLE_INPUT;
+            }
+            scenarios.put(ScenarioFile.name(file), read.get().toToml());
+        }
+        Path folder = out == null ? Files.createTempDirectory("compare") : out;
+        try {
+            List<Outcome> outcomes = new Comparison(seeds.first(), seeds.last(), folder)
+                    .run(Variant.parse(a, Home.path()), Variant.parse(b, Home.path()), scenarios);
+            outcomes.forEach(this::print);
+            if (json != null) {
+                Files.writeString(json, JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT).build()
+                        .writeValueAsString(Comparison.json(outcomes)) + "\n");
+            }
+            return ExitCode.FINE;
+        } catch (IllegalArgumentException unusable) {
+            throw new CommandLine.ParameterException(spec.commandLine(), unusable.getMessage(), unusable);
+        } finally {
+            if (out == null) {
+                delete(folder);
+            }
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        try (var files = Files.walk(folder)) {
+            for (Path file : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    private void print(Outcome outcome) {
+        PrintWriter console = spec.commandLine().getOut();
+        console.println(line("%s, %d pairs; rules broken in %d runs of A, %d of B", outcome.scenario(),
+                outcome.differences().get(Figure.SERVICE).pairs(), outcome.brokenA(), outcome.brokenB()));
+        console.println(line("  %-24s %10s %10s %10s  %-24s %s", "", "A", "B", "B - A", "95% interval", "single pairs"));
+        outcome.differences().forEach((figure, by) -> console.println(line(
+                "  %-24s %10.4f %10.4f %+10.4f  %-24s %+.4f to %+.4f  %s", figure.words(), by.meanA(), by.meanB(),
+                by.mean(), line("%+.4f to %+.4f", by.low(), by.high()), by.least(), by.most(), verdict(figure, by))));
+    }
+
+    private static String verdict(Figure figure, Difference by) {
+        return by.sign() == 0 ? "" : by.sign() == figure.better() ? "B is better" : "A is better";
+    }
+
+    private static String line(String format, Object... values) {
+        return String.format(Locale.ROOT, format, values);
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/command/Lab.java
+++ b/lab/src/main/java/peppergauge/lab/command/Lab.java
@@ -13,6 +13,7 @@
         scope = CommandLine.ScopeType.INHERIT,
         subcommands = {ServeHelp.class, AdapterHelp.class, Check.class, Schema.class,
             Emulate.class, Shrink.class, CostCommand.class, PlayCommand.class,
+            ReportCommand.class, CompareCommand.class,
             HelpCommand.class})
 public final class Lab implements Runnable {
 
