--- a/lab/src/main/java/peppergauge/lab/command/CompareCommand.java
+++ b/lab/src/main/java/peppergauge/lab/command/CompareCommand.java
@@ -93,7 +93,8 @@
         PrintWriter console = spec.commandLine().getOut();
         console.println(line("%s, %d pairs; rules broken in %d runs of A, %d of B", outcome.scenario(),
                 outcome.differences().get(Figure.SERVICE).pairs(), outcome.brokenA(), outcome.brokenB()));
-        console.println(line("  %-24s %10s %10s %10s  %-24s %s", "", "A", "B", "B - A", "95% interval", "single pairs"));
+        console.println(line("  %-24s %10s %10s %10s  %-24s %s", "", "A", "B", "B - A", "95% interval",
+                "single pairs"));
         outcome.differences().forEach((figure, by) -> console.println(line(
                 "  %-24s %10.4f %10.4f %+10.4f  %-24s %+.4f to %+.4f  %s", figure.words(), by.meanA(), by.meanB(),
                 by.mean(), line("%+.4f to %+.4f", by.low(), by.high()), by.least(), by.most(), verdict(figure, by))));
--- a/lab/src/main/java/peppergauge/lab/cost/Scenario.java
+++ b/lab/src/main/java/peppergauge/lab/cost/Scenario.java
@@ -18,8 +18,8 @@
 
     static Scenario named(String name) {
         return LOADS.stream().filter(load -> load.name.equals(name)).findFirst()
-                .orElseThrow(
-                        () -> new IllegalArgumentException("no scenario is called " + name + "; there are " + String.join(", ", all())));
+                .orElseThrow(() -> new IllegalArgumentException("no scenario is called " + name + "; there are "
+                        + String.join(", ", all())));
     }
 
     static List<String> all() {
--- a/lab/src/main/java/peppergauge/lab/play/Clients.java
+++ b/lab/src/main/java/peppergauge/lab/play/Clients.java
@@ -14,6 +14,7 @@
 import peppergauge.lab.scenario.RequestKind;
 import peppergauge.lab.scenario.Scenario;
 import peppergauge.lab.scenario.Target;
+import peppergauge.lab.scenario.Tenant;
 import peppergauge.lab.standin.Delay;
 
 /**
@@ -135,7 +136,7 @@
         stage.tries.put(id, new Try(wish, ms, impatient));
         stage.meters.tried();
         boolean again = wish.tries++ > 0;
-        List<peppergauge.lab.scenario.Tenant> tenants = stage.scenario.tenants();
+        List<Tenant> tenants = stage.scenario.tenants();
         return new Request(id, "/" + about.name() + "/k" + wish.key,
                 tenants.isEmpty() ? "all" : tenants.get(wish.tenant).name(), wish.unsafe ? BODY : "",
                 ns(impatient ? saysMs * early / figures.impatient() : saysMs), ns(saysMs),
--- a/lab/src/main/java/peppergauge/lab/play/Machine.java
+++ b/lab/src/main/java/peppergauge/lab/play/Machine.java
@@ -1,6 +1,7 @@
 package peppergauge.lab.play;
 
 import peppergauge.lab.scenario.ServerKind;
+import peppergauge.lab.standin.Delay;
 import peppergauge.lab.standin.ServerRow;
 
 /** A backend server over its lives at one place; a successor there is another one. */
@@ -33,7 +34,7 @@
     }
 
     private void nextPause(double everyMs, double lengthMs) {
-        stage.after(peppergauge.lab.standin.Delay.exponential(stage.luck, everyMs), () -> {
+        stage.after(Delay.exponential(stage.luck, everyMs), () -> {
             model.pause(lengthMs);
             nextPause(everyMs, lengthMs);
         });
--- a/lab/src/main/java/peppergauge/lab/standin/BackendServer.java
+++ b/lab/src/main/java/peppergauge/lab/standin/BackendServer.java
@@ -2,6 +2,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -51,7 +52,7 @@
     }
 
     /** For who connects. */
-    public java.net.InetSocketAddress socketAddress() {
+    public InetSocketAddress socketAddress() {
         return listener.address();
     }
 
--- a/lab/src/main/java/peppergauge/lab/standin/Discovery.java
+++ b/lab/src/main/java/peppergauge/lab/standin/Discovery.java
@@ -23,6 +23,7 @@
     private static final long HEARTBEAT_NS = 2_000_000_000L;
 
     private final Loop loop;
+    private final long heartbeatNs;
     private final Listener listener;
     private final Map<String, ServerRow> rows = new LinkedHashMap<>();
     private final List<Watch> watches = new ArrayList<>();
@@ -38,7 +39,12 @@
      * @throws IOException if none can be had
      */
     public Discovery(Loop loop, List<ServerRow> first) throws IOException {
+        this(loop, first, HEARTBEAT_NS);
+    }
+
+    Discovery(Loop loop, List<ServerRow> first, long heartbeatNs) throws IOException {
         this.loop = loop;
+        this.heartbeatNs = heartbeatNs;
         listener = new Listener(loop, Watch::new);
         version = 1;
         first.forEach(row -> rows.put(row.id(), row));
@@ -117,7 +123,7 @@
             if (message.word(1).contains("watch=1")) {
                 watching = true;
                 watches.add(this);
-                beatAt(System.nanoTime() + HEARTBEAT_NS);
+                beatAt(System.nanoTime() + heartbeatNs);
                 tell(list().json());
             } else if (!silent) {
                 String text = list().json();
@@ -139,7 +145,7 @@
             loop.at(atNs, () -> {
                 if (isOpen() && watching) {
                     toldOrClosed(headed ? "" : list().json());
-                    beatAt(atNs + HEARTBEAT_NS);
+                    beatAt(atNs + heartbeatNs);
                 }
             });
         }
--- a/lab/src/main/java/peppergauge/lab/wire/Loop.java
+++ b/lab/src/main/java/peppergauge/lab/wire/Loop.java
@@ -136,7 +136,9 @@
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
-        selector.keys().forEach(Loop::close);
-        selector.close();
+        if (selector.isOpen()) {
+            selector.keys().forEach(Loop::close);
+            selector.close();
+        }
     }
 }
--- a/lab/src/test/java/peppergauge/lab/LabLayoutTest.java
+++ b/lab/src/test/java/peppergauge/lab/LabLayoutTest.java
@@ -25,6 +25,15 @@
                 .resideInAnyPackage("peppergauge.lab..", "picocli..").check(all);
     }
 
+    /** The stand-ins and the load serve any test; a report is made of any result. */
+    @Test
+    public void whatIsGeneralKnowsNoScenario() {
+        noClasses().that().resideInAnyPackage("peppergauge.lab.wire..", "peppergauge.lab.standin..",
+                "peppergauge.lab.load..", "peppergauge.lab.process..", "peppergauge.lab.report..").should()
+                .dependOnClassesThat().resideInAnyPackage("peppergauge.lab.scenario..", "peppergauge.lab.emulator..",
+                "peppergauge.lab.play..", "peppergauge.lab.cost..").check(all);
+    }
+
     @Test
     public void onlyTheCommandsKnowTheCommandLineLibrary() {
         noClasses().that().resideInAPackage("peppergauge.lab..").and()
