--- a/lab/src/main/java/peppergauge/lab/emulator/Application.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Application.java
@@ -14,6 +14,9 @@
  */
 final class Application {
 
+    /** A client with less time than this left does not ask again, ms. */
+    private static final double LEAST_TRY_MS = 100;
+
     private final World world;
     private final Demand demand;
     private final EmulatedSidecar sidecar;
@@ -147,7 +150,8 @@
         double ownMs = demand.stormy() ? 1 : Scenario.ms(figures.firstWait()) * (1 << wait)
                 * (0.5 + patience.nextDouble());
         double waitMs = Math.max(ownMs, askedMs);
-        if (request.tries > demand.retries() || VirtualTime.ms(request.deadline - world.time.now()) <= waitMs) {
+        double leftMs = VirtualTime.ms(request.deadline - world.time.now()) - waitMs;
+        if (request.tries > demand.retries() || leftMs < LEAST_TRY_MS) {
             settle(request, false);
         } else {
             world.time.after(waitMs, () -> attempt(request));
--- a/lab/src/main/java/peppergauge/lab/emulator/Director.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Director.java
@@ -58,7 +58,8 @@
         switch (entry.what()) {
             case KILL -> servers(target, luck).forEach(server -> kill(server, ms));
             case VANISH -> servers(target, luck).forEach(server -> vanish(server, ms));
-            case SLOW -> during(servers(target, luck), ms, server -> server.slow(size), server -> server.slow(1 / size));
+            case SLOW -> during(servers(target, luck), ms, server -> server.slow(size),
+                    server -> server.slow(1 / size));
             case PAUSE -> servers(target, luck).forEach(server -> server.pause(ms));
             case FAST_ERRORS -> during(servers(target, luck), ms, server -> server.fail(part),
                     server -> server.fail(0));
@@ -135,8 +136,7 @@
                 applications.forEach(Application::changed);
             };
             case TENANT -> factor -> {
-                demand.scaleTenant(IntStream.range(0, world.scenario.tenants().size()).filter(i ->
-                        world.scenario.tenants().get(i).name().equals(target.name())).findFirst().orElseThrow(), factor);
+                demand.scaleTenant(tenant(target), factor);
                 applications.forEach(Application::changed);
             };
             case SIDECAR -> applications.get(target.number() - 1)::scale;
@@ -194,6 +194,11 @@
         return world.scenario.network().zones().indexOf(target.name());
     }
 
+    private int tenant(Target target) {
+        return IntStream.range(0, world.scenario.tenants().size())
+                .filter(i -> world.scenario.tenants().get(i).name().equals(target.name())).findFirst().orElseThrow();
+    }
+
     /** -1 for all. */
     private int kind(Target target) {
         return IntStream.range(0, world.scenario.classes().size())
--- a/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
@@ -25,6 +25,8 @@
 final class EmulatedSidecar {
 
     private static final double SWEEP_MS = 1_000;
+    /** Share of a session's work that any answer takes, a denial too; the rest goes into its first attempt. */
+    private static final double ANSWER_SHARE = 0.25;
 
     private final World world;
     private final Sabotage sabotage;
@@ -37,6 +39,7 @@
     private final Map<String, Long> leaving = new HashMap<>();
     private final Map<String, Try> sessionsById = new HashMap<>();
     private final Set<Try> open = new LinkedHashSet<>();
+    private final double workMs;
     private int life;
     private boolean up;
     private SidecarLoop loop;
@@ -50,6 +53,7 @@
         this.sabotage = sabotage;
         this.index = index;
         this.zone = index % world.scenario.network().zones().size();
+        this.workMs = Scenario.ms(world.scenario.sidecars().work());
         this.settings = world.figures.settings(index, zone);
     }
 
@@ -63,11 +67,11 @@
         Overload<Object, Sessions.Newcomer> overload = new Overload<>(OverloadSettings.of(
                 settings.classes().stream().map(Balancer.RequestClass::worth).toList(), settings.overShareWorth(),
                 limits.retryAfter(), limits.maxRetryAfterMs(), Loop.SELECT_MS, seed));
-        loop = new SidecarLoop(world.time, overload, sabotage, Scenario.ms(world.scenario.sidecars().work()),
+        loop = new SidecarLoop(world.time, overload, sabotage,
                 thrown -> world.rulebook.broken(Rulebook.Rule.BUG, name() + " threw " + thrown));
         backend = new SidecarBackend(world, this, world.streams.of("ways/" + name() + '/' + life));
         sessions = new Sessions(watched(sabotage.instead(new Decide(settings, seed), settings)), backend,
-                world.time.clock(), loop, overload, settings.classes(), world.figures.connectTimeoutMs);
+                loop.clock(), loop, overload, settings.classes(), world.figures.connectTimeoutMs);
         world.note(Trace.Kind.STARTED, index, -1, -1, life);
         sweepLater(life);
         listed(new ServerTable(0, true, List.copyOf(known.values())));
@@ -147,6 +151,11 @@
         loop.execute(() -> over(session));
     }
 
+    /** Its one thread works for an answer, or for an attempt. */
+    void works(boolean answer) {
+        loop.spend(workMs * (answer ? ANSWER_SHARE : 1 - ANSWER_SHARE));
+    }
+
     /** The sidecar knows that the session is over. */
     void over(Try session) {
         if (session.knownOver < 0) {
--- a/lab/src/main/java/peppergauge/lab/emulator/Emulator.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Emulator.java
@@ -95,7 +95,8 @@
         List.copyOf(holding).forEach(sidecar -> sidecar.whenIdle(() -> holding.remove(sidecar)));
         world.time.runUntil(end + VirtualTime.ticks(1));
         if (!holding.isEmpty()) {
-            world.rulebook.broken(Rulebook.Rule.GIVEN_UP, holding.get(0).name() + " still holds sessions that are over");
+            world.rulebook.broken(Rulebook.Rule.GIVEN_UP, holding.get(0).name()
+                    + " still holds sessions that are over");
         }
     }
 }
--- a/lab/src/main/java/peppergauge/lab/emulator/Shrinker.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Shrinker.java
@@ -13,8 +13,8 @@
 import peppergauge.lab.scenario.ServerKind;
 
 /**
- * Cuts a scenario that breaks a rule down to a smaller one that breaks the same rule under the same seed: no longer than
- * up to the breach, without entries that it does not need, with shorter entries, and with fewer servers.
+ * Cuts a scenario that breaks a rule down to a smaller one that breaks the same rule under the same seed: no longer
+ * than up to the breach, without entries that it does not need, with shorter entries, and with fewer servers.
  */
 public final class Shrinker {
 
--- a/lab/src/main/java/peppergauge/lab/emulator/SidecarBackend.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/SidecarBackend.java
@@ -36,6 +36,7 @@
                     + " has a second attempt out, to " + server.id());
         }
         session.out++;
+        sidecar.works(false);
         world.meters.attempt(world.fleet.at(server.address()), session.attempts++ > 0);
         Attempt attempt = new Attempt(this, server, session, untilMs, ended);
         attempt.start();
--- a/lab/src/main/java/peppergauge/lab/emulator/SidecarLoop.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/SidecarLoop.java
@@ -1,15 +1,17 @@
 package peppergauge.lab.emulator;
 
 import java.util.ArrayDeque;
+import java.util.function.Consumer;
 import peppergauge.overload.Overload;
+import peppergauge.session.Clock;
 import peppergauge.session.Scheduler;
 import peppergauge.session.Sessions;
 import peppergauge.sockets.Loop;
 
 /**
- * The one thread of a sidecar, in virtual time: it runs in rounds, as the real loop does, and tells the overload control
- * of them. A round takes no time, or a set time for each task; what comes meanwhile, or while the process stands still,
- * waits for the next.
+ * The one thread of a sidecar, in virtual time: it runs in rounds, as the real loop does, and tells the overload
+ * control of them. A round takes the time that is booked for what it does; what comes meanwhile, or while the process
+ * stands still, waits for the next.
  */
 final class SidecarLoop implements Scheduler {
 
@@ -19,22 +21,21 @@
     private final VirtualTime time;
     private final Overload<?, Sessions.Newcomer> overload;
     private final Sabotage sabotage;
-    private final double taskMs;
-    private final java.util.function.Consumer<RuntimeException> bug;
+    private final Consumer<RuntimeException> bug;
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
     private boolean awake;
     private boolean dead;
     private long busyUntil;
     private long pausedUntil;
     private double endedMs;
+    /** What the present round has taken so far. */
+    private double spentMs;
 
-    /** @param taskMs what a task takes, ms, 0 or more */
-    SidecarLoop(VirtualTime time, Overload<?, Sessions.Newcomer> overload, Sabotage sabotage, double taskMs,
-            java.util.function.Consumer<RuntimeException> bug) {
+    SidecarLoop(VirtualTime time, Overload<?, Sessions.Newcomer> overload, Sabotage sabotage,
+            Consumer<RuntimeException> bug) {
         this.time = time;
         this.overload = overload;
         this.sabotage = sabotage;
-        this.taskMs = taskMs;
         this.bug = bug;
         endedMs = time.nowMs();
         overload.selectReturned(endedMs);
@@ -56,7 +57,7 @@
     public Wait after(double ms, Runnable task) {
         Pending pending = new Pending(task);
         if (!sabotage.swallows(ms)) {
-            pending.event = time.after(ms, () -> execute(pending));
+            pending.event = time.after(ms + spentMs, () -> execute(pending));
         }
         return pending;
     }
@@ -114,9 +115,7 @@
         idleRounds();
         double nowMs = time.nowMs();
         overload.selectReturned(nowMs);
-        int done = 0;
         for (Runnable task = tasks.pollFirst(); task != null; task = tasks.pollFirst()) {
-            done++;
             try {
                 task.run();
             } catch (RuntimeException thrown) {
@@ -124,11 +123,27 @@
             }
         }
         awake = false;
-        busyUntil = time.now() + VirtualTime.ticks(done * taskMs);
-        endedMs = nowMs + done * taskMs;
+        busyUntil = time.now() + VirtualTime.ticks(spentMs);
+        endedMs = nowMs + spentMs;
+        spentMs = 0;
         overload.roundEnded(endedMs);
     }
 
+    /** The present round takes so much longer, ms. */
+    void spend(double ms) {
+        spentMs += ms;
+    }
+
+    /** The time as what runs in a round sees it: later than the instant at which the round began. */
+    Clock clock() {
+        return new Clock(VirtualTime.ORIGIN_MS) {
+            @Override
+            public double nowMs() {
+                return time.nowMs() + spentMs;
+            }
+        };
+    }
+
     /** The select returns by itself now and then; not while the process stands still. */
     private void idleRounds() {
         double idleMs = time.nowMs() - endedMs;
--- a/lab/src/main/java/peppergauge/lab/emulator/Try.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Try.java
@@ -49,6 +49,7 @@
 
     private boolean answered(Trace.Kind how) {
         sidecar.over(this);
+        sidecar.works(true);
         if (++answers > 1) {
             world.rulebook.broken(Rulebook.Rule.ANSWER, "session " + number + " of " + sidecar.name()
                     + " was answered twice");
--- a/lab/src/main/java/peppergauge/lab/emulator/VirtualTime.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/VirtualTime.java
@@ -1,7 +1,6 @@
 package peppergauge.lab.emulator;
 
 import java.util.PriorityQueue;
-import peppergauge.session.Clock;
 import peppergauge.session.Scheduler;
 
 /**
@@ -117,14 +116,4 @@
         }
         now = stopped ? now : Math.max(now, last);
     }
-
-    /** The clock that sidecars are given. */
-    Clock clock() {
-        return new Clock(ORIGIN_MS) {
-            @Override
-            public double nowMs() {
-                return VirtualTime.this.nowMs();
-            }
-        };
-    }
 }
--- a/lab/src/main/java/peppergauge/lab/scenario/Clients.java
+++ b/lab/src/main/java/peppergauge/lab/scenario/Clients.java
@@ -34,7 +34,8 @@
             Key.preset("zipf", Types.number(0.01, 5), "0.75", "Exponent of the keys' popularity."),
             Key.preset("retries", Types.wholeNumber(0, 10), "2", "Tries after the first."),
             Key.preset("try-share", Types.number(0.01, 1), "0.6", "Share of the deadline that one try may take."),
-            Key.preset("first-wait", Scenario.time(0, 60_000), "\"80 ms\"", "Before the first retry; doubles each time."),
+            Key.preset("first-wait", Scenario.time(0, 60_000), "\"80 ms\"",
+                    "Before the first retry; doubles each time."),
             Key.preset("honour", Types.number(0, 1), "0.85", "Share of the clients that follow Retry-After."),
             Key.preset("impatient", Types.number(0, 1), "0.02", "Share of the tries that are given up early."),
             Key.preset("marks-retry", Types.flag(), "false", "Whether a retry says that it is one."));
--- a/lab/src/test/java/peppergauge/lab/command/LabTest.java
+++ b/lab/src/test/java/peppergauge/lab/command/LabTest.java
@@ -39,6 +39,16 @@
             {"check ../deploy/balancer.toml", 2, "", "balancer.toml:1:1: kind: is missing"},
             {"check ../nowhere ../deploy/examples/scenario.toml", 2, "fine", "../nowhere: cannot be read"},
             {"schema zz", 2, "", "unknown kind zz; known: scenario"},
+            {"emulate ../scenarios/calm.toml --length 1", 0, "digest: ", ""},
+            {"emulate ../scenarios/calm.toml --length 1 --seeds 3..6", 0, "failing seeds: none", ""},
+            {"emulate ../scenarios/calm.toml --seeds 6..3", 2, "", "is no range of seeds"},
+            {"emulate ../scenarios/calm.toml --seed 1 --seeds 3..6", 2, "", "mutually exclusive"},
+            {"emulate ../scenarios/calm.toml --length 1000", 2, "", "--length must be"},
+            {"emulate ../deploy/balancer.toml", 2, "", "balancer.toml:1:1: kind: is missing"},
+            {"emulate src/test/resources/breaks.toml", 3, "digest: ", "rule answer broken, seed 1, at "},
+            {"emulate src/test/resources/breaks.toml --seeds 1..3", 3, "failing seeds: 1, 2, 3", ""},
+            {"shrink src/test/resources/breaks.toml", 3, "kind = \"scenario\"", "still breaks answer"},
+            {"shrink ../deploy/examples/scenario.toml", 0, "", "breaks no rule with seed 1"},
             {"serve", 2, "", "start it by bin/peppergauge serve"},
         };
     }
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/emulator/StockTest.java
@@ -0,0 +1,83 @@
+package peppergauge.lab.emulator;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.lab.result.RunResult;
+
+/** The stock scenarios break no rule, and what a run does is decided by scenario and seed alone. */
+public class StockTest {
+
+    private static final long PLAYED_MS = 12_000;
+
+    @DataProvider
+    public Object[][] stock() {
+        return Stock.names().stream().map(name -> new Object[] {name}).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "stock")
+    public void noRuleIsBrokenAndTheFileSaysWhatItIsFor(String name) throws IOException {
+        RunResult result = Emulator.run(name, Stock.shortened(name, PLAYED_MS));
+        assertEquals(result.broken().toString(), "[]");
+        assertTrue(result.totals().service() > 0.8, result.totals().toString());
+        assertEquals(result.totals().asked(), result.totals().inTime() + result.totals().late()
+                + result.totals().lost());
+        String text = Files.readString(Path.of("../scenarios", name + ".toml"));
+        assertTrue(text.startsWith("# ") && text.contains("# Look at: "), name);
+    }
+
+    @DataProvider
+    public Object[][] busy() {
+        return new Object[][] {{"sidecar-crash"}, {"poison"}, {"flaky-network"}, {"busy-sidecars"}};
+    }
+
+    /** Run between other runs and alone, one after the other and side by side. */
+    @Test(dataProvider = "busy")
+    public void theDigestDependsOnNothingElse(String name) throws InterruptedException {
+        var scenario = Stock.shortened(name, 15_000);
+        String digest = Emulator.run(name, scenario).digest();
+        Emulator.run("calm", Stock.shortened("calm", 1_000));
+        assertEquals(Emulator.run("again", scenario).digest(), digest);
+        assertNotEquals(Emulator.run(name, scenario.seeded(2)).digest(), digest);
+        assertEquals(sweep(name, 8), sweep(name, 1));
+        assertEquals(sweep(name, 8).get(0), digest);
+    }
+
+    private static List<String> sweep(String name, int workers) throws InterruptedException {
+        List<String> digests = new ArrayList<>();
+        Sweep.run(name, Stock.shortened(name, 15_000), 1, 9, workers, result -> digests.add(result.digest()));
+        return digests;
+    }
+
+    /** Another process, with other hash seeds and another compiler. */
+    @Test
+    public void theDigestIsTheSameInAnotherProcess() throws IOException, InterruptedException {
+        String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        Process other = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xint",
+                "-cp", path, "peppergauge.lab.command.Lab", "emulate", "../scenarios/calm.toml", "--length", "2")
+                .redirectErrorStream(true).start();
+        List<String> lines = new String(other.getInputStream().readAllBytes()).lines().toList();
+        assertEquals(other.waitFor(), 0, lines.toString());
+        assertEquals(lines.get(lines.size() - 1),
+                "digest: " + Emulator.run("calm", Stock.shortened("calm", 2_000)).digest());
+    }
+
+    /** One draw more in one place moves nothing elsewhere: what is asked is the same, whatever happens to servers. */
+    @Test
+    public void whatIsAskedDoesNotDependOnWhatBecomesOfIt() {
+        RunResult calm = Emulator.run("calm", Stock.shortened("calm", 12_000));
+        RunResult fast = Emulator.run("fast", Stock.read(Stock.shortened("calm", 12_000).toToml()
+                + "[[at]]\ntime = '1 s'\nwhat = 'fast-errors'\ntarget = 'gen-a'\npart = 1.0\n"));
+        assertTrue(fast.totals().failed() > calm.totals().failed());
+        assertEquals(fast.seconds().stream().map(RunResult.Second::asked).toList(),
+                calm.seconds().stream().map(RunResult.Second::asked).toList());
+    }
+}
