--- a/lab/src/main/java/peppergauge/lab/command/PlayCommand.java
+++ b/lab/src/main/java/peppergauge/lab/command/PlayCommand.java
@@ -57,12 +57,13 @@
         }
         PrintWriter console = spec.commandLine().getOut();
         Scenario scenario = shaped(read.get());
+        Launch launch = launch();
         Play.leftOut(scenario).forEach(what -> console.println("not played: " + what));
         String name = ScenarioFile.name(file);
         console.println(String.format(Locale.ROOT, "%s: %.1f s, %d sidecars, %d backend servers", name,
                 Scenario.ms(scenario.run().length()) / 1e3, scenario.sidecars().count(),
                 scenario.servers().stream().mapToLong(ServerKind::count).sum()));
-        try (Play play = new Play(scenario, launch())) {
+        try (Play play = new Play(scenario, launch)) {
             // Sidecars have process groups of their own, which an interrupt from the terminal does not reach.
             Thread end = new Thread(() -> close(play), "end");
             Runtime.getRuntime().addShutdownHook(end);
@@ -89,7 +90,8 @@
         try {
             return new Launch(from, Deploy.run(from), -1, cores);
         } catch (IllegalArgumentException | IOException unusable) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "no build to play: " + unusable, unusable);
+            throw new CommandLine.ParameterException(spec.commandLine(), "no build to play in " + from + ": "
+                    + unusable.getMessage(), unusable);
         }
     }
 
--- a/lab/src/main/java/peppergauge/lab/compare/Comparison.java
+++ b/lab/src/main/java/peppergauge/lab/compare/Comparison.java
@@ -26,6 +26,8 @@
      */
     public record Outcome(String scenario, Map<Figure, Difference> differences, int brokenA, int brokenB) { }
 
+    /** Exit codes of the children, the same in all builds. */
+    private static final int UNUSABLE_INPUT = 2;
     private static final int BROKEN_RULE = 3;
 
     private final long first;
@@ -48,6 +50,7 @@
      * @param scenarios by name, as {@code Scenario.toToml} writes them
      * @return one outcome for each scenario; then, if there are several, one over all
      * @throws IOException if a child fails, with what it said
+     * @throws IllegalArgumentException if it finds a changed scenario unusable, with what it said
      */
     public List<Outcome> run(Variant a, Variant b, Map<String, String> scenarios)
             throws IOException, InterruptedException {
@@ -108,6 +111,9 @@
         Runtime.getRuntime().addShutdownHook(end);
         int code = child.waitFor();
         Runtime.getRuntime().removeShutdownHook(end);
+        if (code == UNUSABLE_INPUT) {
+            throw new IllegalArgumentException(variant.words() + ":\n" + tail(log));
+        }
         if (code != 0 && code != BROKEN_RULE) {
             throw new IOException(variant.words() + " ended with " + code + " on " + name + ":\n" + tail(log));
         }
