Take no malformed header for the lab's own failure

A Retry-After or X-Remaining-Ms that is no number, or a first line of fewer words, would have ended the loop's thread and with it the run; both are the sidecar's to answer for. Reading them gives the value for none.

--- a/lab/src/main/java/peppergauge/lab/load/Generator.java
+++ b/lab/src/main/java/peppergauge/lab/load/Generator.java
@@ -213,7 +213,8 @@
             used = true;
             String status = answer.word(1);
             boolean wrong = status.equals(Ending.SERVED) && !answer.text().startsWith(answered.request.id() + " ");
-            ended(answered, new Ending(wrong ? Ending.WRONG : status, retryAfterNs(answer)));
+            ended(answered, new Ending(wrong ? Ending.WRONG : status,
+                    (long) (1e9 * answer.number("Retry-After", 0))));
             if (answer.closes()) {
                 replace();
             } else {
@@ -221,11 +222,6 @@
             }
         }
 
-        private static long retryAfterNs(Message answer) {
-            String seconds = answer.header("Retry-After");
-            return seconds == null ? 0 : (long) (1e9 * Double.parseDouble(seconds));
-        }
-
         private void replace() {
             close();
             open.remove(this);
--- a/lab/src/main/java/peppergauge/lab/play/Clients.java
+++ b/lab/src/main/java/peppergauge/lab/play/Clients.java
@@ -171,8 +171,8 @@
     }
 
     private void failed(Try session, Ending ending) {
-        boolean unanswered = !Character.isDigit(ending.how().charAt(0)) || ending.how().equals("400");
-        if (unanswered) {
+        // 400 is the sidecar's word for what it cannot read: here all can be read.
+        if (!ending.how().matches("[1-5]\\d\\d") || ending.how().equals("400")) {
             stage.rules.unanswered(session, seat, ending.how());
         } else {
             stage.meters.failed();
--- a/lab/src/main/java/peppergauge/lab/play/Door.java
+++ b/lab/src/main/java/peppergauge/lab/play/Door.java
@@ -125,9 +125,7 @@
         if (stage.ways.breaks()) {
             return () -> cut(connection);
         }
-        String remaining = request.header("X-Remaining-Ms");
-        double expiresMs = stage.nowMs() + (remaining == null ? Double.POSITIVE_INFINITY
-                : Double.parseDouble(remaining));
+        double expiresMs = stage.nowMs() + request.number("X-Remaining-Ms", Double.POSITIVE_INFINITY);
         Wish wish = session.wish;
         return () -> machine.model().arrive(new Model.Work(wish.workMs, wish.key, expiresMs, () -> {
             stage.rules.ran(wish, machine.id());
--- a/lab/src/main/java/peppergauge/lab/wire/Message.java
+++ b/lab/src/main/java/peppergauge/lab/wire/Message.java
@@ -16,7 +16,8 @@
 
     /** The word at a place of the first line: the method or version, the path or status. */
     public String word(int place) {
-        return head.substring(0, head.indexOf("\r\n")).split(" ", 3)[place];
+        String[] words = head.substring(0, head.indexOf("\r\n")).split(" ", 3);
+        return place < words.length ? words[place] : "";
     }
 
     /** A header's value, or null. */
@@ -30,6 +31,17 @@
         return null;
     }
 
+    /** A header's number; what is none or missing, or below 0, counts as the other. */
+    public double number(String name, double otherwise) {
+        String text = header(name);
+        try {
+            double number = text == null ? -1 : Double.parseDouble(text);
+            return number >= 0 ? number : otherwise;
+        } catch (NumberFormatException malformed) {
+            return otherwise;
+        }
+    }
+
     public boolean closes() {
         return "close".equalsIgnoreCase(header("Connection"));
     }
