--- a/lab/src/main/java/peppergauge/lab/play/Clients.java
+++ b/lab/src/main/java/peppergauge/lab/play/Clients.java
@@ -132,7 +132,7 @@
         double saysMs = Math.min(wish.deadlineMs - ms, figures.tryShare() * Scenario.ms(about.deadline()));
         double early = patience.nextDouble();
         boolean impatient = early < figures.impatient();
-        String id = "t" + number + '-' + count++;
+        String id = stage.run + '-' + number + '-' + count++;
         stage.tries.put(id, new Try(wish, ms, impatient));
         stage.meters.tried();
         boolean again = wish.tries++ > 0;
--- a/lab/src/main/java/peppergauge/lab/play/Stage.java
+++ b/lab/src/main/java/peppergauge/lab/play/Stage.java
@@ -11,6 +11,8 @@
 /** What all parts of one run share; for the loop's thread. */
 final class Stage implements Timers {
 
+    /** Ids of two runs on one machine differ. */
+    final String run = Long.toHexString(System.nanoTime());
     final Scenario scenario;
     final Loop loop;
     final SplittableRandom luck;
