--- a/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
@@ -172,6 +172,9 @@
 
     void listed(ServerTable table) {
         world.note(Trace.Kind.TOLD, index, -1, -1, table.version());
+        // Who is ready again may be sent to while the table is read; who leaves counts once it has been.
+        loop.execute(() -> table.rows().stream().filter(row -> row.entry().state() == ServerState.READY)
+                .forEach(row -> leaving.remove(row.entry().server())));
         sessions.listed(table);
         loop.execute(() -> told(table));
     }
@@ -188,9 +191,7 @@
         for (ServerTable.Row row : table.rows()) {
             String id = row.entry().server();
             before.remove(id);
-            if (row.entry().state() == ServerState.READY) {
-                leaving.remove(id);
-            } else {
+            if (row.entry().state() != ServerState.READY) {
                 leaving.putIfAbsent(id, world.time.now());
             }
             if (row.entry().state() == ServerState.GONE) {
