Plug-ins: WebAssembly in a box, with a budget, before the sessions (module plugin)

Need: each station wants its own rule (no donations in a quiet hour, commuters tagged, a partner turned away), and nobody should fork the sidecar for it; no plug-in may cost a session its one answer.

--- /dev/null
+++ b/plugin/src/main/java/peppergauge/plugin/PluginIntake.java
@@ -0,0 +1,318 @@
+package peppergauge.plugin;
+
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.DoubleSupplier;
+import peppergauge.decision.Balancer.Limits;
+import peppergauge.log.Log;
+import peppergauge.plugin.abi.AnswerView;
+import peppergauge.plugin.rules.Chain;
+import peppergauge.plugin.rules.Verdict;
+import peppergauge.session.Frontend;
+import peppergauge.session.Intake;
+import peppergauge.session.Message;
+import peppergauge.session.Opening;
+import peppergauge.session.Scheduler;
+import peppergauge.settings.SiteNames;
+
+/**
+ * Asks the plug-ins about each session before the sessions get it. Everything here runs on the loop's thread, which
+ * hands calls over and never waits: the outcome, the end of the budget, the deadline and the client's leaving all come
+ * as events, and the first of them decides.
+ */
+final class PluginIntake implements Intake {
+
+    private final Intake next;
+    private final Scheduler scheduler;
+    private final BooleanSupplier here;
+    private final DoubleSupplier nowMs;
+    private final SiteNames names;
+    private final Limits limits;
+    private final Attempts attempts;
+    private final Ids ids = new Ids();
+    private final Map<Frontend, Thinking> thinking = new IdentityHashMap<>();
+    private final Map<Frontend, Watched> watched = new IdentityHashMap<>();
+    private volatile Plan plan = Plan.EMPTY;
+    private boolean ending;
+    private Runnable whenIdle;
+
+    /** What it stands in: where sessions go, the loop, whether the caller is on it, the clock, ms. */
+    record Place(Intake next, Scheduler scheduler, BooleanSupplier here, DoubleSupplier nowMs) { }
+
+    PluginIntake(Place place, SiteNames names, Limits limits, Attempts attempts) {
+        next = place.next();
+        scheduler = place.scheduler();
+        here = place.here();
+        nowMs = place.nowMs();
+        this.names = names;
+        this.limits = limits;
+        this.attempts = attempts;
+    }
+
+    /** A session that a plug-in is asked about. */
+    private static final class Thinking {
+
+        private final Opening opening;
+        private final Frontend frontend;
+        private final Plan plan;
+        private final Plan.Line line;
+        private Chain.Where where;
+        private SessionCall call;
+        private Scheduler.Wait wait;
+
+        private Thinking(Opening opening, Frontend frontend, Plan plan) {
+            this.opening = opening;
+            this.frontend = frontend;
+            this.plan = plan;
+            this.line = plan.line(opening.requestClass());
+        }
+    }
+
+    // ---- What any thread may call ----
+
+    @Override
+    public void open(Opening opening, Frontend frontend) {
+        onLoop(() -> opened(opening, frontend));
+    }
+
+    @Override
+    public void left(String id, Frontend frontend) {
+        onLoop(() -> hasLeft(id, frontend));
+    }
+
+    /** The plan to begin with; before the loop runs. */
+    void begin(Plan first) {
+        plan = first;
+    }
+
+    /** Sessions go by this plan from now on; the threads of the one before end with its last session. */
+    void install(Plan fresh) {
+        scheduler.execute(() -> {
+            Plan before = plan;
+            plan = fresh;
+            before.retire();
+        });
+    }
+
+    /** No plug-in is asked any more, as if each failed; the task runs once none thinks about a session. */
+    void end(Runnable task) {
+        scheduler.execute(() -> {
+            ending = true;
+            whenIdle = task;
+            checkIdle();
+        });
+    }
+
+    /** The one that sessions go by. */
+    Plan plan() {
+        return plan;
+    }
+
+    private void onLoop(Runnable task) {
+        if (here.getAsBoolean()) {
+            task.run();
+        } else {
+            scheduler.execute(task);
+        }
+    }
+
+    // ---- One session ----
+
+    private void opened(Opening opening, Frontend frontend) {
+        if (plan.isEmpty()) {
+            next.open(opening, frontend);
+        } else if (!ids.add(opening.id())) {
+            frontend.duplicate();
+        } else {
+            Thinking session = new Thinking(opening, frontend, plan);
+            session.plan.began();
+            thinking.put(frontend, session);
+            go(session, session.line.chain().begin(opening.message().fields()));
+        }
+    }
+
+    private void go(Thinking session, Chain.Step first) {
+        Chain.Step step = first;
+        while (step.next() == Chain.Next.ASK) {
+            session.where = step.where();
+            Optional<String> refused = ask(session);
+            if (refused.isEmpty()) {
+                return;
+            }
+            step = session.line.chain().failed(session.where, refused.get());
+        }
+        session.where = step.where();
+        end(session);
+        if (step.next() == Chain.Next.DENY) {
+            deny(session, step.denial().orElseThrow());
+        } else {
+            handOver(session);
+        }
+        checkIdle();
+    }
+
+    /** Hands the session to the plug-in that is next; if that cannot be, why. */
+    private Optional<String> ask(Thinking session) {
+        Installed plugin = session.line.plugins().get(session.where.index());
+        if (ending) {
+            return Optional.of("the sidecar ends");
+        }
+        Opening opening = session.opening;
+        SessionCall call = new SessionCall(plugin, opening, session.where.fields(),
+                new SessionCall.Names(names.classes().get(opening.requestClass()), tenant(opening), nowMs),
+                (of, verdict, why, tookMs) -> scheduler.execute(() -> heard(session, of, verdict, why, tookMs)));
+        double now = nowMs.getAsDouble();
+        Optional<String> refused = plugin.offer(now, call);
+        if (refused.isEmpty()) {
+            boolean deadlineFirst = opening.deadlineMs() - now <= plugin.budget.callMs();
+            session.call = call;
+            session.wait = scheduler.after(plugin.budget.waitMs(now, opening.deadlineMs()),
+                    () -> due(session, call, deadlineFirst));
+        }
+        return refused;
+    }
+
+    private String tenant(Opening opening) {
+        return opening.tenant() < names.tenants().size() ? names.tenants().get(opening.tenant()) : "";
+    }
+
+    /** A call has come back, perhaps long after its session went on without it. */
+    private void heard(Thinking session, SessionCall call, Verdict verdict, String why, double tookMs) {
+        double now = nowMs.getAsDouble();
+        Installed plugin = call.plugin;
+        plugin.spent(tookMs);
+        boolean awaited = session.call == call;
+        if (awaited) {
+            session.call = null;
+            session.wait.cancel();
+        }
+        if (verdict == null) {
+            if (!call.counted) {
+                plugin.failed(now, why);
+            }
+            if (awaited) {
+                go(session, session.line.chain().failed(session.where, why));
+            }
+            return;
+        }
+        plugin.succeeded(now);
+        if (awaited) {
+            Chain.Step step = session.line.chain().heard(session.where, verdict);
+            step.fault().ifPresent(fault -> plugin.failed(now, fault));
+            if (verdict instanceof Verdict.Deny) {
+                plugin.tally.denied++;
+            }
+            go(session, step);
+        }
+    }
+
+    /** The budget is used up, or the deadline has come, and no verdict has. */
+    private void due(Thinking session, SessionCall call, boolean deadlineFirst) {
+        if (session.call != call) {
+            return;
+        }
+        session.call = null;
+        call.withdraw();
+        if (deadlineFirst) {
+            end(session);
+            session.frontend.failed(true);
+            checkIdle();
+        } else {
+            call.counted = true;
+            String why = "no verdict within " + call.plugin.budget.callMs() + " ms";
+            call.plugin.failed(nowMs.getAsDouble(), why);
+            go(session, session.line.chain().failed(session.where, why));
+        }
+    }
+
+    private void hasLeft(String id, Frontend frontend) {
+        Thinking session = thinking.get(frontend);
+        if (session == null) {
+            Watched instead = watched.remove(frontend);
+            if (instead != null) {
+                attempts.take(id);
+            }
+            next.left(id, instead == null ? frontend : instead);
+            return;
+        }
+        if (session.call != null) {
+            session.call.withdraw();
+            session.call = null;
+            session.wait.cancel();
+        }
+        end(session);
+        checkIdle();
+    }
+
+    private void end(Thinking session) {
+        thinking.remove(session.frontend);
+        session.plan.ended();
+    }
+
+    private void checkIdle() {
+        if (whenIdle != null && thinking.isEmpty()) {
+            Runnable task = whenIdle;
+            whenIdle = null;
+            task.run();
+        }
+    }
+
+    // ---- What becomes of it ----
+
+    private void deny(Thinking session, Verdict.Deny denial) {
+        Log.line("plug-in denied", session.where.index() + 1 + " of " + session.line.plugins().size() + ", "
+                + session.line.plugins().get(session.where.index()).spec.name() + ": " + denial.reason());
+        // What the settings say of such advice binds plug-ins, too.
+        session.frontend.denied(limits.retryAfter() ? Math.min(denial.retryAfterMs(), limits.maxRetryAfterMs()) : 0);
+        tellAnswer(session.opening, session.plan, 503, Attempts.Tried.NEVER);
+    }
+
+    private void handOver(Thinking session) {
+        Opening asked = session.opening;
+        List<Message.Field> fields = session.where.fields();
+        Message before = asked.message();
+        Opening opening = fields.equals(before.fields()) ? asked : new Opening(asked.id(), asked.requestClass(),
+                asked.tenant(), asked.remainingMs(), asked.clientRetry(), asked.arrivedMs(),
+                new Message(before.verb(), before.target(), fields, before.body()));
+        Frontend frontend = session.frontend;
+        if (!session.plan.countsAnswers) {
+            next.open(opening, frontend);
+            return;
+        }
+        attempts.follow(asked.id());
+        Watched counted = new Watched(frontend, status -> {
+            watched.remove(frontend);
+            // The module hears of the attempt's end after the client: zone and number are known in the next task.
+            scheduler.execute(() -> tellAnswer(asked, session.plan, status, attempts.take(asked.id())));
+        });
+        watched.put(frontend, counted);
+        next.open(opening, counted);
+    }
+
+    private void tellAnswer(Opening opening, Plan of, int status, Attempts.Tried tried) {
+        double now = nowMs.getAsDouble();
+        if (of.countsAnswers) {
+            AnswerView answer = new AnswerView(status, now - opening.arrivedMs(), tried.attempts(),
+                    names.classes().get(opening.requestClass()), tenant(opening), tried.zone());
+            of.all().forEach(plugin -> plugin.tell(now, answer, new AnswerCall(answer, outcome(plugin))));
+        }
+    }
+
+    /** A second has passed. */
+    void tick() {
+        plan.all().stream().filter(plugin -> plugin.ticks && !plugin.isOff(nowMs.getAsDouble()))
+                .forEach(plugin -> plugin.crew.offer(new AnswerCall(null, outcome(plugin))));
+    }
+
+    private java.util.function.BiConsumer<String, Double> outcome(Installed plugin) {
+        return (why, tookMs) -> scheduler.execute(() -> {
+            plugin.spent(tookMs);
+            if (why != null) {
+                plugin.failed(nowMs.getAsDouble(), why);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/plugin/src/main/java/peppergauge/plugin/files/package-info.java
@@ -0,0 +1,2 @@
+/** What operators write of plug-ins. */
+package peppergauge.plugin.files;
--- /dev/null
+++ b/plugin/src/main/java/peppergauge/plugin/package-info.java
@@ -0,0 +1,2 @@
+/** Plug-ins before the sessions: {@link peppergauge.plugin.PluginAddition} puts them there. */
+package peppergauge.plugin;
--- /dev/null
+++ b/plugin/src/test/java/peppergauge/plugin/Specs.java
@@ -0,0 +1,37 @@
+package peppergauge.plugin;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.ZoneOffset;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import peppergauge.plugin.box.Capability;
+import peppergauge.plugin.box.Limits;
+import peppergauge.plugin.crew.Times;
+import peppergauge.plugin.files.PluginSpec;
+import peppergauge.plugin.rules.OnFailure;
+
+/** Plug-ins as a file would have them. */
+public final class Specs {
+
+    public static final Limits LIMITS = new Limits(16, 1 << 20, false);
+    public static final Times TIMES = new Times(1, 32, 256 << 10, 5, 300);
+
+    private Specs() { }
+
+    public static PluginSpec of(String name, byte[] module, OnFailure onFailure) throws IOException {
+        return of(name, module, onFailure, TIMES);
+    }
+
+    public static PluginSpec of(String name, byte[] module, OnFailure onFailure, Times times) throws IOException {
+        Path file = Files.createTempFile("plugin", ".wasm");
+        file.toFile().deleteOnExit();
+        Files.write(file, module);
+        return new PluginSpec(name, file, List.of(), onFailure, 500,
+                EnumSet.of(Capability.LOG, Capability.CONFIG, Capability.CLOCK, Capability.COUNTERS, Capability.STORE),
+                List.of("x-other"), List.of("X-Tag", "X-Traffic"), Map.of(), ZoneOffset.UTC, LIMITS, times, 5, 1,
+                1 << 16);
+    }
+}
--- a/sidecar/src/test/java/peppergauge/Bed.java
+++ b/sidecar/src/test/java/peppergauge/Bed.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 import peppergauge.config.Config;
 import peppergauge.settings.JsonTree;
 
@@ -26,6 +27,9 @@
              "tenants":[{"name":"acme","quotaPerS":1000}]}
             """;
 
+    /** What stands round each sidecar; for the tests of other modules, which run these with additions. */
+    static volatile Supplier<Additions> additions = () -> Additions.NONE;
+
     final Toy backend;
     final Toy discovery;
     final Sidecar sidecar;
@@ -43,7 +47,7 @@
         });
         Map<String, String> environment = new HashMap<>();
         environment.put("GW_CONFIG", file(sockets));
-        sidecar = new Sidecar(Config.read(environment));
+        sidecar = new Sidecar(Config.read(environment), additions.get());
         sidecar.start();
     }
 
