Daemon: sidecar and plug-ins from one operator file, reload, admin socket, JSON lines

Need: a long-lived program of which serve is the platform's plain form.

Change: module daemon. Subsystems lists what the file can add, each with its section; Combined chains their additions; Running reads the whole file again on SIGHUP or by command, all or nothing; AdminSocket answers on a Unix socket of rights 0600 or a loopback port; JsonLines takes the log through SLF4J and slf4j-jdk14.

Measured: by hand: status, plugins, reload answer; an unknown command and an HTTP request get an error.

--- /dev/null
+++ b/daemon/src/main/java/peppergauge/daemon/Daemon.java
@@ -0,0 +1,44 @@
+package peppergauge.daemon;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import peppergauge.HangUp;
+import peppergauge.daemon.file.DaemonFile;
+import peppergauge.daemon.file.LogSection;
+import peppergauge.daemon.lines.JsonLines;
+import peppergauge.operator.Values;
+
+/** The command line of the daemon: {@code daemon --config FILE}. Exit codes are those of docs/COMMANDS.md. */
+public final class Daemon {
+
+    private Daemon() { }
+
+    public static void main(String[] args) throws InterruptedException {
+        if (args.length != 3 || !"daemon".equals(args[0]) || !"--config".equals(args[1])) {
+            exit(2, "usage: peppergauge daemon --config FILE.toml");
+            return;
+        }
+        try {
+            Path file = Path.of(args[2]);
+            Values values = DaemonFile.read(file);
+            if (values.find(LogSection.TABLE).map(log -> log.get(LogSection.FORMAT)).orElse(LogSection.Format.LINES)
+                    == LogSection.Format.JSON) {
+                JsonLines.install();
+            }
+            Running running = new Running(file, values, () -> System.exit(0));
+            Runtime.getRuntime().addShutdownHook(new Thread(running::windDown, "wind-down"));
+            HangUp.handle(running::reload);
+            running.start();
+        } catch (IllegalArgumentException unusable) {
+            exit(2, unusable.getMessage());
+        } catch (IOException failed) {
+            exit(1, failed.getMessage());
+        }
+    }
+
+    private static void exit(int code, String why) {
+        why.lines().forEach(line -> System.err.println("peppergauge: " + line));
+        // Not exit: where the start failed there is nothing to wind down.
+        Runtime.getRuntime().halt(code);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/peppergauge/daemon/admin/AdminAddress.java
@@ -0,0 +1,30 @@
+package peppergauge.daemon.admin;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.file.Path;
+import java.util.Optional;
+import peppergauge.daemon.file.AdminSection;
+import peppergauge.operator.Values;
+
+/** Where the commands go: a Unix socket or a port of the loopback address. */
+public record AdminAddress(Optional<Path> path, int port) {
+
+    /** Empty if the file has none. */
+    public static Optional<AdminAddress> of(Values file) {
+        return file.find(AdminSection.TABLE).map(admin -> new AdminAddress(
+                admin.find(AdminSection.SOCKET).map(Path::of), admin.find(AdminSection.PORT).orElse(0L).intValue()));
+    }
+
+    SocketAddress address() {
+        return path.<SocketAddress>map(UnixDomainSocketAddress::of)
+                .orElseGet(() -> new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    }
+
+    StandardProtocolFamily family() {
+        return path.isPresent() ? StandardProtocolFamily.UNIX : StandardProtocolFamily.INET;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/peppergauge/daemon/file/DaemonFile.java
@@ -0,0 +1,36 @@
+package peppergauge.daemon.file;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import peppergauge.daemon.part.Subsystem;
+import peppergauge.daemon.part.Subsystems;
+import peppergauge.operator.FileKind;
+import peppergauge.operator.OperatorFiles;
+import peppergauge.operator.Problem;
+import peppergauge.operator.Reading;
+import peppergauge.operator.Section;
+import peppergauge.operator.Values;
+
+/** The kind of file as a whole. */
+public final class DaemonFile {
+
+    public static final FileKind KIND = new FileKind("daemon",
+            "One sidecar that lives long: its configuration, and all that this installation adds to it.", sections());
+
+    private DaemonFile() { }
+
+    private static List<Section> sections() {
+        List<Section> sections = new ArrayList<>(List.of(new SidecarSection(), new AdminSection(), new LogSection()));
+        Subsystems.ALL.stream().map(Subsystem::section).forEach(sections::add);
+        return sections;
+    }
+
+    /** @throws IllegalArgumentException with all problems, one a line */
+    public static Values read(Path file) {
+        Reading reading = new OperatorFiles(List.of(KIND)).read(file);
+        return reading.values().orElseThrow(() -> new IllegalArgumentException(
+                reading.problems().stream().map(Problem::toString).collect(Collectors.joining("\n"))));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/peppergauge/daemon/file/package-info.java
@@ -0,0 +1,2 @@
+/** The operator file of kind "daemon". */
+package peppergauge.daemon.file;
--- /dev/null
+++ b/daemon/src/main/java/peppergauge/daemon/lines/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines as JSON objects, through SLF4J. */
+package peppergauge.daemon.lines;
--- /dev/null
+++ b/daemon/src/main/java/peppergauge/daemon/part/Plugins.java
@@ -0,0 +1,55 @@
+package peppergauge.daemon.part;
+
+import peppergauge.Additions;
+import peppergauge.operator.Section;
+import peppergauge.operator.Values;
+import peppergauge.plugin.PluginAddition;
+import peppergauge.plugin.files.PluginSection;
+
+/** {@code [[plugin]]}. */
+final class Plugins implements Subsystem {
+
+    @Override
+    public Section section() {
+        return new PluginSection();
+    }
+
+    @Override
+    public Part open(Values file) {
+        return new PluginPart(new PluginAddition(PluginSection.read(file)));
+    }
+
+    private record PluginPart(PluginAddition addition) implements Part, Reports {
+
+        @Override
+        public Additions additions() {
+            return addition;
+        }
+
+        @Override
+        public Change prepare(Values file) {
+            PluginAddition.Prepared prepared = addition.prepare(PluginSection.read(file));
+            return new Change() {
+                @Override
+                public void apply() {
+                    prepared.install();
+                }
+
+                @Override
+                public void drop() {
+                    prepared.drop();
+                }
+            };
+        }
+
+        @Override
+        public Object report() {
+            return addition.report();
+        }
+
+        @Override
+        public String command() {
+            return "plugins";
+        }
+    }
+}
--- a/plugin/src/main/java/peppergauge/plugin/PluginAddition.java
+++ b/plugin/src/main/java/peppergauge/plugin/PluginAddition.java
@@ -23,7 +23,7 @@
 import peppergauge.session.Sessions;
 
 /** Puts plug-ins before the sessions. They can be exchanged while it runs; what they keep and count stays. */
-public final class PluginAddition implements Additions {
+public final class PluginAddition implements Additions.Before {
 
     private static final double TICK_MS = 1_000;
     /** Longer than any budget: what thinks when the program ends is through by then. */
@@ -50,11 +50,6 @@
 
     /** @throws IllegalArgumentException if a plug-in cannot be used */
     @Override
-    public Intake intake(Sessions sessions, Parts given) {
-        return intake((Intake) sessions, given);
-    }
-
-    /** Before another intake than the sessions. */
     public Intake intake(Intake next, Parts given) {
         parts = given;
         intake = new PluginIntake(new PluginIntake.Place(next, given.loop(), given.loop()::isHere,
--- a/sidecar/src/main/java/peppergauge/Additions.java
+++ b/sidecar/src/main/java/peppergauge/Additions.java
@@ -24,6 +24,17 @@
     /** Of the platform's sidecar. */
     Additions NONE = new Additions() { };
 
+    /** Can stand before any intake, so that several can stand one before another. */
+    interface Before extends Additions {
+
+        Intake intake(Intake next, Parts parts);
+
+        @Override
+        default Intake intake(Sessions sessions, Parts parts) {
+            return intake((Intake) sessions, parts);
+        }
+    }
+
     /** What a sidecar is put together from. */
     record Parts(Config config, Settings settings, SiteNames names, Clock clock, Loop loop,
             Overload<Claimant, Sessions.Newcomer> overload, Clients clients) { }
--- a/sidecar/src/main/java/peppergauge/config/Config.java
+++ b/sidecar/src/main/java/peppergauge/config/Config.java
@@ -29,6 +29,11 @@
         } catch (IllegalArgumentException malformed) {
             throw new IllegalArgumentException(path + " is " + malformed.getMessage());
         }
+        return of(environment, file);
+    }
+
+    /** As {@link #read}, of a file that is read already. */
+    public static Config of(Map<String, String> environment, Map<String, Object> file) {
         return new Config(
                 text(environment, "GW_NAME", file, "name"),
                 address(text(environment, "GW_LISTEN", file, "listen"), "GW_LISTEN"),
