--- a/daemon/src/main/java/peppergauge/daemon/file/AdminSection.java
+++ b/daemon/src/main/java/peppergauge/daemon/file/AdminSection.java
@@ -16,7 +16,7 @@
             "Instead: a port on 127.0.0.1, which anyone on this machine may use.");
 
     public static final Table TABLE = Table.optional("admin",
-            "Where status, plugins, drain and reload are asked; without it only signals work.", SOCKET, PORT);
+            "Where status, plugins, drain and reload are asked; without one only signals work.", SOCKET, PORT);
 
     @Override
     public Table table() {
@@ -26,8 +26,8 @@
     @Override
     public void check(Values file, Problems problems) {
         file.find(TABLE).ifPresent(admin -> {
-            if (admin.find(SOCKET).isPresent() == admin.find(PORT).isPresent()) {
-                problems.add(admin.place(), "admin", "must have either socket or port");
+            if (admin.find(SOCKET).isPresent() && admin.find(PORT).isPresent()) {
+                problems.add(admin.place(), "admin", "must have socket or port, not both");
             }
         });
     }
--- a/lab/src/main/java/peppergauge/lab/command/Lab.java
+++ b/lab/src/main/java/peppergauge/lab/command/Lab.java
@@ -11,7 +11,9 @@
 @Command(name = "peppergauge", description = "Balances an application's requests, and rehearses it.",
         synopsisSubcommandLabel = "COMMAND", versionProvider = Lab.Version.class, mixinStandardHelpOptions = true,
         scope = CommandLine.ScopeType.INHERIT,
-        subcommands = {ServeHelp.class, AdapterHelp.class, Check.class, Schema.class, HelpCommand.class})
+        subcommands = {ServeHelp.class, AdapterHelp.class, DaemonHelp.class, Check.class, Schema.class,
+            PluginCommand.class, Admin.Status.class, Admin.Plugins.class, Admin.Drain.class, Admin.Reload.class,
+            HelpCommand.class})
 public final class Lab implements Runnable {
 
     @CommandLine.Spec
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/plugin/RecordedSessions.java
@@ -0,0 +1,64 @@
+package peppergauge.lab.plugin;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.format.DateTimeParseException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import peppergauge.plugin.abi.LocalTime;
+import peppergauge.plugin.abi.SessionView;
+import peppergauge.session.Message;
+import peppergauge.settings.JsonTree;
+
+/** Sessions from a file: one JSON object a line, each key of which may be left out. */
+public final class RecordedSessions {
+
+    private RecordedSessions() { }
+
+    /** @throws IllegalArgumentException naming the line that is unusable */
+    public static List<SessionView> read(Path file, ZoneId zone) {
+        List<SessionView> sessions = new ArrayList<>();
+        try {
+            for (String line : Files.readAllLines(file)) {
+                if (!line.isBlank()) {
+                    byte[] bytes = line.getBytes(StandardCharsets.UTF_8);
+                    sessions.add(session(JsonTree.parse(bytes, 0, bytes.length), zone));
+                }
+            }
+        } catch (IOException unreadable) {
+            throw new IllegalArgumentException(file + ": cannot be read");
+        } catch (IllegalArgumentException | DateTimeParseException malformed) {
+            throw new IllegalArgumentException(file + ":" + (sessions.size() + 1) + ": " + malformed.getMessage());
+        }
+        return sessions;
+    }
+
+    private static SessionView session(Map<String, Object> line, ZoneId zone) {
+        List<Message.Field> headers = new ArrayList<>();
+        if (line.get("headers") instanceof Map<?, ?> map) {
+            map.forEach((name, value) -> headers.add(new Message.Field(
+                    String.valueOf(name).toLowerCase(java.util.Locale.ROOT), String.valueOf(value))));
+        }
+        String path = text(line, "path", "/donation/k");
+        String last = path.replaceAll("\\?.*", "");
+        Instant at = Instant.parse(text(line, "at", Instant.now().toString()));
+        return new SessionView(text(line, "class", "donation"), text(line, "tenant", "acme"),
+                last.substring(last.lastIndexOf('/') + 1), text(line, "method", "POST"), path, headers,
+                number(line, "remaining_ms", 500), (int) number(line, "body_bytes", 0),
+                Boolean.TRUE.equals(line.get("client_retry")), LocalTime.of(at.toEpochMilli(), zone));
+    }
+
+    private static String text(Map<String, Object> line, String key, String absent) {
+        Object value = line.get(key);
+        return value == null ? absent : String.valueOf(value);
+    }
+
+    private static double number(Map<String, Object> line, String key, double absent) {
+        return line.get(key) instanceof Number value ? value.doubleValue() : absent;
+    }
+}
