--- a/plugin/src/test/java/peppergauge/RulesBesidePluginsTest.java
+++ b/plugin/src/test/java/peppergauge/RulesBesidePluginsTest.java
@@ -33,6 +33,7 @@
         suite.setVerbose(0);
         suite.run();
         List<String> failed = results.getFailedTests().stream().map(RulesBesidePluginsTest::text).toList();
+        failed.forEach(System.out::println);
         assertEquals(failed.toString(), "[]", name);
         assertTrue(results.getPassedTests().size() > 60, "passed " + results.getPassedTests().size());
     }
--- a/plugin/src/test/java/peppergauge/plugin/BorderPropertiesTest.java
+++ b/plugin/src/test/java/peppergauge/plugin/BorderPropertiesTest.java
@@ -11,20 +11,15 @@
 import peppergauge.plugin.abi.LocalTime;
 import peppergauge.plugin.abi.RecordWriter;
 import peppergauge.plugin.abi.SessionView;
-import peppergauge.plugin.abi.VerdictReader;
-import peppergauge.plugin.rules.HeaderRules;
-import peppergauge.plugin.rules.Verdict;
 import peppergauge.plugin.wat.Assembler;
 import peppergauge.session.Message;
 
 /** Whatever a plug-in writes, the outcome is a verdict within all bounds, or a broken one, and nothing else. */
 class BorderPropertiesTest {
 
-    private static final HeaderRules HEADERS = new HeaderRules(List.of("X-Tag"));
-
     @Property(tries = 3000)
     void anyBytesAreAVerdictOrBroken(@ForAll @Size(max = 300) byte[] bytes) {
-        judge(bytes);
+        FuzzBorder.judge(bytes);
     }
 
     /** Nearly right: the head of a verdict, then anything. */
@@ -41,25 +36,13 @@
             bytes[i + 2] = 3;
             bytes[i + 3] = 0;
         }
-        judge(bytes);
+        FuzzBorder.judge(bytes);
     }
 
-    private static void judge(byte[] bytes) {
-        try {
-            Verdict verdict = VerdictReader.read(bytes);
-            if (verdict instanceof Verdict.Tag tag && HEADERS.fault(tag.changes()).isEmpty()) {
-                for (Message.Field field : HeaderRules.apply(List.of(), tag.changes())) {
-                    if (!field.name().equalsIgnoreCase("X-Tag") || field.value().chars().anyMatch(c -> c < ' ')) {
-                        throw new AssertionError("applied " + field);
-                    }
-                }
-            } else if (verdict instanceof Verdict.Deny deny && (deny.retryAfterMs() < 0
-                    || deny.retryAfterMs() > 3_600_000 || deny.reason().length() > 64)) {
-                throw new AssertionError("denied " + deny);
-            }
-        } catch (Abi.Broken expected) {
-            // One or the other.
-        }
+    /** Any pointers and lengths, to any import, and as a verdict's place. */
+    @Property(tries = 300)
+    void anyPlaceIsReachedOrATrap(@ForAll @Size(min = 16, max = 20) byte[] bytes) {
+        FuzzBorder.fuzzerTestOneInput(bytes);
     }
 
     @Property(tries = 500)
