--- a/plugin/src/main/java/peppergauge/plugin/PluginAddition.java
+++ b/plugin/src/main/java/peppergauge/plugin/PluginAddition.java
@@ -97,6 +97,9 @@
      */
     public synchronized Prepared prepare(List<PluginSpec> specs) {
         List<Installed> started = new ArrayList<>();
+        if (!specs.isEmpty()) {
+            WarmUp.once();
+        }
         try {
             for (PluginSpec spec : specs) {
                 requireClasses(spec);
