--- a/plugin/src/main/java/peppergauge/plugin/box/ModuleCheck.java
+++ b/plugin/src/main/java/peppergauge/plugin/box/ModuleCheck.java
@@ -124,8 +124,8 @@
         }
         MemoryLimits memory = module.memorySection().orElseThrow().getMemory(0).limits();
         if (memory.shared() || memory.initialPages() > limits.memoryPages()) {
-            throw new Unusable("memory is shared, or of " + memory.initialPages() + " pages at the start, which is over "
-                    + limits.memoryPages());
+            throw new Unusable("memory is shared, or of " + memory.initialPages()
+                    + " pages at the start, which is over " + limits.memoryPages());
         }
         long entries = 0;
         for (int i = 0; i < module.tableSection().tableCount(); i++) {
