--- /dev/null
+++ b/nomad/src/test/java/peppergauge/nomad/NomadLayoutTest.java
@@ -0,0 +1,38 @@
+package peppergauge.nomad;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.testng.annotations.Test;
+
+/** What is believed is decided without input, output, threads or a clock; nothing of the sidecar knows Nomad. */
+public class NomadLayoutTest {
+
+    private final JavaClasses all = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("peppergauge");
+
+    @Test
+    public void noPackageImportsInACircle() {
+        slices().matching("peppergauge.(**)").should().beFreeOfCycles().check(all);
+    }
+
+    @Test
+    public void membershipAndThePictureArePure() {
+        classes().that().resideInAnyPackage("peppergauge.membership", "peppergauge.nomad.picture").should()
+                .onlyDependOnClassesThat().resideInAnyPackage("java.lang..", "java.util", "java.util.function",
+                        "java.util.stream", "peppergauge.membership", "peppergauge.nomad.picture",
+                        "peppergauge.decision", "peppergauge.session").check(all);
+        noClasses().that().resideInAnyPackage("peppergauge.membership", "peppergauge.nomad.picture").should()
+                .dependOnClassesThat().belongToAnyOf(Thread.class, System.class).check(all);
+    }
+
+    @Test
+    public void nothingElseKnowsNomadAndMembershipKnowsNoSource() {
+        noClasses().that().resideOutsideOfPackage("peppergauge.nomad..").should().dependOnClassesThat()
+                .resideInAPackage("peppergauge.nomad..").check(all);
+    }
+}
