Add Nomad as a source of the server table, and a stand-in for its API

Scheduling may move to Nomad. The module nomad asks its service API by blocking queries, the event stream and single looks on the sidecar's loop, and hands what it hears to membership; NomadAddition puts both in place of the watch where an operator file of kind nomad says so. The lab has a stand-in for the API with blocking queries, streams and faults.

Measured: the same four failures over the plain watch, over the platform by membership, over Nomad and over its queries only: no request unserved in any.

--- a/lab/src/main/java/peppergauge/lab/files/Kinds.java
+++ b/lab/src/main/java/peppergauge/lab/files/Kinds.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import peppergauge.lab.scenario.RunSection;
+import peppergauge.nomad.NomadFile;
 import peppergauge.operator.FileKind;
 import peppergauge.operator.OperatorFiles;
 
@@ -17,6 +18,6 @@
     private Kinds() { }
 
     public static OperatorFiles all() {
-        return new OperatorFiles(List.of(SCENARIO));
+        return new OperatorFiles(List.of(SCENARIO, NomadFile.KIND));
     }
 }
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/nomad/StandInScript.java
@@ -0,0 +1,86 @@
+package peppergauge.lab.nomad;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A script for a stand-in, a change a line: ms from the start, a verb, its words. What stands after {@code #} is a
+ * remark. A server is one allocation with one registration of the same name.
+ *
+ * <pre>
+ * 0    node n1 dc1
+ * 0    run a1 n1 episodes 127.0.0.1:8080 zone=z0    # allocation, node, service, address, tags
+ * 500  drain n1 200                                 # its registrations go 200 ms later
+ * 900  allocation a1 ClientStatus failed
+ * 900  healthy a1 false
+ * 950  node-is n1 SchedulingEligibility ineligible
+ * 960  check a1 http failure
+ * 970  stop a1
+ * 980  gone a1                                      # without a stop told before
+ * 1000 fault empty
+ * </pre>
+ */
+public final class StandInScript {
+
+    private record Line(long atMs, String verb, List<String> words) { }
+
+    private final List<Line> lines = new ArrayList<>();
+
+    /** @throws IllegalArgumentException for a line that is none; says which */
+    public StandInScript(String text) {
+        for (String each : text.lines().map(line -> line.replaceAll("#.*", "").trim()).toList()) {
+            if (!each.isEmpty()) {
+                String[] words = each.split(" +");
+                if (words.length < 3 || !words[0].matches("[0-9]{1,9}")) {
+                    throw new IllegalArgumentException("not a line of a script: " + each);
+                }
+                lines.add(new Line(Long.parseLong(words[0]), words[1],
+                        List.of(Arrays.copyOfRange(words, 2, words.length))));
+            }
+        }
+        lines.sort(Comparator.comparingLong(Line::atMs));
+    }
+
+    /** Runs it to its end, on the caller's thread. */
+    public void run(Cluster cluster, NomadStandIn api) throws IOException, InterruptedException {
+        long begunNs = System.nanoTime();
+        for (Line line : lines) {
+            long leftMs = line.atMs() - (System.nanoTime() - begunNs) / 1_000_000;
+            if (leftMs > 0) {
+                Thread.sleep(leftMs);
+            }
+            run(line, cluster, api);
+        }
+    }
+
+    private static void run(Line line, Cluster cluster, NomadStandIn api) throws IOException, InterruptedException {
+        List<String> words = line.words();
+        String first = words.get(0);
+        switch (line.verb()) {
+            case "node" -> cluster.node(first, words.get(1), Map.of());
+            case "run" -> {
+                String[] address = words.get(3).split(":");
+                cluster.allocation(first, words.get(1), "job");
+                cluster.register(first, first, words.get(2), address[0], Integer.parseInt(address[1]),
+                        words.subList(4, words.size()));
+            }
+            case "drain" -> cluster.drain(first, Long.parseLong(words.get(1)));
+            case "allocation" -> cluster.allocationField(first, words.get(1), words.get(2));
+            case "healthy" -> cluster.allocationField(first, "DeploymentStatus",
+                    Map.of("Healthy", Boolean.valueOf(words.get(1))));
+            case "node-is" -> cluster.nodeField(first, words.get(1), words.get(2));
+            case "check" -> cluster.check(first, words.get(1), words.get(2));
+            case "stop" -> {
+                cluster.allocationField(first, "DesiredStatus", "stop");
+                cluster.deregisterAllOf(first);
+            }
+            case "gone" -> cluster.deregisterAllOf(first);
+            case "fault" -> api.fault(Fault.valueOf(first.toUpperCase(java.util.Locale.ROOT).replace('-', '_')));
+            default -> throw new IllegalArgumentException("no verb of a script: " + line.verb());
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/nomad/SameServiceTest.java
@@ -0,0 +1,120 @@
+package peppergauge.lab.nomad;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.lab.nomad.NomadBed.Way;
+
+/** The same failures over the platform's watch and over Nomad: the service is the same, and no client sees any. */
+public class SameServiceTest {
+
+    private final List<BackendStandIn> servers = new ArrayList<>();
+
+    @BeforeMethod
+    public void start() throws Exception {
+        for (String id : List.of("a", "b", "c")) {
+            servers.add(new BackendStandIn(id));
+        }
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        for (BackendStandIn each : servers) {
+            each.close();
+        }
+        servers.clear();
+    }
+
+    @DataProvider
+    public Object[][] ways() {
+        return new Object[][] {{Way.PLAIN}, {Way.PLATFORM}, {Way.NOMAD}, {Way.QUERY_ONLY}};
+    }
+
+    private NomadBed serving(Way way) throws Exception {
+        NomadBed bed = NomadBed.of(way, servers, "").ask();
+        for (BackendStandIn each : servers) {
+            NomadBed.await(each.id + " is asked", 5, () -> each.all() > 0);
+        }
+        Thread.sleep(400);
+        return bed;
+    }
+
+    @Test(dataProvider = "ways")
+    public void aDrainedServerGetsNoNewWorkAfterASecond(Way way) throws Exception {
+        try (NomadBed bed = serving(way)) {
+            BackendStandIn drained = servers.get(0);
+            bed.told.drain(drained);
+            long told = System.nanoTime();
+            Thread.sleep(1_800);
+            assertEquals(drained.since(told + 1_000_000_000L), 0);
+            assertEquals(bed.unserved(), 0);
+            report("drain", way, bed);
+        }
+    }
+
+    @Test(dataProvider = "ways")
+    public void whileNobodyTellsServersDieAndDrainAndServiceHolds(Way way) throws Exception {
+        try (NomadBed bed = serving(way)) {
+            bed.told.away(true);
+            Thread.sleep(300);
+            BackendStandIn dead = servers.get(0);
+            dead.close();
+            Thread.sleep(1_200);
+            assertEquals(servers.get(0).since(System.nanoTime()), 0);
+            BackendStandIn fresh = new BackendStandIn("d");
+            servers.add(fresh);
+            bed.told.gone(dead);
+            bed.told.add(fresh);
+            bed.told.drain(servers.get(1));
+            bed.told.away(false);
+            long back = System.nanoTime();
+            NomadBed.await("the new server is asked", 3, () -> fresh.since(back) > 0);
+            Thread.sleep(1_500);
+            assertEquals(servers.get(1).since(System.nanoTime() - 300_000_000L), 0);
+            assertEquals(bed.unserved(), 0, "of " + bed.asked());
+            report("outage", way, bed);
+        }
+    }
+
+    @Test(dataProvider = "ways")
+    public void aRestartHasTheLastTableOnly(Way way) throws Exception {
+        Told told = way == Way.PLAIN || way == Way.PLATFORM ? new Told.ByPlatform() : new Told.ByNomad();
+        for (BackendStandIn each : servers) {
+            told.add(each);
+        }
+        told.away(true);
+        try (NomadBed bed = new NomadBed(way, told, servers, "").ask()) {
+            Thread.sleep(1_000);
+            BackendStandIn fresh = new BackendStandIn("d");
+            servers.add(fresh);
+            told.add(fresh);
+            told.away(false);
+            NomadBed.await("the new server is asked", 4, () -> fresh.all() > 0);
+            assertEquals(bed.unserved(), 0);
+            assertTrue(bed.asked() > 50);
+            report("restart", way, bed);
+        }
+    }
+
+    /** Membership says who may be asked; who refuses is found out by asking, and who serves well is asked. */
+    @Test(dataProvider = "ways")
+    public void aServerListedHealthyThatRefusesCostsNoClientAnything(Way way) throws Exception {
+        try (NomadBed bed = serving(way)) {
+            servers.get(2).close();
+            Thread.sleep(1_000);
+            assertEquals(bed.unserved(), 0);
+            report("refusing", way, bed);
+        }
+    }
+
+    private static void report(String what, Way way, NomadBed bed) {
+        System.out.println(what + " over " + way + ": " + bed.asked() + " requests, all served, " + bed.denied()
+                + " denials on the way");
+    }
+}
--- a/nomad/src/main/java/peppergauge/membership/Decided.java
+++ b/nomad/src/main/java/peppergauge/membership/Decided.java
@@ -8,9 +8,10 @@
  * What came of a piece of news.
  *
  * @param table the rows that changed; empty if none did
+ * @param counted whether the news was taken as the source's present word; false for an older list
  * @param reasons for each decision, in order
  */
-public record Decided(Optional<ServerTable> table, List<Reason> reasons) {
+public record Decided(Optional<ServerTable> table, boolean counted, List<Reason> reasons) {
 
     public Decided {
         reasons = List.copyOf(reasons);
--- a/nomad/src/main/java/peppergauge/membership/Membership.java
+++ b/nomad/src/main/java/peppergauge/membership/Membership.java
@@ -79,19 +79,30 @@
         } else {
             voice.alive(nowMs, reasons);
         }
+        boolean counted = true;
         if (news instanceof News.Whole list) {
-            voice.whole(nowMs, list, handedOut(), reasons);
+            counted = voice.whole(nowMs, list, handedOut(), reasons);
         } else if (news instanceof News.Changes changes) {
-            voice.changes(nowMs, changes.servers());
+            voice.changes(nowMs, changes, handedOut());
         }
-        return settle(nowMs, reasons);
+        return settle(nowMs, counted, reasons);
     }
 
     /** Time has passed: waits may be over. To be called some times a second. */
     public Decided at(double nowMs) {
         flapping.prune(nowMs);
         answers.prune(nowMs);
-        return settle(nowMs, new Reasons());
+        return settle(nowMs, true, new Reasons());
+    }
+
+    /** What was known before any source spoke, after a restart; stays as it is until one does. */
+    public void seed(List<ServerTable.Row> rows) {
+        for (ServerTable.Row row : rows) {
+            if (row.entry().state() != ServerState.GONE) {
+                table.put(row.address(), new Handed(row.entry(), row.address(), ""));
+                addresses.put(row.entry().server(), row.address());
+            }
+        }
     }
 
     /** The server at this address served an attempt. */
@@ -165,7 +176,10 @@
 
     // ---- The table ----
 
-    private Decided settle(double nowMs, Reasons reasons) {
+    private Decided settle(double nowMs, boolean counted, Reasons reasons) {
+        if (voices.values().stream().noneMatch(Voice::spoken)) {
+            return new Decided(Optional.empty(), counted, reasons.take());
+        }
         Map<String, Wanted> wanted = wanted(nowMs, reasons);
         Map<String, ServerTable.Row> changed = new LinkedHashMap<>();
         Map<String, Boolean> ready = new LinkedHashMap<>();
@@ -190,7 +204,7 @@
         heldUp.retainAll(wanted.keySet());
         List<ServerTable.Row> rows = new ArrayList<>(changed.values());
         return new Decided(rows.isEmpty() ? Optional.empty()
-                : Optional.of(new ServerTable(++version, false, rows)), reasons.take());
+                : Optional.of(new ServerTable(++version, false, rows)), counted, reasons.take());
     }
 
     private boolean ready(double nowMs, Wanted each, Reasons reasons) {
--- a/nomad/src/main/java/peppergauge/membership/News.java
+++ b/nomad/src/main/java/peppergauge/membership/News.java
@@ -22,8 +22,12 @@
         }
     }
 
-    /** What changed for single servers; nothing is said of the others. */
-    record Changes(String source, List<Told> servers) implements News {
+    /**
+     * What changed for single servers; nothing is said of the others.
+     *
+     * @param version counted as that of whole lists is, which are older if theirs is lower; 0 if the source knows none
+     */
+    record Changes(String source, long version, List<Told> servers) implements News {
         public Changes {
             servers = List.copyOf(servers);
         }
--- a/nomad/src/main/java/peppergauge/membership/Voice.java
+++ b/nomad/src/main/java/peppergauge/membership/Voice.java
@@ -109,9 +109,17 @@
         }
     }
 
-    void changes(double now, List<Told> servers) {
+    void changes(double now, News.Changes changes, Collection<Told> handedOut) {
         nowMs = now;
-        servers.forEach(this::take);
+        inherit(handedOut);
+        version = Math.max(version, changes.version());
+        for (Told told : changes.servers()) {
+            if (told.standing() == Standing.LEAVING && !holds(told)) {
+                departed.left(told.id(), null, nowMs);
+            } else {
+                take(told);
+            }
+        }
         spoken |= !held.isEmpty();
     }
 
@@ -156,8 +164,9 @@
      * Takes a whole list.
      *
      * @param handedOut the present table, for a source that speaks for the first time
+     * @return whether it counts
      */
-    void whole(double now, News.Whole list, Collection<Told> handedOut, Reasons reasons) {
+    boolean whole(double now, News.Whole list, Collection<Told> handedOut, Reasons reasons) {
         nowMs = now;
         if (!counts(list.version(), reasons)) {
             // Of an older list only what keeps a server from new work is believed.
@@ -169,15 +178,20 @@
                 }
             });
             confirms = true;
-            return;
-        }
-        if (!spoken) {
-            // Its first list may be wrong as any other: what it leaves out of the present table is a loss.
-            handedOut.stream().filter(told -> told.standing() == Standing.READY).forEach(this::take);
+            return false;
         }
+        inherit(handedOut);
         list.servers().forEach(this::take);
         spoken = true;
         miss(list, reasons);
+        return true;
+    }
+
+    /** The first word of a source may be wrong as any other: what it leaves out of the present table is a loss. */
+    private void inherit(Collection<Told> handedOut) {
+        if (!spoken) {
+            handedOut.stream().filter(told -> told.standing() == Standing.READY).forEach(this::take);
+        }
     }
 
     private boolean holds(Told told) {
--- /dev/null
+++ b/nomad/src/main/java/peppergauge/nomad/LastTable.java
@@ -0,0 +1,75 @@
+package peppergauge.nomad;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
+import peppergauge.decision.Balancer.ServerState;
+import peppergauge.log.Log;
+import peppergauge.nomad.wire.Work;
+import peppergauge.servertable.ServerTableReader;
+import peppergauge.session.ServerTable;
+import peppergauge.settings.JsonTree;
+
+/** The table in a file, in the form of the platform's discovery: what a restart begins with while Nomad is away. */
+final class LastTable {
+
+    private static final int MOST_BYTES = 16 << 20;
+
+    private final Path file;
+    private final Work work;
+
+    LastTable(Path file, Work work) {
+        this.file = file;
+        this.work = work;
+    }
+
+    /** Empty if there is none, or none that can be used. */
+    List<ServerTable.Row> read() {
+        try (var in = Files.newInputStream(file)) {
+            byte[] bytes = in.readNBytes(MOST_BYTES);
+            return new ServerTableReader(List.of()).read(JsonTree.parse(bytes, 0, bytes.length)).rows();
+        } catch (IOException | IllegalArgumentException unusable) {
+            Log.line("membership", "no last table: " + unusable);
+            return List.of();
+        }
+    }
+
+    /** Writes it beside the loop, as a whole or not at all. */
+    void write(ServerTable table) {
+        work.run(() -> {
+            try {
+                Path fresh = file.resolveSibling(file.getFileName() + ".new");
+                text(fresh, table);
+                return Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            } catch (IOException failed) {
+                throw new UncheckedIOException(failed);
+            }
+        }, written -> { }, why -> Log.line("membership", "the last table was not written: " + why));
+    }
+
+    private static void text(Path to, ServerTable table) throws IOException {
+        try (JsonGenerator json = new JsonFactory().createGenerator(Files.newBufferedWriter(to))) {
+            json.writeStartObject();
+            json.writeNumberField("version", table.version());
+            json.writeBooleanField("full", true);
+            json.writeArrayFieldStart("servers");
+            for (ServerTable.Row row : table.rows()) {
+                json.writeStartObject();
+                json.writeStringField("id", row.entry().server());
+                json.writeStringField("addr", row.address());
+                json.writeNumberField("zone", row.entry().zone());
+                json.writeNumberField("cell", row.entry().cell());
+                json.writeStringField("state", row.entry().state() == ServerState.READY ? "active" : "leaving");
+                json.writeNumberField("started_ms", row.entry().startedMs());
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+        }
+    }
+}
--- /dev/null
+++ b/nomad/src/main/java/peppergauge/nomad/NomadAddition.java
@@ -0,0 +1,197 @@
+package peppergauge.nomad;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import peppergauge.Additions;
+import peppergauge.config.Config;
+import peppergauge.log.Log;
+import peppergauge.membership.Decided;
+import peppergauge.membership.Membership;
+import peppergauge.membership.News;
+import peppergauge.membership.Reason;
+import peppergauge.membership.Told;
+import peppergauge.nomad.wire.Work;
+import peppergauge.operator.Values;
+import peppergauge.servertable.ServerTableReader;
+import peppergauge.servertable.ServerTableWatch;
+import peppergauge.session.Backend;
+import peppergauge.session.Intake;
+import peppergauge.session.ServerTable;
+import peppergauge.session.Sessions;
+
+/**
+ * Puts membership, and Nomad before it, in place of the plain watch of discovery; where the operator's file does not
+ * enable it, nothing is added at all. Membership, sources and this live on the sidecar's loop.
+ */
+public final class NomadAddition implements Additions, NomadSource.Sink {
+
+    /** How often waits are looked at, ms. */
+    private static final double TICK_MS = 250;
+    private static final double WRITE_MS = 5_000;
+    /** Without a known server the first list is worth more than the spread. */
+    private static final double HURRIED = 0.1;
+
+    private final Values file;
+    private final boolean enabled;
+    private final Membership membership;
+    private Parts parts;
+    private Sessions sessions;
+    private Work work;
+    private Config config;
+    private NomadSource source;
+    private ServerTableWatch watch;
+    private Optional<LastTable> last = Optional.empty();
+    private boolean unwritten;
+    private volatile boolean closed;
+
+    /** @param file of kind {@link NomadFile#KIND}, read without a problem */
+    public NomadAddition(Values file) {
+        this.file = file;
+        enabled = NomadSection.enabled(file);
+        membership = new Membership(MembershipSection.policy(file));
+    }
+
+    @Override
+    public Backend backend(Backend http, Parts of) {
+        if (!enabled) {
+            return http;
+        }
+        // Attempts may end on any thread; the loop's owns membership.
+        return new AnsweringBackend(http, address -> onLoop(of, () ->
+                membership.answered(of.clock().nowMs(), address)));
+    }
+
+    private static void onLoop(Parts of, Runnable task) {
+        if (of.loop().isHere()) {
+            task.run();
+        } else {
+            of.loop().execute(task);
+        }
+    }
+
+    @Override
+    public boolean watchesDiscovery() {
+        return !enabled;
+    }
+
+    @Override
+    public void starting(Intake intake, Sessions told, Parts of) {
+        if (!enabled) {
+            return;
+        }
+        parts = of;
+        sessions = told;
+        config = of.config();
+        work = new Work(of.loop());
+        last = MembershipSection.lastTable(file).map(path -> new LastTable(path, work));
+        ServerTableReader reader = new ServerTableReader(of.names().zones());
+        List<ServerTable.Row> known = new ArrayList<>(reader.read(config.known()).rows());
+        if (known.isEmpty()) {
+            known.addAll(last.map(LastTable::read).orElse(List.of()));
+            sessions.listed(new ServerTable(0, true, known));
+        }
+        NomadSettings settings = NomadSection.settings(file, of.names().zones());
+        List<String> sources = MembershipSection.policy(file).sources();
+        of.loop().execute(() -> membership.seed(known));
+        if (sources.contains(MembershipSection.PLATFORM)) {
+            watch = new ServerTableWatch(config.discovery(), reader, 0, new FromPlatform(), of.loop());
+            of.loop().execute(watch::start);
+        }
+        if (sources.contains(MembershipSection.NOMAD)) {
+            // The name goes in: sidecars that share a seed must not draw the same waits.
+            Random random = new Random(config.seed() * 31 + config.name().hashCode());
+            source = new NomadSource(MembershipSection.NOMAD, settings, work, of.loop(), of.clock(), random, this);
+            source.start(settings.spreadMs() * (known.isEmpty() ? HURRIED : 1));
+        }
+        Log.line("nomad", "the server table comes from " + String.join(", then ", sources) + "; service "
+                + settings.service() + " at " + settings.agents());
+        of.loop().after(TICK_MS, this::tick);
+        of.loop().after(WRITE_MS, this::write);
+    }
+
+    @Override
+    public boolean tell(News news) {
+        return closed || took(membership.on(parts.clock().nowMs(), news));
+    }
+
+    @Override
+    public boolean confirms(String name) {
+        return membership.confirms(name);
+    }
+
+    private boolean took(Decided decided) {
+        decided.reasons().forEach(this::log);
+        decided.table().ifPresent(table -> {
+            unwritten = true;
+            sessions.listed(table);
+        });
+        return decided.counted();
+    }
+
+    private void log(Reason reason) {
+        String more = reason.kind() == Reason.Kind.NEW && source != null ? source.describe(reason.server()) : "";
+        Log.line("membership", reason + (more.isEmpty() ? "" : ", " + more));
+    }
+
+    private void tick() {
+        if (!closed) {
+            took(membership.at(parts.clock().nowMs()));
+            parts.loop().after(TICK_MS, this::tick);
+        }
+    }
+
+    private void write() {
+        if (!closed) {
+            if (unwritten) {
+                last.ifPresent(kept -> kept.write(membership.whole()));
+                unwritten = false;
+            }
+            parts.loop().after(WRITE_MS, this::write);
+        }
+    }
+
+    /** The platform's discovery may have moved; what the operator's file says needs a restart. */
+    @Override
+    public void reload(Map<String, String> environment) {
+        if (watch != null) {
+            Config fresh = config.reread(environment);
+            if (!fresh.discovery().equals(config.discovery())) {
+                watch.moveTo(fresh.discovery());
+            }
+            config = fresh;
+        }
+    }
+
+    @Override
+    public void stopped() {
+        closed = true;
+        if (watch != null) {
+            watch.close();
+        }
+        if (source != null) {
+            source.close();
+        }
+        if (work != null) {
+            work.close();
+        }
+    }
+
+    /** The platform's discovery as one source among others. */
+    private final class FromPlatform implements ServerTableWatch.Listener {
+
+        @Override
+        public void listed(ServerTable table) {
+            List<Told> servers = table.rows().stream().map(Told::of).toList();
+            tell(table.whole() ? new News.Whole(MembershipSection.PLATFORM, table.version(), true, servers)
+                    : new News.Changes(MembershipSection.PLATFORM, table.version(), servers));
+        }
+
+        @Override
+        public void lost() {
+            tell(new News.Lost(MembershipSection.PLATFORM));
+        }
+    }
+}
--- /dev/null
+++ b/nomad/src/main/java/peppergauge/nomad/NomadFile.java
@@ -0,0 +1,14 @@
+package peppergauge.nomad;
+
+import java.util.List;
+import peppergauge.operator.FileKind;
+
+/** The kind of operator file that turns Nomad on. */
+public final class NomadFile {
+
+    public static final FileKind KIND = new FileKind("nomad",
+            "The server table from Nomad's service API: where it is, and what is believed of what it tells.",
+            List.of(new NomadSection(), new MembershipSection()));
+
+    private NomadFile() { }
+}
--- /dev/null
+++ b/nomad/src/main/java/peppergauge/nomad/picture/Fields.java
@@ -0,0 +1,31 @@
+package peppergauge.nomad.picture;
+
+import java.util.List;
+import java.util.Map;
+
+/** Reads the fields of a JSON object that may hold anything: what has another type is as good as absent. */
+final class Fields {
+
+    private Fields() { }
+
+    static String text(Map<?, ?> object, String name) {
+        return object.get(name) instanceof String text ? text : "";
+    }
+
+    static long number(Map<?, ?> object, String name) {
+        return object.get(name) instanceof Number number ? number.longValue() : 0;
+    }
+
+    static boolean flag(Map<?, ?> object, String name) {
+        return Boolean.TRUE.equals(object.get(name));
+    }
+
+    static Map<?, ?> object(Map<?, ?> object, String name) {
+        return object.get(name) instanceof Map<?, ?> inside ? inside : Map.of();
+    }
+
+    static List<String> texts(Map<?, ?> object, String name) {
+        return object.get(name) instanceof List<?> list
+                ? list.stream().filter(String.class::isInstance).map(String.class::cast).toList() : List.of();
+    }
+}
--- a/nomad/src/test/java/peppergauge/membership/MembershipTest.java
+++ b/nomad/src/test/java/peppergauge/membership/MembershipTest.java
@@ -63,6 +63,8 @@
                 "n: is believed from now on in place of p"},
             {"a first list that is empty", FIRST, "0 p:whole 1 a b; 1 whole 9", "a b", "2 of 2 servers"},
             {"a first list that is short", FIRST, "0 p:whole 1 a b c; 1 whole 9 a", "a b c", "2 of 3 servers"},
+            {"a restart with the last table only", FIRST, "0 seed a b c; 1 lost; 2 at; 300 whole 7 a b d", "a b c- d",
+                "new, by n, d"},
             {"the next speaks after a silence", FIRST, "0 p:whole 1 a b c; 1 whole 9 a b; 2 lost; 33 at", "a b c",
                 "p: is believed from now on in place of n"},
             {"union: any lists it, any drains it", union(), "0 whole 1 a b; 1 p:whole 1 b- c", "a b- c", "leaving"},
--- a/nomad/src/test/java/peppergauge/membership/Script.java
+++ b/nomad/src/test/java/peppergauge/membership/Script.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import peppergauge.decision.Balancer.ServerEntry;
 import peppergauge.decision.Balancer.ServerState;
+import peppergauge.session.ServerTable;
 
 /**
  * A membership driven by lines such as {@code 0 whole 5 a b- c?}: time in s, source n unless {@code p:} stands before
@@ -39,8 +40,13 @@
         switch (other ? words[1].substring(2) : words[1]) {
             case "whole" -> on(now, whole(source, rest, true));
             case "unsure" -> on(now, whole(source, rest, false));
-            case "tell" -> on(now, new News.Changes(source, rest.stream().map(Script::told).toList()));
+            case "tell" -> on(now, new News.Changes(source, 0, rest.stream().map(Script::told).toList()));
             case "lost" -> on(now, new News.Lost(source));
+            case "seed" -> {
+                membership.seed(rest.stream().map(Script::told).map(told ->
+                        new ServerTable.Row(told.entry(), told.address())).toList());
+                rest.forEach(id -> table.put(id, ServerState.READY));
+            }
             case "answer" -> rest.forEach(id -> membership.answered(now, "h:" + id));
             default -> take(membership.at(now));
         }
