Test each fault of Nomad's API with the sidecar in between

The hard cases of the source: every fault while servers drain and come, first signs, an expired token, agents that disagree, empty lists. ByHand measures what the document says.

--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/nomad/ByHand.java
@@ -0,0 +1,188 @@
+package peppergauge.lab.nomad;
+
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+import peppergauge.lab.nomad.NomadBed.Way;
+import peppergauge.membership.Membership;
+import peppergauge.membership.News;
+import peppergauge.membership.Policy;
+import peppergauge.nomad.NomadSettings;
+import peppergauge.nomad.NomadSource;
+import peppergauge.nomad.picture.Mapping;
+import peppergauge.nomad.wire.Agent;
+import peppergauge.nomad.wire.Bounds;
+import peppergauge.nomad.wire.Work;
+import peppergauge.session.Clock;
+import peppergauge.sockets.Loop;
+
+/** What docs/NOMAD.md says was measured, to be measured again: {@code fault}, {@code cost}, {@code start}, ... */
+final class ByHand {
+
+    private static final int TIMES = 10;
+
+    private ByHand() { }
+
+    public static void main(String[] arguments) throws Exception {
+        switch (arguments[0]) {
+            case "fault" -> fault(Fault.valueOf(arguments[1]), Way.valueOf(arguments[2]));
+            case "cost" -> cost(Integer.parseInt(arguments[1]), Boolean.parseBoolean(arguments[2]),
+                    Integer.parseInt(arguments[3]), Integer.parseInt(arguments[4]));
+            case "start" -> start(Integer.parseInt(arguments[1]));
+            case "outage" -> outage(Integer.parseInt(arguments[1]));
+            default -> throw new IllegalArgumentException(arguments[0]);
+        }
+        System.exit(0);
+    }
+
+    private static void fault(Fault fault, Way way) throws Exception {
+        for (int i = 0; i < TIMES; i++) {
+            FaultsTest test = new FaultsTest();
+            test.start();
+            test.noFaultCostsARequestAndItsEndIsNoticed(fault, way);
+            test.stop();
+        }
+    }
+
+    /** Sources on one loop, each with a membership of its own, and no sidecar round them. */
+    private static final class Sources {
+
+        private final Loop loop = new Loop();
+        private final Clock clock = new Clock();
+        private final Work work = new Work(loop);
+        private final AtomicInteger listed = new AtomicInteger();
+        private final AtomicInteger news = new AtomicInteger();
+
+        Sources(int count, String agent, boolean stream, double spreadMs) {
+            loop.start(new Loop.Watcher() { }, () -> { });
+            NomadSettings settings = new NomadSettings("episodes", "", "", List.of(Agent.of(agent)), Optional.empty(),
+                    true, 5_000, 60_000, 5_000, 250, 64 << 10, 25_000, stream, 1_000, 250, 10_000, spreadMs, true,
+                    new Mapping(Optional.of("datacenter"), Optional.empty(), Optional.empty(), Optional.empty(),
+                            List.of("z0")), new Bounds(4 << 20, 32, 5_000));
+            for (int i = 0; i < count; i++) {
+                Membership membership = new Membership(Policy.usual(List.of("nomad")));
+                NomadSource.Sink sink = new NomadSource.Sink() {
+                    @Override
+                    public boolean tell(News told) {
+                        news.incrementAndGet();
+                        if (told instanceof News.Whole) {
+                            listed.incrementAndGet();
+                        }
+                        return membership.on(clock.nowMs(), told).counted();
+                    }
+
+                    @Override
+                    public boolean confirms(String source) {
+                        return membership.confirms(source);
+                    }
+                };
+                new NomadSource("nomad", settings, work, loop, clock, new Random(i * 7_919L), sink).start(spreadMs);
+            }
+        }
+    }
+
+    private static Cluster cluster(int servers) {
+        Cluster cluster = new Cluster();
+        for (int i = 0; i < servers; i++) {
+            cluster.node("node-" + i, "z0", Map.of("rack", "r" + i % 10));
+            cluster.allocation("alloc-8f3a1c52-" + i, "node-" + i, "job");
+            cluster.register("_nomad-task-8f3a1c52-" + i + "-web", "alloc-8f3a1c52-" + i, "episodes", "10.0.0.1",
+                    10_000 + i, List.of("zone=z0", "live"));
+        }
+        return cluster;
+    }
+
+    private static double cpuMs(String thread) {
+        var threads = ManagementFactory.getThreadMXBean();
+        double sum = 0;
+        for (long id : threads.getAllThreadIds()) {
+            var info = threads.getThreadInfo(id);
+            if (info != null && info.getThreadName().equals(thread)) {
+                sum += threads.getThreadCpuTime(id) / 1e6;
+            }
+        }
+        return sum;
+    }
+
+    /** One source, some servers, changes a second: processor time and bytes, after 10 s, for some seconds. */
+    private static void cost(int servers, boolean stream, int changesPerS, int seconds) throws Exception {
+        Cluster cluster = cluster(servers);
+        try (NomadStandIn api = new NomadStandIn(cluster, 10_000)) {
+            Sources sources = new Sources(1, api.address(), stream, 100);
+            for (int i = 0; i < 10 * Math.max(1, changesPerS); i++) {
+                change(cluster, servers, i, changesPerS);
+            }
+            double loopMs = cpuMs("loop");
+            double parseMs = cpuMs("nomad");
+            long bytes = api.counts().bytes();
+            int news = sources.news.get();
+            Map<String, Long> before = api.counts().requests();
+            long begunNs = System.nanoTime();
+            for (int i = 0; (System.nanoTime() - begunNs) / 1e9 < seconds; i++) {
+                change(cluster, servers, i, changesPerS);
+            }
+            double tookS = (System.nanoTime() - begunNs) / 1e9;
+            System.out.printf("%d servers, stream %b, %d changes/s: loop %.2f ms/s, beside it %.2f ms/s, %.0f bytes/s, "
+                    + "%d news, requests before %s and after %s in %.0f s%n", servers, stream, changesPerS,
+                    (cpuMs("loop") - loopMs) / tookS, (cpuMs("nomad") - parseMs) / tookS,
+                    (api.counts().bytes() - bytes) / tookS, sources.news.get() - news, before,
+                    api.counts().requests(), tookS);
+        }
+    }
+
+    private static void change(Cluster cluster, int servers, int i, int perS) throws InterruptedException {
+        if (perS == 0) {
+            Thread.sleep(1_000);
+            return;
+        }
+        int which = i * 31 % servers;
+        cluster.register("_nomad-task-8f3a1c52-" + which + "-web", "alloc-8f3a1c52-" + which, "episodes", "10.0.0.1",
+                10_000 + which, List.of("zone=z0", "live", "turn=" + i));
+        Thread.sleep(1_000 / perS);
+    }
+
+    /** Many sources at once: the most requests in one second, and when the last had its list. */
+    private static void start(int count) throws Exception {
+        Cluster cluster = cluster(12);
+        try (NomadStandIn api = new NomadStandIn(cluster, 10_000)) {
+            long begunNs = System.nanoTime();
+            Sources sources = new Sources(count, api.address(), true, 2_000);
+            NomadBed.await("all lists", 60, () -> sources.listed.get() >= count);
+            System.out.printf("%d sources: all had a list after %.1f s%n", count, (System.nanoTime() - begunNs) / 1e9);
+            Thread.sleep(10_000);
+            System.out.printf("peak %d requests/s, %s in %.0f s, %d bytes%n", api.counts().peakPerSecond(),
+                    api.counts().requests(), (System.nanoTime() - begunNs) / 1e9, api.counts().bytes());
+        }
+    }
+
+    /** The API is away for some seconds while servers drain, die and are replaced at the same ports' neighbours. */
+    private static void outage(int seconds) throws Exception {
+        List<BackendStandIn> servers = new ArrayList<>();
+        for (String id : List.of("a", "b", "c", "d", "e", "f")) {
+            servers.add(new BackendStandIn(id));
+        }
+        try (NomadBed bed = NomadBed.of(Way.NOMAD, servers, "").ask()) {
+            Thread.sleep(2_000);
+            bed.told.away(true);
+            for (int i = 0; i < 3; i++) {
+                Thread.sleep(seconds * 1_000L / 4);
+                servers.get(i).close();
+                bed.told.gone(servers.get(i));
+                BackendStandIn fresh = new BackendStandIn("g" + i);
+                servers.add(fresh);
+                bed.told.add(fresh);
+            }
+            Thread.sleep(seconds * 1_000L / 4);
+            bed.told.away(false);
+            long back = System.nanoTime();
+            NomadBed.await("the new servers are asked", 60, () -> servers.get(6).all() > 0 && servers.get(7).all() > 0
+                    && servers.get(8).all() > 0);
+            System.out.printf("away %d s, 3 of 6 servers dead: %d requests, %d denials, %d unserved, right %d ms after%n",
+                    seconds, bed.asked(), bed.denied(), bed.unserved(), (System.nanoTime() - back) / 1_000_000);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/nomad/FaultsTest.java
@@ -0,0 +1,191 @@
+package peppergauge.lab.nomad;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.lab.nomad.NomadBed.Way;
+
+/** Each fault of the API, with the sidecar in between and clients that never pause. */
+public class FaultsTest {
+
+    private final List<BackendStandIn> servers = new ArrayList<>();
+
+    @BeforeMethod
+    public void start() throws Exception {
+        for (String id : List.of("a", "b", "c")) {
+            servers.add(new BackendStandIn(id));
+        }
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        for (BackendStandIn each : servers) {
+            each.close();
+        }
+        servers.clear();
+    }
+
+    private NomadBed serving(Way way, String more) throws Exception {
+        NomadBed bed = NomadBed.of(way, servers, more).ask();
+        for (BackendStandIn each : servers) {
+            NomadBed.await(each.id + " is asked", 5, () -> each.all() > 0);
+        }
+        Thread.sleep(300);
+        return bed;
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return Arrays.stream(Fault.values()).filter(fault -> fault != Fault.NONE)
+                .map(fault -> new Object[] {fault, fault.ordinal() % 2 == 0 ? Way.NOMAD : Way.QUERY_ONLY})
+                .toArray(Object[][]::new);
+    }
+
+    /** In the fault one server drains and one is added; afterwards the table is right, and nobody noticed. */
+    @Test(dataProvider = "faults")
+    public void noFaultCostsARequestAndItsEndIsNoticed(Fault fault, Way way) throws Exception {
+        try (NomadBed bed = serving(way, "largest_answer = \"256 KiB\"")) {
+            bed.nomad.api.fault(fault);
+            Thread.sleep(400);
+            BackendStandIn fresh = new BackendStandIn("d");
+            servers.add(fresh);
+            bed.told.add(fresh);
+            bed.told.drain(servers.get(0));
+            Thread.sleep(900);
+            bed.nomad.api.fault(Fault.NONE);
+            long ended = System.nanoTime();
+            NomadBed.await("the new server is asked", 5, () -> fresh.all() > 0);
+            long knownNs = System.nanoTime();
+            NomadBed.await("the drained one is let alone", 5, () ->
+                    servers.get(0).since(System.nanoTime() - 300_000_000L) == 0);
+            assertTrue(servers.get(0).since(Math.max(ended, knownNs) + 1_000_000_000L) == 0);
+            assertEquals(bed.unserved(), 0, "of " + bed.asked());
+            System.out.println("fault " + fault + " over " + way + ": " + bed.asked() + " requests, " + bed.denied()
+                    + " denials on the way, right " + Math.max(0, (knownNs - ended) / 1_000_000) + " ms after its end");
+        }
+    }
+
+    /** With the stream and without: what the sidecar could know at the time of the drain, it acts upon within 1 s. */
+    @DataProvider
+    public Object[][] signs() {
+        return new Object[][] {
+            {Way.NOMAD, "node-is n-a DrainStrategy", 1.0}, {Way.NOMAD, "node-is n-a ineligible", 1.0},
+            {Way.NOMAD, "allocation a stop", 1.0}, {Way.NOMAD, "allocation a failed", 1.0},
+            {Way.NOMAD, "deregister a", 1.0}, {Way.QUERY_ONLY, "deregister a", 1.0},
+            {Way.QUERY_ONLY, "allocation a stop", 3.0}, {Way.QUERY_ONLY, "node-is n-a ineligible", 3.0},
+        };
+    }
+
+    @Test(dataProvider = "signs")
+    public void aServerIsLeftFromTheFirstSign(Way way, String sign, double withinS) throws Exception {
+        try (NomadBed bed = serving(way, "")) {
+            Cluster cluster = bed.nomad.cluster;
+            switch (sign) {
+                case "node-is n-a DrainStrategy" -> cluster.nodeField("n-a", "DrainStrategy", java.util.Map.of());
+                case "node-is n-a ineligible" -> cluster.nodeField("n-a", "SchedulingEligibility", "ineligible");
+                case "allocation a stop" -> cluster.allocationField("a", "DesiredStatus", "stop");
+                case "allocation a failed" -> cluster.allocationField("a", "ClientStatus", "failed");
+                default -> cluster.deregister("a");
+            }
+            long told = System.nanoTime();
+            Thread.sleep((long) (withinS * 1_000) + 500);
+            assertEquals(servers.get(0).since(told + (long) (withinS * 1e9)), 0);
+            assertEquals(bed.unserved(), 0);
+            assertTrue(bed.nomad.api.counts().mostQueries() <= 1 && bed.nomad.api.counts().mostStreams() <= 1);
+        }
+    }
+
+    /** A list that stays empty while the servers serve is not believed; one whose servers are told to stop is. */
+    @Test
+    public void anEmptyListForLongIsOnlyBelievedOfServersThatDoNotAnswer() throws Exception {
+        try (NomadBed bed = serving(Way.NOMAD, "")) {
+            bed.nomad.api.fault(Fault.EMPTY);
+            Thread.sleep(5_000);
+            assertEquals(bed.unserved(), 0, "of " + bed.asked());
+        }
+    }
+
+    @Test
+    public void aTokenThatExpiresIsReadAgain() throws Exception {
+        Path token = Files.createTempFile("token", "");
+        Files.writeString(token, "first\n");
+        try (NomadBed bed = serving(Way.NOMAD, "token_file = '" + token + "'")) {
+            bed.nomad.api.token("second");
+            bed.nomad.api.fault(Fault.RESET);
+            bed.nomad.api.fault(Fault.NONE);
+            Thread.sleep(300);
+            Files.writeString(token, "second\n");
+            BackendStandIn fresh = new BackendStandIn("d");
+            servers.add(fresh);
+            bed.told.add(fresh);
+            NomadBed.await("the new server is asked", 5, () -> fresh.all() > 0);
+            assertEquals(bed.unserved(), 0);
+        } finally {
+            Files.delete(token);
+        }
+    }
+
+    /** The agent asked dies, and the other is behind it: what the first said of a drain holds. */
+    @Test
+    public void ofTwoAgentsThatDisagreeTheOneBehindBringsNobodyBack() throws Exception {
+        Told.ByNomad told = new Told.ByNomad();
+        for (BackendStandIn each : servers) {
+            told.add(each);
+        }
+        try (NomadStandIn behind = new NomadStandIn(told.cluster, 200);
+                NomadBed bed = new NomadBed(Way.QUERY_ONLY, new Both(told, behind), servers, "").ask()) {
+            behind.fault(Fault.OLDER);
+            Thread.sleep(500);
+            told.cluster.deregister("a");
+            Thread.sleep(700);
+            told.api.fault(Fault.REFUSE);
+            Thread.sleep(1_000);
+            assertEquals(servers.get(0).since(System.nanoTime() - 900_000_000L), 0);
+            behind.fault(Fault.NONE);
+            assertEquals(bed.unserved(), 0);
+        }
+    }
+
+    /** Two agents of one cluster, the second after the first. */
+    private record Both(Told.ByNomad first, NomadStandIn second) implements Told {
+
+        @Override
+        public void add(BackendStandIn server) {
+            first.add(server);
+        }
+
+        @Override
+        public void drain(BackendStandIn server) throws Exception {
+            first.drain(server);
+        }
+
+        @Override
+        public void gone(BackendStandIn server) {
+            first.gone(server);
+        }
+
+        @Override
+        public void away(boolean away) throws Exception {
+            first.away(away);
+        }
+
+        @Override
+        public String address() {
+            return first.address() + "," + second.address();
+        }
+
+        @Override
+        public void close() throws java.io.IOException {
+            first.close();
+        }
+    }
+}
--- a/nomad/src/main/java/peppergauge/nomad/wire/Json.java
+++ b/nomad/src/main/java/peppergauge/nomad/wire/Json.java
@@ -50,8 +50,9 @@
             }
             return value;
         } catch (JsonProcessingException bad) {
-            throw new IllegalArgumentException("not valid JSON, or nested too deeply, at byte "
-                    + bad.getLocation().getByteOffset());
+            // A breach of the constraints has no place.
+            throw new IllegalArgumentException("not valid JSON, or nested too deeply" + (bad.getLocation() == null ? ""
+                    : ", at byte " + bad.getLocation().getByteOffset()));
         } catch (IOException impossible) {
             throw new IllegalArgumentException("unreadable JSON", impossible);
         }
