--- a/nomad/src/main/java/peppergauge/membership/Membership.java
+++ b/nomad/src/main/java/peppergauge/membership/Membership.java
@@ -31,7 +31,9 @@
     /** The table as it was handed out, by address. */
     private final Map<String, Handed> table = new LinkedHashMap<>();
     private final Map<String, String> addresses = new HashMap<>();
-    private final Set<String> keptReady = new TreeSet<>();
+    /** Kept against what was told, at this moment and at the one before. */
+    private Set<String> kept = new TreeSet<>();
+    private Set<String> keptBefore = new TreeSet<>();
     private final Set<String> heldUp = new TreeSet<>();
     private Voice leader;
     private long version;
@@ -180,6 +182,8 @@
         if (voices.values().stream().noneMatch(Voice::spoken)) {
             return new Decided(Optional.empty(), counted, reasons.take());
         }
+        keptBefore = kept;
+        kept = new TreeSet<>();
         Map<String, Wanted> wanted = wanted(nowMs, reasons);
         Map<String, ServerTable.Row> changed = new LinkedHashMap<>();
         Map<String, Boolean> ready = new LinkedHashMap<>();
@@ -200,7 +204,6 @@
                 leave(nowMs, each, changed, reasons);
             }
         }
-        keptReady.removeIf(address -> !wanted.containsKey(address) && any);
         heldUp.retainAll(wanted.keySet());
         List<ServerTable.Row> rows = new ArrayList<>(changed.values());
         return new Decided(rows.isEmpty() ? Optional.empty()
@@ -210,7 +213,6 @@
     private boolean ready(double nowMs, Wanted each, Reasons reasons) {
         String address = each.told().address();
         if (each.standing() == Standing.LEAVING) {
-            keptReady.remove(address);
             return false;
         }
         if (each.standing() == Standing.DOUBTED) {
@@ -218,7 +220,6 @@
                 kept(each, each.told().sign() + ", but it answers", reasons);
                 return true;
             }
-            keptReady.remove(address);
             return false;
         }
         Handed handed = table.get(address);
@@ -238,7 +239,7 @@
     }
 
     private void kept(Wanted each, String why, Reasons reasons) {
-        if (keptReady.add(each.told().address())) {
+        if (kept.add(each.told().address()) && !keptBefore.contains(each.told().address())) {
             reasons.add(Kind.KEPT, each.source(), each.told().id(), why);
         }
     }
@@ -297,7 +298,7 @@
         String id = each.entry.server();
         boolean serves = answers.lately(each.address, nowMs)
                 && voices.values().stream().noneMatch(voice -> voice.sawLeave(id));
-        if (serves && keptReady.add(each.address)) {
+        if (serves && kept.add(each.address) && !keptBefore.contains(each.address)) {
             reasons.add(Kind.KEPT, "", id, "missing, but it answers and nothing else is left");
         }
         if (serves && each.entry.state() != ServerState.READY) {
--- a/nomad/src/main/java/peppergauge/nomad/NomadSection.java
+++ b/nomad/src/main/java/peppergauge/nomad/NomadSection.java
@@ -60,7 +60,7 @@
             "Whether the event stream is used where it is allowed; the query for changes goes on beside it.");
     static final Key<Duration> SILENCE = Key.preset("stream_silence", ms(1_000, 600_000), "\"25 s\"",
             "Silence after which the stream counts as lost; Nomad sends a heartbeat every 10 s.");
-    static final Key<Duration> LOOK = Key.preset("look_every", ms(0, 3_600_000), "\"1 s\"",
+    static final Key<Duration> LOOK = Key.preset("look_every", ms(0, 3_600_000), "\"5 s\"",
             "Time between two looks at single allocations, their checks and nodes, one at a time; \"0 ms\" for none.");
     static final Key<Duration> BACKOFF = Key.preset("back_off", ms(10, 60_000), "\"250 ms\"",
             "First wait after a failure; it doubles, and each is drawn between half and all of its length.");
--- a/nomad/src/main/java/peppergauge/nomad/NomadSource.java
+++ b/nomad/src/main/java/peppergauge/nomad/NomadSource.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import peppergauge.decision.Balancer.ServerEntry;
@@ -60,7 +59,7 @@
     private long serviceEvents;
     private long eventsAtList;
     private int behind;
-    private boolean closed;
+    private volatile boolean closed;
 
     /** @param name by which the sink knows it */
     public NomadSource(String name, NomadSettings settings, Work work, Loop loop, Clock clock,
@@ -226,15 +225,10 @@
                 }
             } else if (picture.registered(clock.nowMs(), one)) {
                 affected(index, each -> each.id().equals(one.id()));
-                watch(index);
+                stream.watch(index, picture.jobs());
             }
         }
 
-        private void watch(long index) {
-            Set<String> jobs = picture.jobs();
-            stream.watch(index, jobs);
-        }
-
         @Override
         public void lives() {
             tell(new News.Alive(name));
--- a/nomad/src/main/java/peppergauge/nomad/wire/Agents.java
+++ b/nomad/src/main/java/peppergauge/nomad/wire/Agents.java
@@ -19,8 +19,4 @@
     public void next() {
         turn = (turn + 1) % all.size();
     }
-
-    public int size() {
-        return all.size();
-    }
 }
