--- a/lab/src/test/java/peppergauge/lab/nomad/NomadBed.java
+++ b/lab/src/test/java/peppergauge/lab/nomad/NomadBed.java
@@ -81,10 +81,10 @@
                 start_spread = "100 ms"
                 look_every = "100 ms"
                 %s
-                [membership]
                 sources = ["%s"]
                 confirm_after = "2 s"
-                """.formatted('"' + api.replace(",", "\",\"") + '"', way != Way.QUERY_ONLY, more,
+                """.formatted('"' + api.replace(",", "\",\"") + '"', way != Way.QUERY_ONLY,
+                more.contains("[membership]") ? more : more + "\n[membership]",
                 way == Way.PLATFORM ? "platform" : "nomad"));
         return new NomadAddition(reading.values().orElseThrow(() ->
                 new AssertionError(reading.problems().toString())));
