--- a/lab/src/main/java/peppergauge/lab/files/Kinds.java
+++ b/lab/src/main/java/peppergauge/lab/files/Kinds.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import peppergauge.daemon.file.DaemonFile;
 import peppergauge.lab.scenario.Scenario;
+import peppergauge.nomad.NomadFile;
 import peppergauge.operator.FileKind;
 import peppergauge.operator.OperatorFiles;
 
@@ -18,6 +19,6 @@
     private Kinds() { }
 
     public static OperatorFiles all() {
-        return new OperatorFiles(List.of(SCENARIO, DaemonFile.KIND));
+        return new OperatorFiles(List.of(SCENARIO, DaemonFile.KIND, NomadFile.KIND));
     }
 }
