--- a/lab/src/main/java/peppergauge/lab/files/Kinds.java
+++ b/lab/src/main/java/peppergauge/lab/files/Kinds.java
@@ -4,6 +4,7 @@
 import peppergauge.lab.scenario.RunSection;
 import peppergauge.operator.FileKind;
 import peppergauge.operator.OperatorFiles;
+import peppergauge.thrift.file.ThriftSection;
 
 /**
  * All kinds of operator files there are, and the sections of each. A subsystem adds its own here, and then
@@ -17,6 +18,6 @@
     private Kinds() { }
 
     public static OperatorFiles all() {
-        return new OperatorFiles(List.of(SCENARIO));
+        return new OperatorFiles(List.of(SCENARIO, ThriftSection.KIND));
     }
 }
--- a/thrift/src/main/java/peppergauge/thrift/wire/Scanner.java
+++ b/thrift/src/main/java/peppergauge/thrift/wire/Scanner.java
@@ -319,10 +319,12 @@
         if (size < 0 || (long) size * each > end - at) {
             throw new Malformed("a container that claims more than the message could hold");
         }
-        if (size > 0) {
+        if (size > 0 || even != TType.STOP || odd != TType.STOP) {
             // Of an empty one the types mean nothing, and some writers leave them 0.
             known(even);
             known(odd);
+        }
+        if (size > 0) {
             open(new Level(false, even, odd, size * each));
         }
         return true;
