--- a/lab/src/main/java/peppergauge/lab/command/Schema.java
+++ b/lab/src/main/java/peppergauge/lab/command/Schema.java
@@ -34,7 +34,8 @@
                 .orElseThrow(() -> new CommandLine.ParameterException(spec.commandLine(), "unknown kind " + name
                         + "; known: " + String.join(", ", files.kinds().stream().map(FileKind::name).toList()))))
                 .toList();
-        kinds.forEach(kind -> out.print(markdown ? Manual.markdown(kind) : Manual.example(kind)));
+        out.print(String.join("\n", kinds.stream().map(kind -> markdown ? Manual.markdown(kind)
+                : Manual.example(kind)).toList()));
         out.flush();
     }
 }
--- a/thrift/src/main/java/peppergauge/thrift/file/ThriftSection.java
+++ b/thrift/src/main/java/peppergauge/thrift/file/ThriftSection.java
@@ -59,9 +59,9 @@
     public static final Key<String> KEY = Key.optional("key", PATH, "\"2\"", "Where stands what the call concerns.");
     public static final Key<String> REMAINING = Key.optional("remaining", PATH, "\"1.3\"",
             "Where the remaining time stands, in ms; it is rewritten there before each attempt.");
-    public static final Key<Duration> ABSENT_REMAINING = Key.optional("absent-remaining",
-            Types.duration(Duration.ofMillis(1), Duration.ofHours(1)), "\"500 ms\"",
-            "The remaining time of calls that do not say; left out, they are refused.");
+    public static final Key<Duration> ABSENT_REMAINING = Key.preset("absent-remaining",
+            Types.duration(Duration.ofMillis(1), Duration.ofHours(1)), "\"1 s\"",
+            "The remaining time of calls that do not say.");
     public static final Key<List<Long>> NEVER_RAN = Key.optional("never-ran",
             Types.listOf(Types.wholeNumber(1, Short.MAX_VALUE), 1, 20), "[2]",
             "Field ids of declared exceptions that mean that nothing ran.");
@@ -90,9 +90,6 @@
             if (!names.add(method.get(NAME))) {
                 problems.add(method.place(NAME), "thrift.method.name", "is there twice");
             }
-            if (method.find(REMAINING).isEmpty() && method.find(ABSENT_REMAINING).isEmpty()) {
-                problems.add(method.place(), "thrift.method", "needs remaining, absent-remaining or both");
-            }
             for (Key<String> path : List.of(ID, TENANT, KEY, REMAINING, LOAD)) {
                 if (method.find(path).isPresent() && !ThriftSettings.isPath(method.get(path))) {
                     problems.add(method.place(path), "thrift.method." + path.name(),
--- a/thrift/src/main/java/peppergauge/thrift/file/ThriftSettings.java
+++ b/thrift/src/main/java/peppergauge/thrift/file/ThriftSettings.java
@@ -75,7 +75,7 @@
         return new Method(method.get(ThriftSection.NAME), requestClass, path(method, ThriftSection.ID),
                 path(method, ThriftSection.TENANT), path(method, ThriftSection.KEY),
                 path(method, ThriftSection.REMAINING), absentTenant(method, names),
-                method.find(ThriftSection.ABSENT_REMAINING).map(wait -> wait.toNanos() / 1e6).orElse(Double.NaN),
+                method.get(ThriftSection.ABSENT_REMAINING).toNanos() / 1e6,
                 neverRan, path(method, ThriftSection.LOAD));
     }
 
@@ -85,9 +85,9 @@
             return 0;
         }
         int tenant = name.map(names.tenants()::indexOf).orElse(-1);
-        if (name.isPresent() && tenant < 0) {
+        if (tenant < 0 && (name.isPresent() || method.find(ThriftSection.TENANT).isEmpty())) {
             throw new IllegalArgumentException(method.place(ThriftSection.ABSENT_TENANT)
-                    + ": thrift.method.absent-tenant: the settings have only " + names.tenants());
+                    + ": thrift.method: needs tenant, or an absent-tenant of the settings' " + names.tenants());
         }
         return tenant;
     }
--- a/thrift/src/main/java/peppergauge/thrift/method/Asked.java
+++ b/thrift/src/main/java/peppergauge/thrift/method/Asked.java
@@ -48,7 +48,7 @@
                 : Fields.find(call, method.remaining().get());
         double ms = value.isPresent() ? value.get().number() : method.absentRemainingMs();
         if (!(ms >= 0 && ms <= LONGEST_WAIT_MS)) {
-            throw new Malformed(value.isPresent() ? "the remaining time is unusable" : "the remaining time is missing");
+            throw new Malformed("the remaining time is unusable");
         }
         return ms;
     }
--- a/thrift/src/main/java/peppergauge/thrift/method/Method.java
+++ b/thrift/src/main/java/peppergauge/thrift/method/Method.java
@@ -13,7 +13,7 @@
  * @param key where stands what the call concerns
  * @param remaining where the remaining time stands, in ms; it is rewritten there before each attempt
  * @param absentTenant the tenant's number where its name is absent; -1 if it must be there
- * @param absentRemainingMs the remaining time where it is absent, ms; NaN if it must be there
+ * @param absentRemainingMs the remaining time where it is absent, ms
  * @param neverRan fields of the reply's struct whose presence proves that nothing ran
  * @param load where the load report stands in the reply's struct
  */
