Thrift: what comes in before a closing connection's end is served; closed connections free their place at once

Need: no reply of Thrift can say that its connection is to close, as HTTP's does. Change: while draining the input is read once more before a connection closes; an idle server connection that makes room for another counts no more from then on; a test that a oneway call which was begun is not sent again.

--- a/thrift/src/main/java/peppergauge/thrift/backend/Pool.java
+++ b/thrift/src/main/java/peppergauge/thrift/backend/Pool.java
@@ -133,8 +133,13 @@
         }
     }
 
-    /** It is no longer to be handed on; nothing happens if it was not idle. */
-    void takeOut(ServerConnection connection) {
+    /** It is closed, or about to be: its place is another's, if not yet its descriptor. May be told again. */
+    void closing(ServerConnection connection) {
+        takeOut(connection);
+        open -= connection.uncount() ? 1 : 0;
+    }
+
+    private void takeOut(ServerConnection connection) {
         if (byAge.remove(connection)) {
             Deque<ServerConnection> there = idle.get(connection.server());
             there.remove(connection);
@@ -146,8 +151,7 @@
 
     /** A connection that was up has ended; to be told once. */
     void ended(ServerConnection connection) {
-        takeOut(connection);
-        open--;
+        closing(connection);
         room.closed();
     }
 
--- a/thrift/src/main/java/peppergauge/thrift/backend/ServerConnection.java
+++ b/thrift/src/main/java/peppergauge/thrift/backend/ServerConnection.java
@@ -31,6 +31,7 @@
     private IOSession session;
     private ThriftExchange exchange;
     private int sequence;
+    private boolean counted = true;
     private boolean ended;
 
     ServerConnection(Backend.Server server, Pool pool, Form form, Bounds bounds) {
@@ -97,9 +98,16 @@
         session.setSocketTimeout(timeout);
     }
 
+    /** It counts as open no longer; whether it did until now. */
+    boolean uncount() {
+        boolean before = counted;
+        counted = false;
+        return before;
+    }
+
     /** At once; nothing more is read, though a spoilt answer may go on for gigabytes. */
     void close() {
-        pool.takeOut(this);
+        pool.closing(this);
         if (session != null) {
             session.close(CloseMode.GRACEFUL);
         }
--- a/thrift/src/main/java/peppergauge/thrift/frontend/ClientConnection.java
+++ b/thrift/src/main/java/peppergauge/thrift/frontend/ClientConnection.java
@@ -60,8 +60,7 @@
     private boolean sending;
     private boolean first = true;
     private boolean gone;
-    /** Nothing that comes in is read as a message any more. */
-    private boolean inputOver;
+    /** What came in is no message, or out of step: nothing that follows is read as one. */
     private boolean spoilt;
     private int waitsForReader;
     private int discarded;
@@ -89,11 +88,11 @@
     @Override
     public void inputReady(IOSession session, ByteBuffer source) throws IOException {
         for (int i = 0; i < MOST_READS && !gone && read(session); i++) {
-            if (!inputOver) {
+            if (!spoilt) {
                 take();
             }
         }
-        if (!gone && !inputOver && !sending && reader.begun()) {
+        if (!gone && !spoilt && !sending && reader.begun()) {
             sending = true;
             all.reading(this);
             if (!first) {
@@ -108,7 +107,7 @@
         int bytes = session.read(input);
         if (bytes < 0) {
             gone();
-        } else if (bytes > 0 && inputOver) {
+        } else if (bytes > 0 && spoilt) {
             discarded += bytes;
             if (discarded > MOST_DISCARDED) {
                 close();
@@ -132,13 +131,15 @@
             all.answered(this, ofSession);
         }
         session.clearEvent(EventMask.WRITE);
-        if (!gone && inputOver && owed.isEmpty() && open == 0) {
-            if (spoilt) {
-                // A close with unread input is a reset, which could overtake the answer.
-                startTimer(LONGEST_CLOSING_MS);
-            } else {
-                close();
-            }
+        if (gone || !owed.isEmpty() || open > 0) {
+            return;
+        }
+        if (spoilt) {
+            // A close with unread input is a reset, which could overtake the answer.
+            startTimer(LONGEST_CLOSING_MS);
+        } else if (owner.closing()) {
+            // No reply can say that this side is to close: what has come in by now is still served.
+            closeIfIdle();
         }
     }
 
@@ -171,7 +172,7 @@
                 stopTimer();
                 all.whole(this);
                 whole(message);
-                if (inputOver) {
+                if (spoilt) {
                     return;
                 }
             }
@@ -239,7 +240,6 @@
     }
 
     private void endInput() {
-        inputOver = true;
         spoilt = true;
         sending = false;
     }
@@ -260,8 +260,6 @@
             unwritten.add(new Answer(ByteBuffer.wrap(next.answer()), next.isSession()));
         }
         if (owed.isEmpty() && open == 0) {
-            // Who has begun a further call does not know that this side is to close: it is still served.
-            inputOver |= owner.closing() && !reader.begun();
             startTimer(LONGEST_IDLE_MS);
         }
         connection.setEvent(EventMask.WRITE);
@@ -296,7 +294,7 @@
         }
         if (!unwritten.isEmpty() && !spoilt && ++waitsForReader < MOST_WAITS_FOR_READER) {
             startTimer(LONGEST_IDLE_MS);
-        } else if (!sending && unwritten.isEmpty() && !inputOver && !all.sweeps()) {
+        } else if (!sending && unwritten.isEmpty() && !spoilt && !all.sweeps()) {
             // There is more to do than time for it: idle connections wait.
             startTimer(LONGEST_SENDING_MS);
         } else if (sending && !slow) {
@@ -334,7 +332,7 @@
 
     private void readWhatIsThere() {
         long before = -1;
-        while (!gone && connection.isOpen() && !inputOver && reader.taken() != before) {
+        while (!gone && connection.isOpen() && !spoilt && reader.taken() != before) {
             before = reader.taken();
             try {
                 inputReady(connection, null);
--- a/thrift/src/test/java/peppergauge/RulesInEachFormTest.java
+++ b/thrift/src/test/java/peppergauge/RulesInEachFormTest.java
@@ -123,7 +123,8 @@
         int ways = ending == Ending.SPOILT ? pair.server().spoilt(any).length : 1;
         for (int way = 0; way < ways; way++) {
             int chosen = way;
-            try (Stage stage = new Stage(pair, (ask, connection) -> end(pair.server(), ending, chosen, ask, connection))) {
+            try (Stage stage = new Stage(pair, (ask, connection) ->
+                    end(pair.server(), ending, chosen, ask, connection))) {
                 long start = System.nanoTime();
                 Spelling.Answer answer = stage.ask(any);
                 double tookMs = (System.nanoTime() - start) / 1e6;
--- a/thrift/src/test/java/peppergauge/ThriftRulesTest.java
+++ b/thrift/src/test/java/peppergauge/ThriftRulesTest.java
@@ -12,6 +12,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -35,13 +36,19 @@
 import org.testng.annotations.Test;
 import peppergauge.Stage.Pair;
 import peppergauge.decision.Balancer.LoadField;
+import peppergauge.decision.Balancer.Outcome;
 import peppergauge.session.Backend;
 import peppergauge.session.Clock;
+import peppergauge.session.Message;
 import peppergauge.sockets.Loop;
 import peppergauge.thrift.backend.ThriftBackend;
+import peppergauge.thrift.method.Carried;
+import peppergauge.thrift.method.Method;
 import peppergauge.thrift.method.Methods;
 import peppergauge.thrift.wire.Bounds;
+import peppergauge.thrift.wire.Encoding;
 import peppergauge.thrift.wire.Form;
+import peppergauge.thrift.wire.RawMessage;
 
 /** What only Thrift has: types of messages, oneway calls, its library's own clients and servers. */
 public class ThriftRulesTest {
@@ -93,7 +100,8 @@
             if (spelling.form().framed()) {
                 byte[] inside = Arrays.copyOfRange(good, 4, good.length);
                 for (int length : new int[] {inside.length - 3, 2 * inside.length, 2_000_000_000}) {
-                    byte[] lies = ByteBuffer.allocate(4 + 2 * inside.length).putInt(length).put(inside).put(inside).array();
+                    byte[] lies = ByteBuffer.allocate(4 + 2 * inside.length).putInt(length).put(inside).put(inside)
+                            .array();
                     assertEquals(bad(stage, spelling, lies).what(), "unusable", "a frame of " + length);
                 }
                 assertEquals(bad(stage, spelling, ThriftSpelling.frame(0, inside)), null);
@@ -236,20 +244,33 @@
     }
 
     @Test(dataProvider = "forms")
-    public void aProbeIsACallWhoseReplyIsTheReport(ThriftSpelling spelling) throws Exception {
+    public void aProbeIsACallWhoseReplyIsTheReportAndAOnewayCallGoesOutOnce(ThriftSpelling spelling) throws Exception {
         Loop loop = new Loop();
         try (Stage stage = stage(spelling, (ask, connection) -> connection.getOutputStream()
                 .write(spelling.served(ask, "queue=3,inflight=2")))) {
             Clock clock = new Clock();
             ThriftBackend backend = new ThriftBackend(new ThriftBackend.Links(clock, loop, clock::nowMs,
                     List.of(LoadField.IN_FLIGHT, LoadField.QUEUED), 500, 800, 8), spelling.form(),
-                    new Bounds(1_024, 8), new Methods(List.of(), List.of()), Optional.of("load"));
+                    new Bounds(1_024, 8), new Methods(List.of(new Method("hint", 0, Optional.empty(), Optional.empty(),
+                    Optional.empty(), Optional.empty(), 0, 0, Set.of(), Optional.empty())), List.of()),
+                    Optional.of("load"));
             loop.start(new Loop.Watcher() { }, () -> { });
             CompletableFuture<Backend.Result> result = new CompletableFuture<>();
-            String address = stage.table(1, "s", "active").replaceAll(".*\"addr\":\"|\",\"zone.*", "");
-            loop.execute(() -> backend.probe(new Backend.Server("s", address), clock.nowMs() + 500, result::complete));
+            Backend.Server server = new Backend.Server("s",
+                    stage.table(1, "s", "active").replaceAll(".*\"addr\":\"|\",\"zone.*", ""));
+            loop.execute(() -> backend.probe(server, clock.nowMs() + 500, result::complete));
             assertEquals(result.get(2, TimeUnit.SECONDS).load(), new double[] {2, 3});
             assertEquals(stage.asks.get(0).method(), "load");
+            // What the module may ask for again after a oneway call broke off under way is not sent again.
+            Encoding encoding = spelling.form().encoding();
+            byte[] hint = hint(spelling, "x");
+            Message message = Carried.call(RawMessage.of(encoding, spelling.form().framed()
+                    ? Arrays.copyOfRange(hint, 4, hint.length) : hint), "");
+            for (Outcome outcome : new Outcome[] {Outcome.SUCCESS, Outcome.NEVER_SENT}) {
+                CompletableFuture<Backend.Result> sent = new CompletableFuture<>();
+                loop.execute(() -> backend.send(server, message, clock.nowMs() + 500, sent::complete));
+                assertEquals(sent.get(2, TimeUnit.SECONDS).outcome(), outcome);
+            }
         } finally {
             loop.close();
         }
@@ -262,7 +283,8 @@
         String head = "[thrift]\nlisten = \"h:1\"\n[thrift.servers]\nform = \"compact\"\n[[thrift.method]]\n"
                 + "name = \"a\"\nclass = \"list\"\nabsent-remaining = \"1 s\"\n";
         return new Object[][] {
-            {head + "[[thrift.method]]\nname = \"a\"\nclass = \"list\"\nremaining = \"1\"\n", "f:11:1: thrift.method.name"},
+            {head + "[[thrift.method]]\nname = \"a\"\nclass = \"list\"\n",
+                    "f:11:1: thrift.method.name: is there twice"},
             {head + "id = \"1.40000\"\n", "f:10:1: thrift.method.id: has a field id outside"},
             {head + "id = \"1..2\"\n", "f:10:1: thrift.method.id: must be 1 to 8 field ids"},
             {head.replace("compact", "json"), "f:5:1: thrift.servers.form: must be one of"},
--- a/thrift/src/test/java/peppergauge/ThriftSpelling.java
+++ b/thrift/src/test/java/peppergauge/ThriftSpelling.java
@@ -201,7 +201,8 @@
     @Override
     public byte[][] spoilt(Ask ask) {
         byte[] good = served(ask, "other");
-        byte[] frameOfTwo = form.framed() ? frame(2 * (good.length - 4), Arrays.copyOfRange(good, 4, good.length)) : good;
+        byte[] frameOfTwo = form.framed() ? frame(2 * (good.length - 4),
+                Arrays.copyOfRange(good, 4, good.length)) : good;
         return new byte[][] {
             served(new Ask(ask.method(), "", 0, "", ask.sequence() + 1), "another's"),
             served(new Ask("other", "", 0, "", ask.sequence()), "another's"),
