--- a/thrift/src/main/java/peppergauge/thrift/ThriftAddition.java
+++ b/thrift/src/main/java/peppergauge/thrift/ThriftAddition.java
@@ -25,7 +25,8 @@
 
     private final Values file;
     private ThriftSettings settings;
-    private ThriftFrontend frontend;
+    /** Null until it has started; a sidecar may be told to end before. */
+    private volatile ThriftFrontend frontend;
 
     /** @param file that was read without problems, of a kind that has a {@code ThriftSection} */
     public ThriftAddition(Values file) {
@@ -60,7 +61,9 @@
 
     @Override
     public void stopping() {
-        frontend.stop();
+        if (frontend != null) {
+            frontend.stop();
+        }
     }
 
     /** Where clients connect; only once it has started. */
--- a/thrift/src/main/java/peppergauge/thrift/frontend/ThriftFrontend.java
+++ b/thrift/src/main/java/peppergauge/thrift/frontend/ThriftFrontend.java
@@ -72,7 +72,9 @@
     public void stop() {
         closing = true;
         try {
-            listener.close();
+            if (listener != null) {
+                listener.close();
+            }
         } catch (IOException failed) {
             Log.line("stop", "Thrift's listener did not close: " + failed.getMessage());
         }
