--- a/lab/src/main/java/peppergauge/lab/files/Kinds.java
+++ b/lab/src/main/java/peppergauge/lab/files/Kinds.java
@@ -1,7 +1,7 @@
 package peppergauge.lab.files;
 
 import java.util.List;
-import peppergauge.lab.scenario.RunSection;
+import peppergauge.lab.scenario.Scenario;
 import peppergauge.operator.FileKind;
 import peppergauge.operator.OperatorFiles;
 import peppergauge.thrift.file.ThriftSection;
@@ -13,7 +13,7 @@
 public final class Kinds {
 
     private static final FileKind SCENARIO = new FileKind("scenario",
-            "A rehearsed incident: a fleet, its clients, and what goes wrong when.", List.of(new RunSection()));
+            "A rehearsed incident: a fleet, its clients, and what goes wrong when.", Scenario.sections());
 
     private Kinds() { }
 
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/process/SidecarProcess.java
@@ -0,0 +1,191 @@
+package peppergauge.lab.process;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import peppergauge.lab.wire.Listener;
+
+/** A sidecar's process, alone in a process group, perhaps pinned to one CPU or with a share of its time. */
+public final class SidecarProcess implements Closeable {
+
+    /**
+     * How to start it.
+     *
+     * @param checkout where the command is run
+     * @param run a shell command, as in {@code deploy/balancer.toml}
+     * @param cpu the one it may use; -1 for all
+     * @param quota share of the time that it may run, over 0 up to 1
+     */
+    public record Launch(Path checkout, String run, int cpu, double quota) { }
+
+    /** From the command's start until /up said 200, or from SIGTERM to the end; ms. */
+    public record Took(double wallMs, double cpuMs) { }
+
+    private static final long LONGEST_START_NS = 30_000_000_000L;
+    private static final long LONGEST_STOP_NS = 10_000_000_000L;
+    /** Asking costs nothing while nobody listens, and the sidecar's own CPU as soon as it does. */
+    private static final long REFUSED_PAUSE_MS = 2;
+    private static final long UNREADY_PAUSE_MS = 10;
+    private static final byte[] UP =
+            "GET /up HTTP/1.1\r\nHost: api.internal\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+    private final InetSocketAddress listen;
+    private final Path directory;
+    private final Process process;
+    private final Throttle throttle;
+    private final long startedNs;
+
+    /**
+     * Starts it.
+     *
+     * @param config in the form of {@code GW_CONFIG}, without {@code listen}
+     * @throws IOException if it cannot be started
+     */
+    public SidecarProcess(Launch launch, InetSocketAddress listen, Map<String, Object> config) throws IOException {
+        this.listen = listen;
+        directory = Files.createTempDirectory("sidecar");
+        Map<String, Object> whole = new LinkedHashMap<>(config);
+        whole.put("listen", Listener.text(listen));
+        Path file = directory.resolve("config.json");
+        new JsonMapper().writeValue(file.toFile(), whole);
+        List<String> command = new ArrayList<>(List.of("setsid"));
+        if (launch.cpu() >= 0) {
+            command.addAll(List.of("taskset", "-c", Integer.toString(launch.cpu())));
+        }
+        command.addAll(List.of("/bin/sh", "-c", launch.run()));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.directory(launch.checkout().toFile());
+        builder.environment().keySet().removeIf(name -> name.startsWith("GW_"));
+        builder.environment().put("GW_CONFIG", file.toString());
+        builder.environment().put("TMPDIR", directory.toString());
+        builder.redirectErrorStream(true).redirectOutput(log().toFile());
+        startedNs = System.nanoTime();
+        process = builder.start();
+        throttle = launch.quota() < 1 ? new Throttle(process.pid(), launch.quota()) : null;
+    }
+
+    /** Free now; in the rare case that something else gets it meanwhile the start fails and says so. */
+    public static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) probe.getLocalSocketAddress();
+        }
+    }
+
+    private Path log() {
+        return directory.resolve("log");
+    }
+
+    public InetSocketAddress address() {
+        return listen;
+    }
+
+    /** Of the process and all below it. */
+    public Usage usage() {
+        return Usage.of(process.toHandle());
+    }
+
+    /**
+     * Waits until /up says 200.
+     *
+     * @throws IOException with its log, if it ends first or takes 30 s
+     */
+    public Took awaitUp() throws IOException, InterruptedException {
+        while (true) {
+            String status = askUp();
+            long tookNs = System.nanoTime() - startedNs;
+            if (status.equals("200")) {
+                return new Took(tookNs / 1e6, Usage.cpuMs(process.toHandle()));
+            }
+            if (!process.isAlive() || tookNs > LONGEST_START_NS) {
+                throw new IOException("the sidecar did not come up; its log:\n" + Proc.read(log()));
+            }
+            TimeUnit.MILLISECONDS.sleep(status.isEmpty() ? REFUSED_PAUSE_MS : UNREADY_PAUSE_MS);
+        }
+    }
+
+    private String askUp() {
+        try (Socket socket = new Socket()) {
+            socket.connect(listen, 1_000);
+            socket.setSoTimeout(1_000);
+            socket.getOutputStream().write(UP);
+            String head = new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+            return head.substring(Math.min(9, head.length()));
+        } catch (IOException refused) {
+            return "";
+        }
+    }
+
+    /**
+     * SIGTERM, and waits for the end. The CPU time is the last that was seen, up to 2 ms before.
+     *
+     * @throws IOException with its log, if that takes 10 s
+     */
+    public Took terminate() throws IOException, InterruptedException {
+        long startNs = System.nanoTime();
+        double beforeMs = Usage.cpuMs(process.toHandle());
+        double cpuMs = beforeMs;
+        program().destroy();
+        while (!process.waitFor(2, TimeUnit.MILLISECONDS)) {
+            cpuMs = Math.max(cpuMs, Usage.cpuMs(process.toHandle()));
+            if (System.nanoTime() - startNs > LONGEST_STOP_NS) {
+                throw new IOException("the sidecar did not end; its log:\n" + Proc.read(log()));
+            }
+        }
+        return new Took((System.nanoTime() - startNs) / 1e6, cpuMs - beforeMs);
+    }
+
+    /** The program, not a shell round it. */
+    private ProcessHandle program() {
+        Proc.Stat stat = Proc.stat(Proc.process(process.pid()));
+        boolean shell = stat != null && List.of("sh", "dash", "bash").contains(stat.name());
+        return shell ? process.toHandle().children().findFirst().orElse(process.toHandle()) : process.toHandle();
+    }
+
+    /** Has it stand still, or go on. */
+    public void pause(boolean now) throws IOException {
+        if (throttle != null) {
+            throttle.hold(now);
+            return;
+        }
+        new ProcessBuilder("kill", "-s", now ? "STOP" : "CONT", "--", "-" + process.pid()).start();
+    }
+
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** What it has written so far. */
+    public String said() {
+        return Proc.read(log());
+    }
+
+    /** Kills what is left of it. */
+    @Override
+    public void close() throws IOException {
+        if (throttle != null) {
+            throttle.close();
+        }
+        process.descendants().forEach(ProcessHandle::destroyForcibly);
+        process.destroyForcibly();
+        for (String name : List.of("config.json", "log")) {
+            Files.deleteIfExists(directory.resolve(name));
+        }
+        // What the program left in its TMPDIR stays.
+        String[] left = directory.toFile().list();
+        if (left != null && left.length == 0) {
+            Files.delete(directory);
+        }
+    }
+}
