--- a/lab/src/main/java/peppergauge/lab/files/Kinds.java
+++ b/lab/src/main/java/peppergauge/lab/files/Kinds.java
@@ -6,6 +6,7 @@
 import peppergauge.nomad.NomadFile;
 import peppergauge.operator.FileKind;
 import peppergauge.operator.OperatorFiles;
+import peppergauge.thrift.file.ThriftSection;
 
 /**
  * All kinds of operator files there are, and the sections of each. A subsystem adds its own here, and then
@@ -19,6 +20,6 @@
     private Kinds() { }
 
     public static OperatorFiles all() {
-        return new OperatorFiles(List.of(SCENARIO, DaemonFile.KIND, NomadFile.KIND));
+        return new OperatorFiles(List.of(SCENARIO, DaemonFile.KIND, NomadFile.KIND, ThriftSection.KIND));
     }
 }
--- a/lab/src/test/java/peppergauge/lab/command/LabTest.java
+++ b/lab/src/test/java/peppergauge/lab/command/LabTest.java
@@ -32,6 +32,7 @@
             {"--version", 0, "peppergauge ", ""},
             {"help check", 0, "Usage: peppergauge check", ""},
             {"check ../deploy/examples/scenario.toml", 0, "scenario.toml: fine, kind scenario", ""},
+            {"check ../deploy/examples/thrift.toml", 0, "thrift.toml: fine, kind thrift", ""},
             {"schema scenario", 0, "kind = \"scenario\"", ""},
             {"", 2, "", "a command is missing"},
             {"chek", 2, "", "Did you mean: peppergauge check"},
