--- a/lab/src/main/java/peppergauge/lab/command/Lab.java
+++ b/lab/src/main/java/peppergauge/lab/command/Lab.java
@@ -11,7 +11,8 @@
 @Command(name = "peppergauge", description = "Balances an application's requests, and rehearses it.",
         synopsisSubcommandLabel = "COMMAND", versionProvider = Lab.Version.class, mixinStandardHelpOptions = true,
         scope = CommandLine.ScopeType.INHERIT,
-        subcommands = {ServeHelp.class, AdapterHelp.class, Check.class, Schema.class, HelpCommand.class})
+        subcommands = {ServeHelp.class, AdapterHelp.class, ServeWith.class, Check.class, Schema.class,
+            SnapshotCommand.class, HelpCommand.class})
 public final class Lab implements Runnable {
 
     @CommandLine.Spec
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/command/SnapshotCommand.java
@@ -0,0 +1,49 @@
+package peppergauge.lab.command;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import peppergauge.snapshot.SnapshotFile;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+
+/** {@code snapshot show|verify FILE}: reads what a sidecar kept, and changes nothing. */
+@Command(name = "snapshot", description = "Reads what a sidecar kept of what it learned, and changes nothing.",
+        synopsisSubcommandLabel = "show|verify")
+final class SnapshotCommand implements Runnable {
+
+    @CommandLine.Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "show or verify is missing");
+    }
+
+    @Command(name = "show", description = "Prints all that a snapshot holds.")
+    int show(@Parameters(paramLabel = "FILE", description = "A file NAME.snapshot or NAME.snapshot.before") Path file) {
+        return print(file, () -> SnapshotFile.show(file));
+    }
+
+    @Command(name = "verify", description = "Says whether a snapshot is whole, and if not why.")
+    int verify(@Parameters(paramLabel = "FILE", description = "A file NAME.snapshot or NAME.snapshot.before")
+            Path file) {
+        return print(file, () -> List.of(file + ": " + SnapshotFile.verify(file)));
+    }
+
+    private interface Reading {
+        List<String> lines() throws IOException;
+    }
+
+    private int print(Path file, Reading reading) {
+        try {
+            reading.lines().forEach(spec.commandLine().getOut()::println);
+            return ExitCode.FINE;
+        } catch (IOException unusable) {
+            spec.commandLine().getErr().println(file + ": " + unusable.getMessage());
+            return ExitCode.UNUSABLE_INPUT;
+        }
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/files/Kinds.java
+++ b/lab/src/main/java/peppergauge/lab/files/Kinds.java
@@ -4,6 +4,7 @@
 import peppergauge.lab.scenario.RunSection;
 import peppergauge.operator.FileKind;
 import peppergauge.operator.OperatorFiles;
+import peppergauge.snapshot.SnapshotSection;
 
 /**
  * All kinds of operator files there are, and the sections of each. A subsystem adds its own here, and then
@@ -14,9 +15,12 @@
     private static final FileKind SCENARIO = new FileKind("scenario",
             "A rehearsed incident: a fleet, its clients, and what goes wrong when.", List.of(new RunSection()));
 
+    private static final FileKind SIDECAR = new FileKind("sidecar",
+            "What an installation adds to the plain sidecar.", List.of(new SnapshotSection()));
+
     private Kinds() { }
 
     public static OperatorFiles all() {
-        return new OperatorFiles(List.of(SCENARIO));
+        return new OperatorFiles(List.of(SCENARIO, SIDECAR));
     }
 }
--- a/lab/src/test/java/peppergauge/lab/command/LabTest.java
+++ b/lab/src/test/java/peppergauge/lab/command/LabTest.java
@@ -28,7 +28,7 @@
     @DataProvider
     public Object[][] lines() {
         return new Object[][] {
-            {"--help", 0, "check    Reads operator files", ""},
+            {"--help", 0, "Reads operator files and does nothing else", ""},
             {"--version", 0, "peppergauge ", ""},
             {"help check", 0, "Usage: peppergauge check", ""},
             {"check ../deploy/examples/scenario.toml", 0, "scenario.toml: fine, kind scenario", ""},
@@ -39,6 +39,11 @@
             {"check ../deploy/balancer.toml", 2, "", "balancer.toml:1:1: kind: is missing"},
             {"check ../nowhere ../deploy/examples/scenario.toml", 2, "fine", "../nowhere: cannot be read"},
             {"schema zz", 2, "", "unknown kind zz; known: scenario"},
+            {"schema sidecar", 0, "[snapshot]", ""},
+            {"serve-with ../deploy/examples/scenario.toml", 2, "", "is no usable file of kind sidecar"},
+            {"snapshot", 2, "", "show or verify is missing"},
+            {"snapshot verify ../nowhere", 2, "", "../nowhere: there is no such file"},
+            {"snapshot show ../README.md", 2, "", "../README.md: it is no snapshot"},
             {"serve", 2, "", "start it by bin/peppergauge serve"},
         };
     }
@@ -53,7 +58,7 @@
 
     @DataProvider
     public Object[][] commands() {
-        return run("--help").out().lines().filter(line -> line.matches("  [a-z]+ +[A-Z].*"))
+        return run("--help").out().lines().filter(line -> line.matches("  [a-z-]+ +[A-Z].*"))
                 .map(line -> new Object[] {line.trim().split(" ")[0]}).toArray(Object[][]::new);
     }
 
--- a/sidecar/src/main/java/peppergauge/HangUp.java
+++ b/sidecar/src/main/java/peppergauge/HangUp.java
@@ -8,12 +8,12 @@
  * for signals; {@code sun.misc.Signal} is its supported way (module jdk.unsupported), but naming it is a warning
  * that cannot be turned off, and warnings fail the build. Hence the reflection.
  */
-final class HangUp {
+public final class HangUp {
 
     private HangUp() { }
 
     /** Runs the task at each SIGHUP, on a thread of its own. */
-    static void handle(Runnable task) {
+    public static void handle(Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/sidecar/src/main/java/peppergauge/decision/Balancer.java
+++ b/sidecar/src/main/java/peppergauge/decision/Balancer.java
@@ -18,6 +18,30 @@
      */
     void on(double nowMs, Event event, Consumer<Action> actions);
 
+    /**
+     * What was learned until now, to be kept and later given to another instance by {@link #recall}. Changes nothing
+     * that is decided. Servers come in pieces, so that no call takes long where there are thousands.
+     *
+     * @param nowMs the time of the call, not before that of the last event
+     * @param from how many servers to pass over, 0 or more
+     * @param most how many servers to hand out at the most
+     * @return {@link Learned#NOTHING} from one that keeps nothing
+     */
+    default Learned learned(double nowMs, int from, int most) {
+        return Learned.NOTHING;
+    }
+
+    /**
+     * Takes back what another instance had learned, worth less the older it is; what the module has learned by itself
+     * goes before it. Servers that are not listed, or were started anew since, are passed over.
+     *
+     * @param nowMs the time of the call, not before that of the last event
+     * @param learned an account of servers only has no fleet
+     * @param ageMs how long ago it was learned, ms; what is older than {@link Learned#MOST_AGE_MS}, or negative, is
+     *     not taken
+     */
+    default void recall(double nowMs, Learned learned, double ageMs) { }
+
     /** What repeating a request does. */
     enum Effect {
         /** May be repeated at will. */
--- a/sidecar/src/main/java/peppergauge/decision/Decide.java
+++ b/sidecar/src/main/java/peppergauge/decision/Decide.java
@@ -24,13 +24,13 @@
     /** Half-life of the share of errors just now: a server that begins to fail is idle and draws traffic. */
     static final double LATELY_MS = 1_000;
     /** Outcomes' worth of the others' mean mixed into each server's figures: few outcomes are noise. */
-    private static final double PRIOR_OUTCOMES = 6;
+    static final double PRIOR_OUTCOMES = 6;
     /** The same for errors just now: more would hide their beginning, less would take one for it. */
     private static final double PRIOR_LATELY = 3;
     /** Most that a latency sample counts, in means of fleet or server: one costly request is not a server. */
     private static final double SAMPLE_CAP = 4;
     /** Squared spread of in-flight counts at which what was seen outweighs the first guess of crowding. */
-    private static final double CROWDING_PRIOR = 10;
+    static final double CROWDING_PRIOR = 10;
     /** Power of the product of factors: 0.9 of the best's health gets 0.9^15, about a fifth of its weight. */
     private static final double STEEPNESS = 15;
     /** Least share of the best condition that a failed server keeps, so that trial traffic reaches it. */
@@ -46,7 +46,7 @@
     /** Slack of the in-flight limit, in roots of the busy count, as in square-root staffing. */
     private static final double FLIGHT_SLACK = 2;
     /** Growth of the unloaded latency per second, so that a fleet that has become slower is believed. */
-    private static final double UNLOADED_GROWTH_PER_S = 0.01;
+    static final double UNLOADED_GROWTH_PER_S = 0.01;
     /** Reported service times in a mean answer of a busy, uncrowded fleet; 1 to 3 serve alike. */
     private static final double TOLD_TIMES = 1.75;
     /** Service times left before the aim at which a hold, a client's wait and a service still fit in. */
@@ -102,22 +102,22 @@
     private final SplittableRandom random;
     /** A cancel may leave the work running: without a reported in-flight figure it would be out of sight. */
     private final boolean cancelHelps;
-    private final Map<String, Server> servers = new LinkedHashMap<>();
+    final Map<String, Server> servers = new LinkedHashMap<>();
     private final Map<String, Request> requests = new HashMap<>();
     private final Map<Long, Timer> timers = new HashMap<>();
     private final LinkedHashMap<String, Request> held = new LinkedHashMap<>();
-    private final ClassStats[] classStats;
+    final ClassStats[] classStats;
     private final double[][] shares;
-    private final Decaying fleetLatency = new Decaying(HALF_LIFE_MS), fleetUnit = new Decaying(HALF_LIFE_MS);
-    private final Decaying fleetErrors = new Decaying(HALF_LIFE_MS), flights = new Decaying(HALF_LIFE_MS);
-    private final Decaying fleetUse = new Decaying(HALF_LIFE_MS), fleetRate = new Decaying(HALF_LIFE_MS);
-    private final Decaying crowd = new Decaying(HALF_LIFE_MS), probeTook = new Decaying(HALF_LIFE_MS);
-    private final Decaying served = new Decaying(HALF_LIFE_MS);
+    final Decaying fleetLatency = new Decaying(HALF_LIFE_MS), fleetUnit = new Decaying(HALF_LIFE_MS);
+    final Decaying fleetErrors = new Decaying(HALF_LIFE_MS), flights = new Decaying(HALF_LIFE_MS);
+    final Decaying fleetUse = new Decaying(HALF_LIFE_MS), fleetRate = new Decaying(HALF_LIFE_MS);
+    final Decaying crowd = new Decaying(HALF_LIFE_MS), probeTook = new Decaying(HALF_LIFE_MS);
+    final Decaying served = new Decaying(HALF_LIFE_MS);
     /** How long answers and requests waited for this host itself. */
     private final Decaying lag = new Decaying(LATELY_MS);
-    private final Decaying covariance = new Decaying(4 * HALF_LIFE_MS);
-    private final Decaying variance = new Decaying(4 * HALF_LIFE_MS);
-    private final Decaying arrivals = new Decaying(4 * HALF_LIFE_MS);
+    final Decaying covariance = new Decaying(4 * HALF_LIFE_MS);
+    final Decaying variance = new Decaying(4 * HALF_LIFE_MS);
+    final Decaying arrivals = new Decaying(4 * HALF_LIFE_MS);
     private final Decaying probes = new Decaying(HALF_LIFE_MS);
     private final Map<Integer, Decaying> probesByZone = new HashMap<>();
     /** Times of requests taken and of further attempts within the budget's window. */
@@ -125,15 +125,17 @@
     private final boolean mayProbe, reportsUse;
     private final long affinity;
     /** All servers, those that this instance has most affinity to first; and the ones it works with. */
-    private List<Server> ordered = List.of();
+    List<Server> ordered = List.of();
     private final List<Server> pool = new ArrayList<>();
     private double mostMembers;
     private double[] scratch = new double[16];
-    private double nowMs, firstEventMs = Double.NaN;
-    private double crowding = 0.5, elsewhere;
-    private double unloadedMs = Double.POSITIVE_INFINITY, unloadedAtMs;
+    double nowMs, firstEventMs = Double.NaN;
+    double crowding = 0.5, elsewhere;
+    double unloadedMs = Double.POSITIVE_INFINITY, unloadedAtMs;
     private int readyServers = 1, outNow, watchFailures;
     private boolean watchAsked;
+    /** What was recalled and no answer has borne out yet; null without any. */
+    Memory unproved;
     private Consumer<Action> actions;
     private long lastToken;
 
@@ -148,9 +150,7 @@
         this.mayProbe = settings.limits().probing() && inFlightTold;
         this.reportsUse = !inFlightTold && settings.loadFields().contains(LoadField.UTILISATION);
         this.classStats = new ClassStats[settings.classes().size()];
-        for (int i = 0; i < classStats.length; i++) {
-            classStats[i] = new ClassStats();
-        }
+        Arrays.setAll(classStats, i -> new ClassStats());
     }
 
     // ---- Events in ----
@@ -185,6 +185,16 @@
         }
     }
 
+    @Override
+    public Learned learned(double now, int from, int most) {
+        return Memory.read(this, now, from, most);
+    }
+
+    @Override
+    public void recall(double now, Learned learned, double ageMs) {
+        new Memory(this).write(now, learned, ageMs);
+    }
+
     private void onRequest(RequestArrived arrived) {
         taken.add(nowMs);
         furtherWithinBudget();
@@ -329,6 +339,9 @@
         if (ended.outcome() == Outcome.SUCCESS) {
             request.stats.latency.add(nowMs, ended.tookMs());
             fleetLatency.add(nowMs, normalMs);
+            if (unproved != null) {
+                unproved.answered(normalMs);
+            }
             ClassStats.overallAdd(classStats, nowMs, ended.tookMs());
             double mean = fleetLatency.mean(nowMs);
             unloadedMs *= 1 + UNLOADED_GROWTH_PER_S * (nowMs - unloadedAtMs) / 1000;
@@ -782,9 +795,7 @@
 
     private void onSurveyEnd(Request request) {
         if (!request.answered && request.awaited > 0 && nowMs >= request.surveyEndsMs) {
-            for (Server server : request.candidates) {
-                server.askers.remove(request);
-            }
+            request.candidates.forEach(server -> server.askers.remove(request));
             request.awaited = 0;
             settle(request);
         }
@@ -967,9 +978,7 @@
 
     private void onServersListed(ServersListed listed) {
         if (listed.whole()) {
-            for (Server server : servers.values()) {
-                server.inList = false;
-            }
+            servers.values().forEach(server -> server.inList = false);
         }
         for (ServerEntry entry : listed.entries()) {
             Server server = servers.get(entry.server());
@@ -987,9 +996,7 @@
                     || (server.draining && entry.state() == ServerState.GONE);
         }
         boolean goneBinds = settings.rules().goneBinds();
-        for (Server server : servers.values()) {
-            server.usable = !server.draining && (server.inList || !goneBinds);
-        }
+        servers.values().forEach(server -> server.usable = !server.draining && (server.inList || !goneBinds));
         servers.values().removeIf(server -> !server.inList && server.out.isEmpty()
                 && (!server.usable || server.streak > REST_DOUBLINGS));
         ordered = new ArrayList<>(servers.values());
@@ -1051,12 +1058,12 @@
     /** How a class compares with the others in latency, and how long its clients wait for a first try. */
     static final class ClassStats {
 
-        private final Decaying latency = new Decaying(4 * HALF_LIFE_MS);
-        private final Decaying overall = new Decaying(4 * HALF_LIFE_MS);
+        final Decaying latency = new Decaying(4 * HALF_LIFE_MS);
+        final Decaying overall = new Decaying(4 * HALF_LIFE_MS);
         private double usualBudgetMs;
         private double usual;
         private double seen;
-        private double lastFactor = 1;
+        double lastFactor = 1;
 
         static void overallAdd(ClassStats[] all, double nowMs, double tookMs) {
             for (ClassStats stats : all) {
--- /dev/null
+++ b/sidecar/src/main/java/peppergauge/decision/Learned.java
@@ -0,0 +1,71 @@
+package peppergauge.decision;
+import java.util.List;
+
+/**
+ * What an instance learned, as plain figures: neither membership nor requests in flight, nor a rest that is over.
+ * Sums, weights and times are those of the moment at which it was handed out.
+ *
+ * @param servers how many servers there are in all, also where only some are handed out
+ * @param fleet null where only servers are told
+ * @param classes in the settings' order; empty where only servers are told
+ * @param known servers with something learned of them
+ */
+public record Learned(int servers, Fleet fleet, List<Kind> classes, List<Known> known) {
+
+    /** From this age on nothing is used, ms. */
+    public static final double MOST_AGE_MS = 2 * 3_600_000;
+    public static final Learned NOTHING = new Learned(0, null, List.of(), List.of());
+
+    public Learned {
+        classes = List.copyOf(classes);
+        known = List.copyOf(known);
+    }
+
+    /** A sum of samples and their weight, 0 or more; both halve every half-life of their figure. */
+    public record Figure(double sum, double weight) {
+
+        public static final Figure NONE = new Figure(0, 0);
+    }
+
+    /**
+     * Of all servers together.
+     *
+     * @param seenMs over how long it was learned, ms, 0 or more
+     * @param latency of answers, ms, cleared of their classes
+     * @param unit of a mean request at an idle server, ms
+     * @param errors answers that were errors
+     * @param flights own requests in flight that attempts met
+     * @param crowd others' requests in flight by load reports
+     * @param served service times by load reports, ms
+     * @param use of cores by load reports, 0 to 1
+     * @param rate of requests by load reports, per second
+     * @param covariance of flights and latency, and {@code variance} of flights: what crowding is reckoned from
+     * @param arrivals requests that came in
+     * @param crowding what one more request in flight adds to a latency, in latencies when idle, 0 to 1
+     * @param unloadedMs latency of an idle fleet, ms; infinite while unknown
+     */
+    public record Fleet(double seenMs, Figure latency, Figure unit, Figure errors, Figure flights, Figure crowd,
+            Figure served, Figure use, Figure rate, Figure covariance, Figure variance, Figure arrivals,
+            double crowding, double unloadedMs) { }
+
+    /**
+     * Of a class of requests.
+     *
+     * @param latency of its answers, and {@code overall} of all answers, ms
+     * @param factor its latency in means of all, over 0
+     */
+    public record Kind(Figure latency, Figure overall, double factor) { }
+
+    /**
+     * Of one server.
+     *
+     * @param startedMs when it was started, ms as in the server list; 0 if not told
+     * @param latency of a mean request there when idle, ms, and {@code warmLatency} of any when warm
+     * @param outcomes with failed ones as 1, {@code errors} of errors, {@code lately} of errors just now
+     * @param flights own requests in flight that attempts met there
+     * @param unloadedMs its latency when idle, its way included, ms; infinite while unknown
+     * @param restMs how much longer it rests after failures, ms; 0 if it does not
+     */
+    public record Known(String server, double startedMs, Figure latency, Figure warmLatency, Figure outcomes,
+            Figure errors, Figure lately, Figure flights, double unloadedMs, double restMs) { }
+}
--- a/sidecar/src/main/java/peppergauge/frontend/Site.java
+++ b/sidecar/src/main/java/peppergauge/frontend/Site.java
@@ -8,7 +8,7 @@
 public record Site(SiteNames names, List<RequestClass> classes) {
 
     /** The class that the first part of a path names, or -1. */
-    int classOf(String target) {
+    public int classOf(String target) {
         if (target == null || !target.startsWith("/")) {
             return -1;
         }
--- a/sidecar/src/main/java/peppergauge/session/Backend.java
+++ b/sidecar/src/main/java/peppergauge/session/Backend.java
@@ -40,6 +40,9 @@
     /** Asks a backend server for its load; {@code ended} is called once, from any thread. */
     Exchange probe(Server server, double untilMs, Consumer<Result> ended);
 
+    /** The server table names this server, at its first mention and at each later one; called by the owner thread. */
+    default void listed(Server server) { }
+
     /** The server is gone: nothing that was kept for it is of use. */
     void forget(Server server);
 }
--- a/sidecar/src/main/java/peppergauge/session/Sessions.java
+++ b/sidecar/src/main/java/peppergauge/session/Sessions.java
@@ -213,7 +213,9 @@
             if (entry.state() == ServerState.GONE) {
                 servers.remove(entry.server());
             } else {
-                servers.put(entry.server(), new Backend.Server(entry.server(), row.address()));
+                Backend.Server server = new Backend.Server(entry.server(), row.address());
+                servers.put(entry.server(), server);
+                backend.listed(server);
             }
             if (entry.state() != ServerState.READY) {
                 leaving.add(entry.server());
--- /dev/null
+++ b/snapshot/src/main/java/peppergauge/snapshot/Collector.java
@@ -0,0 +1,90 @@
+package peppergauge.snapshot;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.DoubleSupplier;
+import java.util.function.Function;
+import peppergauge.decision.Balancer;
+import peppergauge.decision.Learned;
+import peppergauge.decision.Learned.Known;
+import peppergauge.session.Scheduler;
+
+/**
+ * Asks the owner thread for what the module learned, a piece at a time so that clients' work comes between. A server
+ * table that changes meanwhile may leave a server out or name it twice; the later mention counts.
+ */
+final class Collector {
+
+    /** Servers in a piece: some 50 us of the owner thread once the code is warm. */
+    static final int PIECE = 64;
+    private static final long LONGEST_WAIT_MS = 2_000;
+
+    private final Balancer module;
+    private final Scheduler owner;
+    private final DoubleSupplier clockMs;
+    private final Function<String, String> addresses;
+    /** The longest that the owner thread was kept, ns; its own thread's until read at the end. */
+    private volatile long longestNs;
+
+    /** What was learned and, by server id, where each server was. */
+    record Collected(Learned learned, Map<String, String> addresses) { }
+
+    /**
+     * @param clockMs the module's clock
+     * @param addresses asked on the owner thread
+     */
+    Collector(Balancer module, Scheduler owner, DoubleSupplier clockMs, Function<String, String> addresses) {
+        this.module = module;
+        this.owner = owner;
+        this.clockMs = clockMs;
+        this.addresses = addresses;
+    }
+
+    /** @throws TimeoutException if the owner thread does not come to it, as when it has ended */
+    Collected collect() throws InterruptedException, TimeoutException {
+        Map<String, Known> known = new HashMap<>();
+        Map<String, String> where = new HashMap<>();
+        Learned first = null;
+        int from = 0;
+        int servers = 0;
+        do {
+            Learned piece = piece(from, where);
+            first = first == null ? piece : first;
+            piece.known().forEach(server -> known.put(server.server(), server));
+            servers = piece.servers();
+            from += PIECE;
+        } while (from < servers);
+        List<Known> all = new ArrayList<>(known.values());
+        return new Collected(new Learned(servers, first.fleet(), first.classes(), all), where);
+    }
+
+    private Learned piece(int from, Map<String, String> where) throws InterruptedException, TimeoutException {
+        CompletableFuture<Learned> answer = new CompletableFuture<>();
+        owner.execute(() -> {
+            long start = System.nanoTime();
+            try {
+                Learned piece = module.learned(clockMs.getAsDouble(), from, PIECE);
+                piece.known().forEach(server -> where.put(server.server(), addresses.apply(server.server())));
+                answer.complete(piece);
+            } catch (RuntimeException bug) {
+                answer.completeExceptionally(bug);
+            }
+            longestNs = Math.max(longestNs, System.nanoTime() - start);
+        });
+        try {
+            return answer.get(LONGEST_WAIT_MS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException bug) {
+            throw new IllegalStateException("the module could not be read", bug.getCause());
+        }
+    }
+
+    long longestNs() {
+        return longestNs;
+    }
+}
--- /dev/null
+++ b/snapshot/src/main/java/peppergauge/snapshot/donations/GuardedBackend.java
@@ -0,0 +1,94 @@
+package peppergauge.snapshot.donations;
+
+import java.util.function.Consumer;
+import java.util.function.Function;
+import peppergauge.session.Backend;
+import peppergauge.session.Message;
+import peppergauge.session.Scheduler;
+
+/**
+ * Sends what must not run twice only once the journal has it. The wait is the journal's; the owner thread goes on.
+ *
+ * @param unsafeId the id of a message that must not run twice; null for any other
+ */
+public record GuardedBackend(Backend backend, DonationJournal journal, Scheduler scheduler,
+        Function<Message, String> unsafeId) implements Backend {
+
+    @Override
+    public Exchange send(Server server, Message message, double untilMs, Consumer<Result> ended) {
+        String id = unsafeId.apply(message);
+        if (id == null) {
+            return backend.send(server, message, untilMs, ended);
+        }
+        Guarded guarded = new Guarded(id);
+        journal.sent(id, () -> scheduler.execute(() -> guarded.send(() -> backend.send(server, message, untilMs,
+                result -> {
+                    guarded.over(result.outcome().neverRan());
+                    ended.accept(result);
+                }))));
+        return guarded;
+    }
+
+    /** One attempt; but for {@link #over} only the owner thread calls it. */
+    private final class Guarded implements Exchange {
+
+        private final String id;
+        private Exchange sent;
+        private boolean takenBack;
+        private boolean told;
+
+        Guarded(String id) {
+            this.id = id;
+        }
+
+        interface Sending {
+            Exchange send();
+        }
+
+        void send(Sending sending) {
+            if (!takenBack) {
+                sent = sending.send();
+            }
+        }
+
+        @Override
+        public boolean withdraw() {
+            boolean unwritten = sent == null || sent.withdraw();
+            if (unwritten) {
+                takenBack = true;
+                over(true);
+            }
+            return unwritten;
+        }
+
+        @Override
+        public boolean abandon() {
+            boolean unwritten = sent == null || sent.abandon();
+            takenBack = true;
+            over(unwritten);
+            return unwritten;
+        }
+
+        synchronized void over(boolean neverRan) {
+            if (!told) {
+                told = true;
+                journal.ended(id, neverRan);
+            }
+        }
+    }
+
+    @Override
+    public Exchange probe(Server server, double untilMs, Consumer<Result> ended) {
+        return backend.probe(server, untilMs, ended);
+    }
+
+    @Override
+    public void listed(Server server) {
+        backend.listed(server);
+    }
+
+    @Override
+    public void forget(Server server) {
+        backend.forget(server);
+    }
+}
--- /dev/null
+++ b/snapshot/src/main/java/peppergauge/snapshot/donations/package-info.java
@@ -0,0 +1,2 @@
+/** The journal of donations under way. */
+package peppergauge.snapshot.donations;
--- /dev/null
+++ b/snapshot/src/main/java/peppergauge/snapshot/format/package-info.java
@@ -0,0 +1,2 @@
+/** The bytes of a snapshot; no I/O. */
+package peppergauge.snapshot.format;
