--- a/lab/src/main/java/peppergauge/lab/command/Lab.java
+++ b/lab/src/main/java/peppergauge/lab/command/Lab.java
@@ -12,7 +12,7 @@
         synopsisSubcommandLabel = "COMMAND", versionProvider = Lab.Version.class, mixinStandardHelpOptions = true,
         scope = CommandLine.ScopeType.INHERIT,
         subcommands = {ServeHelp.class, AdapterHelp.class, ServeWith.class, Check.class, Schema.class,
-            SnapshotCommand.class, HelpCommand.class})
+            SnapshotCommand.class, Emulate.class, Shrink.class, HelpCommand.class})
 public final class Lab implements Runnable {
 
     @CommandLine.Spec
