--- a/lab/src/main/java/peppergauge/lab/files/Kinds.java
+++ b/lab/src/main/java/peppergauge/lab/files/Kinds.java
@@ -6,6 +6,7 @@
 import peppergauge.nomad.NomadFile;
 import peppergauge.operator.FileKind;
 import peppergauge.operator.OperatorFiles;
+import peppergauge.snapshot.SnapshotSection;
 import peppergauge.thrift.file.ThriftSection;
 
 /**
@@ -17,9 +18,12 @@
     private static final FileKind SCENARIO = new FileKind("scenario",
             "A rehearsed incident: a fleet, its clients, and what goes wrong when.", Scenario.sections());
 
+    private static final FileKind SIDECAR = new FileKind("sidecar",
+            "What an installation adds to the plain sidecar.", List.of(new SnapshotSection()));
+
     private Kinds() { }
 
     public static OperatorFiles all() {
-        return new OperatorFiles(List.of(SCENARIO, DaemonFile.KIND, NomadFile.KIND, ThriftSection.KIND));
+        return new OperatorFiles(List.of(SCENARIO, DaemonFile.KIND, NomadFile.KIND, ThriftSection.KIND, SIDECAR));
     }
 }
--- a/lab/src/test/java/peppergauge/lab/command/LabTest.java
+++ b/lab/src/test/java/peppergauge/lab/command/LabTest.java
@@ -28,7 +28,7 @@
     @DataProvider
     public Object[][] lines() {
         return new Object[][] {
-            {"--help", 0, "check    Reads operator files", ""},
+            {"--help", 0, "Reads operator files and does nothing else", ""},
             {"--version", 0, "peppergauge ", ""},
             {"help check", 0, "Usage: peppergauge check", ""},
             {"check ../deploy/examples/scenario.toml", 0, "scenario.toml: fine, kind scenario", ""},
@@ -49,7 +49,7 @@
             {"emulate src/test/resources/breaks.toml --seeds 1..3", 3, "failing seeds: 1, 2, 3", ""},
             {"shrink src/test/resources/breaks.toml", 3, "kind = \"scenario\"", "still breaks answer"},
             {"shrink ../deploy/examples/scenario.toml", 0, "", "breaks no rule with seed 1"},
-            {"schema zz", 2, "", "unknown kind zz; known: scenario, daemon"},
+            {"schema zz", 2, "", "unknown kind zz; known: scenario, daemon, nomad, thrift, sidecar"},
             {"check ../deploy/examples/daemon.toml", 0, "daemon.toml: fine, kind daemon", ""},
             {"daemon", 2, "", "start it by bin/peppergauge daemon"},
             {"plugin", 2, "", "a command is missing"},
@@ -64,6 +64,11 @@
             {"plugin build ../deploy/balancer.toml -o target/none.wasm", 2, "", "a text must be one (module"},
             {"status", 2, "", "Missing required"},
             {"status --socket target/nowhere.sock", 1, "", "nobody answers"},
+            {"schema sidecar", 0, "[snapshot]", ""},
+            {"serve-with ../deploy/examples/scenario.toml", 2, "", "is no usable file of kind sidecar"},
+            {"snapshot", 2, "", "show or verify is missing"},
+            {"snapshot verify ../nowhere", 2, "", "../nowhere: there is no such file"},
+            {"snapshot show ../README.md", 2, "", "../README.md: it is no snapshot"},
             {"serve", 2, "", "start it by bin/peppergauge serve"},
         };
     }
@@ -78,7 +83,7 @@
 
     @DataProvider
     public Object[][] commands() {
-        return run("--help").out().lines().filter(line -> line.matches("  [a-z]+ +[A-Z].*"))
+        return run("--help").out().lines().filter(line -> line.matches("  [a-z-]+ +[A-Z].*"))
                 .map(line -> new Object[] {line.trim().split(" ")[0]}).toArray(Object[][]::new);
     }
 
