--- a/lab/src/main/java/peppergauge/lab/emulator/Application.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Application.java
@@ -84,7 +84,8 @@
         long now = world.time.now();
         left -= rate * VirtualTime.ms(now - since) / 1e3;
         since = now;
-        rate = closed ? 0 : ownRate * burst * scale * demand.scale();
+        // The application and its sidecar start and stop together; what was asked before may be asked again.
+        rate = closed || !sidecar.up() ? 0 : ownRate * burst * scale * demand.scale();
         if (next != null) {
             next.cancel();
             next = null;
--- a/lab/src/main/java/peppergauge/lab/emulator/Director.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Director.java
@@ -150,8 +150,10 @@
     private void crash(EmulatedSidecar sidecar, double ms) {
         if (sidecar.up()) {
             sidecar.crash();
+            applications.get(sidecar.index()).changed();
             world.time.after(ms, () -> {
                 sidecar.start();
+                applications.get(sidecar.index()).changed();
                 world.discovery.watch(sidecar);
             });
         }
--- a/lab/src/main/java/peppergauge/lab/scenario/Incident.java
+++ b/lab/src/main/java/peppergauge/lab/scenario/Incident.java
@@ -40,7 +40,10 @@
     DISCOVERY_EMPTY(Target.Kind.ALL, null, null),
     /** Discovery tells later (size: seconds added). */
     DISCOVERY_LATE(Target.Kind.ALL, Range.of("seconds added", 0, 600), null),
-    /** Sidecars die with what they hold and come back after {@code length} with their last list only. */
+    /**
+     * Sidecars die with what they hold, and the applications beside them ask for nothing new; back after
+     * {@code length} with their last list only.
+     */
     SIDECAR_CRASH(Target.Kind.SIDECARS, null, null),
     /** Sidecars stand still. */
     SIDECAR_PAUSE(Target.Kind.SIDECARS, null, null);
--- a/lab/src/test/java/peppergauge/lab/emulator/ModelsTest.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/ModelsTest.java
@@ -184,7 +184,7 @@
             {"", "", "[[at]]\ntime = '0 s'\nwhat = 'fast-errors'\npart = 1.0", 0.0, 0.0, 0.0, 0.1},
             {"", "", "[[at]]\ntime = '0 s'\nwhat = 'lose-answers'\npart = 1.0", 0.0, 0.01, 0.8, 1.0},
             {"", "", "[[at]]\ntime = '4 s'\nwhat = 'sidecar-crash'\ntarget = 'sidecars'\nlength = '2 s'",
-                0.7, 0.9, 0.0, 0.05},
+                0.9, 1.0, 0.0, 0.05},
             {"", "", "[[at]]\ntime = '4 s'\nwhat = 'sidecar-pause'\ntarget = 'sidecars'\nlength = '2 s'",
                 0.6, 0.9, 0.0, 0.5},
             {"", "", "[[at]]\ntime = '4 s'\nwhat = 'discovery-empty'\nlength = '2 s'", 0.6, 0.9, 0.05, 0.6},
