--- a/daemon/src/main/java/peppergauge/daemon/file/DaemonFile.java
+++ b/daemon/src/main/java/peppergauge/daemon/file/DaemonFile.java
@@ -23,7 +23,7 @@
 
     private static List<Section> sections() {
         List<Section> sections = new ArrayList<>(List.of(new SidecarSection(), new AdminSection(), new LogSection()));
-        Subsystems.ALL.stream().map(Subsystem::section).forEach(sections::add);
+        Subsystems.ALL.stream().map(Subsystem::sections).forEach(sections::addAll);
         return sections;
     }
 
--- a/daemon/src/main/java/peppergauge/daemon/part/Plugins.java
+++ b/daemon/src/main/java/peppergauge/daemon/part/Plugins.java
@@ -1,5 +1,6 @@
 package peppergauge.daemon.part;
 
+import java.util.List;
 import peppergauge.Additions;
 import peppergauge.operator.Section;
 import peppergauge.operator.Values;
@@ -10,8 +11,8 @@
 final class Plugins implements Subsystem {
 
     @Override
-    public Section section() {
-        return new PluginSection();
+    public List<Section> sections() {
+        return List.of(new PluginSection());
     }
 
     @Override
--- a/daemon/src/main/java/peppergauge/daemon/part/Subsystem.java
+++ b/daemon/src/main/java/peppergauge/daemon/part/Subsystem.java
@@ -1,5 +1,6 @@
 package peppergauge.daemon.part;
 
+import java.util.List;
 import peppergauge.Additions;
 import peppergauge.operator.Section;
 import peppergauge.operator.Values;
@@ -7,8 +8,8 @@
 /** Something that the file can add to the sidecar. */
 public interface Subsystem {
 
-    /** Its part of the file. */
-    Section section();
+    /** Its part of the file: tables that may be left out, and then add nothing. */
+    List<Section> sections();
 
     /**
      * At the start.
@@ -30,6 +31,15 @@
         Change prepare(Values file);
     }
 
+    /** A subsystem that goes by the file of the start: what changes of it needs a restart, and a reload leaves it. */
+    record Fixed(Additions additions) implements Part {
+
+        @Override
+        public Change prepare(Values file) {
+            return Change.NONE;
+        }
+    }
+
     /** What is ready. Exactly one of these is called. */
     interface Change {
 
--- a/nomad/src/main/java/peppergauge/nomad/NomadSection.java
+++ b/nomad/src/main/java/peppergauge/nomad/NomadSection.java
@@ -86,7 +86,7 @@
     static final Key<Long> ENTRIES = Key.preset("most_entries", Types.wholeNumber(1, 100_000), "5000",
             "Entries of a list; more is refused as a failure.");
 
-    static final Table TABLE = Table.required("nomad", "Nomad's service API as a source of the server table.", ENABLED,
+    static final Table TABLE = Table.optional("nomad", "Nomad's service API as a source of the server table.", ENABLED,
             SERVICE, NAMESPACE, FILTER, AGENTS, TOKEN, STALE, STALEST, WAIT, ANSWER, GAP, CHECK, STREAM, SILENCE, LOOK,
             BACKOFF, LONGEST, SPREAD, INELIGIBLE, ZONE, CELL, KIND, WEIGHT, BYTES, DEPTH, ENTRIES);
 
@@ -101,7 +101,11 @@
 
     @Override
     public void check(Values file, Problems problems) {
-        Values said = file.get(TABLE);
+        Optional<Values> table = file.find(TABLE);
+        if (table.isEmpty()) {
+            return;
+        }
+        Values said = table.get();
         if (said.get(BACKOFF).compareTo(said.get(LONGEST)) > 0) {
             problems.add(said.place(BACKOFF), "nomad.back_off", "must not be longer than longest_back_off");
         }
@@ -116,7 +120,7 @@
 
     /** Whether the file turns it on. */
     static boolean enabled(Values file) {
-        return file.get(TABLE).get(ENABLED);
+        return file.find(TABLE).map(table -> table.get(ENABLED)).orElse(false);
     }
 
     /** @param zones names of the zones, as the sidecar's settings number them */
--- a/thrift/src/main/java/peppergauge/thrift/file/ThriftSection.java
+++ b/thrift/src/main/java/peppergauge/thrift/file/ThriftSection.java
@@ -70,7 +70,7 @@
     public static final Table METHODS = Table.repeated("method", 1, 1_000, "What a method means.", NAME, CLASS, ID,
             TENANT, ABSENT_TENANT, KEY, REMAINING, ABSENT_REMAINING, NEVER_RAN, LOAD);
 
-    public static final Table TABLE = Table.required("thrift",
+    public static final Table TABLE = Table.optional("thrift",
             "Sessions that come in by Thrift, beside those that come in by HTTP.", LISTEN, FORM, LONGEST, DEEPEST)
             .with(SERVERS, METHODS);
 
