Read chunked bodies to their last chunk, see pauses, and provoke the hard cases

Cause: tests with real sockets that provoke what the program must handle found bugs: HttpCore takes a chunk size that is cut off at the end of a connection for whole, so an answer that broke off could be passed on as served; a select that was stopped returns without a look at the sockets, so requests that stood through a pause counted as fresh; who had left during it was still served; pipelined requests whose answers nobody reads were not bounded. Change: WholeChunks, Rounds told whether anything was read, a second look where input may have stood unread, answers owed on one connection bounded. HardCasesTest and ProcessTest (a child process under SIGSTOP, SIGTERM, SIGHUP).

--- a/src/main/java/peppergauge/Rehearsal.java
+++ b/src/main/java/peppergauge/Rehearsal.java
@@ -46,16 +46,19 @@
         frontend.rehearse(own, mark);
         Semaphore free = new Semaphore(AT_ONCE);
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longestMs);
+        List<Backend.Exchange> out = new ArrayList<>();
         int sent = 0;
         while (sent < REQUESTS && mayGoOn.getAsBoolean() && free.tryAcquire(until - System.nanoTime(), TimeUnit.NANOSECONDS)) {
             Message request = request(sent++, mark);
-            scheduler.execute(() -> backend.send(new Backend.Server("self", address), request,
-                    clock.nowMs() + WAIT_MS, result -> free.release()));
+            scheduler.execute(() -> out.add(backend.send(new Backend.Server("self", address), request,
+                    clock.nowMs() + WAIT_MS, result -> free.release())));
         }
         free.tryAcquire(AT_ONCE, until - System.nanoTime(), TimeUnit.NANOSECONDS);
-        own.close();
-        // Its connections would keep clients out: they have a claim, as of clients that were served.
-        scheduler.execute(() -> {
+        // Its connections would keep clients out: they have a claim, as of clients that were served, and a session
+        // that is cut short has its places until it ends.
+        scheduler.execute(() -> out.forEach(Backend.Exchange::abandon));
+        own.whenIdle(() -> {
+            own.close();
             backend.forget(new Backend.Server("self", address));
             servers(address).forEach(row -> backend.forget(new Backend.Server(row.entry().server(), address)));
         });
--- a/src/main/java/peppergauge/Sidecar.java
+++ b/src/main/java/peppergauge/Sidecar.java
@@ -110,8 +110,8 @@
             }
 
             @Override
-            public void roundEnded() {
-                overload.roundEnded(clock.nowMs());
+            public void roundEnded(boolean read) {
+                overload.roundEnded(clock.nowMs(), read);
             }
         };
     }
--- a/src/main/java/peppergauge/backend/ServerConnection.java
+++ b/src/main/java/peppergauge/backend/ServerConnection.java
@@ -2,15 +2,21 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import org.apache.hc.core5.http.ContentLengthStrategy;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.io.ModalCloseable;
@@ -20,6 +26,7 @@
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.Timeout;
 import peppergauge.http.HeadReader;
+import peppergauge.http.WholeChunks;
 import peppergauge.sockets.Protocol;
 import peppergauge.sockets.SocketRoom;
 
@@ -48,7 +55,14 @@
         session = up;
         return new ClientHttp1IOEventHandler(new ClientHttp1StreamDuplexer(up, NOTHING_ADDED, HTTP,
                 CharCodingConfig.DEFAULT, DefaultConnectionReuseStrategy.INSTANCE, reader,
-                DefaultHttpRequestWriterFactory.INSTANCE.create(), null, null, null)) {
+                DefaultHttpRequestWriterFactory.INSTANCE.create(), null, null, null) {
+            @Override
+            protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
+                    SessionInputBuffer input, BasicHttpTransportMetrics metrics) throws HttpException {
+                return length == ContentLengthStrategy.CHUNKED ? new WholeChunks(channel, input, HTTP, metrics)
+                        : super.createContentDecoder(length, channel, input, metrics);
+            }
+        }) {
             @Override
             public void disconnected(IOSession ended) {
                 super.disconnected(ended);
--- a/src/main/java/peppergauge/frontend/ClientConnection.java
+++ b/src/main/java/peppergauge/frontend/ClientConnection.java
@@ -2,19 +2,25 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.nio.support.BasicAsyncServerExpectationDecorator;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
@@ -24,6 +30,7 @@
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.Timeout;
 import peppergauge.http.HeadReader;
+import peppergauge.http.WholeChunks;
 import peppergauge.log.Log;
 import peppergauge.session.Scheduler;
 import peppergauge.sockets.Claimant;
@@ -69,10 +76,13 @@
     private boolean first = true;
     private boolean gone;
     private boolean closingHere;
+    /** None is to come after the request that was begun last. */
+    private boolean lastRequest;
     private boolean inputOver;
     private boolean lastAnswer;
     /** Answers that are begun and not yet written to the last byte, and whether the first of them is a session's. */
     private int unwritten;
+    private int owed;
     private boolean sessions;
     private int waitsForReader;
     private int discarded;
@@ -85,7 +95,14 @@
                 (request, context) -> handler(request), null, HTTP, CharCodingConfig.DEFAULT,
                 // Told of an answer that is to be the last, HttpCore would close at once: see answerWritten.
                 (request, response, context) -> true, reader, DefaultHttpResponseWriterFactory.INSTANCE.create(),
-                null, null, this, HttpFrontend::report));
+                null, null, this, HttpFrontend::report) {
+            @Override
+            protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
+                    SessionInputBuffer input, BasicHttpTransportMetrics metrics) throws HttpException {
+                return length == ContentLengthStrategy.CHUNKED ? new WholeChunks(channel, input, HTTP, metrics)
+                        : super.createContentDecoder(length, channel, input, metrics);
+            }
+        });
     }
 
     private AsyncServerExchangeHandler handler(HttpRequest request) {
@@ -105,10 +122,15 @@
 
     @Override
     public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+        boolean look = first || owner.readsLate();
         http.inputReady(session, source);
+        if (look && !waiting.isEmpty()) {
+            // HttpCore reads once in a round: whoever has left meanwhile would still be served.
+            http.inputReady(session, null);
+        }
         if (!http.isOpen() && !closingHere) {
             gone();
-        } else if (!sending && midRequest()) {
+        } else if (!sending && midRequest() && !inputOver) {
             sending = true;
             all.reading(this);
             if (!first) {
@@ -149,21 +171,25 @@
     /** The next request begins; false if it is not to be read any more. {@code last}: none is to come after it. */
     boolean begins(boolean last, boolean body) {
         bodyOpen = body;
-        boolean read = !inputOver;
-        inputOver |= last;
-        return read;
+        owed++;
+        lastRequest |= last;
+        return !inputOver;
     }
 
     void read(int bytes) {
         bodyBytes += bytes;
     }
 
+    /** A request that is not read any more takes nobody's time: it must not put off the end of its connection. */
     void requestWhole() {
-        first = false;
         sending = false;
         bodyOpen = false;
-        stopTimer();
-        all.whole(this);
+        if (!inputOver) {
+            first = false;
+            stopTimer();
+            all.whole(this);
+            inputOver = lastRequest;
+        }
     }
 
     /** Nothing that comes in from now on is read as a request. */
@@ -177,8 +203,9 @@
         return waiting.isEmpty();
     }
 
-    int waiting() {
-        return waiting.size();
+    /** Requests that began, also the present one, and whose answers are not written yet. */
+    int owed() {
+        return owed;
     }
 
     void waits(SessionHandler handler) {
@@ -216,6 +243,7 @@
     @Override
     public void onExchangeComplete(HttpConnection same, boolean keepAlive) {
         unwritten--;
+        owed--;
         waitsForReader = 0;
         all.answered(this, sessions);
         if (gone || !lastAnswer) {
@@ -268,7 +296,7 @@
         } else if (!midRequest() && unwritten == 0 && !all.sweeps()) {
             // There is more to do than time for it: idle connections wait.
             startTimer(LONGEST_SENDING_MS);
-        } else if (midRequest() && !slow) {
+        } else if (midRequest() && !slow && !inputOver) {
             // It began in this very moment.
             startTimer(LONGEST_SENDING_MS);
         } else {
--- a/src/main/java/peppergauge/frontend/HttpFrontend.java
+++ b/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -20,6 +20,9 @@
     /** Marks the program's own requests before it is ready. */
     public static final String REHEARSAL = "X-Rehearsal";
 
+    /** Clients wait for much longer, and each look at what follows costs a system call. */
+    private static final double LONG_UNREAD_MS = 10;
+
     private final Site site;
     private final Sessions sessions;
     private final Clock clock;
@@ -115,6 +118,14 @@
         return Math.min(clock.nowMs(), overload.earliestArrivalMs());
     }
 
+    /**
+     * Whether what is being read may have stood unread for so long that its client has left. Of the time that a new
+     * connection stood unaccepted nothing is known.
+     */
+    boolean readsLate() {
+        return clock.nowMs() - overload.earliestArrivalMs() > LONG_UNREAD_MS;
+    }
+
     Scheduler scheduler() {
         return loop;
     }
--- a/src/main/java/peppergauge/frontend/SessionHandler.java
+++ b/src/main/java/peppergauge/frontend/SessionHandler.java
@@ -27,7 +27,7 @@
 final class SessionHandler implements AsyncServerExchangeHandler, Frontend {
 
     private static final int LARGEST_BODY = 64 * 1024;
-    /** Requests that may wait on one connection; clients of the protocol send one at a time. */
+    /** Requests whose answers may be owed on one connection: bounds memory where a client asks but does not read. */
     private static final int MOST_PIPELINED = 16;
     private static final byte[] REHEARSED = new byte[200];
     private static final String READY_PATH = "/up";
@@ -89,7 +89,7 @@
             answerHere(413, "a body holds " + LARGEST_BODY + " bytes at most", null);
         } else if (details != null && details.getContentLength() != 0 && "GET".equals(head.verb())) {
             answerHere(400, "GET takes no body", null);
-        } else if (connection.waiting() >= MOST_PIPELINED) {
+        } else if (connection.owed() > MOST_PIPELINED) {
             answerHere(503, "too many requests on one connection", null);
         } else if (details == null) {
             open();
--- a/src/main/java/peppergauge/overload/Overload.java
+++ b/src/main/java/peppergauge/overload/Overload.java
@@ -40,9 +40,9 @@
         see(nowMs, rounds.queueDelayMs());
     }
 
-    /** The round is over: select is called next. */
-    public void roundEnded(double nowMs) {
-        rounds.ended(nowMs);
+    /** The round is over: select is called next. {@code read}: whether anything was read in it. */
+    public void roundEnded(double nowMs, boolean read) {
+        rounds.ended(nowMs, read);
     }
 
     /** When what this round read may have come in at the earliest: deadlines are to be reckoned from then. */
--- a/src/main/java/peppergauge/overload/Rounds.java
+++ b/src/main/java/peppergauge/overload/Rounds.java
@@ -24,6 +24,8 @@
     private double selectedMs = Double.NaN;
     private double earliestMs = Double.NEGATIVE_INFINITY;
     private double stalledMs;
+    /** The last round's select overstayed and nothing was read: it may not have looked. */
+    private boolean blind;
 
     /**
      * @param intervalMs how long a select waits at most, over 0
@@ -42,7 +44,7 @@
      * a round whose end was not told (it broke off), bytes may have stood since that round's select.
      */
     public void selectReturned(double nowMs) {
-        double before = selectedMs;
+        double before = blind ? earliestMs : selectedMs;
         selectedMs = forward(nowMs);
         stalledMs = 0;
         if (Double.isNaN(before)) {
@@ -50,7 +52,7 @@
             return;
         }
         double took = selectedMs - endedMs;
-        if (Double.isNaN(took) || took < NO_WAIT_MS) {
+        if (Double.isNaN(took) || took < (blind ? slackMs : NO_WAIT_MS)) {
             // Not the end of the last round: bytes that came in while it ran were left for this select.
             earliestMs = before;
         } else if (took > intervalMs + slackMs) {
@@ -63,9 +65,15 @@
         endedMs = Double.NaN;
     }
 
-    /** All that the select found is handled and the owner's queue is empty: select is called next. */
-    public void ended(double nowMs) {
+    /**
+     * All that the select found is handled and the owner's queue is empty: select is called next.
+     *
+     * @param read whether anything was read. A process that was stopped (SIGSTOP) gets back from its select with
+     *     the time up and no look at the sockets: what came in meanwhile is found by the next one
+     */
+    public void ended(double nowMs, boolean read) {
         endedMs = forward(nowMs);
+        blind = stalledMs > 0 && !read;
     }
 
     /** The earliest time at which bytes that this round handles may have come in. */
--- a/src/main/java/peppergauge/sockets/Loop.java
+++ b/src/main/java/peppergauge/sockets/Loop.java
@@ -63,6 +63,7 @@
     private volatile Gate gate = () -> { };
     private Watcher watcher = new Watcher() { };
     private boolean inRound;
+    private boolean read;
     /** The listener's thread waits at the gate, and may wake the loop up from there; no other thread looks at it. */
     private boolean atGate;
 
@@ -78,8 +79,8 @@
         /** A round begins: its select has returned, and nothing that it found is handled yet. */
         default void selectReturned() { }
 
-        /** A round is over. */
-        default void roundEnded() { }
+        /** A round is over; {@code read}: a socket had something to read in it. */
+        default void roundEnded(boolean read) { }
     }
 
     /** Creates the reactor; no thread runs before {@link #start}. */
@@ -243,13 +244,16 @@
                 guarded(task);
             }
             do {
-                for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
-                    guarded(task);
+                // What these answer is written before those that they hand in: new sessions come last, and take long.
+                for (int left = tasks.size(); left > 0; left--) {
+                    guarded(tasks.poll());
                 }
                 write();
             } while (!tasks.isEmpty());
             inRound = false;
-            watcher.roundEnded();
+            boolean some = read;
+            read = false;
+            watcher.roundEnded(some);
         }
 
         @Override
@@ -276,6 +280,12 @@
         }
     }
 
+    /** A socket has something to read. */
+    void reading() {
+        read = true;
+        event();
+    }
+
     /** A bug in one task must neither end the thread nor touch another session. */
     private static void guarded(Runnable task) {
         try {
--- a/src/main/java/peppergauge/sockets/LoopSession.java
+++ b/src/main/java/peppergauge/sockets/LoopSession.java
@@ -212,7 +212,7 @@
     @Override
     public void updateReadTime() {
         // The reactor's first call for a socket that has something to read.
-        loop.event();
+        loop.reading();
         raw.updateReadTime();
     }
 
--- a/src/test/java/peppergauge/Bed.java
+++ b/src/test/java/peppergauge/Bed.java
@@ -1,15 +1,23 @@
 package peppergauge;
 
+import static org.testng.Assert.assertEquals;
+
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.reflect.Field;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import peppergauge.config.Config;
-import peppergauge.settings.JsonTree;
+import peppergauge.decision.Balancer;
+import peppergauge.session.Sessions;
+import peppergauge.sockets.Loop;
 
 /** A sidecar between toys: one backend server, discovery, and clients on raw sockets. */
 final class Bed implements Closeable {
@@ -26,6 +34,8 @@
              "tenants":[{"name":"acme","quotaPerS":1000}]}
             """;
 
+    static final Toy.Script ECHO = (request, connection) -> Toy.write(connection, Toy.ok(request.header("X-Txn")));
+
     final Toy backend;
     final Toy discovery;
     final Sidecar sidecar;
@@ -36,21 +46,26 @@
     }
 
     Bed(Toy.Script script, int sockets) throws Exception {
+        this(script, sockets, 1);
+    }
+
+    /** {@code servers}: so many are listed, all of them at the one toy; one alone would be held full or failing. */
+    Bed(Toy.Script script, int sockets, int servers) throws Exception {
         backend = new Toy(script);
         discovery = new Toy((request, connection) -> {
             Toy.write(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             watch = connection;
         });
         Map<String, String> environment = new HashMap<>();
-        environment.put("GW_CONFIG", file(sockets));
+        environment.put("GW_CONFIG", file(sockets, servers));
         sidecar = new Sidecar(Config.read(environment));
         sidecar.start();
     }
 
-    private String file(int sockets) throws IOException {
+    private String file(int sockets, int servers) throws IOException {
         Path path = Files.createTempFile("peppergauge", ".json");
         path.toFile().deleteOnExit();
-        return Files.writeString(path, config(discovery.address(), sockets, table(1, true, "active"))).toString();
+        return Files.writeString(path, config(discovery.address(), sockets, known(backend.address(), servers))).toString();
     }
 
     static String config(String discovery, int sockets, String known) {
@@ -63,6 +78,14 @@
         return table(backend.address(), version, full, state);
     }
 
+    static String known(String address, int servers) {
+        String one = table(address, 1, true, "active");
+        int from = one.indexOf('[') + 1;
+        String row = one.substring(from, one.length() - 2);
+        return IntStream.range(0, servers).mapToObj(i -> i == 0 ? row : row.replace("\"s\"", "\"s" + i + "\""))
+                .collect(Collectors.joining(",", one.substring(0, from), "]}"));
+    }
+
     static String table(String address, int version, boolean full, String state) {
         return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[{\"id\":\"s\",\"addr\":\"" + address
                 + "\",\"zone\":\"z0\",\"cell\":0,\"state\":\"" + state + "\",\"started_ms\":0}]}";
@@ -77,6 +100,30 @@
         }
     }
 
+    /** The thread that owns all, to be held up; the program shows it to nobody. */
+    Loop loop() throws ReflectiveOperationException {
+        return (Loop) part(Sidecar.class, "loop").get(sidecar);
+    }
+
+    /** From now on the module is told of a new session by way of this. */
+    void beforeEachSession(Runnable task) throws ReflectiveOperationException {
+        Field module = part(Sessions.class, "balancer");
+        Object sessions = part(Sidecar.class, "sessions").get(sidecar);
+        Balancer own = (Balancer) module.get(sessions);
+        module.set(sessions, (Balancer) (nowMs, event, actions) -> {
+            if (event instanceof Balancer.RequestArrived) {
+                task.run();
+            }
+            own.on(nowMs, event, actions);
+        });
+    }
+
+    private static Field part(Class<?> owner, String name) throws ReflectiveOperationException {
+        Field part = owner.getDeclaredField(name);
+        part.setAccessible(true);
+        return part;
+    }
+
     Socket client() throws IOException {
         Socket client = new Socket(sidecar.address().getAddress(), sidecar.address().getPort());
         client.setSoTimeout(8_000);
@@ -108,6 +155,32 @@
         return answer == null ? 0 : Integer.parseInt(answer.line().split(" ")[1]);
     }
 
+    static void send(Socket socket, String text) {
+        try {
+            Toy.write(socket, text);
+        } catch (IOException failed) {
+            throw new UncheckedIOException(failed);
+        }
+    }
+
+    /** Asks, with 900 ms to wait, and must get what {@link #ECHO} says to this id and nobody else. */
+    static void askOwn(Socket client, String id) throws IOException {
+        assertOwn(ask(client, get(id, 900)), id);
+    }
+
+    static void assertOwn(Toy.Request answer, String id) {
+        assertEquals(status(answer), 200, id);
+        assertEquals(new String(answer.body(), StandardCharsets.ISO_8859_1), id);
+    }
+
+    static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     interface Condition {
         boolean holds() throws Exception;
     }
--- /dev/null
+++ b/src/test/java/peppergauge/HardCasesTest.java
@@ -0,0 +1,455 @@
+package peppergauge;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.sockets.Loop;
+
+/** What goes wrong rarely, provoked: each test fails without the code that guards against it. */
+public class HardCasesTest {
+
+    private static final Toy.Script ECHO =
+            (request, connection) -> Toy.write(connection, Toy.ok(request.header("X-Txn")));
+
+    private static final Executor POOL = Executors.newCachedThreadPool();
+
+    private static void send(Socket socket, String text) {
+        try {
+            Toy.write(socket, text);
+        } catch (IOException failed) {
+            throw new UncheckedIOException(failed);
+        }
+    }
+
+    private static String body(Toy.Request answer) {
+        return new String(answer.body(), US_ASCII);
+    }
+
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Holds the thread that owns all up for so long, and returns as soon as it stands. */
+    private static void stall(Bed bed, long ms) throws Exception {
+        CountDownLatch stands = new CountDownLatch(1);
+        bed.loop().execute(() -> {
+            stands.countDown();
+            pause(ms);
+        });
+        stands.await();
+    }
+
+    @DataProvider
+    public Object[][] requests() {
+        String post = Bed.post("t", 900, "abcd");
+        return new Object[][] {{Bed.get("t", 900)}, {post}, {post.replace("Content-Length: 4", "Transfer-Encoding: chunked")
+                .replace("abcd", "02\r\nab\r\n02\r\ncd\r\n0\r\n\r\n")}};
+    }
+
+    @Test(dataProvider = "requests")
+    public void aRequestThatBreaksOffAnywhereIsNotPassedOn(String request) throws Exception {
+        try (Bed bed = new Bed(ECHO)) {
+            for (int at = 0; at < request.length(); at++) {
+                try (Socket client = bed.client()) {
+                    send(client, request.substring(0, at));
+                    client.shutdownOutput();
+                    assertEquals(client.getInputStream().read(), -1, "answered at " + at + " of " + request);
+                }
+            }
+            assertEquals(bed.backend.requests.size(), 0);
+            assertEquals(Bed.status(bed.ask(request)), 200);
+        }
+    }
+
+    // ---- Answers ----
+
+    /** What a server says of the length of its answer; without a length the end may be anywhere. */
+    @DataProvider
+    public Object[][] framings() {
+        return new Object[][] {
+            {"Content-Length: 4\r\n\r\nbody", true}, {"Content-Length: 0\r\nX-Last: 1\r\n\r\n", true},
+            {"Transfer-Encoding: chunked\r\n\r\n02\r\nbo\r\n2;x=0\r\ndy\r\n0\r\n\r\n", true},
+            {"X-None: 1\r\n\r\nbody", false},
+        };
+    }
+
+    @Test(dataProvider = "framings")
+    public void anAnswerThatBreaksOffAnywhereIsNeverPassedOnAsWhole(String framing, boolean framed) throws Exception {
+        String answer = "HTTP/1.1 200 OK\r\n" + framing;
+        try (Bed bed = new Bed((request, connection) -> {
+            String[] cut = request.header("X-Txn").split("-");
+            Toy.write(connection, answer.substring(0, Integer.parseInt(cut[0])));
+            connection.setSoLinger(cut[1].equals("reset"), 0);
+            connection.close();
+        }, 256, 200)) {
+            for (int at = 0; at <= answer.length(); at++) {
+                for (String end : new String[] {"-close", "-reset"}) {
+                    int status = Bed.status(bed.ask(Bed.post(at + end, 900, "x")));
+                    boolean whole = framed && at == answer.length();
+                    // A reset may destroy what came before it.
+                    assertTrue(status == (whole ? 200 : 502) || whole && end.equals("-reset"), at + end + ": " + status);
+                }
+            }
+            assertEquals(bed.backend.requests.size(), 2 * answer.length() + 2);
+        }
+    }
+
+    /** What comes on a connection that no request asked for; a null is the answer once more. */
+    @DataProvider
+    public Object[][] strays() {
+        return new Object[][] {
+            {Toy.ok("stray")}, {null}, {"noise"}, {"\r\n"}, {"HTTP/1.1 200 OK\r\nX-Stray: "},
+            {"HTTP/1.1 102 Wait\r\nX-Stray: 1\r\n\r\n".repeat(3)},
+        };
+    }
+
+    /** Once by itself, in the same bytes as the answer or later, and once unread when the next session is sent. */
+    @Test(dataProvider = "strays")
+    public void whatNobodyAskedForNeverReachesTheNextSession(String stray) throws Exception {
+        Semaphore written = new Semaphore(0);
+        AtomicReference<Socket> server = new AtomicReference<>();
+        AtomicReference<String> held = new AtomicReference<>();
+        try (Bed bed = new Bed((request, connection) -> {
+            String id = request.header("X-Txn");
+            String more = stray == null ? Toy.ok(id) : stray;
+            int afterMs = Integer.parseInt(id.substring(id.indexOf('-') + 1));
+            Toy.write(connection, Toy.ok(id) + (afterMs == 0 ? more : ""));
+            server.set(connection);
+            pause(Math.max(0, afterMs));
+            Toy.write(connection, afterMs > 0 ? more : "");
+            written.release();
+        }); Socket client = bed.client()) {
+            int asked = 0;
+            for (int afterMs : new int[] {0, 0, 1, 2, 4, 8, 16, 30, 0}) {
+                String id = asked++ + "-" + afterMs;
+                assertOwn(id, Bed.ask(client, Bed.post(id, 900, "x")));
+                written.acquire();
+            }
+            Loop loop = bed.loop();
+            loop.execute(() -> loop.eachRound(() -> {
+                if (held.get() != null) {
+                    send(server.get(), held.getAndSet(null));
+                    pause(5);
+                }
+            }));
+            for (int i = 0; i < 5; i++) {
+                String id = "calm" + i + "--1";
+                assertOwn(id, Bed.ask(client, Bed.post(id, 900, "x")));
+                stall(bed, 20);
+                send(client, Bed.post("held" + id, 900, "x"));
+                held.set(stray == null ? Toy.ok(id) : stray);
+                assertOwn("held" + id, Toy.read(client.getInputStream()));
+            }
+        }
+    }
+
+    private static void assertOwn(String id, Toy.Request answer) {
+        assertEquals(Bed.status(answer), 200);
+        assertEquals(body(answer), id);
+        assertNull(answer.header("X-Stray"));
+    }
+
+    @DataProvider
+    public Object[][] lateBy() {
+        return new Object[][] {{1}, {5}, {15}, {30}};
+    }
+
+    /** The first session's time is up, the second's client leaves; both answers come when others have asked. */
+    @Test(dataProvider = "lateBy")
+    public void anAnswerAfterItsSessionsEndReachesNobody(int lateMs) throws Exception {
+        CountDownLatch ended = new CountDownLatch(2);
+        try (Bed bed = new Bed((request, connection) -> {
+            if (request.line().contains("gift")) {
+                ended.await();
+                pause(lateMs);
+            }
+            Toy.write(connection, Toy.ok(request.header("X-Txn")));
+        })) {
+            assertEquals(Bed.status(bed.ask(Bed.post("over", 100, "x"))), 504);
+            ended.countDown();
+            try (Socket leaving = bed.client()) {
+                send(leaving, Bed.post("left", 900, "x"));
+                Bed.await(() -> bed.backend.requests.size() == 2);
+            }
+            ended.countDown();
+            for (int i = 0; i < 40; i++) {
+                assertOwn("next" + i, bed.ask(Bed.get("next" + i, 900)));
+            }
+        }
+    }
+
+    // ---- Room ----
+
+    @Test
+    public void forRoomOnlyIdleConnectionsAreClosed() throws Exception {
+        try (Bed bed = new Bed((request, connection) -> {
+            pause(request.header("X-Txn").equals("slow") ? 900 : 0);
+            ECHO.answer(request, connection);
+        }, 40 + 2 * 4); Socket waiting = bed.client(); Socket half = bed.client(); Socket fresh = bed.client()) {
+            String post = Bed.post("half", 900, "body");
+            assertOwn("before", Bed.ask(half, Bed.get("before", 900)));
+            send(waiting, Bed.post("slow", 2_000, "x"));
+            send(half, post.substring(0, 50));
+            send(fresh, post.substring(0, 50));
+            List<Socket> crowd = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                crowd.add(bed.client());
+            }
+            assertOwn("slow", Toy.read(waiting.getInputStream()));
+            send(half, post.substring(50));
+            assertOwn("half", Toy.read(half.getInputStream()));
+            send(fresh, post.substring(50).replace("half", "fresh"));
+            assertNotNull(Toy.read(fresh.getInputStream()));
+            for (Socket silent : crowd) {
+                silent.close();
+            }
+        }
+    }
+
+    @Test
+    public void forRoomNoneIsClosedOnWhichAWholeRequestStandsUnread() throws Exception {
+        try (Bed bed = new Bed(ECHO, 40 + 2 * 4)) {
+            List<Socket> usual = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                usual.add(bed.client());
+                assertOwn("a" + i, Bed.ask(usual.get(i), Bed.get("a" + i, 900)));
+            }
+            // Only who was idle for a moment is asked to go.
+            pause(100);
+            stall(bed, 150);
+            try (Socket newcomer = bed.client()) {
+                for (int i = 0; i < 4; i++) {
+                    send(usual.get(i), Bed.get("b" + i, 900));
+                }
+                for (int i = 0; i < 4; i++) {
+                    Toy.Request answer = Toy.read(usual.get(i).getInputStream());
+                    assertTrue(answer != null, "closed with a request unread");
+                }
+                assertOwn("new", Bed.ask(newcomer, Bed.get("new", 2_000)));
+            }
+        }
+    }
+
+    @Test
+    public void besideACrowdThatSaysNothingUsualClientsKeepTheirConnections() throws Exception {
+        AtomicBoolean over = new AtomicBoolean();
+        ArrayDeque<Socket> crowd = new ArrayDeque<>();
+        try (Bed bed = new Bed(ECHO, 384, 20)) {
+            List<CompletableFuture<Integer>> usual = IntStream.range(0, 20).mapToObj(
+                    i -> CompletableFuture.supplyAsync(() -> keepAsking(bed, "u" + i + "-", over), POOL)).toList();
+            for (int i = 0; i < 1_500; i++) {
+                crowd.add(bed.client());
+                if (crowd.size() > 500) {
+                    crowd.remove().close();
+                    pause(2);
+                }
+            }
+            over.set(true);
+            for (CompletableFuture<Integer> client : usual) {
+                assertTrue(client.get() > 3);
+            }
+        }
+    }
+
+    /** On one connection, with pauses like a usual client's; fails if it is closed, or a session not served. */
+    private static int keepAsking(Bed bed, String name, AtomicBoolean over) {
+        int asked = 0;
+        try (Socket client = bed.client()) {
+            for (; !over.get(); asked++) {
+                assertOwn(name + asked, Bed.ask(client, Bed.get(name + asked, 900)));
+                pause(100 + 37 * asked % 300);
+            }
+        } catch (IOException closed) {
+            throw new AssertionError(name + asked + ": " + closed, closed);
+        }
+        return asked;
+    }
+
+    /** Runs beside the other tests, for it takes some 10 s. */
+    private final CompletableFuture<Double> cutOff = CompletableFuture.supplyAsync(HardCasesTest::askAndNeverRead, POOL);
+
+    private static double askAndNeverRead() {
+        String big = Toy.ok("x".repeat(65_536));
+        AtomicBoolean over = new AtomicBoolean();
+        try (Bed bed = new Bed((request, connection) -> Toy.write(connection,
+                request.header("X-Txn").startsWith("big") ? big : Toy.ok(request.header("X-Txn"))), 256, 20);
+                Socket client = bed.client()) {
+            CompletableFuture<Integer> usual = CompletableFuture.supplyAsync(() -> keepAsking(bed, "u", over), POOL);
+            long start = System.nanoTime();
+            try {
+                for (int i = 0; System.nanoTime() - start < 20_000_000_000L; i++) {
+                    Toy.write(client, Bed.get("big" + i, 900));
+                    pause(10);
+                }
+            } catch (IOException cut) {
+                assertTrue(bed.backend.requests.size() < 400, "served " + bed.backend.requests.size());
+            }
+            over.set(true);
+            assertTrue(usual.get() > 10);
+            return (System.nanoTime() - start) / 1e6;
+        } catch (Exception failed) {
+            throw new AssertionError(failed);
+        }
+    }
+
+    @Test(priority = 1)
+    public void whoAsksAndNeverReadsIsCutOffAndOthersAreServed() throws Exception {
+        assertTrue(cutOff.get() < 16_000, "cut off after " + cutOff.get());
+        System.out.println("A cut off after " + cutOff.get());
+    }
+
+    // ---- Stalls ----
+
+    @Test
+    public void aRequestThatCameInDuringAStallIsAnsweredByItsDeadlineFromWhenItWasWritten() throws Exception {
+        try (Bed bed = new Bed((request, connection) -> { }); Socket patient = bed.client(); Socket hasty = bed.client()) {
+            for (Socket used : List.of(patient, hasty)) {
+                assertEquals(Bed.status(Bed.ask(used, "GET /up HTTP/1.1\r\nHost: h\r\n\r\n")), 200);
+            }
+            stall(bed, 600);
+            long start = System.nanoTime();
+            send(patient, Bed.get("patient", 1_000));
+            send(hasty, Bed.get("hasty", 300));
+            assertEquals(Bed.status(Toy.read(hasty.getInputStream())), 503);
+            assertNotNull(Toy.read(patient.getInputStream()));
+            double tookMs = (System.nanoTime() - start) / 1e6;
+            assertTrue(tookMs > 900 && tookMs < 1_400, "answered after " + tookMs);
+            assertEquals(bed.backend.requests.size(), 1);
+        }
+    }
+
+    /** HttpCore reads once in a round: it would know of the end only when the request is on its way. */
+    @Test
+    public void aClientThatLeftDuringAStallIsNotServed() throws Exception {
+        try (Bed bed = new Bed(ECHO); Socket used = bed.client()) {
+            assertEquals(Bed.status(Bed.ask(used, Bed.get("before", 900))), 200);
+            for (Socket client : new Socket[] {used, null}) {
+                stall(bed, 200);
+                try (Socket leaving = client == null ? bed.client() : client) {
+                    send(leaving, Bed.post(client == null ? "fresh" : "used", 900, "x"));
+                }
+                assertEquals(Bed.status(bed.ask(Bed.get("after" + client, 900))), 200);
+            }
+            assertTrue(bed.backend.requests.stream().noneMatch(request -> request.line().contains("gift")));
+        }
+    }
+
+    // ---- Overload ----
+
+    /** How one try of a client ended: 0 if it got nothing in its 400 ms. */
+    private record Try(long endNs, int status) { }
+
+    /**
+     * Each session costs the loop 8 ms, so it serves 120 a second. 100 clients ask for a third of that, then for ten
+     * times as much, then again for a third; what was denied or late they ask for again at once.
+     */
+    @Test
+    public void aBurstOfTenTimesTheRateIsOver2SecondsAfterItsEnd() throws Exception {
+        AtomicInteger thinkMs = new AtomicInteger(2_400);
+        AtomicInteger begun = new AtomicInteger();
+        AtomicBoolean over = new AtomicBoolean();
+        try (Bed bed = new Bed(ECHO, 1_024, 100)) {
+            bed.beforeEachSession(() -> {
+                begun.incrementAndGet();
+                pause(5);
+            });
+            long t0 = System.nanoTime();
+            List<CompletableFuture<List<Try>>> clients = IntStream.range(0, 100).mapToObj(
+                    i -> CompletableFuture.supplyAsync(() -> insist(bed, "c" + i + "-", thinkMs, over), POOL)).toList();
+            pause(1_000);
+            thinkMs.set(240);
+            pause(2_000);
+            int begunBefore = begun.get();
+            long fromNs = System.nanoTime();
+            pause(1_000);
+            thinkMs.set(2_400);
+            long endNs = System.nanoTime();
+            int begunAfter = begun.get();
+            pause(3_500);
+            over.set(true);
+            List<Try> tries = new ArrayList<>();
+            for (CompletableFuture<List<Try>> client : clients) {
+                tries.addAll(client.get());
+            }
+            int[][] n = new int[80][2];
+            for (Try one : tries) {
+                n[(int) ((one.endNs - t0) / 250_000_000L)][one.status == 200 ? 0 : 1]++;
+            }
+            for (int i = 0; i < 45; i++) {
+                System.out.println("A " + i * 250 + " ok " + n[i][0] + " not " + n[i][1]);
+            }
+            long inTime = tries.stream().filter(one -> one.status == 200 && one.endNs > fromNs && one.endNs < endNs).count();
+            System.out.println("B burst begun " + (begunAfter - begunBefore) + " in time " + inTime);
+            List<Try> after = tries.stream().filter(one -> one.endNs > endNs + 2_000_000_000L).toList();
+            long served = after.stream().filter(one -> one.status == 200).count();
+            System.out.println("B end " + (endNs - t0)/1000000 + " after " + after.size() + " " + served);
+            assertTrue(served > 0.95 * after.size(), served + " of " + after.size());
+        }
+    }
+
+    /** Thinks, asks with 400 ms to wait, asks again at once until served or for the sixth time late. */
+    private static List<Try> insist(Bed bed, String name, AtomicInteger thinkMs, AtomicBoolean over) {
+        List<Try> tries = new ArrayList<>();
+        SplittableRandom random = new SplittableRandom(name.hashCode());
+        Socket client = null;
+        while (!over.get()) {
+            for (double left = random.nextDouble(); left > 0 && !over.get(); left -= 20.0 / thinkMs.get()) {
+                pause(20);
+            }
+            int status = 0;
+            for (int late = 0; late < 6 && status != 200 && !over.get();) {
+                try {
+                    client = client == null ? bed.client() : client;
+                    client.setSoTimeout(300);
+                    status = Bed.status(Bed.ask(client, Bed.get(name + tries.size(), 300)));
+                } catch (IOException tooLate) {
+                    status = 0;
+                }
+                tries.add(new Try(System.nanoTime(), status));
+                if (status == 0) {
+                    late++;
+                    close(client);
+                    client = null;
+                }
+            }
+        }
+        close(client);
+        return tries;
+    }
+
+    private static void close(Socket client) {
+        try {
+            if (client != null) {
+                client.close();
+            }
+        } catch (IOException closed) {
+            throw new UncheckedIOException(closed);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/peppergauge/ProcessBed.java
@@ -0,0 +1,83 @@
+package peppergauge;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** A sidecar as a process of its own, which takes real signals and has descriptors of its own, between toys. */
+final class ProcessBed implements Closeable {
+
+    final Toy backend;
+    final Toy discovery = watched();
+    final Path config = Files.createTempFile("process", ".json");
+    final Process sidecar;
+    private final int port;
+
+    /** {@code sockets}: descriptors that it is told of, and that it has. {@code servers}: all at the one toy. */
+    ProcessBed(Toy.Script script, int sockets, int servers) throws IOException {
+        backend = new Toy(script);
+        configure(discovery, sockets, servers);
+        // Only what is in the jar: each jar on the class path takes a descriptor.
+        String classes = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+                .filter(part -> part.matches(".*(/classes|jackson-core[^/]*|httpcore5[^/]*)"))
+                .collect(Collectors.joining(File.pathSeparator));
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n " + sockets + "; exec \"$0\" \"$@\"",
+                System.getProperty("java.home") + "/bin/java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+                "-Xmx64m", "-XX:-UsePerfData", "-cp", classes, "peppergauge.Main", "serve");
+        builder.environment().put("GW_CONFIG", config.toString());
+        builder.environment().put("GW_DISCOVERY", discovery.address());
+        sidecar = builder.redirectErrorStream(true).start();
+        BufferedReader lines = sidecar.inputReader();
+        port = Integer.parseInt(lines.readLine().replaceAll(".*:(\\d+) with.*", "$1"));
+    }
+
+    static Toy watched() throws IOException {
+        return Toy.saying("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+
+    void configure(Toy watched, int sockets, int servers) throws IOException {
+        Files.writeString(config, Bed.config(watched.address(), sockets, Bed.known(backend.address(), servers)));
+    }
+
+    void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(sidecar.pid())).start().waitFor(5, TimeUnit.SECONDS);
+        if (name.equals("STOP")) {
+            // Each thread stops when it is its turn.
+            Bed.await(this::stopped);
+        }
+    }
+
+    private boolean stopped() throws IOException {
+        try (Stream<Path> threads = Files.list(Path.of("/proc/" + sidecar.pid() + "/task"))) {
+            for (Path thread : threads.toList()) {
+                if (!Files.readString(thread.resolve("stat")).contains(") T ")) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    Socket client() throws IOException {
+        Socket client = new Socket(InetAddress.getLoopbackAddress(), port);
+        client.setSoTimeout(8_000);
+        return client;
+    }
+
+    @Override
+    public void close() throws IOException {
+        sidecar.destroyForcibly();
+        backend.close();
+        discovery.close();
+        Files.delete(config);
+    }
+}
--- /dev/null
+++ b/src/test/java/peppergauge/ProcessTest.java
@@ -0,0 +1,202 @@
+package peppergauge;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What only a process of its own can meet: to be stopped, to be told to end, to be short of descriptors. */
+public class ProcessTest {
+
+    private static final Executor POOL = Executors.newCachedThreadPool();
+
+    // ---- Clients of every kind, by their number ----
+
+    private enum End { LEFT, WHOLE, HALF }
+
+    private static final int CLIENTS = 48;
+
+    /** What has become of its request when the pause is over. */
+    private static End end(int client) {
+        return End.values()[client / 4 % 3];
+    }
+
+    private static boolean askedBefore(int client) {
+        return client % 4 < 2;
+    }
+
+    /** Bytes of its request that it sends before the pause. */
+    private static int before(int client) {
+        return client % 2 * 20;
+    }
+
+    private static String request(int client) {
+        return client < CLIENTS / 2 ? Bed.get("p" + client, 900) : Bed.post("p" + client, 900, "body");
+    }
+
+    @DataProvider(parallel = true)
+    public Object[][] pauses() {
+        return new Object[][] {{100}, {1_000}, {3_000}};
+    }
+
+    @Test(dataProvider = "pauses")
+    public void aPauseCutsNobodyOffAndEachWholeRequestIsAnsweredOnce(int pauseMs) throws Exception {
+        try (ProcessBed bed = new ProcessBed(Bed.ECHO, 256, 20)) {
+            Socket[] clients = new Socket[CLIENTS];
+            // From when its time to send runs: connecting, or the first byte on a connection in use.
+            long[] begunNs = new long[CLIENTS];
+            for (int i = 0; i < CLIENTS; i++) {
+                clients[i] = bed.client();
+                begunNs[i] = System.nanoTime();
+                if (askedBefore(i)) {
+                    Bed.askOwn(clients[i], "before" + i);
+                    begunNs[i] = before(i) > 0 ? System.nanoTime() : 0;
+                }
+                Bed.send(clients[i], request(i).substring(0, before(i)));
+            }
+            Thread.sleep(50);
+            bed.signal("STOP");
+            long stoppedNs = System.nanoTime();
+            for (int i = 0; i < CLIENTS; i++) {
+                Bed.send(clients[i], end(i) == End.HALF ? "" : request(i).substring(before(i)));
+                if (end(i) == End.LEFT) {
+                    clients[i].close();
+                }
+            }
+            long writtenNs = System.nanoTime();
+            Thread.sleep(Math.max(0, pauseMs - (writtenNs - stoppedNs) / 1_000_000));
+            for (int i = 0; i < CLIENTS; i++) {
+                if (end(i) == End.HALF) {
+                    begunNs[i] = begunNs[i] == 0 ? System.nanoTime() : begunNs[i];
+                    Bed.send(clients[i], request(i).substring(before(i), 40));
+                }
+            }
+            double leftMs = 900 - (System.nanoTime() - writtenNs) / 1e6;
+            bed.signal("CONT");
+            for (int i = 0; i < CLIENTS; i++) {
+                if (end(i) == End.WHOLE) {
+                    Toy.Request answer = Toy.read(clients[i].getInputStream());
+                    assertNotNull(answer, i + " was not answered");
+                    assertTrue(Bed.status(answer) != 200 || new String(answer.body()).equals("p" + i), "another's answer");
+                    Bed.askOwn(clients[i], "after" + i);
+                }
+            }
+            for (int i = 0; i < CLIENTS; i++) {
+                if (end(i) == End.HALF) {
+                    assertEquals(clients[i].getInputStream().read(), -1);
+                    double afterMs = (System.nanoTime() - begunNs[i]) / 1e6;
+                    assertTrue(afterMs > 2_290 && afterMs < 7_000 + pauseMs, i + " was cut off after " + afterMs);
+                }
+                String id = "p" + i;
+                List<Toy.Request> runs = bed.backend.requests.stream()
+                        .filter(request -> id.equals(request.header("X-Txn"))).toList();
+                assertTrue(runs.size() <= (end(i) == End.WHOLE ? 1 : 0), id + " ran " + runs.size() + " times");
+                // How long a connection stood unaccepted is not known.
+                assertTrue(!askedBefore(i) || runs.stream().allMatch(
+                        run -> Integer.parseInt(run.header("X-Remaining-Ms")) <= leftMs), runs + " but left " + leftMs);
+            }
+        }
+    }
+
+    /** How long the answer takes that is open at SIGTERM, ms; an end that hung did so every second time. */
+    @DataProvider(parallel = true)
+    public Object[][] openAnswers() {
+        return new Object[][] {{0}, {300}, {650}, {900}, {1_400}};
+    }
+
+    @Test(dataProvider = "openAnswers")
+    public void amidAStreamHangUpAndTheEndLoseNothingAndTheEndComesInTime(int openMs) throws Exception {
+        try (ProcessBed bed = new ProcessBed((request, connection) -> {
+            Thread.sleep(request.line().contains("gift") ? openMs : 5);
+            Bed.ECHO.answer(request, connection);
+        }, 256, 20); Toy moved = ProcessBed.watched(); Socket idle = bed.client(); Socket slow = bed.client()) {
+            AtomicLong lastConnectNs = new AtomicLong(Long.MAX_VALUE);
+            List<CompletableFuture<Integer>> streams = IntStream.range(0, 8).mapToObj(
+                    i -> CompletableFuture.supplyAsync(() -> stream(bed, "s" + i + "-", lastConnectNs), POOL)).toList();
+            Bed.await(() -> bed.backend.requests.size() > 100);
+            bed.configure(moved, 256, 20);
+            bed.signal("HUP");
+            Bed.await(() -> moved.requests.size() > 0);
+            Bed.send(slow, Bed.post("open", 3_000, "x"));
+            Bed.await(() -> bed.backend.requests.stream().anyMatch(request -> request.line().contains("gift")));
+            bed.signal("TERM");
+            long toldNs = System.nanoTime();
+            lastConnectNs.set(toldNs + 400_000_000L);
+            Bed.assertOwn(Toy.read(slow.getInputStream()), "open");
+            assertEquals(idle.getInputStream().read(), -1);
+            assertTrue(bed.sidecar.waitFor(10, TimeUnit.SECONDS));
+            double tookMs = (System.nanoTime() - toldNs) / 1e6;
+            assertTrue(tookMs < Math.max(700, openMs) + 1_500, "ended after " + tookMs);
+            assertEquals(bed.sidecar.exitValue(), 143);
+            for (CompletableFuture<Integer> stream : streams) {
+                assertTrue(stream.get() > 0);
+            }
+        }
+    }
+
+    /** Asks again and again on one connection, on a new one when told so; fails if a request is lost. */
+    private static int stream(ProcessBed bed, String name, AtomicLong lastConnectNs) {
+        int asked = 0;
+        while (System.nanoTime() < lastConnectNs.get()) {
+            try (Socket client = bed.client()) {
+                for (boolean open = true; open; asked++) {
+                    Toy.Request answer = Bed.ask(client, Bed.get(name + asked, 900));
+                    Bed.assertOwn(answer, name + asked);
+                    open = !"close".equals(answer.header("Connection"));
+                }
+            } catch (IOException lost) {
+                throw new AssertionError(name + asked + " was lost: " + lost, lost);
+            }
+        }
+        return asked;
+    }
+
+    @Test
+    public void hangUpInAPauseIsCarriedOutAfterIt() throws Exception {
+        try (ProcessBed bed = new ProcessBed(Bed.ECHO, 256, 1); Socket client = bed.client();
+                Toy moved = ProcessBed.watched()) {
+            bed.configure(moved, 256, 1);
+            bed.signal("STOP");
+            bed.signal("HUP");
+            Bed.send(client, Bed.get("t1", 900));
+            Thread.sleep(300);
+            bed.signal("CONT");
+            Bed.assertOwn(Toy.read(client.getInputStream()), "t1");
+            Bed.await(() -> moved.requests.size() > 0);
+            Bed.askOwn(client, "t2");
+        }
+    }
+
+    /** HttpCore's listener takes all that comes and ends for good at one descriptor too many. */
+    @Test
+    public void withAllDescriptorsUsedItLivesOnAndServesAgain() throws Exception {
+        try (ProcessBed bed = new ProcessBed(Bed.ECHO, 64, 20)) {
+            List<Socket> crowd = new ArrayList<>();
+            for (int i = 0; i < 80; i++) {
+                crowd.add(bed.client());
+                Bed.send(crowd.get(i), Bed.get("c" + i, 5_000));
+            }
+            for (int i = 0; i < 80; i++) {
+                Bed.assertOwn(Toy.read(crowd.get(i).getInputStream()), "c" + i);
+            }
+            try (Socket client = bed.client()) {
+                Bed.askOwn(client, "after");
+            }
+            for (Socket client : crowd) {
+                client.close();
+            }
+        }
+    }
+}
--- a/src/test/java/peppergauge/Toy.java
+++ b/src/test/java/peppergauge/Toy.java
@@ -43,6 +43,8 @@
         accepting = daemon(() -> {
             while (true) {
                 Socket connection = listener.accept();
+                // What a script writes second is to come at once, not after an acknowledgement.
+                connection.setTcpNoDelay(true);
                 connections.add(connection);
                 daemon(() -> serve(connection));
             }
--- a/src/test/java/peppergauge/overload/DecisionsTest.java
+++ b/src/test/java/peppergauge/overload/DecisionsTest.java
@@ -32,7 +32,7 @@
             double stalled) {
         Rounds rounds = new Rounds(20, 5);
         rounds.selectReturned(0);
-        rounds.ended(10);
+        rounds.ended(10, true);
         rounds.selectReturned(returned);
         assertEquals(rounds.earliestArrivalMs(), earliest, 1e-9);
         assertEquals(rounds.queueDelayMs(), delay, 1e-9);
@@ -85,7 +85,7 @@
         for (double nowMs = 0; nowMs <= 150; nowMs += 30) {
             assertEquals(overload.share(), 1.0);
             overload.selectReturned(nowMs);
-            overload.roundEnded(nowMs + 30);
+            overload.roundEnded(nowMs + 30, true);
         }
         assertEquals(overload.depth(), Depth.SHEDDING);
         assertTrue(overload.order().arrived("1", "older") && overload.order().arrived("2", "newer"));
--- a/src/test/java/peppergauge/overload/OverloadPropertiesTest.java
+++ b/src/test/java/peppergauge/overload/OverloadPropertiesTest.java
@@ -32,7 +32,7 @@
                 shed += judge("x" + random.nextInt(), random.nextInt(3), random.nextBoolean()) == Verdict.SHED ? 1 : 0;
             }
             nowMs += sessions == 0 ? handlingMs : 0;
-            overload.roundEnded(nowMs);
+            overload.roundEnded(nowMs, true);
         }
 
         Verdict judge(String id, int requestClass, boolean retry) {
--- a/src/test/java/peppergauge/overload/Simulation.java
+++ b/src/test/java/peppergauge/overload/Simulation.java
@@ -127,7 +127,7 @@
             while (overload.order().size() > 0) {
                 (guarded ? overload.next() : overload.order().next(false)).run();
             }
-            overload.roundEnded(nowMs);
+            overload.roundEnded(nowMs, true);
         }
         return this;
     }
