--- a/lab/src/main/java/peppergauge/lab/emulator/SidecarLoop.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/SidecarLoop.java
@@ -39,7 +39,7 @@
         this.bug = bug;
         endedMs = time.nowMs();
         overload.selectReturned(endedMs);
-        overload.roundEnded(endedMs);
+        overload.roundEnded(endedMs, true);
     }
 
     @Override
@@ -126,7 +126,7 @@
         busyUntil = time.now() + VirtualTime.ticks(spentMs);
         endedMs = nowMs + spentMs;
         spentMs = 0;
-        overload.roundEnded(endedMs);
+        overload.roundEnded(endedMs, true);
     }
 
     /** The present round takes so much longer, ms. */
@@ -155,7 +155,7 @@
             double at = time.nowMs() - i * Loop.SELECT_MS;
             if (at > endedMs) {
                 overload.selectReturned(at);
-                overload.roundEnded(at);
+                overload.roundEnded(at, true);
             }
         }
     }
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -123,8 +123,8 @@
             }
 
             @Override
-            public void roundEnded() {
-                overload.roundEnded(clock.nowMs());
+            public void roundEnded(boolean read) {
+                overload.roundEnded(clock.nowMs(), read);
             }
         };
     }
