--- /dev/null
+++ b/daemon/src/test/java/peppergauge/daemon/AllPartsTest.java
@@ -0,0 +1,70 @@
+package peppergauge.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.File;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** Subsystems side by side in one file: each is there, and all end in order. */
+public class AllPartsTest {
+
+    private static final String PARTS = """
+            kind = "daemon"
+            [sidecar]
+            config = "example/config.json"
+            listen = "127.0.0.1:0"
+            [thrift]
+            listen = "127.0.0.1:0"
+            [thrift.servers]
+            form = "framed-binary"
+            only = ["radio-"]
+            [[thrift.method]]
+            name = "listEpisodes"
+            class = "episode-list"
+            absent-tenant = "dongsan-fm"
+            [[plugin]]
+            name = "allow-list"
+            file = "plugin/examples/allow-list.wasm"
+            capabilities = ["config", "counters"]
+            settings = ["dongsan-fm="]
+            [snapshot]
+            folder = "%s"
+            every = "100 ms"
+            """;
+
+    @Test
+    public void allPartsOfOneFileStartAndEndTogether() throws Exception {
+        Path directory = Files.createTempDirectory("parts");
+        Path file = Files.writeString(directory.resolve("d.toml"), PARTS.formatted(directory.resolve("kept")));
+        Process daemon = new ProcessBuilder(System.getProperty("java.home") + File.separator + "bin" + File.separator
+                + "java", "-cp", System.getProperty("java.class.path"), "peppergauge.daemon.Daemon", "daemon",
+                "--config", file.toString()).directory(new File("..")).redirectErrorStream(true).start();
+        try {
+            List<String> lines = new ArrayList<>();
+            for (String line = ""; line != null && !line.contains(" serves on ");
+                    line = daemon.inputReader().readLine()) {
+                lines.add(line);
+            }
+            assertTrue(lines.toString().contains("Thrift is served on "), lines.toString());
+            assertTrue(lines.toString().contains("snapshot"), lines.toString());
+            daemon.destroy();
+            assertTrue(daemon.waitFor(20, TimeUnit.SECONDS), "it did not end");
+            assertEquals(daemon.exitValue(), 143);
+            try (var kept = Files.walk(directory.resolve("kept"))) {
+                assertTrue(kept.anyMatch(Files::isRegularFile), "nothing was kept");
+            }
+        } finally {
+            daemon.destroyForcibly();
+            try (var files = Files.walk(directory)) {
+                files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+            }
+        }
+    }
+}
