Take no answer for one in no time: the module divided by it and denied everything for good

Cause: an answer that came within the clock's grain was told to the module as 0 ms. If the first answers of a sidecar were such, the mean latency was 0, the class's factor 0/0, and NaN in the fleet's latency and crowding never fades: no server had room any more and all was denied, with 1.2 times a quarter of the aim as Retry-After. Shown by a script of the module alone: with all answers at 0 ms 3 served, 273 denied; with 0.1 to 0.5 ms none denied. Change: an answer counts as at least 0.01 ms.

--- a/sidecar/src/main/java/peppergauge/decision/Decide.java
+++ b/sidecar/src/main/java/peppergauge/decision/Decide.java
@@ -29,6 +29,8 @@
     private static final double PRIOR_LATELY = 3;
     /** Most that a latency sample counts, in means of fleet or server: one costly request is not a server. */
     private static final double SAMPLE_CAP = 4;
+    /** Least that an answer counts as taking, ms: a mean of nothing but 0 is divided by, and NaN never fades. */
+    private static final double LEAST_TOOK_MS = 0.01;
     /** Squared spread of in-flight counts at which what was seen outweighs the first guess of crowding. */
     static final double CROWDING_PRIOR = 10;
     /** Power of the product of factors: 0.9 of the best's health gets 0.9^15, about a fifth of its weight. */
@@ -333,11 +335,12 @@
         if (ended.outcome() != Outcome.SUCCESS && ended.outcome() != Outcome.TIMED_OUT && !cutShort) {
             return 0;
         }
-        double normalMs = ended.tookMs() / request.stats.lastFactor;
+        double tookMs = Math.max(LEAST_TOOK_MS, ended.tookMs());
+        double normalMs = tookMs / request.stats.lastFactor;
         if (ended.outcome() == Outcome.SUCCESS) {
-            request.stats.latency.add(nowMs, ended.tookMs());
+            request.stats.latency.add(nowMs, tookMs);
             fleetLatency.add(nowMs, normalMs);
-            ClassStats.overallAdd(classStats, nowMs, ended.tookMs());
+            ClassStats.overallAdd(classStats, nowMs, tookMs);
             double mean = fleetLatency.mean(nowMs);
             unloadedMs *= 1 + UNLOADED_GROWTH_PER_S * (nowMs - unloadedAtMs) / 1000;
             unloadedAtMs = nowMs;
--- a/sidecar/src/test/java/peppergauge/decision/DangersTest.java
+++ b/sidecar/src/test/java/peppergauge/decision/DangersTest.java
@@ -401,4 +401,22 @@
         }
         assertTrue(slow >= 2, "the slow server got " + slow + " of 8");
     }
+
+    /** Servers that answer within the clock's grain, as on loopback: their first answers seem to take no time. */
+    @Test
+    public void answersInNoTimeDoNotCloseEveryDoor() {
+        Scripted scripted = Scripted.withServers(3);
+        for (int i = 0; i < 3; i++) {
+            scripted.request("first" + i, 0);
+        }
+        for (Balancer.Action action : java.util.List.copyOf(scripted.actions)) {
+            if (action instanceof Balancer.Send send) {
+                scripted.end(send.id(), 0, send.server(), Balancer.Outcome.SUCCESS, 0);
+            }
+        }
+        for (int i = 0; i < 20; i++) {
+            scripted.pass(3);
+            scripted.serve("next" + i, i % 3 == 0 ? 0 : 0.3);
+        }
+    }
 }
