--- a/sidecar/src/main/java/peppergauge/decision/Decide.java
+++ b/sidecar/src/main/java/peppergauge/decision/Decide.java
@@ -29,7 +29,7 @@
     private static final double PRIOR_LATELY = 3;
     /** Most that a latency sample counts, in means of fleet or server: one costly request is not a server. */
     private static final double SAMPLE_CAP = 4;
-    /** Least that an answer counts as taking, ms: a mean of nothing but 0 is divided by, and NaN never fades. */
+    /** Least that an answer counts as taking, ms: a mean of only 0 is divided by, and NaN never fades. */
     private static final double LEAST_TOOK_MS = 0.01;
     /** Squared spread of in-flight counts at which what was seen outweighs the first guess of crowding. */
     static final double CROWDING_PRIOR = 10;
--- a/sidecar/src/test/java/peppergauge/decision/DangersTest.java
+++ b/sidecar/src/test/java/peppergauge/decision/DangersTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static peppergauge.decision.Scripted.only;
 import static peppergauge.decision.Scripted.sentTo;
@@ -416,7 +417,7 @@
         }
         for (int i = 0; i < 20; i++) {
             scripted.pass(3);
-            scripted.serve("next" + i, i % 3 == 0 ? 0 : 0.3);
+            assertNotNull(scripted.serve("next" + i, i % 3 == 0 ? 0 : 0.3), "session " + i + " had no server");
         }
     }
 }
