--- a/lab/src/main/java/peppergauge/lab/command/PlayCommand.java
+++ b/lab/src/main/java/peppergauge/lab/command/PlayCommand.java
@@ -2,11 +2,13 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.Callable;
+import peppergauge.lab.play.Daemons;
 import peppergauge.lab.play.Play;
 import peppergauge.lab.play.Play.Played;
 import peppergauge.lab.process.Deploy;
@@ -49,6 +51,10 @@
     @Option(names = "--dir", paramLabel = "DIR", description = "Play the build of another checkout.")
     private Path checkout;
 
+    @Option(names = "--daemon", paramLabel = "FILE", description = {"Run the sidecars as daemons, with what FILE holds",
+        "beside [sidecar] and [admin]: [[plugin]], [snapshot] and the like."})
+    private Path daemonFile;
+
     @Override
     public Integer call() throws IOException, InterruptedException {
         Optional<Scenario> read = ScenarioFile.read(file, spec.commandLine().getErr());
@@ -63,7 +69,9 @@
         console.println(String.format(Locale.ROOT, "%s: %.1f s, %d sidecars, %d backend servers", name,
                 Scenario.ms(scenario.run().length()) / 1e3, scenario.sidecars().count(),
                 scenario.servers().stream().mapToLong(ServerKind::count).sum()));
-        try (Play play = new Play(scenario, launch)) {
+        Optional<String> tables = daemonFile == null ? Optional.empty()
+                : Optional.of(Files.readString(daemonFile));
+        try (Play play = new Play(scenario, launch, Daemons.launched(tables))) {
             // Sidecars have process groups of their own, which an interrupt from the terminal does not reach.
             Thread end = new Thread(() -> close(play), "end");
             Runtime.getRuntime().addShutdownHook(end);
--- a/lab/src/main/java/peppergauge/lab/emulator/NomadDiscovery.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/NomadDiscovery.java
@@ -47,6 +47,8 @@
     private final NomadSettings settings;
     /** What the cluster has been told of each server. */
     private final Map<String, ServerState> told = new HashMap<>();
+    /** The allocation that a server has now: each start is one of its own. */
+    private final Map<String, String> allocations = new HashMap<>();
     private double lateMs;
 
     NomadDiscovery(World world) {
@@ -95,9 +97,15 @@
         world.time.after(after + lateMs, () -> {
             ServerState now = server.up() ? server.state() : ServerState.GONE;
             ServerState before = told.getOrDefault(server.id(), ServerState.GONE);
-            if (now == before) {
+            boolean again = now == ServerState.READY && before == now
+                    && !allocation(server).equals(allocations.get(server.id()));
+            // What came and drained before it was noticed was never registered.
+            if (now == before && !again || now == ServerState.DRAINING && before == ServerState.GONE) {
                 return;
             }
+            if (again) {
+                goes(server, false, before);
+            }
             switch (now) {
                 case READY -> comes(server);
                 case DRAINING -> drains(server);
@@ -115,6 +123,7 @@
             cluster.node(node, world.scenario.network().zones().get(server.zone()), Map.of());
         }
         String allocation = allocation(server);
+        allocations.put(server.id(), allocation);
         cluster.allocation(allocation, node, "job");
         String host = server.address().substring(0, server.address().lastIndexOf(':'));
         cluster.register(server.id(), allocation, SERVICE, host, CELL_PORT, List.of("cell=" + server.cell()));
@@ -123,7 +132,7 @@
 
     private void drains(BackendServer server) {
         cluster.nodeField(node(server), "DrainStrategy", Map.of("Deadline", 1));
-        cluster.allocationField(allocation(server), "DesiredStatus", "stop");
+        cluster.allocationField(allocations.get(server.id()), "DesiredStatus", "stop");
         cluster.deregister(server.id());
         told.put(server.id(), ServerState.DRAINING);
     }
@@ -132,7 +141,7 @@
         if (silently) {
             cluster.nodeField(node(server), "Status", "down");
         }
-        cluster.allocationField(allocation(server), "ClientStatus", silently ? "lost" : "complete");
+        cluster.allocationField(allocations.get(server.id()), "ClientStatus", silently ? "lost" : "complete");
         if (before == ServerState.READY) {
             cluster.deregister(server.id());
         }
@@ -143,7 +152,6 @@
         return "node-" + server.id();
     }
 
-    /** Each start is an allocation of its own. */
     private static String allocation(BackendServer server) {
         return "alloc-" + server.id() + '-' + server.incarnation();
     }
--- a/lab/src/main/java/peppergauge/lab/load/Generator.java
+++ b/lab/src/main/java/peppergauge/lab/load/Generator.java
@@ -10,9 +10,11 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import peppergauge.lab.wire.Loop;
 import peppergauge.lab.wire.Message;
 import peppergauge.lab.wire.Peer;
+import peppergauge.lab.wire.Speech;
 
 /**
  * The clients of one address, on a loop. In the open loop requests come when the source says, whatever the answers
@@ -46,6 +48,7 @@
 
     private final Loop loop;
     private final InetSocketAddress target;
+    private final Supplier<Speech> speeches;
     private final Shape shape;
     private final Source source;
     /** Longest idle first: all connections stay in use, none is closed for being idle. */
@@ -58,7 +61,13 @@
 
     /** Starts once the loop runs. */
     public Generator(Loop loop, InetSocketAddress target, Shape shape, Source source) {
+        this(loop, target, () -> Speech.HTTP, shape, source);
+    }
+
+    /** Starts once the loop runs; {@code speeches} has one for each connection. */
+    public Generator(Loop loop, InetSocketAddress target, Supplier<Speech> speeches, Shape shape, Source source) {
         this.loop = loop;
+        this.speeches = speeches;
         this.target = target;
         this.shape = shape;
         this.source = source;
@@ -164,7 +173,7 @@
         private boolean used;
 
         Client(SocketChannel channel) throws IOException {
-            super(channel);
+            super(channel, speeches.get());
         }
 
         @Override
--- a/lab/src/main/java/peppergauge/lab/play/Door.java
+++ b/lab/src/main/java/peppergauge/lab/play/Door.java
@@ -29,7 +29,7 @@
         this.stage = stage;
         this.place = place;
         this.seat = seat;
-        listener = new BackendServer(stage.loop, this);
+        listener = new BackendServer(stage.loop, seat::speech, this);
     }
 
     String address() {
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/play/Manner.java
@@ -0,0 +1,48 @@
+package peppergauge.lab.play;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import peppergauge.lab.process.SidecarProcess;
+import peppergauge.lab.process.SidecarProcess.Launch;
+import peppergauge.lab.scenario.RequestKind;
+import peppergauge.lab.scenario.Scenario;
+import peppergauge.lab.thrift.ThriftFile;
+import peppergauge.lab.thrift.ThriftSpeech;
+import peppergauge.lab.wire.Listener;
+import peppergauge.lab.wire.Speech;
+
+/**
+ * How one sidecar is run: as the platform runs it, or as a daemon with an operator file, and what it speaks.
+ *
+ * @param thrift where it listens for Thrift; empty if it speaks HTTP
+ * @param form of its Thrift
+ * @param files written beside its configuration
+ */
+record Manner(Launch launch, Optional<InetSocketAddress> thrift, String form, Map<String, String> files) {
+
+    static Manner of(Scenario scenario, int index, Launch platform, Daemons daemons) throws IOException {
+        boolean speaksThrift = index >= scenario.sidecars().count() - scenario.sidecars().thrift();
+        String form = scenario.sidecars().thriftForm();
+        if (!speaksThrift && daemons.tables().isEmpty()) {
+            return new Manner(platform, Optional.empty(), form, Map.of());
+        }
+        StringBuilder text = new StringBuilder("kind = \"daemon\"\n[sidecar]\nconfig = \"{dir}/config.json\"\n[admin]\n"
+                + "socket = \"{dir}/admin.sock\"\n");
+        Optional<InetSocketAddress> thrift = Optional.empty();
+        if (speaksThrift) {
+            thrift = Optional.of(SidecarProcess.freeAddress());
+            text.append(ThriftFile.tables(Listener.text(thrift.get()), form,
+                    scenario.classes().stream().map(RequestKind::name).toList()));
+        }
+        daemons.tables().ifPresent(more -> text.append(more).append('\n'));
+        Launch daemon = new Launch(platform.checkout(), daemons.run(), platform.cpu(), platform.quota());
+        return new Manner(daemon, thrift, form, Map.of(Daemons.FILE, text.toString()));
+    }
+
+    /** For one connection. */
+    Speech speech() {
+        return thrift.isPresent() ? ThriftSpeech.of(form) : Speech.HTTP;
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/play/Play.java
+++ b/lab/src/main/java/peppergauge/lab/play/Play.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
@@ -58,10 +59,20 @@
      * @throws IOException if they cannot be had
      */
     public Play(Scenario scenario, Launch launch) throws IOException {
+        this(scenario, launch, Daemons.launched(Optional.empty()));
+    }
+
+    /**
+     * Opens all ports.
+     *
+     * @param daemons how those sidecars are run that are more than the platform's
+     * @throws IOException if they cannot be had
+     */
+    public Play(Scenario scenario, Launch launch, Daemons daemons) throws IOException {
         this.scenario = scenario;
         stage = new Stage(scenario, loop);
         for (int i = 0; i < scenario.sidecars().count(); i++) {
-            stage.seats.add(new Seat(stage, i, launch, beside));
+            stage.seats.add(new Seat(stage, i, launch, daemons, beside));
         }
         int zones = scenario.network().zones().size();
         for (ServerKind kind : scenario.servers()) {
@@ -105,7 +116,8 @@
             stage.begin();
             for (int i = 0; i < stage.seats.size(); i++) {
                 Clients clients = new Clients(stage, demand, script, stage.seats.get(i), i + 1, rate(i));
-                Generator generator = new Generator(loop, stage.seats.get(i).address(), CONNECTIONS, clients);
+                Generator generator = new Generator(loop, stage.seats.get(i).address(), stage.seats.get(i)::speech,
+                        CONNECTIONS, clients);
                 clients.use(generator);
                 generators.add(generator);
             }
--- a/lab/src/main/java/peppergauge/lab/play/Seat.java
+++ b/lab/src/main/java/peppergauge/lab/play/Seat.java
@@ -11,6 +11,7 @@
 import peppergauge.lab.process.SidecarProcess.Launch;
 import peppergauge.lab.standin.ServerList;
 import peppergauge.lab.standin.ServerRow;
+import peppergauge.lab.wire.Speech;
 
 /**
  * A sidecar over all lives of its process, under one name and address. Processes are started and ended on a thread
@@ -21,9 +22,9 @@
     private final Stage stage;
     private final int index;
     private final int zone;
-    private final Launch launch;
     private final ExecutorService beside;
     private final InetSocketAddress address = SidecarProcess.freeAddress();
+    private final Manner manner;
     private final Set<Integer> cut = new HashSet<>();
     /** Since when the process was told that a server leaves; those that it could not be told yet. */
     private final Map<String, Double> leaving = new HashMap<>();
@@ -33,11 +34,12 @@
     private boolean up = true;
     private double troubledUntilMs = -1;
 
-    Seat(Stage stage, int index, Launch launch, ExecutorService beside) throws IOException {
+    Seat(Stage stage, int index, Launch launch, Daemons daemons, ExecutorService beside)
+            throws IOException {
         this.stage = stage;
         this.index = index;
         this.zone = index % stage.scenario.network().zones().size();
-        this.launch = launch;
+        this.manner = Manner.of(stage.scenario, index, launch, daemons);
         this.beside = beside;
     }
 
@@ -49,8 +51,14 @@
         return zone;
     }
 
+    /** Where its clients connect. */
     InetSocketAddress address() {
-        return address;
+        return manner.thrift().orElse(address);
+    }
+
+    /** What it speaks with clients and backend servers. */
+    Speech speech() {
+        return manner.speech();
     }
 
     /** Not on the loop's thread: starts the process, and waits until it is ready. */
@@ -62,8 +70,8 @@
     /** Either this or {@link #close} comes first: no process is left behind. */
     private synchronized void launch(ServerList known) throws IOException {
         if (!ending) {
-            process = new SidecarProcess(launch, address, SidecarConfig.of(stage.scenario, index, zone,
-                    stage.roster.agent(index).address(), known, System.nanoTime()));
+            process = new SidecarProcess(manner.launch(), address, SidecarConfig.of(stage.scenario, index, zone,
+                    stage.roster.agent(index).address(), known, System.nanoTime()), manner.files());
         }
     }
 
--- a/lab/src/main/java/peppergauge/lab/process/SidecarProcess.java
+++ b/lab/src/main/java/peppergauge/lab/process/SidecarProcess.java
@@ -24,7 +24,7 @@
      * How to start it.
      *
      * @param checkout where the command is run
-     * @param run a shell command, as in {@code deploy/balancer.toml}
+     * @param run a shell command, as in {@code deploy/balancer.toml}; {@code {dir}} is where its files are
      * @param cpu the one it may use; -1 for all
      * @param quota share of the time that it may run, over 0 up to 1
      */
@@ -41,7 +41,10 @@
     private static final byte[] UP =
             "GET /up HTTP/1.1\r\nHost: api.internal\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
+    private static final String DIR = "{dir}";
+
     private final InetSocketAddress listen;
+    private final List<String> beside;
     private final Path directory;
     private final Process process;
     private final Throttle throttle;
@@ -54,8 +57,23 @@
      * @throws IOException if it cannot be started
      */
     public SidecarProcess(Launch launch, InetSocketAddress listen, Map<String, Object> config) throws IOException {
+        this(launch, listen, config, Map.of());
+    }
+
+    /**
+     * Starts it, with files beside its configuration.
+     *
+     * @param files names and texts, in which {@code {dir}} is where they are
+     * @throws IOException if it cannot be started
+     */
+    public SidecarProcess(Launch launch, InetSocketAddress listen, Map<String, Object> config,
+            Map<String, String> files) throws IOException {
         this.listen = listen;
         directory = Files.createTempDirectory("sidecar");
+        beside = List.copyOf(files.keySet());
+        for (Map.Entry<String, String> each : files.entrySet()) {
+            Files.writeString(directory.resolve(each.getKey()), each.getValue().replace(DIR, directory.toString()));
+        }
         Map<String, Object> whole = new LinkedHashMap<>(config);
         whole.put("listen", Listener.text(listen));
         Path file = directory.resolve("config.json");
@@ -64,7 +82,7 @@
         if (launch.cpu() >= 0) {
             command.addAll(List.of("taskset", "-c", Integer.toString(launch.cpu())));
         }
-        command.addAll(List.of("/bin/sh", "-c", launch.run()));
+        command.addAll(List.of("/bin/sh", "-c", launch.run().replace(DIR, directory.toString())));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.directory(launch.checkout().toFile());
         builder.environment().keySet().removeIf(name -> name.startsWith("GW_"));
@@ -182,6 +200,9 @@
         for (String name : List.of("config.json", "log")) {
             Files.deleteIfExists(directory.resolve(name));
         }
+        for (String name : beside) {
+            Files.deleteIfExists(directory.resolve(name));
+        }
         // What the program left in its TMPDIR stays.
         String[] left = directory.toFile().list();
         if (left != null && left.length == 0) {
--- a/lab/src/main/java/peppergauge/lab/scenario/Sidecars.java
+++ b/lab/src/main/java/peppergauge/lab/scenario/Sidecars.java
@@ -10,10 +10,13 @@
  *
  * @param skew exponent by which traffic falls from the first sidecar to the last; 0 for alike
  * @param attempts for one session at most
+ * @param thrift how many, the last ones, speak Thrift with clients and backend servers; the others HTTP
+ * @param thriftForm what these speak
  * @param work of a session on the sidecar's one thread; zero leaves its own overload out
  */
 public record Sidecars(long count, double skew, long attempts, boolean probes, boolean cancels, boolean retryAfter,
-        Duration maxRetryAfter, Duration connectionIdle, Duration connectTimeout, Duration work) {
+        Duration maxRetryAfter, Duration connectionIdle, Duration connectTimeout, long thrift, String thriftForm,
+        Duration work) {
 
     static final Table TABLE = Table.required("sidecars", "The sidecars and what their settings allow.",
             Key.preset("count", Types.wholeNumber(1, 10_000), "3", "How many."),
@@ -28,6 +31,10 @@
                     "After which backend servers close a connection."),
             Key.preset("connect-timeout", Scenario.time(1, 10_000), "\"200 ms\"",
                     "After which a connection that has not come up is given up, and a probe."),
+            Key.preset("thrift", Types.wholeNumber(0, 10_000), "0", "How many, the last ones, speak Thrift with their "
+            + "clients and with backend servers; for play, to the emulator all protocols are one."),
+            Key.preset("thrift-form", Types.oneOf("binary", "old-binary", "compact", "framed-binary",
+                    "framed-old-binary", "framed-compact"), "\"framed-compact\"", "What these speak."),
             Key.preset("work", Scenario.time(0, 1_000), "\"0 ms\"",
                     "Of a session on the sidecar's thread; 0: it is never its own bottleneck."));
 }
--- a/lab/src/main/java/peppergauge/lab/standin/BackendServer.java
+++ b/lab/src/main/java/peppergauge/lab/standin/BackendServer.java
@@ -6,9 +6,11 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Supplier;
 import peppergauge.lab.wire.Listener;
 import peppergauge.lab.wire.Loop;
 import peppergauge.lab.wire.Message;
+import peppergauge.lab.wire.Speech;
 
 /**
  * A backend server's stand-in: a port whose requests a {@link Service} answers, and which can die, vanish and come
@@ -20,11 +22,21 @@
     private final Listener listener;
 
     /**
-     * Opens a free port.
+     * Opens a free port, for HTTP.
      *
      * @throws IOException if none can be had
      */
     public BackendServer(Loop loop, Service service) throws IOException {
+        this(loop, () -> Speech.HTTP, service);
+    }
+
+    /**
+     * Opens a free port.
+     *
+     * @param speeches one for each connection
+     * @throws IOException if none can be had
+     */
+    public BackendServer(Loop loop, Supplier<Speech> speeches, Service service) throws IOException {
         Service noting = new Service() {
             @Override
             public void opened(Exchange connection) {
@@ -43,7 +55,7 @@
                 service.closed(connection);
             }
         };
-        listener = new Listener(loop, channel -> new Exchange(channel, noting));
+        listener = new Listener(loop, channel -> new Exchange(channel, speeches.get(), noting));
     }
 
     /** As {@code host:port}. */
--- a/lab/src/main/java/peppergauge/lab/standin/Exchange.java
+++ b/lab/src/main/java/peppergauge/lab/standin/Exchange.java
@@ -5,14 +5,15 @@
 import java.nio.charset.StandardCharsets;
 import peppergauge.lab.wire.Message;
 import peppergauge.lab.wire.Peer;
+import peppergauge.lab.wire.Speech;
 
 /** A client's connection to a backend server's stand-in. */
 public final class Exchange extends Peer {
 
     private final Service service;
 
-    Exchange(SocketChannel channel, Service service) throws IOException {
-        super(channel);
+    Exchange(SocketChannel channel, Speech speech, Service service) throws IOException {
+        super(channel, speech);
         this.service = service;
         service.opened(this);
     }
--- a/lab/src/main/java/peppergauge/lab/wire/Message.java
+++ b/lab/src/main/java/peppergauge/lab/wire/Message.java
@@ -50,15 +50,62 @@
         return new String(body, StandardCharsets.ISO_8859_1);
     }
 
+    /** The first whole message in HTTP/1.1, or null. */
+    static Speech.Taken first(byte[] bytes, int size) throws IOException {
+        int headEnd = headEnd(bytes, size);
+        if (headEnd < 0) {
+            return null;
+        }
+        String head = new String(bytes, 0, headEnd, StandardCharsets.ISO_8859_1);
+        int end = headEnd + length(new Message(head, new byte[0]));
+        return size < end ? null : new Speech.Taken(new Message(head, Arrays.copyOfRange(bytes, headEnd, end)), end);
+    }
+
+    /** A whole message that stands alone. */
+    public static Message of(byte[] whole) throws IOException {
+        Speech.Taken taken = first(whole, whole.length);
+        if (taken == null) {
+            throw new IOException("half a message");
+        }
+        return taken.message();
+    }
+
+    /** Chunks are not read here: taken for no body they would be read as the next message. */
+    private static int length(Message message) throws IOException {
+        if (message.header("Transfer-Encoding") != null) {
+            throw new IOException("chunked messages are not read");
+        }
+        String length = message.header("Content-Length");
+        try {
+            return length == null ? 0 : Integer.parseInt(length);
+        } catch (NumberFormatException malformed) {
+            throw new IOException("Content-Length is " + length);
+        }
+    }
+
+    private static int headEnd(byte[] bytes, int size) {
+        for (int i = 3; i < size; i++) {
+            if (bytes[i] == '\n' && bytes[i - 1] == '\r' && bytes[i - 2] == '\n' && bytes[i - 3] == '\r') {
+                return i + 1;
+            }
+        }
+        return -1;
+    }
+
     /** What has come in on a connection and is not yet taken. */
     static final class Inbox {
 
         /** A body holds 64 KiB at most, and a head 8. */
         private static final int LARGEST = 80 * 1024;
 
+        private final Speech speech;
         private byte[] bytes = new byte[4096];
         private int size;
 
+        Inbox(Speech speech) {
+            this.speech = speech;
+        }
+
         /** Whether the peer has not ended its sending. */
         boolean fill(SocketChannel channel) throws IOException {
             if (size == bytes.length) {
@@ -79,41 +126,13 @@
 
         /** The next whole message, or null. */
         Message next() throws IOException {
-            int headEnd = headEnd();
-            if (headEnd < 0) {
+            Speech.Taken taken = speech.read(bytes, size);
+            if (taken == null) {
                 return null;
             }
-            Message message = new Message(new String(bytes, 0, headEnd, StandardCharsets.ISO_8859_1), new byte[0]);
-            int end = headEnd + length(message);
-            if (size < end) {
-                return null;
-            }
-            byte[] body = Arrays.copyOfRange(bytes, headEnd, end);
-            System.arraycopy(bytes, end, bytes, 0, size - end);
-            size -= end;
-            return new Message(message.head, body);
-        }
-
-        /** Chunks are not read here: taken for no body they would be read as the next message. */
-        private static int length(Message message) throws IOException {
-            if (message.header("Transfer-Encoding") != null) {
-                throw new IOException("chunked messages are not read");
-            }
-            String length = message.header("Content-Length");
-            try {
-                return length == null ? 0 : Integer.parseInt(length);
-            } catch (NumberFormatException malformed) {
-                throw new IOException("Content-Length is " + length);
-            }
-        }
-
-        private int headEnd() {
-            for (int i = 3; i < size; i++) {
-                if (bytes[i] == '\n' && bytes[i - 1] == '\r' && bytes[i - 2] == '\n' && bytes[i - 3] == '\r') {
-                    return i + 1;
-                }
-            }
-            return -1;
+            System.arraycopy(bytes, taken.bytes(), bytes, 0, size - taken.bytes());
+            size -= taken.bytes();
+            return taken.message();
         }
     }
 }
--- a/lab/src/main/java/peppergauge/lab/wire/Peer.java
+++ b/lab/src/main/java/peppergauge/lab/wire/Peer.java
@@ -10,12 +10,20 @@
 public abstract class Peer implements Loop.Handler {
 
     private final SocketChannel channel;
-    private final Message.Inbox inbox = new Message.Inbox();
+    private final Speech speech;
+    private final Message.Inbox inbox;
     private boolean mute;
 
     /** @throws IOException if the connection is gone already */
     protected Peer(SocketChannel channel) throws IOException {
+        this(channel, Speech.HTTP);
+    }
+
+    /** @throws IOException if the connection is gone already */
+    protected Peer(SocketChannel channel, Speech speech) throws IOException {
         this.channel = channel;
+        this.speech = speech;
+        inbox = new Message.Inbox(speech);
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     }
 
@@ -76,7 +84,11 @@
      * @throws IOException if the peer does not read, or the connection is gone
      */
     public void write(byte[] message) throws IOException {
-        if (!mute && channel.write(ByteBuffer.wrap(message)) < message.length) {
+        if (mute) {
+            return;
+        }
+        byte[] spelled = speech.write(message);
+        if (channel.write(ByteBuffer.wrap(spelled)) < spelled.length) {
             throw new IOException("the peer does not read");
         }
     }
--- a/lab/src/test/java/peppergauge/lab/emulator/NomadLoss.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/NomadLoss.java
@@ -88,7 +88,11 @@
     public static void main(String[] args) throws Exception {
         int seeds = Integer.parseInt(args[0]);
         Log.to((kind, text, passedOver) -> { });
-        ExecutorService pool = Executors.newFixedThreadPool(Integer.getInteger("workers", 8));
+        ExecutorService pool = Executors.newFixedThreadPool(Integer.getInteger("workers", 8), task -> {
+            Thread thread = new Thread(task, "runs");
+            thread.setDaemon(true);
+            return thread;
+        });
         double[] perfect = services(scenario(Source.PERFECT, Optional.empty()), seeds, pool);
         print("perfect", perfect, perfect);
         double[] healthy = services(scenario(Source.NOMAD, Optional.empty()), seeds, pool);
--- a/lab/src/test/java/peppergauge/lab/play/PlayTest.java
+++ b/lab/src/test/java/peppergauge/lab/play/PlayTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import org.testng.annotations.Test;
 import peppergauge.lab.files.Kinds;
 import peppergauge.lab.process.SidecarProcess.Launch;
@@ -69,12 +70,16 @@
             length = "100 ms"
             """;
 
+    private static String java(String main) {
+        return "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
+                + "' -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx64m -cp '" + System.getProperty("java.class.path")
+                + "' " + main;
+    }
+
     @Test
     public void incidentsHappenAndAllThatWasAskedIsCounted() throws Exception {
         Scenario scenario = Scenario.read(Kinds.all().read("s.toml", TOML).values().orElseThrow());
-        String run = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
-                + "' -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx64m -cp '" + System.getProperty("java.class.path")
-                + "' peppergauge.Main serve";
+        String run = java("peppergauge.Main serve");
         try (Play play = new Play(scenario, new Launch(Path.of("").toAbsolutePath(), run, -1, 1))) {
             RunResult result = play.run("test").result();
             RunResult.Totals totals = result.totals();
@@ -90,4 +95,21 @@
             assertEquals(result.events().size(), 5);
         }
     }
+
+    /** One sidecar speaks HTTP and one Thrift, over the same servers. */
+    @Test
+    public void bothFrontsArePlayedSideBySide() throws Exception {
+        String mixed = TOML.substring(0, TOML.indexOf("[[at]]")).replace("count = 2\n[discovery]",
+                "count = 2\nthrift = 1\nskew = 0\n[discovery]");
+        Scenario scenario = Scenario.read(Kinds.all().read("s.toml", mixed).values().orElseThrow());
+        try (Play play = new Play(scenario, new Launch(Path.of("").toAbsolutePath(), java("peppergauge.Main serve"),
+                -1, 1), new Daemons(java("peppergauge.daemon.Daemon daemon --config {dir}/" + Daemons.FILE),
+                Optional.empty()))) {
+            RunResult result = play.run("mixed").result();
+            RunResult.Totals totals = result.totals();
+            assertTrue(totals.asked() > 80, "asked " + totals.asked());
+            assertTrue(totals.service() > 0.8, "service " + totals.service());
+            assertEquals(result.broken().stream().filter(one -> !one.rule().equals("answer")).toList(), List.of());
+        }
+    }
 }
