--- /dev/null
+++ b/bodies/src/test/java/peppergauge/bodies/ledger/LedgerPropertiesTest.java
@@ -0,0 +1,86 @@
+package peppergauge.bodies.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Any interleaving of arriving, growing, moving, failing and ending: the bounds hold and the sums come out at zero. */
+class LedgerPropertiesTest {
+
+    private static final int STEPS = 400;
+
+    @Property(tries = 300, seed = "11")
+    void theSumsAreWhatIsThereAndEndAtZero(@ForAll long seed) {
+        Random random = new Random(seed);
+        long memory = 1 + random.nextInt(2_000);
+        long files = 1 + random.nextInt(5_000);
+        Bounds bounds = new Bounds(3_000, 1 + random.nextInt((int) memory), memory, 1 + random.nextInt((int) files),
+                files, 0.2 + 0.8 * random.nextDouble());
+        Ledger ledger = new Ledger(bounds);
+        Map<Long, Long> came = new HashMap<>();
+        List<Long> moving = new ArrayList<>();
+        for (int step = 0; step < STEPS; step++) {
+            long id = random.nextInt(30);
+            if (!came.containsKey(id)) {
+                Owner owner = new Owner(random.nextInt(3), random.nextInt(2), 1 + random.nextInt(10));
+                long declared = random.nextBoolean() ? -1 : random.nextInt(3_500);
+                if (ledger.open(id, owner, declared, random.nextBoolean()) == Letting.IN) {
+                    came.put(id, 0L);
+                }
+            } else if (random.nextInt(4) > 0) {
+                long more = Math.min(random.nextInt(400), 3_000 - came.get(id));
+                came.merge(id, more, Long::sum);
+                for (Move move : ledger.grow(id, more)) {
+                    moving.remove(move.id());
+                    if (move.to() == Tier.FILE) {
+                        moving.add(move.id());
+                    }
+                }
+            } else if (random.nextInt(8) == 0) {
+                ledger.failed(id);
+                moving.remove(id);
+            } else {
+                ledger.release(id);
+                came.remove(id);
+                moving.remove(id);
+            }
+            while (!moving.isEmpty() && random.nextInt(3) > 0) {
+                ledger.moved(moving.remove(random.nextInt(moving.size())));
+            }
+            check(ledger, bounds, came, moving);
+        }
+        List.copyOf(came.keySet()).forEach(ledger::release);
+        assertEquals(0, ledger.used(Tier.MEMORY) + ledger.used(Tier.FILE) + ledger.size());
+        for (int tenant = 0; tenant < 3; tenant++) {
+            assertEquals(0, ledger.usedBy(Tier.MEMORY, tenant) + ledger.usedBy(Tier.FILE, tenant));
+        }
+    }
+
+    private static void check(Ledger ledger, Bounds bounds, Map<Long, Long> came, List<Long> moving) {
+        assertTrue(ledger.used(Tier.MEMORY) <= bounds.allMemory() && ledger.used(Tier.FILE) <= bounds.allFiles());
+        assertEquals(came.size(), ledger.size());
+        long memory = 0;
+        long files = 0;
+        for (Map.Entry<Long, Long> each : came.entrySet()) {
+            Tier tier = ledger.tier(each.getKey());
+            if (moving.contains(each.getKey())) {
+                assertEquals(Tier.MEMORY, tier);
+            } else {
+                memory += tier == Tier.MEMORY ? each.getValue() : 0;
+                assertTrue(tier != Tier.MEMORY || each.getValue() <= bounds.eachMemory());
+            }
+            files += tier == Tier.FILE || moving.contains(each.getKey()) ? each.getValue() : 0;
+            assertTrue(tier != Tier.FILE || each.getValue() <= bounds.eachFile());
+        }
+        assertEquals(files, ledger.used(Tier.FILE));
+        assertTrue(memory <= ledger.used(Tier.MEMORY));
+        assertTrue(!moving.isEmpty() || memory == ledger.used(Tier.MEMORY));
+    }
+}
