Put the log's sink back after a run in virtual time: it silenced a later test

Cause: emulate sends the process's lines nowhere and left it so. The lab's tests share one Java machine and their order is that of the folder, so where LabTest came first the line was lost, on other checkouts it was not. The limit of lines a second, blamed before, has nothing to do with it.

Log.to now returns the former sink, emulate puts it back, and the test listens through a sink of its own instead of exchanging standard error under the whole process. LabTest has a test that fails without the change.

--- a/lab/src/main/java/peppergauge/lab/command/Emulate.java
+++ b/lab/src/main/java/peppergauge/lab/command/Emulate.java
@@ -69,8 +69,15 @@
             return ExitCode.UNUSABLE_INPUT;
         }
         // What sidecars say in virtual time belongs to no clock that a reader has.
-        Log.to((kind, text, passedOver) -> { });
-        Scenario scenario = lengthS == null ? read.get() : shortened(read.get());
+        Log.Sink former = Log.to((kind, text, passedOver) -> { });
+        try {
+            return run(lengthS == null ? read.get() : shortened(read.get()));
+        } finally {
+            Log.to(former);
+        }
+    }
+
+    private int run(Scenario scenario) throws InterruptedException {
         String name = ScenarioFile.name(file);
         if (seeds != null && seeds.range != null) {
             return sweep(name, scenario, seeds.range);
--- a/lab/src/test/java/peppergauge/lab/command/LabTest.java
+++ b/lab/src/test/java/peppergauge/lab/command/LabTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import peppergauge.log.Log;
 
 public class LabTest {
 
@@ -25,6 +26,20 @@
         return new Outcome(code, out.toString(), err.toString());
     }
 
+    /** The sink is the process's: a run that kept it silenced every later line, and whoever waited for one. */
+    @Test
+    public void afterARunInVirtualTimeLinesGoWhereTheyWent() {
+        StringBuffer heard = new StringBuffer();
+        Log.Sink before = Log.to((kind, text, passedOver) -> heard.append(text));
+        try {
+            run("emulate ../scenarios/calm.toml --length 0.1");
+            Log.line("after a run", "still heard");
+        } finally {
+            Log.to(before);
+        }
+        assertTrue(heard.toString().contains("still heard"), heard.toString());
+    }
+
     @DataProvider
     public Object[][] lines() {
         return new Object[][] {
--- a/lab/src/test/java/peppergauge/lab/nomad/HardCasesTest.java
+++ b/lab/src/test/java/peppergauge/lab/nomad/HardCasesTest.java
@@ -4,8 +4,6 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -16,6 +14,7 @@
 import org.testng.annotations.Test;
 import peppergauge.lab.files.Kinds;
 import peppergauge.lab.nomad.NomadBed.Way;
+import peppergauge.log.Log;
 import peppergauge.nomad.NomadAddition;
 
 /** What is no fault of the API's, and hard all the same. */
@@ -112,9 +111,8 @@
     public void theTokenIsSentAndNeverLogged() throws Exception {
         Path token = Files.createTempFile("token", "");
         Files.writeString(token, "very-secret-token\n");
-        PrintStream before = System.err;
-        ByteArrayOutputStream lines = new ByteArrayOutputStream();
-        System.setErr(new PrintStream(lines, true));
+        StringBuffer lines = new StringBuffer();
+        Log.Sink before = Log.to((kind, text, passedOver) -> lines.append(text).append('\n'));
         Told.ByNomad told = new Told.ByNomad();
         for (BackendStandIn each : servers) {
             told.add(each);
@@ -126,7 +124,7 @@
             // Lines of a kind are bounded by the second: the first refusal may be passed over.
             NomadBed.await("the refusal is told", 10, () -> lines.toString().contains("refuses the token"));
         } finally {
-            System.setErr(before);
+            Log.to(before);
             Files.delete(token);
         }
         assertFalse(lines.toString().contains("very-secret"), lines.toString());
--- a/sidecar/src/main/java/peppergauge/log/Log.java
+++ b/sidecar/src/main/java/peppergauge/log/Log.java
@@ -22,9 +22,17 @@
         void line(String kind, String text, int passedOver);
     }
 
-    /** From now on lines go there; their limits stay. */
-    public static void to(Sink other) {
+    /**
+     * From now on lines go there; their limits stay. The sink is the whole process's: whoever runs something in a
+     * larger one puts the former back, else its lines are lost for all that comes after.
+     *
+     * @param other null for standard error
+     * @return where lines went until now, null for standard error
+     */
+    public static Sink to(Sink other) {
+        Sink former = sink;
         sink = other;
+        return former;
     }
 
     /** Counts the lines of one kind in the present second. */
