--- a/bodies/src/main/java/peppergauge/bodies/ledger/Ledger.java
+++ b/bodies/src/main/java/peppergauge/bodies/ledger/Ledger.java
@@ -8,10 +8,12 @@
 import java.util.Map;
 
 /**
- * Who may keep how much. A body begins in memory; where that is not open to it, it moves to a file, and from there to
- * nothing. Nothing is pushed out for a body that comes: it takes what is free. So that something is free, the bodies
- * with the least claim are moved on once a tier is over {@link #HIGH}: first those of tenants and classes over their
- * share, then those that are worth least for their length.
+ * Who may keep how much. A body begins in memory; where that is not open to it, it moves to a file. Where neither is, no
+ * more of it is kept than has been: what is kept goes on counting, for it is still to be sent a first time. Nothing is
+ * pushed out for a body that comes: it takes what is free. So that something is free, the bodies with the least claim
+ * are moved on once a tier is over {@link #HIGH}, from memory to a file, and from either to nothing where they are kept
+ * for a retry alone: first those of tenants and classes over their share, then those that are worth least for their
+ * length.
  *
  * <p>Bytes count where they are: while a body is written to a file they count in memory and in files. Not for use by
  * several threads; each public method is one event.
@@ -25,6 +27,11 @@
     private final Map<Long, Entry> entries = new LinkedHashMap<>();
     private final Use memory = new Use(Tier.MEMORY);
     private final Use files = new Use(Tier.FILE);
+    private int inFiles;
+    /** Bytes in memory that are being written to files. */
+    private long leaving;
+    /** Nothing could be moved on when that was last looked at, and nothing has changed since. */
+    private boolean stuck;
 
     /** One body. */
     private static final class Entry {
@@ -36,6 +43,10 @@
         private Tier tier = Tier.MEMORY;
         /** Its bytes are being written from memory to a file. */
         private boolean moving;
+        /** No more of it is kept. */
+        private boolean full;
+        /** It is still to be read, by a first attempt or one more: it must not go. */
+        private boolean needed = true;
         private long bytes;
         /** What counts for it in each tier. */
         private long inMemory;
@@ -93,6 +104,11 @@
             return whole <= bounds.each(tier) && all + more <= bounds.all(tier)
                     && !(isHigh(more) && isOver(owner, more));
         }
+
+        /** The same for one that has no file yet. */
+        boolean opensAnew(Owner owner, long whole, long more) {
+            return inFiles < bounds.mostFiles() && opensTo(owner, whole, more);
+        }
     }
 
     public Ledger(Bounds bounds) {
@@ -105,7 +121,7 @@
      * A body is announced; nothing of it has been read.
      *
      * @param declared its length in bytes, -1 if it is not told
-     * @param must whether it must be kept to be taken: its class is sent only whole, or is to be tried again
+     * @param must whether it must be kept to be taken
      * @return IN, and it is known from now on; else nothing has changed
      * @throws IllegalArgumentException if the id is known
      */
@@ -113,13 +129,12 @@
         if (entries.containsKey(id)) {
             throw new IllegalArgumentException("a body with id " + id + " is open");
         }
-        if (declared > bounds.longest()) {
+        if (declared > (must ? bounds.longestKept() : bounds.longest())) {
             return Letting.TOO_LONG;
         }
         long length = Math.max(0, declared);
-        boolean room = memory.opensTo(owner, length, length) || files.opensTo(owner, length, length);
-        if (must && !room) {
-            return Letting.NO_ROOM;
+        if (!memory.opensTo(owner, length, length) && !files.opensAnew(owner, length, length)) {
+            return must ? Letting.NO_ROOM : Letting.UNKEPT;
         }
         entries.put(id, new Entry(id, owner, length));
         return Letting.IN;
@@ -128,84 +143,90 @@
     /**
      * More of a body has come, after what was told before.
      *
-     * @return what is to be done now, with this body or others; if it moves to a file, so do these bytes
-     * @throws IllegalArgumentException if the id is not known, or it grows over the longest
+     * @return what is to be done now, with this body or others. To a file: these bytes go there too. To nothing: of this
+     *     body no more is kept, beginning with these bytes, and it is not to grow again; of others nothing is left
+     * @throws IllegalArgumentException if the id is not known, it is full, or it grows over the longest
      */
     public List<Move> grow(long id, long more) {
         Entry entry = entry(id);
-        if (more < 0 || entry.bytes + more > bounds.longest()) {
+        if (more < 0 || entry.full || entry.bytes + more > bounds.longest()) {
             throw new IllegalArgumentException("a body of " + (entry.bytes + more) + " bytes");
         }
         List<Move> moves = new ArrayList<>();
+        stuck &= entry.bytes > 0;
         entry.bytes += more;
         if (entry.tier == Tier.MEMORY && !entry.moving) {
             if (memory.opensTo(entry.owner, entry.whole(), more)) {
                 entry.inMemory += more;
                 memory.add(entry.owner, more);
-            } else {
-                move(entry, moves);
-            }
-        } else if (entry.tier != Tier.NONE) {
-            if (files.opensTo(entry.owner, entry.whole(), more)) {
-                entry.inFile += more;
-                files.add(entry.owner, more);
-            } else {
-                drop(entry, moves);
+            } else if (!move(entry, moves)) {
+                fill(entry, more, moves);
             }
+        } else if (files.opensTo(entry.owner, entry.whole(), more)) {
+            entry.inFile += more;
+            files.add(entry.owner, more);
+        } else {
+            fill(entry, more, moves);
         }
         makeRoom(memory, moves);
         makeRoom(files, moves);
         return moves;
     }
 
-    /** All of it goes to a file, if that is open to it, and else nowhere. */
-    private void move(Entry entry, List<Move> moves) {
-        if (!files.opensTo(entry.owner, entry.whole(), entry.bytes)) {
-            drop(entry, moves);
-            return;
+    /** All of it goes to a file, if that is open to it. */
+    private boolean move(Entry entry, List<Move> moves) {
+        if (!files.opensAnew(entry.owner, entry.whole(), entry.bytes)) {
+            return false;
         }
+        inFiles++;
         entry.inFile = entry.bytes;
         files.add(entry.owner, entry.inFile);
         entry.moving = true;
+        leaving += entry.inMemory;
         moves.add(new Move(entry.id, Tier.FILE));
+        return true;
     }
 
-    private void drop(Entry entry, List<Move> moves) {
-        forget(entry);
+    private void fill(Entry entry, long more, List<Move> moves) {
+        entry.bytes -= more;
+        entry.full = true;
         moves.add(new Move(entry.id, Tier.NONE));
     }
 
     private void forget(Entry entry) {
         memory.add(entry.owner, -entry.inMemory);
         files.add(entry.owner, -entry.inFile);
+        inFiles -= entry.moving || entry.tier == Tier.FILE ? 1 : 0;
+        leaving -= entry.moving ? entry.inMemory : 0;
+        stuck = false;
         entry.inMemory = 0;
         entry.inFile = 0;
         entry.moving = false;
+        entry.full = true;
         entry.tier = Tier.NONE;
     }
 
     /** Moves on those with the least claim until the tier is no longer high; what already moves is as good as gone. */
     private void makeRoom(Use use, List<Move> moves) {
-        while (use.isHigh(-leaving(use))) {
-            Entry least = entries.values().stream().filter(each -> each.tier == use.tier && !each.moving
-                    && each.inMemory + each.inFile > 0).min(Comparator.<Entry>comparingInt(each ->
-                    use.isOver(each.owner, 0) ? 0 : 1).thenComparingDouble(Entry::claim)).orElse(null);
+        List<Entry> least = null;
+        for (int i = 0; !stuck && use.isHigh(use == memory ? -leaving : 0); i++) {
             if (least == null) {
+                least = entries.values().stream().filter(each -> each.tier == use.tier && !each.moving && !each.full
+                        && each.inMemory + each.inFile > 0).sorted(Comparator.<Entry>comparingInt(each ->
+                        use.isOver(each.owner, 0) ? 0 : 1).thenComparingDouble(Entry::claim)).toList();
+            }
+            if (i == least.size()) {
+                stuck = true;
                 return;
             }
-            if (use == memory) {
-                move(least, moves);
-            } else {
-                drop(least, moves);
+            Entry entry = least.get(i);
+            if ((use == files || !move(entry, moves)) && !entry.needed) {
+                forget(entry);
+                moves.add(new Move(entry.id, Tier.NONE));
             }
         }
     }
 
-    private long leaving(Use use) {
-        return use == files ? 0 : entries.values().stream().filter(each -> each.moving)
-                .mapToLong(each -> each.inMemory).sum();
-    }
-
     // ---- What became of it ----
 
     /** All bytes that it had when it was to move are in the file: they count in memory no more. */
@@ -213,15 +234,23 @@
         Entry entry = entry(id);
         if (entry.moving) {
             memory.add(entry.owner, -entry.inMemory);
+            leaving -= entry.inMemory;
             entry.inMemory = 0;
             entry.moving = false;
             entry.tier = Tier.FILE;
+            stuck = false;
         }
     }
 
-    /** Its file failed, or does not agree with what came: it is not kept any more. */
+    /** Its file takes no more: what is in it stays, and counts on; what is not stays where it is. */
     public void failed(long id) {
-        forget(entry(id));
+        entry(id).full = true;
+    }
+
+    /** Whether it is still to be read: one that is not is kept for a retry alone, and may have to go for others. */
+    public void needed(long id, boolean needed) {
+        entry(id).needed = needed;
+        stuck = false;
     }
 
     /** No attempt needs it any more; it is not known from now on. */
@@ -240,6 +269,10 @@
 
     // ---- What others see ----
 
+    public Bounds bounds() {
+        return bounds;
+    }
+
     /** Where it is kept; while it moves, still in memory. */
     public Tier tier(long id) {
         return entry(id).tier;
--- a/bodies/src/main/java/peppergauge/bodies/spool/KeptFile.java
+++ b/bodies/src/main/java/peppergauge/bodies/spool/KeptFile.java
@@ -9,12 +9,12 @@
 /**
  * One body in a file. Each piece of {@link #PIECE} bytes has a checksum in memory, and no byte of a piece is handed out
  * before the whole piece agrees with it: what another wrote over, cut short or never wrote is not sent to a server,
- * not even its beginning. Costs 4 bytes of memory for 64 KiB, and a piece while it is read. One thread at a time.
+ * not even its beginning. Costs 4 bytes of memory for 16 KiB, and a piece while it is read. One thread at a time.
  */
 public final class KeptFile implements Closeable {
 
     /** Bytes of a piece; the last one of a body is shorter. */
-    public static final int PIECE = 64 * 1024;
+    public static final int PIECE = 16 * 1024;
 
     private final Disk.Place place;
     private final CRC32C sum = new CRC32C();
@@ -22,6 +22,7 @@
     private int[] sums = new int[4];
     private int pieces;
     private long length;
+    private boolean full;
     private boolean broken;
 
     /** @throws IOException if no file can be had */
@@ -33,23 +34,27 @@
         return length;
     }
 
-    /** Whether it can be read again: each write has succeeded, and no read found anything else than was written. */
-    public boolean isWhole() {
+    /** Whether what was written can be read: no read found anything else. */
+    public boolean isSound() {
         return !broken;
     }
 
     /**
      * Takes what comes next of the body.
      *
-     * @throws IOException if it cannot be written in whole (a full disk): the body is not kept from then on
+     * @throws IOException if it cannot be written in whole (a full disk): the file takes no more from then on; what was
+     *     taken before can be read, and nothing of these bytes
      */
     public void append(ByteBuffer bytes) throws IOException {
         require();
+        if (full) {
+            throw new IOException("the file takes no more");
+        }
         ByteBuffer summed = bytes.duplicate();
         try {
             place.append(bytes);
         } catch (IOException failed) {
-            broken = true;
+            full = true;
             throw failed;
         }
         while (summed.hasRemaining()) {
--- a/daemon/src/main/java/peppergauge/daemon/part/Combined.java
+++ b/daemon/src/main/java/peppergauge/daemon/part/Combined.java
@@ -9,6 +9,7 @@
 import peppergauge.decision.Balancer;
 import peppergauge.log.Log;
 import peppergauge.session.Backend;
+import peppergauge.session.Bodies;
 import peppergauge.session.Intake;
 import peppergauge.session.Sessions;
 
@@ -34,6 +35,17 @@
         return whole;
     }
 
+    /** At most one takes them. */
+    @Override
+    public Bodies bodies(Parts parts) {
+        Bodies one = Bodies.NONE;
+        for (Additions each : all) {
+            Bodies own = each.bodies(parts);
+            one = own == Bodies.NONE ? one : own;
+        }
+        return one;
+    }
+
     @Override
     public Backend backend(Backend http, Parts parts) {
         Backend whole = http;
--- a/lab/src/main/java/peppergauge/lab/command/Admin.java
+++ b/lab/src/main/java/peppergauge/lab/command/Admin.java
@@ -76,6 +76,10 @@
     @Command(name = "plugins", description = "Says how the plug-ins of a running daemon do.")
     static final class Plugins extends Admin { }
 
+    /** {@code bodies}. */
+    @Command(name = "bodies", description = "Says what long bodies are under way and kept in a running daemon.")
+    static final class Bodies extends Admin { }
+
     /** {@code drain}. */
     @Command(name = "drain", description = "Has a running daemon finish what is open and end.")
     static final class Drain extends Admin { }
--- a/plugin/src/main/java/peppergauge/plugin/PluginIntake.java
+++ b/plugin/src/main/java/peppergauge/plugin/PluginIntake.java
@@ -276,7 +276,7 @@
         Message before = asked.message();
         Opening opening = fields.equals(before.fields()) ? asked : new Opening(asked.id(), asked.requestClass(),
                 asked.tenant(), asked.remainingMs(), asked.clientRetry(), asked.arrivedMs(),
-                new Message(before.verb(), before.target(), fields, before.body()));
+                before.with(fields));
         Frontend frontend = session.frontend;
         if (!session.plan.countsAnswers) {
             next.open(opening, frontend);
--- a/plugin/src/main/java/peppergauge/plugin/abi/SessionView.java
+++ b/plugin/src/main/java/peppergauge/plugin/abi/SessionView.java
@@ -10,7 +10,8 @@
  * @param path with the query
  * @param headers those that the file lets it read, names in lower case
  * @param remainingMs until the deadline, ms
- * @param bodyBytes of the body, which itself is not handed over
+ * @param bodyBytes of the body, which itself is not handed over; -1 where it is passed on as it comes and only its
+ *     end tells
  */
 public record SessionView(String className, String tenant, String key, String method, String path,
         List<Message.Field> headers, double remainingMs, int bodyBytes, boolean clientRetry, LocalTime time) {
--- a/sidecar/src/main/java/peppergauge/Additions.java
+++ b/sidecar/src/main/java/peppergauge/Additions.java
@@ -7,6 +7,7 @@
 import peppergauge.decision.Balancer.Settings;
 import peppergauge.overload.Overload;
 import peppergauge.session.Backend;
+import peppergauge.session.Bodies;
 import peppergauge.session.Clock;
 import peppergauge.session.Intake;
 import peppergauge.session.Sessions;
@@ -44,6 +45,11 @@
         return module;
     }
 
+    /** Takes bodies that are too long to be held whole; by default none is. */
+    default Bodies bodies(Parts parts) {
+        return Bodies.NONE;
+    }
+
     /** Stands round or beside the HTTP backend, for servers that speak something else. */
     default Backend backend(Backend http, Parts parts) {
         return http;
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -18,6 +18,7 @@
 import peppergauge.overload.OverloadSettings;
 import peppergauge.servertable.ServerTableReader;
 import peppergauge.servertable.ServerTableWatch;
+import peppergauge.session.Bodies;
 import peppergauge.session.Clock;
 import peppergauge.session.Intake;
 import peppergauge.session.ServerTable;
@@ -51,6 +52,7 @@
     private final Additions.Parts parts;
     private final Sessions sessions;
     private final Intake intake;
+    private final Bodies bodies;
     private final HttpFrontend frontend;
     private final Rehearsal rehearsal;
     private final ServerTableWatch watch;
@@ -74,13 +76,15 @@
         overload = new Overload<>(overload(settings, config.seed()));
         Clients clients = new Clients(loop, mostConnections, clock, overload);
         parts = new Additions.Parts(config, settings, names, clock, loop, overload, clients);
+        bodies = additions.bodies(parts);
         HttpBackend http = new HttpBackend(clock, loop, overload::likelyArrivalMs, settings.loadFields(),
-                connectTimeoutMs, limits.connectionIdleMs(), mostConnections);
+                connectTimeoutMs, limits.connectionIdleMs(), mostConnections, bodies);
         // What bounds connecting also bounds a probe: both are answered without waiting for other work.
         sessions = new Sessions(additions.balancer(new Decide(settings, config.seed()), parts),
                 additions.backend(http, parts), clock, loop, overload, settings.classes(), connectTimeoutMs);
         intake = additions.intake(sessions, parts);
-        frontend = new HttpFrontend(new Site(names, settings.classes()), intake, clock, loop, overload, clients);
+        frontend = new HttpFrontend(new Site(names, settings.classes()), intake, clock, loop, overload, clients,
+                bodies);
         rehearsal = new Rehearsal(config, settings, names, frontend, http, clock, loop,
                 () -> calm || !frontend.asked());
         ServerTableReader reader = new ServerTableReader(names.zones());
@@ -180,6 +184,9 @@
             stopListening();
             additions.stopping();
             frontend.closeIdle();
+            CountDownLatch bodiesIdle = new CountDownLatch(1);
+            loop.execute(() -> bodies.whenIdle(bodiesIdle::countDown));
+            bodiesIdle.await((long) bodies.finishMs(), TimeUnit.MILLISECONDS);
             sessions.whenIdle(idle::countDown);
             boolean empty = idle.await(longestDeadlineMs, TimeUnit.MILLISECONDS);
             Log.line("stop", empty ? "all sessions are answered" : "sessions were open past the longest deadline");
--- a/sidecar/src/main/java/peppergauge/backend/HttpBackend.java
+++ b/sidecar/src/main/java/peppergauge/backend/HttpBackend.java
@@ -6,6 +6,7 @@
 import peppergauge.decision.Balancer.LoadField;
 import peppergauge.decision.Balancer.Outcome;
 import peppergauge.session.Backend;
+import peppergauge.session.Bodies;
 import peppergauge.session.Clock;
 import peppergauge.session.Message;
 import peppergauge.sockets.Loop;
@@ -19,15 +20,18 @@
     private final DoubleSupplier arrivedMs;
     private final List<LoadField> loadFields;
     private final Connections connections;
+    private final Bodies bodies;
 
     /**
      * @param arrivedMs tells when what the loop is reading came in, as far as that is known, ms
      * @param connectTimeoutMs after which a connection that has not come up is given up, ms
      * @param idleMs after which backend servers close a connection, ms
      * @param mostConnections descriptors that these connections may hold together
+     * @param bodies takes answers that are too long to be held whole
      */
     public HttpBackend(Clock clock, Loop loop, DoubleSupplier arrivedMs, List<LoadField> loadFields,
-            double connectTimeoutMs, double idleMs, int mostConnections) {
+            double connectTimeoutMs, double idleMs, int mostConnections, Bodies bodies) {
+        this.bodies = bodies;
         this.clock = clock;
         this.arrivedMs = arrivedMs;
         this.loadFields = loadFields;
@@ -38,7 +42,7 @@
     @Override
     public Exchange send(Server server, Message message, double untilMs, Consumer<Result> ended) {
         HttpExchange exchange = new HttpExchange(connections, server, message, new Times(clock, arrivedMs, untilMs),
-                loadFields, ended);
+                loadFields, bodies, ended);
         exchange.start();
         return exchange;
     }
@@ -70,6 +74,11 @@
 
     /** A probe's body is the report, where the header does not carry it. */
     private Result probed(Result result) {
+        if (result.answer() != null && result.answer().flow() != null) {
+            // No report is that long.
+            result.answer().flow().drop();
+            return new Result(Outcome.BROKEN);
+        }
         if (result.outcome() != Outcome.SUCCESS || result.load() != null) {
             return result;
         }
--- a/sidecar/src/main/java/peppergauge/backend/HttpExchange.java
+++ b/sidecar/src/main/java/peppergauge/backend/HttpExchange.java
@@ -25,7 +25,12 @@
 import peppergauge.decision.Balancer.LoadField;
 import peppergauge.decision.Balancer.Outcome;
 import peppergauge.http.Headers;
+import peppergauge.http.Outflow;
+import peppergauge.http.Room;
 import peppergauge.session.Backend;
+import peppergauge.session.Bodies;
+import peppergauge.session.Feed;
+import peppergauge.session.Flow;
 import peppergauge.session.Message;
 
 /**
@@ -37,6 +42,8 @@
     /** A body holds 64 KiB at most. */
     private static final int LARGEST_BODY = 64 * 1024;
 
+    private static final byte[] NOTHING = new byte[0];
+
     private static final int MOST_INTERIM_ANSWERS = 8;
 
     /** Connections that closed before a byte was written, after which the server counts as out of reach. */
@@ -50,6 +57,7 @@
     private final Message message;
     private final Times times;
     private final List<LoadField> loadFields;
+    private final Bodies bodies;
     private final Consumer<Backend.Result> ended;
     private State state = State.WAITING;
     private PoolEntry<Backend.Server, ServerConnection> connection;
@@ -59,6 +67,13 @@
     private double writtenMs = Double.NaN;
     private int interimAnswers;
     private int staleConnections;
+    /** The request's body, where its message does not hold it. */
+    private Outflow asking;
+    /** The answer's, where it is too long to be held here. */
+    private LongAnswer longAnswer;
+    /** How much of an answer without a length HttpCore was allowed to read until it turned out long. */
+    private CapacityChannel capacity;
+    private int granted;
 
     /** The times that matter to an exchange, ms. */
     interface Times {
@@ -73,7 +88,8 @@
     }
 
     HttpExchange(Connections connections, Backend.Server server, Message message, Times times,
-            List<LoadField> loadFields, Consumer<Backend.Result> ended) {
+            List<LoadField> loadFields, Bodies bodies, Consumer<Backend.Result> ended) {
+        this.bodies = bodies;
         this.connections = connections;
         this.server = server;
         this.message = message;
@@ -114,7 +130,7 @@
             failed(new RequestNotExecutedException());
             return;
         }
-        up.execute(new RequestExecutionCommand(this, HttpCoreContext.create()));
+        up.execute(new RequestExecutionCommand(this, HttpCoreContext.create()), this);
     }
 
     // ---- What the owner of the sessions may ask ----
@@ -146,6 +162,11 @@
         if (state != State.WAITING) {
             throw new IOException("taken back before its first byte");
         }
+        if (message.flow() != null && !message.flow().fromStart()) {
+            giveBack(true);
+            conclude(Outcome.CANCELLED, null, null);
+            throw new IOException("the body went before its first byte was sent");
+        }
         state = State.WRITING;
         writtenMs = times.nowMs();
         BasicHttpRequest request = new BasicHttpRequest(message.verb(), message.target());
@@ -153,6 +174,10 @@
             request.addHeader(field.name(), field.value());
         }
         request.setHeader(Headers.REMAINING_MS, Long.toString((long) Math.max(1, times.remainingMs())));
+        if (message.flow() != null) {
+            sendLong(request, channel, context);
+            return;
+        }
         int length = message.body().length;
         if (length > 0) {
             request.setHeader("Content-Length", Integer.toString(length));
@@ -160,13 +185,46 @@
         channel.sendRequest(request, length > 0 ? new BasicEntityDetails(length, null) : null, context);
     }
 
+    private void sendLong(BasicHttpRequest request, RequestChannel channel, HttpContext context)
+            throws HttpException, IOException {
+        connection.getConnection().bound(bodies.socketBuffer());
+        long length = message.flow().length();
+        if (length < 0) {
+            request.setHeader("Transfer-Encoding", "chunked");
+        } else {
+            request.setHeader("Content-Length", Long.toString(length));
+        }
+        asking = new Outflow(message.flow(), this::cutShort);
+        channel.sendRequest(request, new BasicEntityDetails(length, null), context);
+    }
+
+    /** The rest of the request never comes, which is not the server's doing, or the server has stopped reading. */
+    private void cutShort() {
+        if (connection != null) {
+            giveBack(false);
+            breakAnswer();
+            conclude(asking.end() == Flow.End.LEFT ? Outcome.BROKEN : Outcome.CANCELLED, null, null);
+        }
+    }
+
+    /** Whether every byte of the request is out: only then is the connection of further use. */
+    boolean isWritten() {
+        return asking == null ? !unsent.hasRemaining() : asking.isWritten();
+    }
+
     @Override
     public int available() {
-        return unsent.remaining();
+        return asking == null ? unsent.remaining() : asking.available();
     }
 
     @Override
     public void produce(DataStreamChannel channel) throws IOException {
+        if (asking != null) {
+            if (asking.produce(channel)) {
+                writtenMs = times.nowMs();
+            }
+            return;
+        }
         channel.write(unsent);
         if (!unsent.hasRemaining()) {
             channel.endStream();
@@ -184,11 +242,14 @@
 
     /** Spoilt answers are judged by their heads: their bodies may never end. */
     @Override
-    public void consumeResponse(HttpResponse head, EntityDetails details, HttpContext context) throws HttpException {
+    public void consumeResponse(HttpResponse head, EntityDetails details, HttpContext context)
+            throws HttpException, IOException {
         response = head;
         boolean framed = details == null || details.getContentLength() >= 0 || head.containsHeader("Transfer-Encoding");
         boolean tooLong = details != null && details.getContentLength() > LARGEST_BODY;
-        if (details == null) {
+        if (tooLong && framed && head.getCode() == 200 && bodies.takeLong()) {
+            begin(details.getContentLength());
+        } else if (details == null) {
             answered();
         } else if (!framed && head.getCode() != 200) {
             // The status says it all.
@@ -200,14 +261,62 @@
         }
     }
 
+    /** The answer is passed on as it comes from here on; the attempt is its session's. */
+    private void begin(long length) throws HttpException, IOException {
+        connection.getConnection().bound(bodies.socketBuffer());
+        longAnswer = new LongAnswer(new Room(granted), () -> giveBack(false));
+        if (capacity != null) {
+            longAnswer.room(capacity);
+        }
+        Feed feed = bodies.answer(length, longAnswer);
+        if (feed == null) {
+            longAnswer = null;
+            throw new ProtocolException("an answer of " + length + " bytes");
+        }
+        longAnswer.begin(feed);
+        conclude(Outcome.SUCCESS, new Message(null, null, Headers.endToEnd(response), NOTHING, feed.flow()), load());
+    }
+
+    /** Whether more of a long answer can be taken at once: one read of the connection brings 4 KiB. */
+    boolean takesMore() {
+        return longAnswer != null && connection != null && longAnswer.takesMore();
+    }
+
+    /** Bytes of a long answer until now. */
+    long came() {
+        return longAnswer == null ? 0 : longAnswer.came();
+    }
+
+    private void breakAnswer() {
+        if (longAnswer != null) {
+            longAnswer.broken();
+        }
+    }
+
     @Override
     public void updateCapacity(CapacityChannel channel) throws IOException {
-        channel.update(Integer.MAX_VALUE);
+        if (longAnswer != null) {
+            longAnswer.room(channel);
+        } else if (!bodies.takeLong()) {
+            channel.update(Integer.MAX_VALUE);
+        } else {
+            capacity = channel;
+            granted += LARGEST_BODY;
+            channel.update(LARGEST_BODY);
+        }
     }
 
     @Override
     public void consume(ByteBuffer part) throws IOException {
+        if (longAnswer != null) {
+            longAnswer.takes(part);
+            return;
+        }
         if (body.size() + part.remaining() > LARGEST_BODY) {
+            if (bodies.takeLong() && response.getCode() == 200) {
+                growsLong(part);
+                return;
+            }
             throw new IOException("an answer over " + LARGEST_BODY + " bytes");
         }
         byte[] bytes = new byte[part.remaining()];
@@ -215,13 +324,30 @@
         body.write(bytes, 0, bytes.length);
     }
 
+    /** An answer that told no length has turned out long. */
+    private void growsLong(ByteBuffer part) throws IOException {
+        try {
+            begin(-1);
+        } catch (HttpException failed) {
+            throw new IOException(failed);
+        }
+        longAnswer.takes(ByteBuffer.wrap(body.toByteArray()));
+        body.reset();
+        longAnswer.takes(part);
+    }
+
     @Override
     public void streamEnd(List<? extends Header> trailers) {
-        answered();
+        if (longAnswer != null) {
+            giveBack(isWritten());
+            longAnswer.ended();
+        } else {
+            answered();
+        }
     }
 
     private void answered() {
-        giveBack(!unsent.hasRemaining());
+        giveBack(isWritten());
         Outcome outcome = outcome();
         conclude(outcome, outcome == Outcome.SUCCESS ? answer() : null, load());
     }
@@ -251,6 +377,7 @@
     @Override
     public void failed(Exception cause) {
         giveBack(false);
+        breakAnswer();
         if (state == State.WAITING && ++staleConnections < MOST_STALE_CONNECTIONS) {
             // The idle connection turned out closed or spoilt before a byte was written: this is no second attempt.
             start();
@@ -273,6 +400,9 @@
     private void giveBack(boolean reusable) {
         PoolEntry<Backend.Server, ServerConnection> leased = connection;
         connection = null;
+        if (asking != null) {
+            asking.stop();
+        }
         if (leased != null && reusable) {
             connections.reuse(leased);
         } else if (leased != null) {
@@ -284,7 +414,7 @@
         if (state != State.ENDED) {
             state = State.ENDED;
             double tookMs = response == null ? Double.NaN : Math.max(0, times.arrivedMs() - writtenMs);
-            ended.accept(new Backend.Result(outcome, answer, load, tookMs));
+            ended.accept(new Backend.Result(outcome, answer, load, tookMs, asking != null && !asking.isWritten()));
         }
     }
 }
--- a/sidecar/src/main/java/peppergauge/backend/ServerConnection.java
+++ b/sidecar/src/main/java/peppergauge/backend/ServerConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
@@ -16,7 +17,9 @@
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.ContentEncoder;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.http.nio.SessionOutputBuffer;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.io.ModalCloseable;
@@ -27,6 +30,7 @@
 import org.apache.hc.core5.util.Timeout;
 import peppergauge.http.HeadReader;
 import peppergauge.http.WholeChunks;
+import peppergauge.sockets.KernelBuffers;
 import peppergauge.sockets.Protocol;
 import peppergauge.sockets.SocketRoom;
 
@@ -40,10 +44,14 @@
     private static final HttpProcessor NOTHING_ADDED = HttpProcessorBuilder.create().build();
     private static final Http1Config HTTP = Http1Config.custom().setBufferSize(4096).build();
 
+    /** Reads of a long answer at once, before other connections get their turn. */
+    private static final int MOST_READS = 16;
+
     private final HeadReader<HttpResponse> reader = HeadReader.response();
     private final ByteBuffer spare = ByteBuffer.allocate(1);
     private final SocketRoom room;
     private IOSession session;
+    private HttpExchange exchange;
 
     /** {@code room}: where this connection's place is given back when it has ended. */
     ServerConnection(SocketRoom room) {
@@ -62,7 +70,27 @@
                 return length == ContentLengthStrategy.CHUNKED ? new WholeChunks(channel, input, HTTP, metrics)
                         : super.createContentDecoder(length, channel, input, metrics);
             }
+
+            @Override
+            protected ContentEncoder createContentEncoder(long length, WritableByteChannel channel,
+                    SessionOutputBuffer output, BasicHttpTransportMetrics metrics) throws HttpException {
+                return length == ContentLengthStrategy.CHUNKED ? new OwnChunks(channel, output, metrics, exchange)
+                        : super.createContentEncoder(length, channel, output, metrics);
+            }
         }) {
+            @Override
+            public void inputReady(IOSession ready, ByteBuffer source) throws IOException {
+                super.inputReady(ready, source);
+                for (int i = 0; i < MOST_READS && exchange != null && exchange.takesMore(); i++) {
+                    // HttpCore reads 4 KiB at a time, and a round for each would be most of the cost.
+                    long before = exchange.came();
+                    super.inputReady(ready, null);
+                    if (exchange.came() == before) {
+                        break;
+                    }
+                }
+            }
+
             @Override
             public void disconnected(IOSession ended) {
                 super.disconnected(ended);
@@ -84,13 +112,19 @@
         return !reader.begun() && session.read(spare) == 0;
     }
 
-    void execute(RequestExecutionCommand command) {
+    void execute(RequestExecutionCommand command, HttpExchange from) {
+        exchange = from;
         session.enqueue(command, Command.Priority.NORMAL);
         if (!session.isOpen()) {
             command.cancel();
         }
     }
 
+    /** A long body goes through here. */
+    void bound(int bytes) {
+        KernelBuffers.bound(session, bytes);
+    }
+
     void setTimeout(Timeout timeout) {
         session.setSocketTimeout(timeout);
     }
--- a/sidecar/src/main/java/peppergauge/decision/Decide.java
+++ b/sidecar/src/main/java/peppergauge/decision/Decide.java
@@ -179,8 +179,11 @@
             onProbeEnded(probed);
         } else if (event instanceof AnswerStarted started) {
             Request request = requests.get(started.id());
-            if (request != null) {
+            Request.Attempt attempt = request == null ? null : request.out(started.attempt());
+            if (attempt != null) {
                 request.streaming = true;
+                // From here on it lasts as its client likes: that says nothing of the server's load.
+                outNow -= attempt.server.out.remove(attempt) ? 1 : 0;
             }
         }
     }
@@ -290,8 +293,7 @@
             further.remove(attempt.sentMs);
         }
         request.outCount--;
-        server.out.remove(attempt);
-        outNow--;
+        outNow -= server.out.remove(attempt) ? 1 : 0;
         server.lastHeardMs = nowMs;
         if (ended.outcome() == Outcome.SUCCESS) {
             server.lastAnsweredSentMs = Math.max(server.lastAnsweredSentMs, attempt.sentMs);
--- a/sidecar/src/main/java/peppergauge/frontend/ClientConnection.java
+++ b/sidecar/src/main/java/peppergauge/frontend/ClientConnection.java
@@ -21,7 +21,6 @@
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
-import org.apache.hc.core5.http.nio.support.BasicAsyncServerExpectationDecorator;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.io.CloseMode;
@@ -35,6 +34,7 @@
 import peppergauge.session.Scheduler;
 import peppergauge.sockets.Claimant;
 import peppergauge.sockets.Clients;
+import peppergauge.sockets.KernelBuffers;
 
 /**
  * A client's connection: which of its requests wait for answers, and how long it may take to send one. Everything here
@@ -85,6 +85,8 @@
     private int unwritten;
     private int owed;
     private boolean sessions;
+    /** The request whose long body comes in now, by limits of its own. */
+    private SessionHandler taking;
     private int waitsForReader;
     private int discarded;
 
@@ -107,8 +109,7 @@
     }
 
     private AsyncServerExchangeHandler handler(HttpRequest request) {
-        SessionHandler handler = new SessionHandler(owner, this);
-        return request.containsHeader("Expect") ? new BasicAsyncServerExpectationDecorator(handler) : handler;
+        return new SessionHandler(owner, this);
     }
 
     // ---- What the reactor tells ----
@@ -129,9 +130,17 @@
             // HttpCore reads once in a round: whoever has left meanwhile would still be served.
             http.inputReady(session, null);
         }
+        for (int i = 0; i < MOST_READS && taking != null && taking.takesMore(); i++) {
+            // HttpCore reads 4 KiB at a time, and a round for each would be most of the cost.
+            long before = bodyBytes;
+            http.inputReady(session, null);
+            if (bodyBytes == before) {
+                break;
+            }
+        }
         if (!http.isOpen() && !closingHere) {
             gone();
-        } else if (!sending && midRequest() && !inputOver) {
+        } else if (!sending && midRequest() && !inputOver && taking == null) {
             sending = true;
             all.reading(this);
             if (!first) {
@@ -185,7 +194,10 @@
     void requestWhole() {
         sending = false;
         bodyOpen = false;
-        if (!inputOver) {
+        if (taking != null) {
+            taking = null;
+            inputOver |= lastRequest;
+        } else if (!inputOver) {
             first = false;
             stopTimer();
             all.whole(this);
@@ -193,6 +205,30 @@
         }
     }
 
+    /** A long body comes in from here on: it takes its time, by limits of its own, and an answer is owed. */
+    void takes(SessionHandler handler) {
+        KernelBuffers.bound(connection, owner.bodies().socketBuffer());
+        taking = handler;
+        waiting.add(handler);
+        sending = false;
+        first = false;
+        stopTimer();
+        all.whole(this);
+    }
+
+    /** A long answer goes out from here on, by limits of its own. */
+    void streams(SessionHandler handler) {
+        KernelBuffers.bound(connection, owner.bodies().socketBuffer());
+        waiting.add(handler);
+        stopTimer();
+    }
+
+    /** An answer cannot be finished: its client sees the connection end before it. */
+    void cutOff() {
+        closingHere = true;
+        connection.close(CloseMode.GRACEFUL);
+    }
+
     /** Nothing that comes in from now on is read as a request. */
     void endInput() {
         inputOver = true;
@@ -325,6 +361,10 @@
     }
 
     private boolean closeUnlessWanted(boolean evenMidRequest) {
+        if (taking != null) {
+            // More would be read than there is room for.
+            return false;
+        }
         readWhatIsThere();
         boolean wanted = !waiting.isEmpty() || unwritten > 0 || midRequest() && !(evenMidRequest && first);
         if (gone || wanted) {
--- a/sidecar/src/main/java/peppergauge/frontend/HttpFrontend.java
+++ b/sidecar/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -7,6 +7,7 @@
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import peppergauge.log.Log;
 import peppergauge.overload.Overload;
+import peppergauge.session.Bodies;
 import peppergauge.session.Clock;
 import peppergauge.session.Intake;
 import peppergauge.session.Scheduler;
@@ -29,15 +30,20 @@
     private final Loop loop;
     private final Overload<Claimant, ?> overload;
     private final Clients connections;
+    private final Bodies bodies;
     private volatile ListenerEndpoint listener;
     private volatile Rehearsal rehearsal;
     private volatile boolean ready;
     private volatile boolean closing;
     private volatile boolean asked;
 
-    /** {@code intake} takes what clients ask, and {@code clients} keeps the places for their connections. */
+    /**
+     * {@code intake} takes what clients ask, {@code bodies} their long bodies, and {@code clients} keeps the places for
+     * their connections.
+     */
     public HttpFrontend(Site site, Intake intake, Clock clock, Loop loop, Overload<Claimant, ?> overload,
-            Clients clients) {
+            Clients clients, Bodies bodies) {
+        this.bodies = bodies;
         this.overload = overload;
         this.site = site;
         this.intake = intake;
@@ -113,6 +119,10 @@
         return site;
     }
 
+    Bodies bodies() {
+        return bodies;
+    }
+
     /** When what is being read came in at the earliest, ms: what stood unread for lack of CPU came long ago. */
     double arrivedMs() {
         return Math.min(clock.nowMs(), overload.earliestArrivalMs());
--- /dev/null
+++ b/sidecar/src/main/java/peppergauge/frontend/LongBody.java
@@ -0,0 +1,106 @@
+package peppergauge.frontend;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import peppergauge.http.Room;
+import peppergauge.session.Bodies;
+import peppergauge.session.Feed;
+import peppergauge.session.Opening;
+
+/** A request's body that is too long to be held whole here: how it comes in, and what is said to that. */
+final class LongBody implements Bodies.Upload {
+
+    private final SessionHandler handler;
+    private final Room room;
+    private Opening asked;
+    private Feed feed;
+    private boolean over;
+    /** Refused or opened from inside the call that announced it, before there was a feed. */
+    private boolean opensAtOnce;
+
+    LongBody(SessionHandler handler, Room room) {
+        this.handler = handler;
+        this.room = room;
+        room.set(0);
+    }
+
+    void begin(Opening opening, Feed taken) {
+        asked = opening;
+        feed = taken;
+        if (opensAtOnce) {
+            opens();
+        }
+    }
+
+    void room(CapacityChannel capacity) throws IOException {
+        room.ask(capacity);
+    }
+
+    boolean takesMore() {
+        return !over && room.isOpen();
+    }
+
+    /** Whether these bytes were taken: not once the body is let go. */
+    boolean takes(ByteBuffer part) {
+        if (over) {
+            return false;
+        }
+        room.came(part.remaining());
+        feed.arrived(part);
+        return true;
+    }
+
+    void ended() {
+        if (!over) {
+            feed.ended();
+        }
+    }
+
+    /** No attempt needs it any more. */
+    void letGo() {
+        boolean first = !over;
+        over = true;
+        if (first && feed != null) {
+            feed.broken();
+        }
+        room.set(Long.MAX_VALUE);
+    }
+
+    // ---- What the feed asks for ----
+
+    @Override
+    public void room(int bytes) {
+        if (!over) {
+            room.set(bytes);
+        }
+    }
+
+    @Override
+    public void stop() {
+        // Nothing more is read before the answer is known, and after that it is thrown away.
+        if (!over) {
+            over = true;
+            room.set(0);
+        }
+    }
+
+    @Override
+    public void opens() {
+        if (feed == null) {
+            opensAtOnce = true;
+        } else {
+            handler.open(asked, feed.flow());
+        }
+    }
+
+    @Override
+    public void refused(Bodies.Refusal why, double retryAfterMs) {
+        over = true;
+        switch (why) {
+            case TOO_LONG -> handler.refused(413, "a body that is too long", 0);
+            case NO_ROOM -> handler.refused(503, "no room for this body now", retryAfterMs);
+            case TOO_SLOW -> handler.refused(408, "the body came too slowly", 0);
+        }
+    }
+}
--- a/sidecar/src/main/java/peppergauge/frontend/SessionHandler.java
+++ b/sidecar/src/main/java/peppergauge/frontend/SessionHandler.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
@@ -18,10 +19,15 @@
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import peppergauge.http.Headers;
+import peppergauge.http.Outflow;
+import peppergauge.http.Room;
 import peppergauge.log.Log;
+import peppergauge.session.Feed;
+import peppergauge.session.Flow;
 import peppergauge.session.Frontend;
 import peppergauge.session.Intake;
 import peppergauge.session.Message;
+import peppergauge.session.Opening;
 
 /** One request of a client, from its head to the last byte of its answer. */
 final class SessionHandler implements AsyncServerExchangeHandler, Frontend {
@@ -30,6 +36,7 @@
     /** Requests whose answers may be owed on one connection: bounds memory where a client asks but does not read. */
     private static final int MOST_PIPELINED = 16;
     private static final byte[] REHEARSED = new byte[200];
+    private static final byte[] NOTHING = new byte[0];
     private static final String READY_PATH = "/up";
 
     private final HttpFrontend owner;
@@ -45,6 +52,14 @@
     private ByteBuffer unsent = ByteBuffer.allocate(0);
     private boolean opened;
     private boolean done;
+    /** Of the request, where it is too long to be held here. */
+    private LongBody longBody;
+    /** How much of a body without a length HttpCore was allowed to read until it turned out long. */
+    private CapacityChannel capacity;
+    private int granted;
+    private boolean requestWhole;
+    /** Of the answer, where it is. */
+    private Outflow answering;
 
     SessionHandler(HttpFrontend owner, ClientConnection connection) {
         this.owner = owner;
@@ -85,31 +100,80 @@
             answerHere(unusable.status, unusable.getMessage(), unusable.allow);
             return;
         }
-        if (details != null && details.getContentLength() > LARGEST_BODY) {
+        boolean tooLong = details != null && details.getContentLength() > LARGEST_BODY;
+        if (tooLong && !owner.bodies().takeLong()) {
             answerHere(413, "a body holds " + LARGEST_BODY + " bytes at most", null);
         } else if (details != null && details.getContentLength() != 0 && "GET".equals(head.verb())) {
             answerHere(400, "GET takes no body", null);
         } else if (connection.owed() > MOST_PIPELINED) {
             answerHere(503, "too many requests on one connection", null);
         } else if (details == null) {
+            requestWhole = true;
             open();
+        } else if (!tooLong || takeLong(details.getContentLength())) {
+            goOn(request);
         }
     }
 
+    /** A client that waits for a word before it sends its body gets it; behind another answer it has to do without. */
+    private void goOn(HttpRequest request) throws HttpException, IOException {
+        Header expected = request.getFirstHeader("Expect");
+        if (expected != null && "100-continue".equalsIgnoreCase(expected.getValue()) && connection.owed() == 1) {
+            channel.sendInformation(new BasicHttpResponse(100), context);
+        }
+    }
+
+    /** Whether it is taken; if not, it is answered. */
+    private boolean takeLong(long length) throws IOException {
+        longBody = new LongBody(this, new Room(granted));
+        if (capacity != null) {
+            longBody.room(capacity);
+        }
+        Opening asked = head.opening(owner.arrivedMs(), NOTHING);
+        Feed feed = owner.bodies().request(asked, length, longBody);
+        if (feed == null) {
+            return false;
+        }
+        longBody.begin(asked, feed);
+        connection.takes(this);
+        return true;
+    }
+
     @Override
-    public void updateCapacity(CapacityChannel capacity) throws IOException {
-        capacity.update(Integer.MAX_VALUE);
+    public void updateCapacity(CapacityChannel more) throws IOException {
+        if (longBody != null) {
+            longBody.room(more);
+        } else if (answeredHere || !owner.bodies().takeLong()) {
+            more.update(Integer.MAX_VALUE);
+        } else {
+            capacity = more;
+            granted += LARGEST_BODY;
+            more.update(LARGEST_BODY);
+        }
+    }
+
+    /** Whether more of a long body can be taken at once: one read of the connection brings 4 KiB. */
+    boolean takesMore() {
+        return longBody != null && longBody.takesMore();
     }
 
     @Override
     public void consume(ByteBuffer part) throws IOException {
         connection.read(part.remaining());
+        if (longBody != null) {
+            consumeRest(part);
+            return;
+        }
         if (answeredHere) {
             connection.discarded(part.remaining());
             part.position(part.limit());
             return;
         }
         if (body.size() + part.remaining() > LARGEST_BODY) {
+            if (owner.bodies().takeLong()) {
+                growsLong(part);
+                return;
+            }
             part.position(part.limit());
             try {
                 answerHere(413, "a body holds " + LARGEST_BODY + " bytes at most", null);
@@ -123,10 +187,29 @@
         body.write(bytes, 0, bytes.length);
     }
 
+    /** A body that told no length has turned out long. */
+    private void growsLong(ByteBuffer part) throws IOException {
+        if (takeLong(-1)) {
+            longBody.takes(ByteBuffer.wrap(body.toByteArray()));
+            body.reset();
+        }
+        consumeRest(part);
+    }
+
+    private void consumeRest(ByteBuffer part) {
+        if (longBody == null || !longBody.takes(part)) {
+            connection.discarded(part.remaining());
+            part.position(part.limit());
+        }
+    }
+
     @Override
     public void streamEnd(List<? extends Header> trailers) {
+        requestWhole = true;
         connection.requestWhole();
-        if (!answeredHere) {
+        if (longBody != null) {
+            longBody.ended();
+        } else if (!answeredHere) {
             open();
         }
     }
@@ -137,6 +220,29 @@
         intake.open(head.opening(owner.arrivedMs(), body.toByteArray()), this);
     }
 
+    // ---- A long body ----
+
+    /** It may be sent: it is whole, or is passed on as it comes. */
+    void open(Opening asked, Flow flow) {
+        opened = true;
+        // What was whole long before its session opens came in for that alone: the client's time runs from here.
+        intake.open(asked.with(flow, owner.arrivedMs()), this);
+    }
+
+    void refused(int status, String text, double retryAfterMs) {
+        if (done) {
+            return;
+        }
+        if (opened) {
+            intake.left(head.id(), this);
+        }
+        try {
+            answerHere(status, text, null, retryAfterMs);
+        } catch (HttpException | IOException failed) {
+            Log.line("frontend", "an answer could not be written: " + failed);
+        }
+    }
+
     // ---- The one answer ----
 
     @Override
@@ -145,21 +251,65 @@
         for (Message.Field field : answer.fields()) {
             response.addHeader(field.name(), field.value());
         }
-        answer(response, answer.body());
+        if (answer.flow() == null) {
+            answer(response, answer.body());
+        } else if (done || !answer.flow().fromStart()) {
+            answer.flow().drop();
+            failed(false);
+        } else if (answer.flow().length() < 0 && context.getProtocolVersion().lessEquals(HttpVersion.HTTP_1_0)) {
+            // Such a client knows no chunks, and could not tell an end from a break.
+            answer.flow().drop();
+            failed(false);
+        } else {
+            stream(response, answer.flow());
+        }
+    }
+
+    /** The answer is passed on as it comes. While its request still comes too, both go on. */
+    private void stream(BasicHttpResponse response, Flow flow) {
+        done = true;
+        answering = new Outflow(flow, this::cutShort);
+        connection.answered(this);
+        boolean last = closeAsked || !requestWhole || owner.closing() && connection.endInputIfIdle();
+        if (last) {
+            connection.endInput();
+            response.setHeader("Connection", "close");
+        }
+        connection.streams(this);
+        if (flow.length() < 0) {
+            response.setHeader("Transfer-Encoding", "chunked");
+        } else {
+            response.setHeader("Content-Length", Long.toString(flow.length()));
+        }
+        try {
+            channel.sendResponse(response, new BasicEntityDetails(flow.length(), null), context);
+        } catch (HttpException | IOException gone) {
+            cutShort();
+        }
+    }
+
+    /** The client can tell: a length or a last chunk is missing. */
+    private void cutShort() {
+        answering.stop();
+        connection.cutOff();
     }
 
     @Override
     public void denied(double retryAfterMs) {
         BasicHttpResponse response = new BasicHttpResponse(503);
-        if (retryAfterMs > 0) {
-            response.addHeader("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfterMs / 1000));
+        retryAfter(response, retryAfterMs);
+        answer(response, NOTHING);
+    }
+
+    private static void retryAfter(BasicHttpResponse response, double ms) {
+        if (ms > 0) {
+            response.addHeader("Retry-After", String.format(Locale.ROOT, "%.3f", ms / 1000));
         }
-        answer(response, new byte[0]);
     }
 
     @Override
     public void failed(boolean late) {
-        answer(new BasicHttpResponse(late ? 504 : 502), new byte[0]);
+        answer(new BasicHttpResponse(late ? 504 : 502), NOTHING);
     }
 
     @Override
@@ -175,8 +325,14 @@
 
     /** Answers without a session; after an unusable head nothing more on the connection can be trusted. */
     private void answerHere(int status, String text, String allow) throws HttpException, IOException {
+        answerHere(status, text, allow, 0);
+    }
+
+    private void answerHere(int status, String text, String allow, double retryAfterMs)
+            throws HttpException, IOException {
         answeredHere = true;
         BasicHttpResponse response = new BasicHttpResponse(status);
+        retryAfter(response, retryAfterMs);
         if (allow != null) {
             response.addHeader("Allow", allow);
         }
@@ -188,6 +344,10 @@
     }
 
     private void answer(BasicHttpResponse response, byte[] content) {
+        if (done) {
+            // Its long body was refused, or its client left, before this session heard of it.
+            return;
+        }
         try {
             send(response, content);
         } catch (ClosedChannelException gone) {
@@ -199,6 +359,9 @@
 
     private void send(BasicHttpResponse response, byte[] content) throws HttpException, IOException {
         done = true;
+        if (longBody != null) {
+            letGo();
+        }
         connection.answered(this);
         if (closeAsked || owner.closing() && connection.endInputIfIdle()) {
             response.setHeader("Connection", "close");
@@ -209,13 +372,32 @@
                 context);
     }
 
+    /** Nothing of the request's body is needed any more; what still comes of it is read for some time. */
+    private void letGo() {
+        longBody.letGo();
+        if (!requestWhole) {
+            answeredHere = true;
+            closeAsked = true;
+            connection.endInput();
+        }
+    }
+
     @Override
     public int available() {
-        return unsent.remaining();
+        return answering == null ? unsent.remaining() : answering.available();
     }
 
     @Override
     public void produce(DataStreamChannel output) throws IOException {
+        if (answering != null) {
+            if (answering.produce(output)) {
+                if (longBody != null) {
+                    letGo();
+                }
+                connection.answered(this);
+            }
+            return;
+        }
         output.write(unsent);
         if (!unsent.hasRemaining()) {
             output.endStream();
@@ -237,8 +419,14 @@
     /** The connection ended; a session that waits for its answer ends with it. */
     void clientGone() {
         if (opened && !done) {
-            done = true;
             intake.left(head.id(), this);
         }
+        done = true;
+        if (answering != null) {
+            answering.stop();
+        }
+        if (longBody != null) {
+            longBody.letGo();
+        }
     }
 }
--- /dev/null
+++ b/sidecar/src/main/java/peppergauge/http/Outflow.java
@@ -0,0 +1,62 @@
+package peppergauge.http;
+
+import java.io.IOException;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import peppergauge.session.Flow;
+
+/** Writes a flow to a connection as it comes and as the other side takes it. */
+public final class Outflow {
+
+    private final Flow.Reading reading;
+    private final Runnable broken;
+    private DataStreamChannel channel;
+    private boolean written;
+
+    /** {@code broken}: called when the rest never comes, or this side is given up; never from inside these calls. */
+    public Outflow(Flow flow, Runnable broken) {
+        this.broken = broken;
+        reading = flow.read(this::more);
+    }
+
+    private void more() {
+        if (isCutShort()) {
+            broken.run();
+        } else if (channel != null) {
+            channel.requestOutput();
+        }
+    }
+
+    public int available() {
+        return reading.end() == Flow.End.WHOLE && !written ? 1 : reading.available();
+    }
+
+    /** Writes what is there; true once the last byte went to the connection, by this call. */
+    public boolean produce(DataStreamChannel to) throws IOException {
+        channel = to;
+        reading.passTo(to::write);
+        if (reading.end() != Flow.End.WHOLE || written) {
+            return false;
+        }
+        written = true;
+        to.endStream();
+        return true;
+    }
+
+    /** Whether the last byte went to the connection: before that the other side surely does not have it. */
+    public boolean isWritten() {
+        return written;
+    }
+
+    /** Null until the reading is over. */
+    public Flow.End end() {
+        return reading.end();
+    }
+
+    private boolean isCutShort() {
+        return reading.end() != null && reading.end() != Flow.End.WHOLE;
+    }
+
+    public void stop() {
+        reading.stop();
+    }
+}
--- a/sidecar/src/main/java/peppergauge/session/Backend.java
+++ b/sidecar/src/main/java/peppergauge/session/Backend.java
@@ -25,8 +25,13 @@
      * @param load null if none came along
      * @param tookMs from the last byte written to the answer's arrival as far as that is known, ms, without the time
      *     that either waited here; NaN where nothing was written or no answer came
+     * @param cutShort whether the request was begun and its last byte surely not written: nobody has it whole
      */
-    record Result(Outcome outcome, Message answer, double[] load, double tookMs) {
+    record Result(Outcome outcome, Message answer, double[] load, double tookMs, boolean cutShort) {
+
+        public Result(Outcome outcome, Message answer, double[] load, double tookMs) {
+            this(outcome, answer, load, tookMs, false);
+        }
 
         /** Without an answer. */
         public Result(Outcome outcome) {
@@ -34,7 +39,10 @@
         }
     }
 
-    /** Sends an attempt that waits until {@code untilMs}; {@code ended} is called once, from any thread. */
+    /**
+     * Sends an attempt that waits until {@code untilMs}; {@code ended} is called once, from any thread. An answer with a
+     * flow ends it when the answer begins: what becomes of the rest is the flow's to tell.
+     */
     Exchange send(Server server, Message message, double untilMs, Consumer<Result> ended);
 
     /** Asks a backend server for its load; {@code ended} is called once, from any thread. */
--- a/sidecar/src/main/java/peppergauge/session/Message.java
+++ b/sidecar/src/main/java/peppergauge/session/Message.java
@@ -1,8 +1,15 @@
 package peppergauge.session;
 import java.util.List;
 
-/** What a session asks or is answered, passed on unread: {@code verb} and {@code target} only when asked. */
-public record Message(String verb, String target, List<Field> fields, byte[] body) {
+/**
+ * What a session asks or is answered, passed on unread: {@code verb} and {@code target} only when asked.
+ *
+ * @param body all of it; empty where there is a flow
+ * @param flow the body of a message that does not hold it; else null
+ */
+public record Message(String verb, String target, List<Field> fields, byte[] body, Flow flow) {
+
+    private static final byte[] NOTHING = new byte[0];
 
     /** A named value beside the body. */
     public record Field(String name, String value) { }
@@ -10,4 +17,24 @@
     public Message {
         fields = List.copyOf(fields);
     }
+
+    /** One that holds its body. */
+    public Message(String verb, String target, List<Field> fields, byte[] body) {
+        this(verb, target, fields, body, null);
+    }
+
+    /** The same with another body. */
+    public Message with(Flow other) {
+        return new Message(verb, target, fields, NOTHING, other);
+    }
+
+    /** The same with other fields. */
+    public Message with(List<Field> others) {
+        return new Message(verb, target, others, body, flow);
+    }
+
+    /** Bytes of its body, -1 where only its end tells. */
+    public long length() {
+        return flow == null ? body.length : flow.length();
+    }
 }
--- a/sidecar/src/main/java/peppergauge/session/Opening.java
+++ b/sidecar/src/main/java/peppergauge/session/Opening.java
@@ -7,4 +7,9 @@
     public double deadlineMs() {
         return arrivedMs + remainingMs;
     }
+
+    /** The same with a body that came in after its head, until then. */
+    public Opening with(Flow body, double nowMs) {
+        return new Opening(id, requestClass, tenant, remainingMs, clientRetry, nowMs, message.with(body));
+    }
 }
--- a/sidecar/src/main/java/peppergauge/session/Session.java
+++ b/sidecar/src/main/java/peppergauge/session/Session.java
@@ -11,6 +11,8 @@
     Scheduler.Wait deadline;
     boolean answered;
     int out;
+    /** Its long body is with one server alone, and cannot be sent to another. */
+    boolean committed;
 
     Session(Opening opening, Frontend frontend) {
         this.opening = opening;
@@ -33,6 +35,8 @@
         Backend.Exchange exchange;
         Scheduler.Wait timeout;
         boolean ended;
+        /** Its answer has begun, and its body flows. */
+        boolean begun;
 
         Attempt(Session session, String server, Backend.Server to, double sentMs) {
             this.session = session;
--- a/sidecar/src/main/java/peppergauge/session/Sessions.java
+++ b/sidecar/src/main/java/peppergauge/session/Sessions.java
@@ -164,6 +164,9 @@
         open.put(opening.id(), session);
         double now = clock.nowMs();
         session.deadline = after(opening.deadlineMs() - now, () -> onDeadline(session));
+        if (opening.message().flow() != null) {
+            opening.message().flow().watch(passing(session));
+        }
         if (!tell(new Balancer.RequestArrived(opening.id(), opening.requestClass(), opening.tenant(),
                 opening.deadlineMs() - now, opening.clientRetry())) && session.out == 0) {
             fail(session, false);
@@ -239,17 +242,15 @@
     }
 
     private void ended(Attempt attempt, Backend.Result result) {
-        if (attempt.ended) {
+        if (attempt.ended || attempt.begun) {
             return;
         }
-        attempt.ended = true;
-        attempt.timeout.cancel();
-        out.remove(attempt);
-        if (attempt.to != null) {
-            forgetIfGone(attempt.to);
+        if (result.answer() != null && result.answer().flow() != null) {
+            begun(attempt, result);
+            return;
         }
+        over(attempt);
         Session session = attempt.session;
-        session.out--;
         double now = clock.nowMs();
         double wholeMs = now - attempt.sentMs;
         double tookMs = result.tookMs() < wholeMs ? result.tookMs() : wholeMs;
@@ -260,11 +261,133 @@
                 answer(session, () -> session.frontend.served(result.answer()));
             }
         }
-        tell(new Balancer.AttemptEnded(session.id(), attempt.number, attempt.server, result.outcome(), tookMs,
-                session.answered, result.load(), wholeMs - tookMs));
+        Flow asked = session.opening.message().flow();
+        Outcome outcome = asked == null ? result.outcome() : outcome(session, asked, result);
+        // How long a long body was under way is its sender's time, not this program's.
+        tell(new Balancer.AttemptEnded(session.id(), attempt.number, attempt.server, outcome, tookMs,
+                session.answered, result.load(), asked == null ? wholeMs - tookMs : 0));
         forgetIfOver(session);
     }
 
+    private void over(Attempt attempt) {
+        attempt.ended = true;
+        attempt.timeout.cancel();
+        out.remove(attempt);
+        attempt.session.out--;
+        if (attempt.to != null) {
+            forgetIfGone(attempt.to);
+        }
+    }
+
+    /**
+     * What the module is told of an attempt at sending a long body. One that cannot be sent again ends its session
+     * before the module hears of it: it would only try.
+     */
+    private Outcome outcome(Session session, Flow asked, Backend.Result result) {
+        Outcome outcome = result.outcome();
+        boolean unsafe = classes.get(session.opening.requestClass()).effect() == Balancer.Effect.UNSAFE;
+        if (outcome == Outcome.SUCCESS || session.answered) {
+            return outcome;
+        }
+        if (!asked.fromStart()) {
+            if (outcome.neverRan()) {
+                end(session);
+                answer(session, () -> session.frontend.denied(0));
+            } else {
+                fail(session, outcome == Outcome.TIMED_OUT);
+            }
+        } else if (outcome == Outcome.BROKEN && result.cutShort() && !unsafe) {
+            // It is kept whole, and the server that ended in the middle of it has only a part: it never ran there.
+            return Outcome.UNREACHABLE;
+        }
+        return outcome;
+    }
+
+    /**
+     * An answer begins whose body flows: the session is this attempt's from here on, it can only end or break, and
+     * neither deadline nor time-out counts any more. The module hears of the attempt's end when the flow is over.
+     */
+    private void begun(Attempt attempt, Backend.Result result) {
+        Session session = attempt.session;
+        Flow flow = result.answer().flow();
+        double now = clock.nowMs();
+        double tookMs = Math.min(Double.isNaN(result.tookMs()) ? Double.MAX_VALUE : result.tookMs(),
+                now - attempt.sentMs);
+        attempt.begun = true;
+        attempt.timeout.cancel();
+        overload.served(now, tookMs);
+        boolean wanted = !session.answered;
+        if (wanted) {
+            end(session);
+            answer(session, () -> session.frontend.served(result.answer()));
+            tell(new Balancer.AnswerStarted(session.id(), attempt.number));
+        }
+        flow.watch(new Flow.Watcher() {
+            @Override
+            public void over(Flow.End end) {
+                post(() -> flowed(attempt, end, tookMs, result.load()));
+            }
+        });
+        if (!wanted) {
+            flow.drop();
+        }
+    }
+
+    private void flowed(Attempt attempt, Flow.End end, double tookMs, double[] load) {
+        if (!attempt.ended) {
+            over(attempt);
+            Outcome outcome = end == Flow.End.WHOLE ? Outcome.SUCCESS
+                    : end == Flow.End.BROKEN ? Outcome.BROKEN : Outcome.CANCELLED;
+            tell(new Balancer.AttemptEnded(attempt.session.id(), attempt.number, attempt.server, outcome, tookMs, true,
+                    load, 0));
+            forgetIfOver(attempt.session);
+        }
+    }
+
+    /**
+     * A long body that is not kept is passed on as it comes: with its first byte the session is this attempt's, and
+     * what bounds it is how fast the body moves. Once it is whole the server has the client's time to answer.
+     */
+    private Flow.Watcher passing(Session session) {
+        return new Flow.Watcher() {
+            @Override
+            public void committed() {
+                post(() -> onCommitted(session));
+            }
+
+            @Override
+            public void over(Flow.End end) {
+                post(() -> onPassed(session, end));
+            }
+        };
+    }
+
+    private void onCommitted(Session session) {
+        if (!session.answered && !session.attempts.isEmpty()) {
+            Attempt last = session.attempts.get(session.attempts.size() - 1);
+            session.committed = true;
+            session.deadline.cancel();
+            if (!last.ended) {
+                last.timeout.cancel();
+                tell(new Balancer.AnswerStarted(session.id(), last.number));
+            }
+        }
+    }
+
+    private void onPassed(Session session, Flow.End end) {
+        if (session.committed && !session.answered && end == Flow.End.WHOLE) {
+            session.deadline = after(session.opening.remainingMs(), () -> onAnswerDue(session));
+        }
+    }
+
+    private void onAnswerDue(Session session) {
+        if (!session.answered) {
+            fail(session, true);
+            List.copyOf(session.attempts).forEach(this::onTimeout);
+            forgetIfOver(session);
+        }
+    }
+
     /** Gives the module an event and carries out what it answers; false if it threw. */
     private boolean tell(Event event) {
         List<Action> actions = new ArrayList<>();
@@ -324,9 +447,11 @@
         out.add(attempt);
         double waitMs = Math.max(0, send.timeoutMs() > 0 ? send.timeoutMs() : session.opening.deadlineMs() - now);
         attempt.timeout = after(waitMs, () -> onTimeout(attempt));
-        if (server == null) {
+        Flow asked = session.opening.message().flow();
+        boolean lost = asked != null && !asked.fromStart();
+        if (server == null || lost) {
             attempt.exchange = NOTHING_OUT;
-            post(() -> ended(attempt, new Backend.Result(Outcome.NEVER_SENT)));
+            post(() -> ended(attempt, new Backend.Result(lost ? Outcome.CANCELLED : Outcome.NEVER_SENT)));
         } else {
             attempt.exchange = backend.send(server, session.opening.message(), now + waitMs,
                     result -> post(() -> ended(attempt, result)));
@@ -346,7 +471,7 @@
     };
 
     private void onTimeout(Attempt attempt) {
-        if (!attempt.ended) {
+        if (!attempt.ended && !attempt.begun) {
             boolean neverWritten = attempt.exchange.abandon();
             ended(attempt, new Backend.Result(neverWritten ? Outcome.UNREACHABLE : Outcome.TIMED_OUT));
         }
@@ -364,7 +489,7 @@
     }
 
     private void abandon(Attempt attempt) {
-        if (!attempt.ended) {
+        if (!attempt.ended && !attempt.begun) {
             attempt.exchange.abandon();
             post(() -> ended(attempt, new Backend.Result(Outcome.CANCELLED)));
         }
@@ -440,6 +565,9 @@
 
     private void forgetIfOver(Session session) {
         if (session.answered && session.out == 0 && open.remove(session.id(), session)) {
+            if (session.opening.message().flow() != null) {
+                session.opening.message().flow().drop();
+            }
             remember(session.id());
             checkIdle();
         }
