--- a/lab/src/main/java/peppergauge/lab/play/Clients.java
+++ b/lab/src/main/java/peppergauge/lab/play/Clients.java
@@ -23,7 +23,7 @@
  */
 final class Clients implements Source {
 
-    private static final String BODY = "x".repeat(200);
+    private static final int USUAL_BODY = 200;
     /** How long a try is remembered after its end: a server may still get what was sent for it, ms. */
     private static final double REMEMBERED_MS = 30_000;
 
@@ -39,6 +39,8 @@
     private final SplittableRandom what;
     private final SplittableRandom patience;
     private final DiscreteSampler keys;
+    /** Of each class. */
+    private final List<String> bodies;
     /** Beginnings of bursts, ms, and all times at which the rate changes. */
     private final double[] bursts;
     private final double[] edges;
@@ -53,6 +55,8 @@
         this.number = number;
         this.ownRate = ownRate;
         figures = stage.scenario.clients();
+        bodies = stage.scenario.classes().stream().map(kind -> kind.effect() == RequestKind.Effect.UNSAFE
+                ? "x".repeat(kind.requestKib() == 0 ? USUAL_BODY : (int) kind.requestKib() * 1024) : "").toList();
         lengthMs = Scenario.ms(stage.scenario.run().length());
         arrivals = stage.luck.split();
         what = stage.luck.split();
@@ -138,7 +142,7 @@
         boolean again = wish.tries++ > 0;
         List<Tenant> tenants = stage.scenario.tenants();
         return new Request(id, "/" + about.name() + "/k" + wish.key,
-                tenants.isEmpty() ? "all" : tenants.get(wish.tenant).name(), wish.unsafe ? BODY : "",
+                tenants.isEmpty() ? "all" : tenants.get(wish.tenant).name(), bodies.get(wish.kind),
                 ns(impatient ? saysMs * early / figures.impatient() : saysMs), ns(saysMs),
                 again && figures.marksRetry());
     }
--- a/lab/src/main/java/peppergauge/lab/play/Door.java
+++ b/lab/src/main/java/peppergauge/lab/play/Door.java
@@ -150,12 +150,18 @@
             return;
         }
         switch (end) {
-            case SERVED -> answer(machine, connection, out, "200 OK", id + " ".repeat(Math.max(0, BODY - id.length())));
+            case SERVED -> answer(machine, connection, out, "200 OK", id + " ".repeat(Math.max(0,
+                    body(session.wish) - id.length())));
             case ERROR -> answer(machine, connection, out, "500 Internal Server Error", "");
             default -> answer(machine, connection, out, "503 Service Unavailable\r\nX-Turned-Away: 1", "");
         }
     }
 
+    private int body(Wish wish) {
+        long kib = stage.scenario.classes().get(wish.kind).answerKib();
+        return kib == 0 ? BODY : (int) kib * 1024;
+    }
+
     private void cut(Exchange connection) {
         if (connection.isOpen()) {
             connection.reset();
--- a/lab/src/main/java/peppergauge/lab/scenario/RequestKind.java
+++ b/lab/src/main/java/peppergauge/lab/scenario/RequestKind.java
@@ -13,9 +13,14 @@
  * @param workSpread spread from request to request, as a share of the mean
  * @param aim an answer within it earns the worth
  * @param deadline an answer within it earns {@code lateWorth} of the worth; the client waits no longer
+ * @param requestKib of an unsafe request's body, KiB, 0 for the usual 200 B; on sockets only, as the next
+ * @param answerKib of an answer's body
  */
 public record RequestKind(String name, double share, Duration work, double workSpread, Duration aim, Duration deadline,
-        double worth, double lateWorth, Effect effect) {
+        double worth, double lateWorth, Effect effect, long requestKib, long answerKib) {
+
+    /** Stand-ins hold bodies whole. */
+    private static final long MOST_KIB = 16 * 1024;
 
     /** What running twice does. */
     public enum Effect { SAFE, UNSAFE }
@@ -30,5 +35,8 @@
             Key.preset("worth", Types.number(0, 1_000), "1", "Of an answer in time."),
             Key.preset("late-worth", Types.number(0, 1), "0.25",
                     "Share of the worth of an answer between aim and deadline."),
-            Key.preset("effect", Types.oneOf(Effect.class), "\"safe\"", "Unsafe: it must never run twice."));
+            Key.preset("effect", Types.oneOf(Effect.class), "\"safe\"", "Unsafe: it must never run twice."),
+            Key.preset("request-kib", Types.wholeNumber(0, MOST_KIB), "0", "KiB of an unsafe request's body in play; 0"
+                    + " is 200 B. Over 64 it takes a daemon with [bodies]. emulate has no bodies."),
+            Key.preset("answer-kib", Types.wholeNumber(0, MOST_KIB), "0", "The same of an answer's body."));
 }
--- a/lab/src/main/java/peppergauge/lab/wire/Message.java
+++ b/lab/src/main/java/peppergauge/lab/wire/Message.java
@@ -95,8 +95,8 @@
     /** What has come in on a connection and is not yet taken. */
     static final class Inbox {
 
-        /** A body holds 64 KiB at most, and a head 8. */
-        private static final int LARGEST = 80 * 1024;
+        /** Of a body, in scenarios with long ones, and a head. */
+        private static final int LARGEST = 16 * 1024 * 1024 + 16 * 1024;
 
         private final Speech speech;
         private byte[] bytes = new byte[4096];
