--- a/bodies/src/main/java/peppergauge/bodies/flow/KeptBody.java
+++ b/bodies/src/main/java/peppergauge/bodies/flow/KeptBody.java
@@ -190,8 +190,9 @@
     /** It was kept for a retry alone, and had to go for others. */
     public void dropped() {
         lost = true;
+        boolean used = handedOut();
         closeFile();
-        pieces().clear();
+        pieces().clear(used);
     }
 
     @Override
@@ -289,6 +290,12 @@
         home.over(this);
     }
 
+    /** What was handed to the file's thread and is not known to be written. */
+    @Override
+    boolean handedOut() {
+        return handed > filed;
+    }
+
     private void closeFile() {
         loaded = null;
         if (file != null) {
--- a/bodies/src/main/java/peppergauge/bodies/flow/Passage.java
+++ b/bodies/src/main/java/peppergauge/bodies/flow/Passage.java
@@ -22,7 +22,7 @@
     private final long most;
     private final Feed.Sender sender;
     private final Pace from;
-    private final Pieces pieces = new Pieces();
+    private final Pieces pieces;
     private Scheduler.Wait look;
     private Watcher watcher = new Watcher() { };
     private boolean committed;
@@ -40,6 +40,7 @@
         this.most = most;
         this.sender = sender;
         from = shared.pace();
+        pieces = new Pieces(shared.spares());
     }
 
     /** To be called once all of the subclass is there. */
@@ -82,6 +83,11 @@
     /** It is longer than any may be. */
     abstract void tooLong();
 
+    /** Whether others than this thread may still read what is in memory. */
+    boolean handedOut() {
+        return false;
+    }
+
     /** It is over: all that is held for it goes. */
     void release() { }
 
@@ -232,7 +238,7 @@
             last.end = end;
         }
         release();
-        pieces.clear();
+        pieces.clear(handedOut());
         if (end != End.WHOLE || !whole) {
             sender.stop();
         }
--- a/bodies/src/main/java/peppergauge/bodies/flow/Pieces.java
+++ b/bodies/src/main/java/peppergauge/bodies/flow/Pieces.java
@@ -10,11 +10,16 @@
     static final int SIZE = 16 * 1024;
     private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
 
+    private final Spares spares;
     private final List<byte[]> pieces = new ArrayList<>(4);
     /** Offset in the body of the first piece's first byte; whole pieces. */
     private long start;
     private long end;
 
+    Pieces(Spares spares) {
+        this.spares = spares;
+    }
+
     long start() {
         return start;
     }
@@ -28,7 +33,7 @@
         while (bytes.hasRemaining()) {
             int at = (int) (end % SIZE);
             if (at == 0) {
-                pieces.add(new byte[SIZE]);
+                pieces.add(spares.take());
             }
             int part = Math.min(bytes.remaining(), SIZE - at);
             bytes.get(pieces.get(pieces.size() - 1), at, part);
@@ -36,7 +41,7 @@
         }
     }
 
-    /** What there is from there to the end of its piece; its bytes never change. Not to be kept past {@link #clear}. */
+    /** What there is from there to the end of its piece; its bytes do not change until the piece is let go. */
     ByteBuffer at(long offset) {
         if (offset >= end) {
             return NOTHING;
@@ -55,12 +60,18 @@
         if (whole <= 0 || start + (long) whole * SIZE > end) {
             return false;
         }
-        pieces.subList(0, whole).clear();
+        List<byte[]> gone = pieces.subList(0, whole);
+        gone.forEach(spares::give);
+        gone.clear();
         start += (long) whole * SIZE;
         return true;
     }
 
-    void clear() {
+    /** Lets go of all; {@code used}: somebody may still read them, and they are not to be filled anew. */
+    void clear(boolean used) {
+        if (!used) {
+            pieces.forEach(spares::give);
+        }
         pieces.clear();
         start = end;
     }
