--- /dev/null
+++ b/bodies/src/test/java/peppergauge/bodies/BodiesLayoutTest.java
@@ -0,0 +1,30 @@
+package peppergauge.bodies;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.testng.annotations.Test;
+
+/** Long bodies know no protocol, and what decides about them knows nothing of what carries it out. */
+public class BodiesLayoutTest {
+
+    private final JavaClasses all = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("peppergauge");
+
+    @Test
+    public void noPackageImportsInACircle() {
+        slices().matching("peppergauge.bodies.(*)..").should().beFreeOfCycles().check(all);
+    }
+
+    @Test
+    public void theyKnowNoProtocolAndNobodyInTheSidecarKnowsThem() {
+        noClasses().that().resideInAPackage("peppergauge.bodies..").should().dependOnClassesThat()
+                .resideInAnyPackage("org.apache..", "java.net..", "peppergauge.frontend..", "peppergauge.backend..",
+                        "peppergauge.http..").check(all);
+        noClasses().that().resideOutsideOfPackage("peppergauge.bodies..").should().dependOnClassesThat()
+                .resideInAPackage("peppergauge.bodies..").check(all);
+    }
+}
--- a/bodies/src/test/java/peppergauge/bodies/BodiesOnSocketsTest.java
+++ b/bodies/src/test/java/peppergauge/bodies/BodiesOnSocketsTest.java
@@ -275,6 +275,55 @@
         }
     }
 
+    /** Answers without a body, and one of a length of nothing, are what they were. */
+    @DataProvider
+    public Object[][] bodiless() {
+        return new Object[][] {{"204 No Content\r\n\r\n", 502}, {"304 Not Modified\r\nContent-Length: 700000\r\n\r\n", 502},
+            {"200 OK\r\nContent-Length: 0\r\n\r\n", 200}, {"200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 200}};
+    }
+
+    @Test(dataProvider = "bodiless")
+    public void anAnswerWithoutABodyIsNoLongOne(String answer, int status) throws Exception {
+        try (Rig rig = Rig.memory(asked -> {
+            asked.body();
+            asked.say("HTTP/1.1 " + answer);
+        })) {
+            Answer got = rig.post("gift", "t", pattern(200_000, 7), false);
+            assertEquals(said(got), status + " ");
+            rig.awaitNothingLeft();
+        }
+    }
+
+    /** A byte now and then is not moving; its client is not left waiting. */
+    @Test
+    public void aServerThatStopsInMidAnswerIsCutOffAndItsClientTold() throws Exception {
+        try (Rig rig = Rig.memory(asked -> {
+            asked.say("HTTP/1.1 200 OK\r\nContent-Length: 700000\r\n\r\n");
+            asked.out().write(new byte[100_000]);
+            while (true) {
+                asked.out().write(1);
+                pause(100);
+            }
+        })) {
+            Answer answer = rig.get("t");
+            assertEquals(answer.status(), 200);
+            assertNull(answer.body());
+            rig.awaitNothingLeft();
+        }
+    }
+
+    /** A folder that went away gives no files any more: bodies are passed on, and those that were open go on. */
+    @Test
+    public void withoutItsFolderBodiesArePassedOn() throws Exception {
+        Path folder = java.nio.file.Files.createTempDirectory("bodies");
+        try (Rig rig = new Rig(CHECKS, Rig.settings(Rig.bounds(), Optional.of(folder), List.of()), null)) {
+            assertEquals(said(rig.post("save", "t", pattern(900 * KIB, 7), false)), "200 " + 900 * KIB + " true");
+            java.nio.file.Files.delete(folder);
+            assertEquals(said(rig.post("save", "u", pattern(900 * KIB, 7), false)), "200 " + 900 * KIB + " true");
+            rig.awaitNothingLeft();
+        }
+    }
+
     /** Slower than the other side by far, and faster than stopped: every byte, and a window's worth of memory. */
     @Test
     public void aSlowReaderIsServedInWhole() throws Exception {
--- a/daemon/src/test/java/peppergauge/daemon/AllPartsTest.java
+++ b/daemon/src/test/java/peppergauge/daemon/AllPartsTest.java
@@ -10,7 +10,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import peppergauge.daemon.file.DaemonFile;
 
 /** Subsystems side by side in one file: each is there, and all end in order. */
 public class AllPartsTest {
@@ -37,12 +39,46 @@
             [snapshot]
             folder = "%s"
             every = "100 ms"
+            [bodies]
+            folder = "%s"
+            kept-only = ["%s"]
             """;
 
+    private static String parts(Path directory, String keptOnly) {
+        return PARTS.formatted(directory.resolve("kept"), directory.resolve("long"), keptOnly);
+    }
+
+
+    @DataProvider
+    public Object[][] unusable() {
+        return new Object[][] {
+            {"window = \"2 MiB\"\nwindows = \"1 MiB\"", "d.toml:3:1: bodies.window: must not be larger than windows"},
+            {"file-each = \"2 GiB\"", "bodies.file-each: must not be larger than files"},
+            {"window = \"1 KiB\"", "bodies.window: "}, {"memory_each = \"1 KiB\"", "memory-each"},
+            {"kept-only = \"gift\"", "bodies.kept-only: "}, {"rate-over = \"1 us\"", "bodies.rate-over: "},
+        };
+    }
+
+    @Test(dataProvider = "unusable")
+    public void whatCannotBeUsedIsNamedWithItsPlace(String keys, String why) throws Exception {
+        Path file = Files.writeString(Files.createTempDirectory("parts").resolve("d.toml"),
+                "kind = \"daemon\"\n[bodies]\n" + keys + "\n[sidecar]\nconfig = \"x\"\n");
+        try {
+            DaemonFile.read(file);
+        } catch (IllegalArgumentException unusable) {
+            assertTrue(unusable.getMessage().contains(why), unusable.getMessage());
+            return;
+        } finally {
+            Files.delete(file);
+            Files.delete(file.getParent());
+        }
+        throw new AssertionError("it was taken");
+    }
+
     @Test
     public void allPartsOfOneFileStartAndEndTogether() throws Exception {
         Path directory = Files.createTempDirectory("parts");
-        Path file = Files.writeString(directory.resolve("d.toml"), PARTS.formatted(directory.resolve("kept")));
+        Path file = Files.writeString(directory.resolve("d.toml"), parts(directory, "episode-list"));
         Process daemon = new ProcessBuilder(System.getProperty("java.home") + File.separator + "bin" + File.separator
                 + "java", "-cp", System.getProperty("java.class.path"), "peppergauge.daemon.Daemon", "daemon",
                 "--config", file.toString()).directory(new File("..")).redirectErrorStream(true).start();
@@ -57,6 +93,7 @@
             daemon.destroy();
             assertTrue(daemon.waitFor(20, TimeUnit.SECONDS), "it did not end");
             assertEquals(daemon.exitValue(), 143);
+            assertTrue(Files.isDirectory(directory.resolve("long")));
             try (var kept = Files.walk(directory.resolve("kept"))) {
                 assertTrue(kept.anyMatch(Files::isRegularFile), "nothing was kept");
             }
--- a/sidecar/src/test/java/peppergauge/decision/DangersTest.java
+++ b/sidecar/src/test/java/peppergauge/decision/DangersTest.java
@@ -65,6 +65,30 @@
         assertTrue(failing < 15, "sent " + failing);
     }
 
+    /** Long answers last as their clients like: a hundred of them leave the servers as open as none. */
+    @Test
+    void answersThatFlowToSlowClientsCloseNoDoor() {
+        Scripted s = Scripted.withServers(4);
+        for (int i = 0; i < 60; i++) {
+            s.serve("w" + i, 20);
+        }
+        for (int i = 0; i < 100; i++) {
+            String server = sentTo(s.request("long" + i, 0));
+            s.pass(20);
+            s.give(new Balancer.AnswerStarted("long" + i, 0));
+            assertNotNull(server);
+        }
+        s.pass(5_000);
+        for (int i = 0; i < 20; i++) {
+            String server = sentTo(s.request("r" + i, 0));
+            assertNotNull(server, "held for those that flow");
+            s.pass(20);
+            s.end("r" + i, 0, server, Outcome.SUCCESS, 20);
+        }
+        // One that breaks off after all counts once, and its session gets no second attempt.
+        assertNull(sentTo(s.give(new AttemptEnded("long0", 0, "s0", Outcome.BROKEN, 20, true, null))));
+    }
+
     @Test
     void aServerThatJustTurnedARequestAwayRests() {
         Scripted s = Scripted.withServers(2);
