Count a body that is refused not as passed on

Cause: the report of bodies counted one of a kept-only class that outgrew its room as passed on, and as refused.

--- a/bodies/src/main/java/peppergauge/bodies/Keeper.java
+++ b/bodies/src/main/java/peppergauge/bodies/Keeper.java
@@ -154,8 +154,9 @@
 
     @Override
     public boolean keptOnly(KeptBody body) {
-        passed++;
-        return keptOnly.contains(classOf.get(body.id()));
+        boolean only = keptOnly.contains(classOf.get(body.id()));
+        passed += only ? 0 : 1;
+        return only;
     }
 
     @Override
