--- a/sidecar/src/main/java/peppergauge/decision/Balancer.java
+++ b/sidecar/src/main/java/peppergauge/decision/Balancer.java
@@ -215,6 +215,12 @@
     /** A probe ended. {@code load} may be null. */
     record ProbeEnded(String server, Outcome outcome, double tookMs, double[] load) implements Event { }
 
+    /**
+     * How stations lean to zones from now on: a factor on a server's weight, above 0 and 1 at the most, by index of
+     * tenant and of zone. Empty: none, as for an instance that was never told.
+     */
+    record Steered(double[][] factors) implements Event { }
+
     /** What an instance can ask of its host. */
     sealed interface Action { }
 
--- a/sidecar/src/test/java/peppergauge/ArchiveTraining.java
+++ b/sidecar/src/test/java/peppergauge/ArchiveTraining.java
@@ -1,12 +1,16 @@
 package peppergauge;
 
+import java.io.BufferedReader;
 import java.io.File;
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Run by the build: starts the packed program between toys, has it serve a little, and lets it leave an archive
@@ -44,9 +48,23 @@
         return System.getProperty("java.home") + File.separator + "bin" + File.separator + "java";
     }
 
+    /**
+     * The port that the sidecar's log names. Other lines may come before: a build that was started with SIGHUP
+     * ignored, as by nohup, begins with one about that.
+     */
+    static int port(BufferedReader log) throws IOException {
+        Pattern listens = Pattern.compile(".*:(\\d+) with .*");
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            Matcher matcher = listens.matcher(line);
+            if (matcher.matches()) {
+                return Integer.parseInt(matcher.group(1));
+            }
+        }
+        throw new IOException("the sidecar ended without saying where it listens");
+    }
+
     private static void serveALittle(Process sidecar) throws Exception {
-        String line = sidecar.inputReader().readLine();
-        int port = Integer.parseInt(line.replaceAll(".*:(\\d+) with.*", "$1"));
+        int port = port(sidecar.inputReader());
         try (Socket client = new Socket("127.0.0.1", port)) {
             for (int i = 0; i < 50; i++) {
                 Bed.ask(client, Bed.get("g" + i, 900));
--- /dev/null
+++ b/sidecar/src/test/java/peppergauge/ArchiveTrainingTest.java
@@ -0,0 +1,31 @@
+package peppergauge;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.StringReader;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class ArchiveTrainingTest {
+
+    private static final String START = "2026-12-02T00:27:11.413Z start: a serves on 127.0.0.1:4711 with 1 servers\n";
+    private static final String IGNORED = "2026-12-02T00:27:11.413Z reload: SIGHUP was ignored when this was started:"
+            + " /tmp/training.json is looked at instead\n";
+
+    @DataProvider
+    Object[][] logs() {
+        return new Object[][] {{START}, {IGNORED + START}, {"\n" + IGNORED + START}};
+    }
+
+    /** The build failed wherever it was started by nohup: the first line was taken for the one with the port. */
+    @Test(dataProvider = "logs")
+    public void thePortIsFoundAmongOtherLines(String log) throws IOException {
+        Assert.assertEquals(ArchiveTraining.port(new BufferedReader(new StringReader(log))), 4711);
+    }
+
+    @Test(expectedExceptions = IOException.class)
+    public void aSidecarThatNeverListensFailsTheBuild() throws IOException {
+        ArchiveTraining.port(new BufferedReader(new StringReader(IGNORED)));
+    }
+}
