--- a/sidecar/src/main/java/peppergauge/decision/Decide.java
+++ b/sidecar/src/main/java/peppergauge/decision/Decide.java
@@ -71,12 +71,6 @@
     private static final double SILENT_TIMES = 3;
     /** From so many times its expected latency on an attempt is overdue, if the server answers others. */
     private static final double OVERDUE_TIMES = 6;
-    /** Power of the free share of a server's cores in the weights: reports are late and noisy. */
-    private static final double FREE_POWER = 1.5;
-    /** From this use of cores on the queue outgrows the rest: nothing is sent until the figure fades. */
-    private static final double FULL_USE = 0.8;
-    /** Time in which a report of use or rate fades into the fleet's mean, ms. */
-    private static final double USE_FADE_MS = 5_000;
     /** From this share of errors in all outcomes on, an error follows the request and is not tried again. */
     private static final double ERRORS_FOLLOW_REQUESTS = 0.15;
     /** Share of the cold-start budget that all balancers together may plan to use. */
@@ -104,7 +98,6 @@
     private final double[][] shares;
     final Decaying fleetLatency = new Decaying(HALF_LIFE_MS), fleetUnit = new Decaying(HALF_LIFE_MS);
     final Decaying fleetErrors = new Decaying(HALF_LIFE_MS), flights = new Decaying(HALF_LIFE_MS);
-    final Decaying fleetUse = new Decaying(HALF_LIFE_MS), fleetRate = new Decaying(HALF_LIFE_MS);
     final Decaying crowd = new Decaying(HALF_LIFE_MS);
     final Decaying served = new Decaying(HALF_LIFE_MS);
     /** How long answers and requests waited for this host itself. */
@@ -117,7 +110,6 @@
     private final Map<Integer, Kind> kinds = new HashMap<>();
     /** Times of requests taken and of further attempts within the budget's window. */
     private final Recent taken = new Recent(), further = new Recent();
-    private final boolean reportsUse;
     private final long affinity;
     /** All servers, those that this instance has most affinity to first; and the ones it works with. */
     List<Server> ordered = List.of();
@@ -127,7 +119,7 @@
     private boolean partial;
     private double[] scratch = new double[16];
     double nowMs, firstEventMs = Double.NaN, firstArrivalMs = Double.NaN;
-    double crowding = 0.5, elsewhere;
+    double crowding = 0.5;
     double unloadedMs = Double.POSITIVE_INFINITY, unloadedAtMs;
     private int readyServers = 1, outNow, watchFailures;
     private boolean watchAsked;
@@ -142,7 +134,6 @@
         this.affinity = random.nextLong();
         boolean inFlightTold = settings.loadFields().contains(LoadField.IN_FLIGHT);
         this.cancelHelps = settings.limits().cancelling() && inFlightTold;
-        this.reportsUse = !inFlightTold && settings.loadFields().contains(LoadField.UTILISATION);
         this.classStats = new ClassStats[settings.classes().size()];
         Arrays.setAll(classStats, i -> new ClassStats());
     }
@@ -315,7 +306,7 @@
             double mean = fleetLatency.mean(nowMs);
             unloadedMs *= 1 + UNLOADED_GROWTH_PER_S * (nowMs - unloadedAtMs) / 1000;
             unloadedAtMs = nowMs;
-            if (fleetLatency.weight(nowMs) >= (thin() && reportsUse ? 4 : 1) * PRIOR_OUTCOMES) {
+            if (fleetLatency.weight(nowMs) >= PRIOR_OUTCOMES) {
                 unloadedMs = Math.min(unloadedMs, Math.min(mean, toldUnloadedMs()));
             }
         }
@@ -412,19 +403,11 @@
                 server.reportedAtMs = nowMs;
                 crowd.add(nowMs, server.reportedOthers);
                 server.kind.others.add(nowMs, server.reportedOthers);
-            } else if (fields.get(i) == LoadField.UTILISATION && load[i] >= 0) {
-                server.use = (use(server) + 3 * load[i]) / 4;
-                server.usedAtMs = nowMs;
-                fleetUse.add(nowMs, Math.min(1, load[i]));
             } else if (fields.get(i) == LoadField.LATENCY_MS && load[i] > 0) {
                 double warmMs = load[i] * capacity(server);
                 served.add(nowMs, warmMs);
                 server.told.add(nowMs, warmMs);
                 server.kind.served.add(nowMs, warmMs);
-            } else if (fields.get(i) == LoadField.SERVED_PER_S && load[i] >= 0) {
-                server.rate = (rate(server) + 3 * load[i]) / 4;
-                server.ratedAtMs = nowMs;
-                fleetRate.add(nowMs, load[i]);
             }
         }
     }
@@ -468,10 +451,6 @@
         gather();
         double unit = fleetUnitMs();
         double errorShare = fleetErrors.mean(nowMs);
-        boolean byUse = reportsUse && thin();
-        elsewhere = byUse ? fleetRate.mean(nowMs) * Math.min(unloadedMs, fleetLatency.mean(nowMs)) / 1000 : 0;
-        // Own outcomes and requests count as what they are of a server's: one part in (1 + elsewhere).
-        double prior = PRIOR_OUTCOMES * (1 + elsewhere);
         int ready = 0;
         double nearest = Double.POSITIVE_INFINITY;
         if (scratch.length < pool.size()) {
@@ -479,7 +458,8 @@
         }
         for (Server server : pool) {
             double w = server.latency.weight(nowMs);
-            server.unitMs = (server.latency.sum(nowMs) + prior * unit * pace(server)) / (w + prior);
+            double usual = unit * pace(server);
+            server.unitMs = (server.latency.sum(nowMs) + PRIOR_OUTCOMES * usual) / (w + PRIOR_OUTCOMES);
             server.capacity = capacity(server);
             server.live = live(server);
             double believed = believed(server);
@@ -497,12 +477,7 @@
             server.expectedMs = Math.max(expected, silentMs(server));
             server.condition = Math.max(0, sound) * Math.min(1, unit / server.unitMs);
             double answering = expected / server.expectedMs;
-            double crowded = 1 + server.inFlight / (1 + elsewhere);
-            double free = byUse ? Math.pow(1 - Math.min(0.98, use(server)), FREE_POWER / STEEPNESS) : 1;
-            double throng = byUse ? rate(server) * server.unitMs / 1000 : 0;
-            server.full = byUse && (throng > elsewhere + Math.sqrt(elsewhere) + 1 || use(server) > FULL_USE);
-            double crowding2 = Math.pow(crowded, 2 / (1 + elsewhere));
-            server.load = answering * free / crowding2;
+            server.load = answering / Math.pow(1 + server.inFlight, 2);
             server.sound = Math.max(1e-6, sound);
             nearest = Math.min(nearest, server.unloadedMs);
             if (server.usable) {
@@ -544,25 +519,6 @@
         return live;
     }
 
-    /** Use of a server's cores: as last reported, fading into the fleet's mean. */
-    private double use(Server server) {
-        return faded(server.use, server.usedAtMs, fleetUse.mean(nowMs));
-    }
-
-    /** Requests from all that a server serves in a second: as last reported, fading into the mean. */
-    private double rate(Server server) {
-        return faded(server.rate, server.ratedAtMs, fleetRate.mean(nowMs));
-    }
-
-    private double faded(double told, double atMs, double mean) {
-        return mean + (told - mean) * Math.exp(-(nowMs - atMs) / USE_FADE_MS);
-    }
-
-    /** Whether balancers outnumber servers: then one's own requests say little of a server. */
-    private boolean thin() {
-        return settings.balancers() > servers.size();
-    }
-
     // ---- Draw ----
 
     /**
@@ -642,7 +598,6 @@
         if (!trial && outNow >= mostOut()) {
             return null;
         }
-        List<Server> among = pool;
         double limit = roomMs(request);
         double best = 0;
         boolean fresh = false;
@@ -651,13 +606,13 @@
         for (Server server : pool) {
             bestSound = Math.max(bestSound, server.sound);
         }
-        for (Server server : among) {
+        for (Server server : pool) {
             server.open = mayJoin(request, server, limit, trial);
             fresh |= server.open && !request.tried(server);
             bestUnit = Math.min(bestUnit, server.unitMs);
         }
-        for (int i = 0; i < among.size(); i++) {
-            Server server = among.get(i);
+        for (int i = 0; i < pool.size(); i++) {
+            Server server = pool.get(i);
             double health = 0;
             if (server.open && !(fresh && request.tried(server))) {
                 double condition = even ? 1 : server.sound * bestUnit / server.unitMs;
@@ -672,16 +627,16 @@
             return null;
         }
         double total = 0;
-        for (int i = 0; i < among.size(); i++) {
+        for (int i = 0; i < pool.size(); i++) {
             scratch[i] = scratch[i] < 0 ? CONDITION_FLOOR
                     : scratch[i] == 0 ? 0 : Math.pow(scratch[i] / best, STEEPNESS);
             total += scratch[i];
         }
         double mark = random.nextDouble() * total;
         Server drawn = null;
-        for (int i = 0; i < among.size() && mark >= 0; i++) {
+        for (int i = 0; i < pool.size() && mark >= 0; i++) {
             if (scratch[i] > 0) {
-                drawn = among.get(i);
+                drawn = pool.get(i);
                 mark -= scratch[i];
             }
         }
@@ -691,9 +646,8 @@
     private boolean mayJoin(Request request, Server server, double limitMs, boolean trial) {
         return maySend(request, server) && coldMayTake(request, server) && server.restUntilMs <= nowMs
                 && server.live < server.flightLimit
-                && (trial ? server.inFlight < 0.5 && (elsewhere == 0 || outNow == 0)
-                        : !server.full
-                                && server.expectedMs <= Math.min(leftMs(request), slower(server) * limitMs));
+                && (trial ? server.inFlight < 0.5
+                        : server.expectedMs <= Math.min(leftMs(request), slower(server) * limitMs));
     }
 
     /**
@@ -711,7 +665,7 @@
         if (ownMs < Double.POSITIVE_INFINITY && server.inFlight <= 2 * server.live) {
             busy = Math.max(busy, perMs(server.latency, firstEventMs) * (ownMs + besideMs));
         }
-        return elsewhere + Math.max(LEAST_FLIGHT, busy + FLIGHT_SLACK * Math.sqrt(busy));
+        return Math.max(LEAST_FLIGHT, busy + FLIGHT_SLACK * Math.sqrt(busy));
     }
 
     /** Events in a ms, counted since then; arrivals over a second at the least: a few are no flood. */
--- a/sidecar/src/main/java/peppergauge/decision/Memory.java
+++ b/sidecar/src/main/java/peppergauge/decision/Memory.java
@@ -59,7 +59,7 @@
         double seenMs = Double.isNaN(module.firstEventMs) ? 0 : nowMs - module.firstEventMs;
         return new Fleet(seenMs, figure(module.fleetLatency, nowMs), figure(module.fleetUnit, nowMs),
                 figure(module.fleetErrors, nowMs), figure(module.flights, nowMs), figure(module.crowd, nowMs),
-                figure(module.served, nowMs), figure(module.fleetUse, nowMs), figure(module.fleetRate, nowMs),
+                figure(module.served, nowMs), Figure.NONE, Figure.NONE,
                 figure(module.covariance, nowMs), figure(module.variance, nowMs), figure(module.arrivals, nowMs),
                 module.crowding, module.unloadedMs * growth(nowMs - module.unloadedAtMs));
     }
@@ -103,8 +103,6 @@
         write(module.fleetErrors, fleet.errors(), ageMs, MOST_ANSWERS);
         write(module.flights, fleet.flights(), ageMs, MOST_ANSWERS);
         write(module.crowd, fleet.crowd(), ageMs, MOST_ANSWERS);
-        write(module.fleetUse, fleet.use(), ageMs, MOST_ANSWERS);
-        write(module.fleetRate, fleet.rate(), ageMs, MOST_ANSWERS);
         // A rate is reckoned from a weight and the time watched, of which the module's least is a second.
         double half = module.arrivals.halfLifeMs;
         keep(module.arrivals, fleet.arrivals(), BELIEF * halved(ageMs, half) * (1 - halved(1_000, half))
--- a/sidecar/src/main/java/peppergauge/decision/Server.java
+++ b/sidecar/src/main/java/peppergauge/decision/Server.java
@@ -25,14 +25,12 @@
     /** Least mean latency of a request at this server when idle, its way included; infinite while unknown. */
     double unloadedMs = Double.POSITIVE_INFINITY;
     double unloadedAtMs;
-    /** As last reported: others' requests in flight, use of cores, requests served a second. */
-    double reportedOthers, use, rate;
+    /** Others' requests in flight, as last reported. */
+    double reportedOthers;
     double reportedAtMs = Double.NEGATIVE_INFINITY;
-    double usedAtMs = Double.NEGATIVE_INFINITY;
-    double ratedAtMs = Double.NEGATIVE_INFINITY;
     /** As last weighed. */
     double unitMs = 1, capacity = 1, inFlight, expectedMs, condition, load, sound, flightLimit;
-    boolean open, full;
+    boolean open;
 
     Server(String id, int zone, int cell) {
         this.id = id;
@@ -53,7 +51,6 @@
         streak = 0;
         restUntilMs = 0;
         reportedOthers = 0;
-        usedAtMs = Double.NEGATIVE_INFINITY;
     }
 
     /** Finaliser of SplitMix64. */
