Let stations lean to zones by a factor on the odds of the draw

Need: the fleet service is to steer stations to the data centres that keep their promises, and the module decides which server.

Change: the event Steered gives a factor by tenant and zone, multiplied onto the odds after the steep curve: under it a factor of 0.5 would leave a zone 0.00003 of its odds. Draws stay random; ejection, even spread, cold lots and bounds are as before.

--- a/sidecar/src/main/java/peppergauge/decision/Decide.java
+++ b/sidecar/src/main/java/peppergauge/decision/Decide.java
@@ -118,6 +118,8 @@
     /** Whether there are usable servers that it does not work with. */
     private boolean partial;
     private double[] scratch = new double[16];
+    /** By tenant and zone; empty without a table from the fleet service, and then nothing leans. */
+    private double[][] leanings = {};
     double nowMs, firstEventMs = Double.NaN, firstArrivalMs = Double.NaN;
     double crowding = 0.5;
     double unloadedMs = Double.POSITIVE_INFINITY, unloadedAtMs;
@@ -155,6 +157,8 @@
             onServersListed(listed);
         } else if (event instanceof DiscoveryFailed) {
             onDiscoveryFailed();
+        } else if (event instanceof Steered steered) {
+            leanings = steered.factors();
         } else if (event instanceof ClientLeft left) {
             Request request = requests.get(left.id());
             if (request != null && !request.answered) {
@@ -630,6 +634,7 @@
         for (int i = 0; i < pool.size(); i++) {
             scratch[i] = scratch[i] < 0 ? CONDITION_FLOOR
                     : scratch[i] == 0 ? 0 : Math.pow(scratch[i] / best, STEEPNESS);
+            scratch[i] *= leaning(request, pool.get(i));
             total += scratch[i];
         }
         double mark = random.nextDouble() * total;
@@ -643,6 +648,13 @@
         return drawn;
     }
 
+    /** How the request's station leans to the server's zone: on the odds, not under the steep curve. */
+    private double leaning(Request request, Server server) {
+        boolean told = request.tenant >= 0 && request.tenant < leanings.length
+                && server.zone >= 0 && server.zone < leanings[request.tenant].length;
+        return told ? leanings[request.tenant][server.zone] : 1;
+    }
+
     private boolean mayJoin(Request request, Server server, double limitMs, boolean trial) {
         return maySend(request, server) && coldMayTake(request, server) && server.restUntilMs <= nowMs
                 && server.live < server.flightLimit
