--- a/sidecar/src/main/java/peppergauge/decision/Decide.java
+++ b/sidecar/src/main/java/peppergauge/decision/Decide.java
@@ -65,6 +65,8 @@
     private static final int LEAST_MEMBERS = 8;
     /** Further members for each of its requests in flight: of more it could not know the load. */
     private static final double MEMBERS_PER_FLIGHT = 4;
+    /** Power of how far answers take too long: with 2 a hundred keep choked servers from ever being idle. */
+    private static final double CALM_POWER = 3;
     /** Instances that share a server from which on a crush is told by the aim, not by own figures. */
     private static final double MANY = 10;
     /** A member that owes answers for so many mean latencies is replaced for the time. */
@@ -100,6 +102,8 @@
     final Decaying fleetErrors = new Decaying(HALF_LIFE_MS), flights = new Decaying(HALF_LIFE_MS);
     final Decaying crowd = new Decaying(HALF_LIFE_MS);
     final Decaying served = new Decaying(HALF_LIFE_MS);
+    /** What answers took just now: a crush has to be seen when it begins, and its end when it ends. */
+    private final Decaying tookLately = new Decaying(LATELY_MS);
     /** How long answers and requests waited for this host itself. */
     private final Decaying lag = new Decaying(LATELY_MS);
     final Decaying covariance = new Decaying(4 * HALF_LIFE_MS);
@@ -306,6 +310,7 @@
         if (ended.outcome() == Outcome.SUCCESS) {
             request.stats.latency.add(nowMs, tookMs);
             fleetLatency.add(nowMs, normalMs);
+            tookLately.add(nowMs, normalMs);
             ClassStats.overallAdd(classStats, nowMs, tookMs);
             double mean = fleetLatency.mean(nowMs);
             unloadedMs *= 1 + UNLOADED_GROWTH_PER_S * (nowMs - unloadedAtMs) / 1000;
@@ -405,8 +410,12 @@
             if (fields.get(i) == LoadField.IN_FLIGHT && load[i] >= 0) {
                 server.reportedOthers = Math.max(0, load[i] - live(server));
                 server.reportedAtMs = nowMs;
-                crowd.add(nowMs, server.reportedOthers);
-                server.kind.others.add(nowMs, server.reportedOthers);
+                if (capacity(server) < 1) {
+                    server.kind.coldOthers.add(nowMs, server.reportedOthers);
+                } else {
+                    crowd.add(nowMs, server.reportedOthers);
+                    server.kind.others.add(nowMs, server.reportedOthers);
+                }
             } else if (fields.get(i) == LoadField.LATENCY_MS && load[i] > 0) {
                 double warmMs = load[i] * capacity(server);
                 served.add(nowMs, warmMs);
@@ -468,7 +477,10 @@
             server.live = live(server);
             double believed = believed(server);
             double known = server.live + believed * server.reportedOthers;
-            server.inFlight = known + (1 - believed) * ofKind(server.kind.others, crowd.mean(nowMs));
+            // In a crush a successor counts by its like, else none would find it idle; lots guard it.
+            double usualOthers = server.capacity < 1 ? server.kind.coldOthers.mean(nowMs)
+                    : ofKind(server.kind.others, crowd.mean(nowMs));
+            server.inFlight = known + (1 - believed) * usualOthers;
             double n = server.outcomes.weight(nowMs) + server.errors.weight(nowMs);
             double excess = Math.max(0, server.errors.sum(nowMs) - n * errorShare);
             double fresh = server.streak * Math.exp(-Math.max(0, nowMs - server.restUntilMs) / HALF_LIFE_MS);
@@ -577,18 +589,21 @@
 
     /** 1 while answers take no longer than where there is room to send, less the longer they take. */
     private double calm() {
-        double calm = many() ? Math.min(1, roomyMs() / Math.max(1, fleetLatency.mean(nowMs))) : 1;
-        return calm * calm;
+        double usualMs = fleetLatency.mean(nowMs);
+        double tookMs = (tookLately.sum(nowMs) + usualMs) / (tookLately.weight(nowMs) + 1);
+        double calm = many() ? Math.min(1, roomyMs() / Math.max(1, tookMs)) : 1;
+        return Math.pow(calm, CALM_POWER);
     }
 
     /**
      * Mean latency among many with room to send: a service, a hold and a client's return still fit before
-     * the aim. An instance that starts into a crush takes its latencies for usual, but the aim is told.
+     * the aim. An instance that starts into a crush takes its latencies for usual, but the aim is told: more
+     * than a third of it is no usual latency.
      */
     private double roomyMs() {
         double unitMs = fleetUnitMs();
-        double inTimeMs = Math.max(settings.classes().get(0).aimMs() / RETURN_SERVICES, 1.5 * unitMs);
-        return Math.min(ROOM * unitMs, inTimeMs);
+        double aimMs = settings.classes().get(0).aimMs();
+        return Math.min(ROOM * unitMs, Math.max(aimMs / RETURN_SERVICES, Math.min(aimMs / 3, 1.5 * unitMs)));
     }
 
     /** Whether so many instances share a server that own figures say little of it. */
@@ -1020,6 +1035,7 @@
     /** What machines of one kind report: others' requests in flight, and service times as if warm. */
     static final class Kind {
         final Decaying others = new Decaying(HALF_LIFE_MS), served = new Decaying(HALF_LIFE_MS);
+        final Decaying coldOthers = new Decaying(HALF_LIFE_MS);
     }
 
     private record Timer(TimerKind kind, Request request) { }
--- /dev/null
+++ b/sidecar/src/test/java/peppergauge/decision/CrushTest.java
@@ -0,0 +1,143 @@
+package peppergauge.decision;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.decision.Balancer.AttemptEnded;
+import peppergauge.decision.Balancer.Budget;
+import peppergauge.decision.Balancer.Effect;
+import peppergauge.decision.Balancer.Group;
+import peppergauge.decision.Balancer.Limits;
+import peppergauge.decision.Balancer.LoadField;
+import peppergauge.decision.Balancer.Outcome;
+import peppergauge.decision.Balancer.RequestClass;
+import peppergauge.decision.Balancer.Rules;
+import peppergauge.decision.Balancer.Send;
+import peppergauge.decision.Balancer.ServerEntry;
+import peppergauge.decision.Balancer.ServerState;
+import peppergauge.decision.Balancer.Settings;
+
+/** One of a hundred balancers during and after a crush; the figures are those of plays of hundreds of sidecars. */
+public class CrushTest {
+
+    private static final double COLD_MS = 80_000;
+
+    @DataProvider
+    Object[][] seeds() {
+        return new Object[][] {{1}, {2}, {3}, {4}, {5}};
+    }
+
+    /**
+     * While a release replaced servers under load, successors idled at 0 to 1 requests in flight and the others
+     * had 10 to 36: one of which nothing was heard counted as a mean one of its kind.
+     */
+    @Test(dataProvider = "seeds")
+    public void aSuccessorIsFoundIdleWhileTheOthersAreCrowded(int seed) {
+        Scripted s = many(seed, 100);
+        s.list(true, Scripted.servers(8));
+        for (int i = 0; i < 40; i++) {
+            answer(s, "w" + i);
+        }
+        List<ServerEntry> fresh = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            fresh.add(new ServerEntry("new" + i, 0, 0, ServerState.READY, s.nowMs));
+        }
+        s.list(false, fresh);
+        s.pass(COLD_MS / 4);
+        int found = 0;
+        for (int i = 0; i < 40; i++) {
+            found += answer(s, "r" + i).startsWith("new") ? 1 : 0;
+            s.pass(1_000);
+        }
+        // By their lots they may have a good third of them; as mean ones, of 15 in flight, next to nothing.
+        Assert.assertTrue(found >= 8, "successors got " + found + " of 40");
+    }
+
+    /** Sidecars that came back into a crush let out two to three times as much as the others, for a second or two. */
+    @Test(dataProvider = "seeds")
+    public void aBalancerThatStartsIntoACrushTakesItsLatenciesForNoUsualOnes(int seed) {
+        Scripted s = many(seed, 100);
+        s.list(true, Scripted.servers(60));
+        Deque<Out> out = watched(s);
+        int most = 0;
+        for (int i = 0; i < 100; i++) {
+            drive(s, out, "d" + i, 45, 450);
+            most = i < 20 ? 0 : Math.max(most, out.size());
+        }
+        Assert.assertTrue(most <= 7, most + " in flight at answers of 450 ms");
+    }
+
+    /** Answers were fast again, and half was denied for ten seconds more: the bound followed a mean of the crush. */
+    @Test(dataProvider = "seeds")
+    public void whenACrushIsOverNoMoreIsDenied(int seed) {
+        Scripted s = many(seed, 100);
+        s.list(true, Scripted.servers(60));
+        Deque<Out> out = watched(s);
+        for (int i = 0; i < 60; i++) {
+            drive(s, out, "calm" + i, 150, 100);
+        }
+        for (int i = 0; i < 150; i++) {
+            drive(s, out, "crush" + i, 60, 1_200);
+        }
+        for (int i = 0; i < 25; i++) {
+            drive(s, out, "end" + i, 60, 100);
+        }
+        Set<String> denied = new HashSet<>();
+        int from = s.actions.size();
+        for (int i = 0; i < 40; i++) {
+            drive(s, out, "after" + i, 60, 100);
+        }
+        Scripted.only(Balancer.Refuse.class, s.actions.subList(from, s.actions.size()))
+                .forEach(refuse -> denied.add(refuse.id()));
+        Assert.assertTrue(denied.size() <= 4, denied.size() + " of 40 denied from 1.5 s after the crush on");
+    }
+
+    /** Asks for one, lets time pass, and has what has been out for so long answered. */
+    private static void drive(Scripted s, Deque<Out> out, String id, double everyMs, double tookMs) {
+        s.request(id, 0);
+        s.pass(everyMs);
+        while (!out.isEmpty() && s.nowMs - out.peek().atMs >= tookMs) {
+            Out oldest = out.remove();
+            s.give(new AttemptEnded(oldest.id, 0, oldest.server, Outcome.SUCCESS, s.nowMs - oldest.atMs, true,
+                    new double[] {tookMs / 50, tookMs / 2}));
+        }
+    }
+
+    private record Out(String id, String server, double atMs) { }
+
+    private static Deque<Out> watched(Scripted s) {
+        Deque<Out> out = new ArrayDeque<>();
+        s.watcher = answer -> {
+            for (Send send : Scripted.only(Send.class, answer)) {
+                out.add(new Out(send.id(), send.server(), s.nowMs));
+            }
+        };
+        return out;
+    }
+
+    /** Served by the new one, which has none else, or by the others: half of them hold 6 besides, half 24. */
+    private static String answer(Scripted s, String id) {
+        String server = Scripted.sentTo(s.request(id, 0));
+        Assert.assertNotNull(server);
+        boolean fresh = server.startsWith("new");
+        int others = fresh ? 0 : server.charAt(1) % 2 == 0 ? 6 : 24;
+        s.pass(40);
+        s.give(new AttemptEnded(id, 0, server, Outcome.SUCCESS, fresh ? 60 : 150, true,
+                new double[] {others, 50}));
+        return server;
+    }
+
+    private static Scripted many(int seed, int balancers) {
+        List<RequestClass> classes = new ArrayList<>();
+        classes.add(new RequestClass(500, 2_500, 1, 0, Effect.SAFE, Group.ALL, 0));
+        return new Scripted(new Settings(0, balancers, 0, 1, false, 0.1, classes, List.of(),
+                new Limits(4, false, true, false, true, 1_200, true, 10_000),
+                new Rules(0.32, COLD_MS, 2.5, 3_000, true, Budget.NONE),
+                List.of(LoadField.IN_FLIGHT, LoadField.LATENCY_MS)), seed);
+    }
+}
