Keep the list's clock: ask anew in time after a silence, read indented lists

A watch that falls silent is broken; what it misses counts as told 6 s after it fell silent, and nothing may go to a leaving server 1 s later. The text waited 3.5 s for the silence and 3.5 s more for the first answer of each call: one call without an answer, and the next began at 7.1 s. Lists were read by the line, so an indented one was nothing but malformed lines. A list that could not be read was passed over and hidden for good by the next. Back-off was the same in each sidecar.

Change: WatchPace decides the waits, drawn by the sidecar's own seed: silence 2.5 to 3 s (the empty line comes every 2 s), the first answer 0.4 to 0.6 s and then doubling, a decorrelated back-off of 50 ms to 1 s. NewsText cuts objects out wherever lines and reads end; a torn or malformed one has the watch opened anew from the version before it, once, and then it is passed over. Changes of a version gone backward: all is asked for. SIGHUP is handled before the configuration is read, and one that comes before the watch starts opens one watch, not two.

Checked and left: Decide stops sends at the telling; first news before the listener (RulesOnSocketsTest); a moved discovery is asked from version 0.

--- a/nomad/src/main/java/peppergauge/nomad/NomadAddition.java
+++ b/nomad/src/main/java/peppergauge/nomad/NomadAddition.java
@@ -98,12 +98,12 @@
         List<String> sources = MembershipSection.policy(file).sources();
         of.loop().execute(() -> believing.start(known));
         if (sources.contains(MembershipSection.PLATFORM)) {
-            watch = new ServerTableWatch(config.discovery(), reader, 0, new FromPlatform(), of.loop());
+            watch = new ServerTableWatch(config.discovery(), reader, 0, new FromPlatform(), of.loop(),
+                    config.ownSeed());
             of.loop().execute(watch::start);
         }
         if (sources.contains(MembershipSection.NOMAD)) {
-            // The name goes in: sidecars that share a seed must not draw the same waits.
-            Random random = new Random(config.seed() * 31 + config.name().hashCode());
+            Random random = new Random(config.ownSeed());
             TokenFile token = new TokenFile(settings.token(), work);
             source = new NomadSource(MembershipSection.NOMAD, settings, new LoopHttp(of.loop(), work, token), token,
                     work, of.loop(), of.clock(), random, believing);
--- a/sidecar/src/main/java/peppergauge/Main.java
+++ b/sidecar/src/main/java/peppergauge/Main.java
@@ -3,6 +3,7 @@
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
 import peppergauge.adapter.Drill;
 import peppergauge.adapter.MalformedLine;
 import peppergauge.config.Config;
@@ -22,10 +23,13 @@
     }
 
     private static void serve() throws InterruptedException {
+        // Before all else: unhandled it ends the program, and one that comes while it is put together must not be lost.
+        CompletableFuture<Sidecar> made = new CompletableFuture<>();
+        HangUp.handle(() -> made.join().reload(System.getenv()));
         try {
             Sidecar sidecar = new Sidecar(Config.read(System.getenv()));
             Runtime.getRuntime().addShutdownHook(new Thread(sidecar::windDown, "wind-down"));
-            HangUp.handle(() -> sidecar.reload(System.getenv()));
+            made.complete(sidecar);
             sidecar.start();
         } catch (IllegalArgumentException unusable) {
             exit(2, unusable.getMessage());
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -107,7 +107,7 @@
             public void lost() {
                 sessions.tableLost();
             }
-        }, loop);
+        }, loop, config.ownSeed());
         longestDeadlineMs = (long) Math.max(LEAST_DEADLINE_MS,
                 settings.classes().stream().mapToDouble(kind -> kind.deadlineMs()).max().orElse(0));
     }
--- a/sidecar/src/main/java/peppergauge/config/Config.java
+++ b/sidecar/src/main/java/peppergauge/config/Config.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.SplittableRandom;
 import peppergauge.settings.JsonTree;
 
 /** What a sidecar is told at its start; the variables {@code GW_*} go before the file that GW_CONFIG names. */
@@ -32,6 +33,14 @@
         return of(environment, file);
     }
 
+    /**
+     * Of this sidecar alone: the name goes in, as sidecars that share a seed must not draw the same waits. Mixed, for
+     * the first draws of {@link java.util.Random} hardly differ between seeds that differ in their last bits only.
+     */
+    public long ownSeed() {
+        return new SplittableRandom(seed * 31 + name.hashCode()).nextLong();
+    }
+
     /** As {@link #read}, of a file that is read already. */
     public static Config of(Map<String, String> environment, Map<String, Object> file) {
         return new Config(
--- a/sidecar/src/main/java/peppergauge/servertable/ServerTableWatch.java
+++ b/sidecar/src/main/java/peppergauge/servertable/ServerTableWatch.java
@@ -1,9 +1,10 @@
 package peppergauge.servertable;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -42,13 +43,7 @@
 /** Watches discovery: hands on each change, and asks again from the last version when the watch is lost. */
 public final class ServerTableWatch {
 
-    /** Discovery sends an empty line every 2 s; a silence of much more is a lost watch. */
-    private static final Timeout LONGEST_SILENCE = Timeout.ofMilliseconds(3_500);
-    private static final double FIRST_BACKOFF_MS = 50;
-    private static final double LONGEST_BACKOFF_MS = 1_000;
     private static final HttpProcessor NOTHING_ADDED = HttpProcessorBuilder.create().build();
-    /** Bounds memory against a line that never ends. */
-    private static final int LONGEST_LINE = 4 << 20;
 
     /** Where the news goes. */
     public interface Listener {
@@ -64,19 +59,26 @@
     private final ServerTableReader reader;
     private final Listener listener;
     private final Loop loop;
+    private final SplittableRandom random;
     private volatile Source source;
+    private boolean started;
     private volatile boolean closed;
 
-    /** {@code version}: of the table that is known already; changes after it are asked for. */
+    /**
+     * @param version of the table that is known already; changes after it are asked for
+     * @param seed this sidecar's own: its waits are drawn from it
+     */
     public ServerTableWatch(InetSocketAddress discovery, ServerTableReader reader, long version, Listener listener,
-            Loop loop) {
+            Loop loop, long seed) {
+        this.random = new SplittableRandom(seed);
         this.source = new Source(discovery, version, null);
         this.reader = reader;
         this.listener = listener;
         this.loop = loop;
     }
 
-    public void start() {
+    public synchronized void start() {
+        started = true;
         source.connect();
     }
 
@@ -84,7 +86,9 @@
     public synchronized void moveTo(InetSocketAddress discovery) {
         // Another discovery may count versions of its own: it is asked for all that it has.
         source = new Source(discovery, 0, source);
-        source.connect();
+        if (started) {
+            source.connect();
+        }
     }
 
     public void close() {
@@ -97,12 +101,18 @@
                 DefaultHttpRequestWriterFactory.INSTANCE.create(), null, null, null));
     }
 
+    private static boolean isSilence(Exception cause) {
+        return cause instanceof SocketTimeoutException;
+    }
+
     /** One address of discovery. Only the present one is asked again when its watch ends. */
     private final class Source {
 
         private final HttpHost discovery;
         private volatile long version;
-        private volatile double backoffMs = FIRST_BACKOFF_MS;
+        /** A thing was malformed after this version, and asked for again; -1: none yet. */
+        private volatile long spoiltAfter = -1;
+        private final WatchPace pace = new WatchPace(random.split());
         /** The one before, until this one has told something. */
         private volatile Source before;
         private volatile boolean over;
@@ -122,52 +132,71 @@
             if (!present()) {
                 return;
             }
+            Timeout answer = Timeout.ofMilliseconds((long) pace.answerMs());
             loop.connect(discovery, new InetSocketAddress(discovery.getHostName(), discovery.getPort()),
-                    LONGEST_SILENCE, ServerTableWatch::comeUp, new FutureCallback<>() {
+                    answer, ServerTableWatch::comeUp, new FutureCallback<>() {
                         @Override
                         public void completed(IOSession up) {
                             connection = up;
-                            up.setSocketTimeout(LONGEST_SILENCE);
+                            up.setSocketTimeout(answer);
                             up.enqueue(new RequestExecutionCommand(new Watch(Source.this, up),
                                     HttpCoreContext.create()), Command.Priority.NORMAL);
                         }
 
                         @Override
                         public void failed(Exception cause) {
-                            lost(cause.toString());
+                            lost(cause.toString(), isSilence(cause));
                         }
 
                         @Override
                         public void cancelled() {
-                            lost("connecting was cancelled");
+                            lost("connecting was cancelled", false);
                         }
                     });
         }
 
-        void lost(String why) {
+        void lost(String why, boolean silent) {
             if (!present()) {
                 // Another address is watched by now, or the program ends: nobody misses this one.
                 return;
             }
-            Log.line("server table", "watch lost at version " + version + ", asking again in " + (long) backoffMs
+            double pauseMs = silent ? pace.afterSilenceMs() : pace.afterEndMs();
+            Log.line("server table", "watch lost at version " + version + ", asking again in " + (long) pauseMs
                     + " ms: " + why);
             listener.lost();
-            loop.after(backoffMs, this::connect);
-            backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2);
+            loop.after(pauseMs, this::connect);
+        }
+
+        void heard() {
+            pace.heard();
+            listener.heard();
         }
 
-        void take(byte[] line) {
+        /** Fails where something is missing by now: the watch is to be opened anew. */
+        void take(byte[] text) throws IOException {
             if (over) {
                 return;
             }
+            ServerTable table;
             try {
-                ServerTable table = reader.read(JsonTree.parse(line, 0, line.length));
-                version = table.version();
-                endTheOneBefore();
-                listener.listed(table);
+                table = reader.read(JsonTree.parse(text, 0, text.length));
             } catch (IllegalArgumentException malformed) {
+                if (spoiltAfter != version) {
+                    // Later news would hide for good what this should have told.
+                    spoiltAfter = version;
+                    throw new IOException("malformed: " + malformed.getMessage());
+                }
                 Log.line("server table", "a line passed over: " + malformed.getMessage());
+                return;
             }
+            if (!table.whole() && table.version() < version) {
+                // Discovery counts anew: what it has told since then is not known, and all of it is asked for.
+                version = 0;
+                throw new IOException("changes up to version " + table.version() + ", which is older");
+            }
+            version = table.version();
+            endTheOneBefore();
+            listener.listed(table);
         }
 
         /** Its news may be older than what is told here from now on. */
@@ -183,11 +212,11 @@
     }
 
     /** One watch, from its request to the end of its connection. */
-    private final class Watch implements AsyncClientExchangeHandler {
+    private final class Watch implements AsyncClientExchangeHandler, NewsText.Sink {
 
         private final Source source;
         private final IOSession connection;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final NewsText text = new NewsText(this);
         private boolean over;
 
         Watch(Source source, IOSession connection) {
@@ -223,6 +252,7 @@
             if (response.getCode() != 200 || details == null) {
                 throw new HttpException("discovery answered " + response.getCode());
             }
+            connection.setSocketTimeout(Timeout.ofMilliseconds((long) source.pace.silenceMs()));
         }
 
         @Override
@@ -230,53 +260,47 @@
             channel.update(Integer.MAX_VALUE);
         }
 
-        /** An object may span reads, and a read may hold several. */
         @Override
         public void consume(ByteBuffer part) throws IOException {
-            source.backoffMs = FIRST_BACKOFF_MS;
-            while (part.hasRemaining()) {
-                byte next = part.get();
-                if (next != '\n') {
-                    line.write(next);
-                    continue;
-                }
-                byte[] whole = line.toByteArray();
-                line.reset();
-                if (!new String(whole, java.nio.charset.StandardCharsets.ISO_8859_1).isBlank()) {
-                    source.take(whole);
-                }
-                listener.heard();
-            }
-            if (line.size() > LONGEST_LINE) {
-                throw new IOException("a line over " + LONGEST_LINE + " bytes");
-            }
+            text.take(part);
+        }
+
+        @Override
+        public void object(byte[] whole) throws IOException {
+            source.take(whole);
+            source.heard();
+        }
+
+        @Override
+        public void blankLine() {
+            source.heard();
         }
 
         @Override
         public void streamEnd(List<? extends Header> trailers) {
-            end("discovery ended it");
+            end("discovery ended it", false);
         }
 
         @Override
         public void failed(Exception cause) {
-            end(cause.toString());
+            end(cause.toString(), isSilence(cause));
         }
 
         @Override
         public void cancel() {
-            end("it was cancelled");
+            end("it was cancelled", false);
         }
 
         @Override
         public void releaseResources() {
-            end("its connection ended");
+            end("its connection ended", false);
         }
 
-        private void end(String why) {
+        private void end(String why, boolean silent) {
             if (!over) {
                 over = true;
                 connection.close(CloseMode.IMMEDIATE);
-                source.lost(why);
+                source.lost(why, silent);
             }
         }
     }
--- /dev/null
+++ b/sidecar/src/main/java/peppergauge/servertable/WatchPace.java
@@ -0,0 +1,70 @@
+package peppergauge.servertable;
+
+import java.util.SplittableRandom;
+
+/**
+ * How long a watch may be silent, and when discovery is asked again: all in ms, and drawn by the sidecar's own seed, so
+ * that hundreds whose watches end at one moment do not ask in step.
+ *
+ * <p>What a silent watch misses counts as told 6 s after it fell silent, and no server may be sent to for more than
+ * 1 s after it counts as leaving. The empty line comes every 2 s: a silence is found within 3 s at the latest, and the
+ * first call after it begins within 3.3 s, the second within 4.2 s and the third within 5.7 s, though none before it is
+ * answered; within 6.6 s the one that follows a call of which only the head was answered.
+ */
+final class WatchPace {
+
+    /** Of which an empty line comes within 2 s: half a second is for a machine that stalls. */
+    static final double LEAST_SILENCE_MS = 2_500;
+    static final double LONGEST_SILENCE_MS = 3_000;
+    /** Discovery's agent answers at once: the first call that says nothing is given up soon, later ones later. */
+    private static final double FIRST_ANSWER_MS = 500;
+    /** Either way, of an answer's wait. */
+    private static final double ANSWER_SPREAD = 0.2;
+    /** After a silence, which was a wait in itself. */
+    private static final double LONGEST_PAUSE_MS = 200;
+    private static final double LEAST_BACKOFF_MS = 50;
+    private static final double LONGEST_BACKOFF_MS = 1_000;
+    private static final double BACKOFF_TIMES = 3;
+
+    private final SplittableRandom random;
+    private double answerMs = FIRST_ANSWER_MS;
+    private double backoffMs = LEAST_BACKOFF_MS;
+
+    WatchPace(SplittableRandom random) {
+        this.random = random;
+    }
+
+    /** Longest wait for the next call's connection, and then for its answer's head; each longer than the last. */
+    synchronized double answerMs() {
+        double wait = answerMs * between(1 - ANSWER_SPREAD, 1 + ANSWER_SPREAD);
+        answerMs = Math.min(LONGEST_SILENCE_MS, answerMs * 2);
+        return Math.min(wait, LONGEST_SILENCE_MS);
+    }
+
+    /** Longest silence of a watch that has begun to answer. */
+    synchronized double silenceMs() {
+        return between(LEAST_SILENCE_MS, LONGEST_SILENCE_MS);
+    }
+
+    /** A whole object or an empty line has come: discovery is well. */
+    synchronized void heard() {
+        answerMs = FIRST_ANSWER_MS;
+        backoffMs = LEAST_BACKOFF_MS;
+    }
+
+    /** The pause before the next call after a watch or a call that fell silent. */
+    synchronized double afterSilenceMs() {
+        return random.nextDouble() * LONGEST_PAUSE_MS;
+    }
+
+    /** The pause after a refusal, a reset or an end: each drawn between the least and a multiple of the one before. */
+    synchronized double afterEndMs() {
+        answerMs = FIRST_ANSWER_MS;
+        backoffMs = Math.min(LONGEST_BACKOFF_MS, between(LEAST_BACKOFF_MS, BACKOFF_TIMES * backoffMs));
+        return backoffMs;
+    }
+
+    private double between(double least, double most) {
+        return least + random.nextDouble() * (most - least);
+    }
+}
--- a/sidecar/src/main/java/peppergauge/settings/JsonTree.java
+++ b/sidecar/src/main/java/peppergauge/settings/JsonTree.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.io.JsonEOFException;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -35,6 +36,21 @@
         }
     }
 
+    /** Whether more text could make this the object that {@link #parse} reads, or it is one already. */
+    public static boolean canGoOn(byte[] begun) {
+        try (JsonParser parser = JSON.createParser(begun)) {
+            if (parser.nextToken() == JsonToken.START_OBJECT) {
+                readObject(parser);
+                return true;
+            }
+            return false;
+        } catch (JsonEOFException ended) {
+            return true;
+        } catch (IOException malformed) {
+            return false;
+        }
+    }
+
     /** The rest of the object whose opening brace the parser stands on. */
     public static Map<String, Object> readObject(JsonParser parser) throws IOException {
         Map<String, Object> object = new LinkedHashMap<>();
--- a/sidecar/src/test/java/peppergauge/RulesOnSocketsTest.java
+++ b/sidecar/src/test/java/peppergauge/RulesOnSocketsTest.java
@@ -322,7 +322,11 @@
             Bed.await(() -> bed.discovery.requests.size() == 2);
             assertEquals(bed.discovery.requests.get(1).line(), "GET /discovery/hosts?watch=1&from=7 HTTP/1.1");
             Thread.sleep(50);
-            bed.tell("{ nonsense, passed over");
+            // Whatever that should have told is asked for again, before anything newer can hide it.
+            bed.tell("{ nonsense, asked for again");
+            Bed.await(() -> bed.discovery.requests.size() == 3);
+            assertEquals(bed.discovery.requests.get(2).line(), "GET /discovery/hosts?watch=1&from=7 HTTP/1.1");
+            Thread.sleep(50);
             bed.tell(bed.table(8, true, "active"));
             Thread.sleep(50);
             assertEquals(Bed.status(bed.ask(Bed.get("t3", 500))), 200);
--- a/sidecar/src/test/java/peppergauge/config/ConfigTest.java
+++ b/sidecar/src/test/java/peppergauge/config/ConfigTest.java
@@ -7,8 +7,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Random;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -37,6 +39,20 @@
         assertEquals(config.sockets(), 99);
     }
 
+    /** The first draw of a {@link Random} hardly differs where seeds differ in their last bits. */
+    @Test
+    public void sidecarsThatShareASeedDrawTheirOwnWaits() throws IOException {
+        double[] draws = new double[100];
+        for (int i = 0; i < draws.length; i++) {
+            draws[i] = new Random(read(FILE, "GW_NAME", "n" + i).ownSeed()).nextDouble();
+        }
+        for (int tenth = 0; tenth < 10; tenth++) {
+            double from = tenth / 10.0;
+            long within = Arrays.stream(draws).filter(draw -> draw >= from && draw < from + 0.1).count();
+            assertTrue(within >= 2 && within <= 25, within + " of 100 draw between " + from + " and a tenth more");
+        }
+    }
+
     @DataProvider
     public Object[][] unusable() {
         return new Object[][] {
