Decide how one sidecar of hundreds starts: calls to discovery, greeting, readiness

Need: hundreds that start at one moment ask a shared discovery in step, give up in step and ask again in step.

Change: peppergauge.coldstart decides, without I/O, clock or threads. Readiness says by which news, or after what wait, a sidecar is ready; Greeting bounds new connections to backend servers while it starts. Operators' table [start] of the daemon's file, off without it; Additions.start hands it to the sidecar.

--- a/daemon/src/main/java/peppergauge/daemon/part/Combined.java
+++ b/daemon/src/main/java/peppergauge/daemon/part/Combined.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import peppergauge.Additions;
+import peppergauge.coldstart.Start;
 import peppergauge.decision.Balancer;
 import peppergauge.log.Log;
 import peppergauge.session.Backend;
@@ -79,6 +80,15 @@
         return whole;
     }
 
+    @Override
+    public Start start(Start prompt, Parts parts) {
+        Start whole = prompt;
+        for (Additions each : all) {
+            whole = each.start(whole, parts);
+        }
+        return whole;
+    }
+
     /** Only if all of them leave it to the platform's. */
     @Override
     public boolean watchesDiscovery() {
--- /dev/null
+++ b/daemon/src/main/java/peppergauge/daemon/start/StartSection.java
@@ -0,0 +1,90 @@
+package peppergauge.daemon.start;
+
+import java.time.Duration;
+import peppergauge.coldstart.Greeting;
+import peppergauge.coldstart.Readiness;
+import peppergauge.coldstart.SpreadPace;
+import peppergauge.operator.Key;
+import peppergauge.operator.Problems;
+import peppergauge.operator.Section;
+import peppergauge.operator.Table;
+import peppergauge.operator.Type;
+import peppergauge.operator.Types;
+import peppergauge.operator.Values;
+
+/** {@code [start]}: how a sidecar starts beside hundreds that share its discovery and its backend servers. */
+public final class StartSection implements Section {
+
+    private static final Key<Double> CALLS = Key.preset("discovery-calls", Types.number(0.1, 100_000), "50",
+            "Calls a second that all sidecars together make to discovery, as a mean: half of what it answers or less.");
+    private static final Key<Duration> SPREAD = Key.preset("spread", ms(0, 600_000), "\"2 s\"",
+            "Over which first calls are spread at the least; over more where the calls a second ask for it.");
+    private static final Key<Duration> ANSWER = Key.preset("answer", ms(50, 60_000), "\"2 s\"",
+            "The first wait for discovery's answer; each further one is half as long again.");
+    private static final Key<Duration> LONGEST_ANSWER = Key.preset("longest-answer", ms(50, 600_000), "\"10 s\"",
+            "Bound of that.");
+    private static final Key<Duration> LONGEST_PAUSE = Key.preset("longest-pause", ms(100, 3_600_000), "\"60 s\"",
+            "Longest pause between calls where the settings do not tell the number of sidecars.");
+    private static final Key<Duration> SILENCE = Key.preset("silence", ms(2_500, 600_000), "\"2.5 s\"",
+            "Silence after which a watch counts as broken; a fifth more at most, by draw.");
+    private static final Key<Duration> PATIENCE = Key.preset("patience", ms(0, 25_000), "\"2 s\"",
+            "How long a sidecar that knows servers waits for news before it is ready by what it knows.");
+    private static final Key<Duration> LONGEST = Key.preset("longest", ms(0, 25_000), "\"20 s\"",
+            "How long one that knows none waits before it is ready all the same, and denies.");
+    private static final Key<Double> HANDSHAKES = Key.preset("handshakes", Types.number(1, 1_000_000), "1000",
+            "New connections a second that all sidecars together open to backend servers while they start, as a mean.");
+    private static final Key<Long> FREE = Key.preset("free", Types.wholeNumber(1, 1_000), "4",
+            "New connections of this sidecar before that pace holds.");
+    private static final Key<Duration> HOLD = Key.preset("hold", ms(0, 500), "\"50 ms\"",
+            "The longest that a session waits for its new connection's turn.");
+    private static final Key<Duration> LENGTH = Key.preset("length", ms(0, 600_000), "\"10 s\"",
+            "How long after the start that pace holds.");
+
+    /** Without it a sidecar starts as the platform's does. */
+    public static final Table TABLE = Table.optional("start", "How this sidecar starts beside others that share its "
+            + "discovery and its backend servers; what it says of the whole is shared out by the settings' number of "
+            + "sidecars.", CALLS, SPREAD, ANSWER, LONGEST_ANSWER, LONGEST_PAUSE, SILENCE, PATIENCE, LONGEST, HANDSHAKES,
+            FREE, HOLD, LENGTH);
+
+    private static Type<Duration> ms(long least, long most) {
+        return Types.duration(Duration.ofMillis(least), Duration.ofMillis(most));
+    }
+
+    @Override
+    public Table table() {
+        return TABLE;
+    }
+
+    @Override
+    public void check(Values file, Problems problems) {
+        file.find(TABLE).ifPresent(said -> {
+            if (said.get(LONGEST_ANSWER).compareTo(said.get(ANSWER)) < 0) {
+                problems.add(said.place(LONGEST_ANSWER), "start.longest-answer", "must not be shorter than answer");
+            }
+            if (said.get(LONGEST).compareTo(said.get(PATIENCE)) < 0) {
+                problems.add(said.place(LONGEST), "start.longest", "must not be shorter than patience");
+            }
+        });
+    }
+
+    private static double ms(Values table, Key<Duration> key) {
+        return table.get(key).toNanos() / 1e6;
+    }
+
+    /** The pace of calls to discovery. */
+    public static SpreadPace.Settings pace(Values table) {
+        return new SpreadPace.Settings(table.get(CALLS), ms(table, SPREAD), ms(table, ANSWER),
+                ms(table, LONGEST_ANSWER), ms(table, LONGEST_PAUSE), ms(table, SILENCE));
+    }
+
+    /** When it is ready. */
+    public static Readiness readiness(Values table) {
+        return new Readiness(ms(table, PATIENCE), ms(table, LONGEST));
+    }
+
+    /** The pace of new connections to backend servers. */
+    public static Greeting.Settings greeting(Values table) {
+        return new Greeting.Settings(table.get(HANDSHAKES), (int) (long) table.get(FREE), ms(table, HOLD),
+                ms(table, LENGTH));
+    }
+}
--- a/nomad/src/main/java/peppergauge/nomad/NomadAddition.java
+++ b/nomad/src/main/java/peppergauge/nomad/NomadAddition.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Random;
 import peppergauge.Additions;
+import peppergauge.coldstart.Start;
 import peppergauge.config.Config;
 import peppergauge.log.Log;
 import peppergauge.membership.Membership;
@@ -99,7 +100,7 @@
         of.loop().execute(() -> believing.start(known));
         if (sources.contains(MembershipSection.PLATFORM)) {
             watch = new ServerTableWatch(config.discovery(), reader, 0, new FromPlatform(), of.loop(),
-                    config.ownSeed());
+                    Start.prompt(config.ownSeed()).paces());
             of.loop().execute(watch::start);
         }
         if (sources.contains(MembershipSection.NOMAD)) {
--- a/sidecar/src/main/java/peppergauge/Additions.java
+++ b/sidecar/src/main/java/peppergauge/Additions.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Map;
+import peppergauge.coldstart.Start;
 import peppergauge.config.Config;
 import peppergauge.decision.Balancer;
 import peppergauge.decision.Balancer.Settings;
@@ -60,6 +61,11 @@
         return sessions;
     }
 
+    /** How it starts beside others; of the platform's discovery only. */
+    default Start start(Start prompt, Parts parts) {
+        return prompt;
+    }
+
     /** Whether the platform's discovery is watched; if not, something added tells the sessions their server table. */
     default boolean watchesDiscovery() {
         return true;
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -5,9 +5,12 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import peppergauge.backend.HttpBackend;
+import peppergauge.coldstart.Readiness;
+import peppergauge.coldstart.Start;
 import peppergauge.config.Config;
 import peppergauge.decision.Balancer.Limits;
 import peppergauge.decision.Balancer.RequestClass;
+import peppergauge.decision.Balancer.ServerState;
 import peppergauge.decision.Balancer.Settings;
 import peppergauge.decision.Decide;
 import peppergauge.frontend.HttpFrontend;
@@ -41,8 +44,6 @@
     private static final int OWN_SOCKETS = 40;
 
     private static final long LONGEST_REHEARSAL_MS = 1_000;
-    /** Discovery's agent is on this machine and answers at once; one that says nothing must not keep clients out. */
-    private static final long LONGEST_FIRST_NEWS_MS = 300;
 
     private volatile Config config;
     private final Clock clock = new Clock();
@@ -59,6 +60,9 @@
     private final Rehearsal rehearsal;
     private final ServerTableWatch watch;
     private final ServerTable known;
+    private final Readiness readiness;
+    /** An empty line is: nothing has changed. */
+    private volatile boolean isNews = true;
     private final CountDownLatch firstNews = new CountDownLatch(1);
     private final long longestDeadlineMs;
 
@@ -92,22 +96,28 @@
                 () -> calm || !frontend.asked());
         ServerTableReader reader = new ServerTableReader(names.zones());
         known = reader.read(config.known());
+        Start start = additions.start(Start.prompt(config.ownSeed()), parts);
+        readiness = start.readiness();
         watch = new ServerTableWatch(config.discovery(), reader, known.version(), new ServerTableWatch.Listener() {
             @Override
             public void listed(ServerTable table) {
                 sessions.listed(table);
+                long ready = table.rows().stream().filter(row -> row.entry().state() == ServerState.READY).count();
+                isNews = readiness.isNews(table.whole(), (int) ready, known.rows().size());
             }
 
             @Override
             public void heard() {
-                firstNews.countDown();
+                if (isNews) {
+                    firstNews.countDown();
+                }
             }
 
             @Override
             public void lost() {
                 sessions.tableLost();
             }
-        }, loop, config.ownSeed());
+        }, loop, start.paces());
         longestDeadlineMs = (long) Math.max(LEAST_DEADLINE_MS,
                 settings.classes().stream().mapToDouble(kind -> kind.deadlineMs()).max().orElse(0));
     }
@@ -148,7 +158,7 @@
         if (additions.watchesDiscovery()) {
             watch.start();
             // What is known from before may be old: a session that came sooner would go to servers that leave by now.
-            firstNews.await(LONGEST_FIRST_NEWS_MS, TimeUnit.MILLISECONDS);
+            firstNews.await((long) readiness.waitMs(known.rows().size()), TimeUnit.MILLISECONDS);
         }
         frontend.start(config.listen());
         additions.starting(intake, sessions, parts);
--- a/sidecar/src/main/java/peppergauge/servertable/WatchPace.java
+++ b/sidecar/src/main/java/peppergauge/coldstart/PromptPace.java
@@ -1,17 +1,17 @@
-package peppergauge.servertable;
+package peppergauge.coldstart;
 
 import java.util.SplittableRandom;
 
 /**
- * How long a watch may be silent, and when discovery is asked again: all in ms, and drawn by the sidecar's own seed, so
- * that hundreds whose watches end at one moment do not ask in step.
+ * The pace at which an agent on this machine is asked for the server table: at once and at no cost, so that what counts
+ * is the clock. All is drawn by the caller's own seed, so that hundreds whose watches end at one moment do not ask in step.
  *
  * <p>What a silent watch misses counts as told 6 s after it fell silent, and no server may be sent to for more than
  * 1 s after it counts as leaving. The empty line comes every 2 s: a silence is found within 3 s at the latest, and the
  * first call after it begins within 3.3 s, the second within 4.2 s and the third within 5.7 s, though none before it is
  * answered; within 6.6 s the one that follows a call of which only the head was answered.
  */
-final class WatchPace {
+public final class PromptPace implements AskPace {
 
     /** Of which an empty line comes within 2 s: half a second is for a machine that stalls. */
     static final double LEAST_SILENCE_MS = 2_500;
@@ -30,35 +30,43 @@
     private double answerMs = FIRST_ANSWER_MS;
     private double backoffMs = LEAST_BACKOFF_MS;
 
-    WatchPace(SplittableRandom random) {
-        this.random = random;
+    /** {@code seed}: this caller's own. */
+    public PromptPace(long seed) {
+        random = new SplittableRandom(seed);
     }
 
-    /** Longest wait for the next call's connection, and then for its answer's head; each longer than the last. */
-    synchronized double answerMs() {
+    @Override
+    public double firstMs() {
+        return 0;
+    }
+
+    /** Each longer than the last, until an answer comes. */
+    @Override
+    public synchronized double answerMs() {
         double wait = answerMs * between(1 - ANSWER_SPREAD, 1 + ANSWER_SPREAD);
         answerMs = Math.min(LONGEST_SILENCE_MS, answerMs * 2);
         return Math.min(wait, LONGEST_SILENCE_MS);
     }
 
-    /** Longest silence of a watch that has begun to answer. */
-    synchronized double silenceMs() {
+    @Override
+    public synchronized double silenceMs() {
         return between(LEAST_SILENCE_MS, LONGEST_SILENCE_MS);
     }
 
-    /** A whole object or an empty line has come: discovery is well. */
-    synchronized void heard() {
+    @Override
+    public synchronized void heard() {
         answerMs = FIRST_ANSWER_MS;
         backoffMs = LEAST_BACKOFF_MS;
     }
 
-    /** The pause before the next call after a watch or a call that fell silent. */
-    synchronized double afterSilenceMs() {
+    @Override
+    public synchronized double afterSilenceMs() {
         return random.nextDouble() * LONGEST_PAUSE_MS;
     }
 
-    /** The pause after a refusal, a reset or an end: each drawn between the least and a multiple of the one before. */
-    synchronized double afterEndMs() {
+    /** Each drawn between the least and a multiple of the one before. */
+    @Override
+    public synchronized double afterEndMs() {
         answerMs = FIRST_ANSWER_MS;
         backoffMs = Math.min(LONGEST_BACKOFF_MS, between(LEAST_BACKOFF_MS, BACKOFF_TIMES * backoffMs));
         return backoffMs;
--- /dev/null
+++ b/sidecar/src/main/java/peppergauge/coldstart/Start.java
@@ -0,0 +1,34 @@
+package peppergauge.coldstart;
+
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+
+/**
+ * How one sidecar starts.
+ *
+ * @param paces of its calls to discovery: one for each address that discovery has in its life
+ * @param readiness when it says that it is ready
+ */
+public record Start(Supplier<AskPace> paces, Readiness readiness) {
+
+    /** Discovery's agent is on this machine and answers at once; one that says nothing must not keep clients out. */
+    private static final double LONGEST_FIRST_NEWS_MS = 300;
+
+    /** Of a sidecar whose discovery is an agent on its own machine; {@code seed}: this sidecar's own. */
+    public static Start prompt(long seed) {
+        SplittableRandom seeds = new SplittableRandom(seed);
+        return new Start(() -> new PromptPace(seeds.nextLong()),
+                new Readiness(LONGEST_FIRST_NEWS_MS, LONGEST_FIRST_NEWS_MS));
+    }
+
+    /**
+     * Of one of {@code sidecars} that share a discovery, 0 where their number is not known.
+     *
+     * @param known what it has from before; where discovery moves, it has at least that
+     */
+    public static Start spread(SpreadPace.Settings pace, Readiness readiness, int sidecars, SpreadPace.Known known,
+            long seed) {
+        SplittableRandom seeds = new SplittableRandom(seed);
+        return new Start(() -> new SpreadPace(pace, sidecars, known, seeds.nextLong()), readiness);
+    }
+}
--- a/sidecar/src/main/java/peppergauge/servertable/ServerTableWatch.java
+++ b/sidecar/src/main/java/peppergauge/servertable/ServerTableWatch.java
@@ -4,7 +4,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.util.List;
-import java.util.SplittableRandom;
+import java.util.function.Supplier;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -34,6 +34,7 @@
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.Timeout;
+import peppergauge.coldstart.AskPace;
 import peppergauge.http.HeadReader;
 import peppergauge.log.Log;
 import peppergauge.session.ServerTable;
@@ -59,18 +60,18 @@
     private final ServerTableReader reader;
     private final Listener listener;
     private final Loop loop;
-    private final SplittableRandom random;
+    private final Supplier<AskPace> paces;
     private volatile Source source;
     private boolean started;
     private volatile boolean closed;
 
     /**
      * @param version of the table that is known already; changes after it are asked for
-     * @param seed this sidecar's own: its waits are drawn from it
+     * @param paces of the calls to one address; asked again where discovery moves
      */
     public ServerTableWatch(InetSocketAddress discovery, ServerTableReader reader, long version, Listener listener,
-            Loop loop, long seed) {
-        this.random = new SplittableRandom(seed);
+            Loop loop, Supplier<AskPace> paces) {
+        this.paces = paces;
         this.source = new Source(discovery, version, null);
         this.reader = reader;
         this.listener = listener;
@@ -79,7 +80,7 @@
 
     public synchronized void start() {
         started = true;
-        source.connect();
+        source.first();
     }
 
     /** From now on asks there; the watch before this one is listened to until the new one tells something. */
@@ -87,7 +88,7 @@
         // Another discovery may count versions of its own: it is asked for all that it has.
         source = new Source(discovery, 0, source);
         if (started) {
-            source.connect();
+            source.first();
         }
     }
 
@@ -112,7 +113,7 @@
         private volatile long version;
         /** A thing was malformed after this version, and asked for again; -1: none yet. */
         private volatile long spoiltAfter = -1;
-        private final WatchPace pace = new WatchPace(random.split());
+        private final AskPace pace = paces.get();
         /** The one before, until this one has told something. */
         private volatile Source before;
         private volatile boolean over;
@@ -128,6 +129,15 @@
             return this == source && !closed;
         }
 
+        void first() {
+            double pauseMs = pace.firstMs();
+            if (pauseMs > 0) {
+                loop.after(pauseMs, this::connect);
+            } else {
+                connect();
+            }
+        }
+
         void connect() {
             if (!present()) {
                 return;
@@ -138,6 +148,11 @@
                         @Override
                         public void completed(IOSession up) {
                             connection = up;
+                            if (over) {
+                                // It came up after the one that follows it had told something.
+                                up.close(CloseMode.IMMEDIATE);
+                                return;
+                            }
                             up.setSocketTimeout(answer);
                             up.enqueue(new RequestExecutionCommand(new Watch(Source.this, up),
                                     HttpCoreContext.create()), Command.Priority.NORMAL);
--- a/sidecar/src/test/java/peppergauge/PackagesTest.java
+++ b/sidecar/src/test/java/peppergauge/PackagesTest.java
@@ -48,6 +48,15 @@
                 .belongToAnyOf(System.class, Thread.class).check(program);
     }
 
+    @Test
+    public void theStartsDecisionsStandAloneWithNoInputOutputNoThreadsAndNoClock() {
+        classes().that().resideInAPackage("peppergauge.coldstart").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("java.lang..", "java.util", "java.util.function", "peppergauge.coldstart")
+                .check(program);
+        noClasses().that().resideInAPackage("peppergauge.coldstart").should().dependOnClassesThat()
+                .belongToAnyOf(System.class, Thread.class).check(program);
+    }
+
     @Test
     public void theSessionsKnowNoProtocol() {
         noClasses().that().resideInAPackage("peppergauge.session").should().dependOnClassesThat()
--- a/sidecar/src/test/java/peppergauge/servertable/WatchPaceTest.java
+++ b/sidecar/src/test/java/peppergauge/coldstart/PromptPaceTest.java
@@ -1,8 +1,7 @@
-package peppergauge.servertable;
+package peppergauge.coldstart;
 
 import static org.testng.Assert.assertTrue;
 
-import java.util.SplittableRandom;
 import java.util.function.LongToDoubleFunction;
 import java.util.stream.DoubleStream;
 import java.util.stream.LongStream;
@@ -10,7 +9,7 @@
 import org.testng.annotations.Test;
 
 /** The waits alone, over many seeds. Everything counts from the moment at which a watch fell silent, ms. */
-public class WatchPaceTest {
+public class PromptPaceTest {
 
     private static final int SIDECARS = 1_000;
     /** The loop looks at its time-outs once in this time, at each of them. */
@@ -18,7 +17,7 @@
 
     /** When the call of this number begins, where none before it gets any answer. */
     private static double silentCallMs(long seed, int call) {
-        WatchPace pace = new WatchPace(new SplittableRandom(seed));
+        PromptPace pace = new PromptPace(seed);
         pace.answerMs();
         pace.heard();
         double atMs = pace.silenceMs() + SELECT_MS + pace.afterSilenceMs();
@@ -30,7 +29,7 @@
 
     /** When the second call begins, where the first is answered with a head and nothing more. */
     private static double afterHeadAloneMs(long seed) {
-        WatchPace pace = new WatchPace(new SplittableRandom(seed));
+        PromptPace pace = new PromptPace(seed);
         double atMs = pace.silenceMs() + SELECT_MS + pace.afterSilenceMs();
         pace.answerMs();
         return atMs + pace.silenceMs() + SELECT_MS + pace.afterSilenceMs();
@@ -38,7 +37,7 @@
 
     /** When the call of this number begins, where each before it is refused at once. */
     private static double refusedCallMs(long seed, int call) {
-        WatchPace pace = new WatchPace(new SplittableRandom(seed));
+        PromptPace pace = new PromptPace(seed);
         double atMs = 0;
         for (int made = 0; made < call; made++) {
             atMs += pace.afterEndMs();
@@ -57,7 +56,7 @@
             {"the first", each(seed -> silentCallMs(seed, 1)), 3_300},
             {"the second", each(seed -> silentCallMs(seed, 2)), 4_200},
             {"the third", each(seed -> silentCallMs(seed, 3)), 5_700},
-            {"after a head", each(WatchPaceTest::afterHeadAloneMs), 6_600},
+            {"after a head", each(PromptPaceTest::afterHeadAloneMs), 6_600},
         };
     }
 
@@ -70,7 +69,7 @@
     /** The empty line comes every 2 s, and some stall of a machine is no silence. */
     @Test
     public void aWatchThatOnlyHasNothingToTellIsNotGivenUp() {
-        assertTrue(each(seed -> new WatchPace(new SplittableRandom(seed)).silenceMs()).min().orElseThrow() >= 2_500);
+        assertTrue(each(seed -> new PromptPace(seed).silenceMs()).min().orElseThrow() >= 2_500);
     }
 
     @DataProvider
@@ -100,7 +99,7 @@
 
     @Test
     public void refusedCallsAreAtMostASecondApartAndSoonAgainOnceDiscoveryIsHeard() {
-        WatchPace pace = new WatchPace(new SplittableRandom(5));
+        PromptPace pace = new PromptPace(5);
         double longest = DoubleStream.generate(pace::afterEndMs).limit(1_000).max().orElseThrow();
         assertTrue(longest > 500 && longest <= 1_000, "paused for " + longest);
         pace.heard();
--- a/sidecar/src/test/java/peppergauge/servertable/ServerTableWatchTest.java
+++ b/sidecar/src/test/java/peppergauge/servertable/ServerTableWatchTest.java
@@ -14,6 +14,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import peppergauge.Toy;
+import peppergauge.coldstart.Start;
 import peppergauge.session.ServerTable;
 import peppergauge.sockets.Loop;
 
@@ -34,7 +35,7 @@
         Bench(Toy discovery, long version) {
             loop.start(new Loop.Watcher() { }, () -> { });
             ServerTableReader reader = new ServerTableReader(List.of("a"));
-            watch = new ServerTableWatch(address(discovery), reader, version, this, loop, 7);
+            watch = new ServerTableWatch(address(discovery), reader, version, this, loop, Start.prompt(7).paces());
         }
 
         @Override
