Hold the module against what must always hold, by a wrapper in tests and in emulate

What must always hold of the module stood in tests alone, and its own file is full. CheckedBalancer keeps an account of its own of events and actions and throws at the first breach; it stands round the module in each emulated sidecar and, under -ea, in a sidecar's process.

--- a/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
@@ -11,6 +11,8 @@
 import peppergauge.decision.Balancer.ServerState;
 import peppergauge.decision.Balancer;
 import peppergauge.decision.Decide;
+import peppergauge.invariant.CheckedBalancer;
+import peppergauge.invariant.InvariantBroken;
 import peppergauge.lab.scenario.Scenario;
 import peppergauge.overload.Overload;
 import peppergauge.overload.OverloadSettings;
@@ -71,7 +73,8 @@
                 thrown -> world.rulebook.broken(Rulebook.Rule.BUG, name() + " threw " + thrown));
         backend = new SidecarBackend(world, this, world.streams.of("ways/" + name() + '/' + life));
         List<ServerTable.Row> first = List.copyOf(known.values());
-        sessions = new Sessions(watched(sabotage.instead(new Decide(settings, seed), settings)),
+        sessions = new Sessions(watched(sabotage.instead(
+                CheckedBalancer.around(new Decide(settings, seed), settings), settings)),
                 world.discovery.started(this, loop, loop.clock(), first, backend), loop.clock(), loop, overload,
                 settings.classes(), world.figures.connectTimeoutMs);
         world.note(Trace.Kind.STARTED, index, -1, -1, life);
@@ -84,6 +87,8 @@
         return (now, event, actions) -> {
             try {
                 module.on(now, event, actions);
+            } catch (InvariantBroken broken) {
+                world.rulebook.broken(Rulebook.Rule.INVARIANT, name() + ": " + broken.getMessage() + " at " + event);
             } catch (RuntimeException | StackOverflowError bug) {
                 world.rulebook.broken(Rulebook.Rule.BUG, "the module of " + name() + " threw " + bug + " at " + event);
                 throw bug;
--- a/lab/src/main/java/peppergauge/lab/emulator/Rulebook.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Rulebook.java
@@ -22,6 +22,8 @@
         COLD,
         /** Nothing is sent, or still held, for a session that is over. */
         GIVEN_UP,
+        /** What must always hold inside a sidecar does not: docs/INVARIANTS.md. */
+        INVARIANT,
         /** The program threw, or an instant did not end. */
         BUG
     }
--- a/lab/src/main/java/peppergauge/lab/emulator/SidecarLoop.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/SidecarLoop.java
@@ -21,7 +21,7 @@
     private final VirtualTime time;
     private final Overload<?, Sessions.Newcomer> overload;
     private final Sabotage sabotage;
-    private final Consumer<RuntimeException> bug;
+    private final Consumer<Throwable> bug;
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
     private boolean awake;
     private boolean dead;
@@ -32,7 +32,7 @@
     private double spentMs;
 
     SidecarLoop(VirtualTime time, Overload<?, Sessions.Newcomer> overload, Sabotage sabotage,
-            Consumer<RuntimeException> bug) {
+            Consumer<Throwable> bug) {
         this.time = time;
         this.overload = overload;
         this.sabotage = sabotage;
@@ -118,7 +118,7 @@
         for (Runnable task = tasks.pollFirst(); task != null; task = tasks.pollFirst()) {
             try {
                 task.run();
-            } catch (RuntimeException thrown) {
+            } catch (RuntimeException | AssertionError thrown) {
                 bug.accept(thrown);
             }
         }
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -9,9 +9,11 @@
 import peppergauge.decision.Balancer.Limits;
 import peppergauge.decision.Balancer.RequestClass;
 import peppergauge.decision.Balancer.Settings;
+import peppergauge.decision.Balancer;
 import peppergauge.decision.Decide;
 import peppergauge.frontend.HttpFrontend;
 import peppergauge.frontend.Site;
+import peppergauge.invariant.CheckedBalancer;
 import peppergauge.log.Log;
 import peppergauge.overload.Extra;
 import peppergauge.overload.Overload;
@@ -83,7 +85,7 @@
         HttpBackend http = new HttpBackend(clock, loop, overload::likelyArrivalMs, settings.loadFields(),
                 connectTimeoutMs, limits.connectionIdleMs(), mostConnections, bodies);
         // What bounds connecting also bounds a probe: both are answered without waiting for other work.
-        sessions = new Sessions(additions.balancer(new Decide(settings, config.seed()), parts),
+        sessions = new Sessions(additions.balancer(module(settings), parts),
                 additions.backend(http, parts), clock, loop, overload, settings.classes(), connectTimeoutMs);
         intake = additions.intake(sessions, parts);
         frontend = new HttpFrontend(new Site(names, settings.classes()), intake, clock, loop, overload, clients,
@@ -112,6 +114,13 @@
                 settings.classes().stream().mapToDouble(kind -> kind.deadlineMs()).max().orElse(0));
     }
 
+    private Balancer module(Settings settings) {
+        Balancer module = new Decide(settings, config.seed());
+        // Under -ea alone: without it not even the class is loaded.
+        assert (module = CheckedBalancer.around(module, settings)) != null;
+        return module;
+    }
+
     private static double connectTimeoutMs(Map<String, Object> settings) {
         return settings.get("limits") instanceof Map<?, ?> limits
                 && limits.get("connectTimeoutMs") instanceof Number number ? number.doubleValue() : 1_000;
