--- a/bodies/src/main/java/peppergauge/bodies/ledger/Ledger.java
+++ b/bodies/src/main/java/peppergauge/bodies/ledger/Ledger.java
@@ -89,6 +89,12 @@
             of.merge(who, bytes, (a, b) -> a + b == 0 ? null : a + b);
         }
 
+        boolean holds(long sum) {
+            return all == sum && all <= bounds.all(tier)
+                    && byTenant.values().stream().mapToLong(each -> each).sum() == all
+                    && byClass.values().stream().mapToLong(each -> each).sum() == all;
+        }
+
         boolean isOver(Owner owner, long more) {
             long most = (long) (bounds.share() * bounds.all(tier));
             return byTenant.getOrDefault(owner.tenant(), 0L) + more > most
@@ -137,6 +143,7 @@
             return must ? Letting.NO_ROOM : Letting.UNKEPT;
         }
         entries.put(id, new Entry(id, owner, length));
+        assert sound() : this;
         return Letting.IN;
     }
 
@@ -170,9 +177,35 @@
         }
         makeRoom(memory, moves);
         makeRoom(files, moves);
+        assert sound() : this;
         return moves;
     }
 
+    /** The sums are those of what is there, and within their bounds. Looks at all bodies. */
+    private boolean sound() {
+        long inMemory = 0;
+        long inFile = 0;
+        long onTheWay = 0;
+        int withFile = 0;
+        for (Entry entry : entries.values()) {
+            inMemory += entry.inMemory;
+            inFile += entry.inFile;
+            onTheWay += entry.moving ? entry.inMemory : 0;
+            withFile += entry.moving || entry.tier == Tier.FILE ? 1 : 0;
+            if (entry.bytes < 0 || entry.bytes > bounds.longest() || entry.tier == Tier.NONE && !entry.full) {
+                return false;
+            }
+        }
+        return memory.holds(inMemory) && files.holds(inFile) && leaving == onTheWay && inFiles == withFile
+                && inFiles <= bounds.mostFiles();
+    }
+
+    @Override
+    public String toString() {
+        return "bodies " + entries.size() + ", in memory " + memory.all + ", on the way " + leaving + ", in " + inFiles
+                + " files " + files.all + ", within " + bounds;
+    }
+
     /** All of it goes to a file, if that is open to it. */
     private boolean move(Entry entry, List<Move> moves) {
         if (!files.opensAnew(entry.owner, entry.whole(), entry.bytes)) {
@@ -240,6 +273,7 @@
             entry.tier = Tier.FILE;
             stuck = false;
         }
+        assert sound() : this;
     }
 
     /** Its file takes no more: what is in it stays, and counts on; what is not stays where it is. */
@@ -257,6 +291,7 @@
     public void release(long id) {
         forget(entry(id));
         entries.remove(id);
+        assert sound() : this;
     }
 
     private Entry entry(long id) {
--- a/bodies/src/main/java/peppergauge/bodies/limits/Pace.java
+++ b/bodies/src/main/java/peppergauge/bodies/limits/Pace.java
@@ -48,6 +48,7 @@
         for (long each : moved) {
             sum += each;
         }
+        assert sum >= 0 : "bytes moved back: " + sum;
         return owedMs >= PARTS * partMs && sum < least;
     }
 
@@ -59,6 +60,7 @@
             for (int i = 0; i < PARTS && part + i < now; i++) {
                 moved[(int) ((now - i) % PARTS)] = 0;
             }
+            assert now >= part : "its own time went back";
             part = now;
         }
     }
--- a/bodies/src/main/java/peppergauge/bodies/limits/Windows.java
+++ b/bodies/src/main/java/peppergauge/bodies/limits/Windows.java
@@ -44,6 +44,8 @@
 
     /** Bytes that one flow may hold now. */
     public int share() {
-        return (int) Math.max(LEAST, Math.min(each, all / Math.max(1, open)));
+        int share = (int) Math.max(LEAST, Math.min(each, all / Math.max(1, open)));
+        assert share <= each && (share == LEAST || (long) share * open <= all) : open + " flows of " + share;
+        return share;
     }
 }
--- a/nomad/src/main/java/peppergauge/membership/Flapping.java
+++ b/nomad/src/main/java/peppergauge/membership/Flapping.java
@@ -23,6 +23,7 @@
         if (times.size() > MOST_REMEMBERED) {
             times.poll();
         }
+        assert times.size() <= MOST_REMEMBERED : "departures are kept without bound: " + times.size();
     }
 
     /** Until when a return is held up, ms; 0 if it is not. */
--- a/nomad/src/main/java/peppergauge/membership/Membership.java
+++ b/nomad/src/main/java/peppergauge/membership/Membership.java
@@ -97,12 +97,21 @@
         return settle(nowMs, true, new Reasons());
     }
 
-    /** What was known before any source spoke, after a restart; stays as it is until one does. */
+    /**
+     * What was known before any source spoke, after a restart; stays as it is until one does. The last word on an id
+     * or a place counts.
+     */
     public void seed(List<ServerTable.Row> rows) {
         for (ServerTable.Row row : rows) {
             if (row.entry().state() != ServerState.GONE) {
-                table.put(row.address(), new Handed(row.entry(), row.address(), ""));
-                addresses.put(row.entry().server(), row.address());
+                Handed there = table.put(row.address(), new Handed(row.entry(), row.address(), ""));
+                if (there != null) {
+                    addresses.remove(there.entry.server());
+                }
+                String elsewhere = addresses.put(row.entry().server(), row.address());
+                if (elsewhere != null) {
+                    table.remove(elsewhere);
+                }
             }
         }
     }
@@ -205,11 +214,27 @@
             }
         }
         heldUp.retainAll(wanted.keySet());
+        assert sound() : "the table by address and by id differ: " + addresses;
+        assert wanted.values().stream().noneMatch(each -> each.standing() == Standing.LEAVING && asked(each)) :
+                "one that leaves is handed out as ready: " + whole();
         List<ServerTable.Row> rows = new ArrayList<>(changed.values());
         return new Decided(rows.isEmpty() ? Optional.empty()
                 : Optional.of(new ServerTable(++version, false, rows)), counted, reasons.take());
     }
 
+    /** No id is at two places, no place has two, and none that is gone stays. */
+    private boolean sound() {
+        return table.size() == addresses.size() && table.entrySet().stream().allMatch(each ->
+                each.getKey().equals(each.getValue().address)
+                        && each.getKey().equals(addresses.get(each.getValue().entry.server()))
+                        && each.getValue().entry.state() != ServerState.GONE);
+    }
+
+    private boolean asked(Wanted each) {
+        Handed handed = table.get(each.told().address());
+        return handed != null && handed.entry.state() == ServerState.READY;
+    }
+
     private boolean ready(double nowMs, Wanted each, Reasons reasons) {
         String address = each.told().address();
         if (each.standing() == Standing.LEAVING) {
--- a/nomad/src/main/java/peppergauge/membership/Voice.java
+++ b/nomad/src/main/java/peppergauge/membership/Voice.java
@@ -121,6 +121,14 @@
             }
         }
         spoken |= !held.isEmpty();
+        assert sound() : name + "'s servers by address and by id differ: " + addresses;
+    }
+
+    /** One server at a place, and one place for a server. */
+    private boolean sound() {
+        return held.size() == addresses.size() && held.entrySet().stream().allMatch(each ->
+                each.getKey().equals(each.getValue().told.address())
+                        && each.getKey().equals(addresses.get(each.getValue().told.id())));
     }
 
     /** Takes a server in as told; the newest word on a place ends what was there. */
@@ -184,6 +192,7 @@
         list.servers().forEach(this::take);
         spoken = true;
         miss(list, reasons);
+        assert sound() : name + "'s servers by address and by id differ: " + addresses;
         return true;
     }
 
--- /dev/null
+++ b/nomad/src/test/java/peppergauge/membership/MembershipInvariantsTest.java
@@ -0,0 +1,53 @@
+package peppergauge.membership;
+
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.invariant.PlantedSource;
+
+/** Membership under random load, with assertions on, and with faults planted in its sources. */
+public class MembershipInvariantsTest {
+
+    private static final int SEEDS = Integer.getInteger("invariant.seeds", 100);
+
+    @Test
+    public void allHoldsWhateverIsTold() {
+        long startedNs = System.nanoTime();
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            try {
+                MembershipLoad.run(seed);
+            } catch (AssertionError | RuntimeException broken) {
+                throw new AssertionError("seed " + seed + ": " + broken, broken);
+            }
+        }
+        System.out.printf("membership: %d seeds, %.1f s%n", SEEDS, (System.nanoTime() - startedNs) / 1e9);
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return new Object[][] {
+            {"membership/Membership.java", "twice.\n                table.remove(elsewhere);\n", "twice.\n", "the table by address"},
+            {"membership/Membership.java", "                if (there != null) {", "                if (false) {",
+                "the table by address"},
+            {"membership/Membership.java", "        addresses.remove(entry.server());\n", "", "the table by address"},
+            {"membership/Membership.java", "if (each.standing() != Standing.LEAVING) {\n                    ready",
+                "if (each.standing() != null) {\n                    ready", "one that leaves"},
+            {"membership/Voice.java", "        addresses.remove(gone.id());\n", "", "by address and by id"},
+            {"membership/Voice.java", "!before.equals(told.address())) {\n            drop(before);",
+                "!before.equals(told.address())) {\n            addresses.remove(told.id());", "by address and by id"},
+            {"membership/Flapping.java", "if (times.size() > MOST_REMEMBERED) {", "if (times.isEmpty()) {",
+                "departures are kept"},
+        };
+    }
+
+    @Test(dataProvider = "faults")
+    public void aPlantedFaultIsFound(String file, String sound, String faulty, String says)
+            throws IOException, ReflectiveOperationException {
+        Throwable found = new PlantedSource(file, sound, faulty).find("peppergauge.membership.MembershipLoad", SEEDS);
+        assertNotNull(found, "not found");
+        assertTrue(String.valueOf(found.getMessage()).contains(says), found.toString());
+    }
+}
--- a/sidecar/src/main/java/peppergauge/overload/Accepts.java
+++ b/sidecar/src/main/java/peppergauge/overload/Accepts.java
@@ -32,6 +32,17 @@
     synchronized void step(boolean stands) {
         perS = Math.max(TRICKLE_PER_S, Math.min(FULL_PER_S, perS * (stands ? DOWN : UP)));
         tokens = Math.min(tokens, perS * BURST_S);
+        assert sound() : this;
+    }
+
+    /** Accepting never stops for good, and no burst is longer than its time at the present rate. */
+    private boolean sound() {
+        return perS >= TRICKLE_PER_S && perS <= FULL_PER_S && tokens >= 0 && tokens <= perS * BURST_S;
+    }
+
+    @Override
+    public synchronized String toString() {
+        return "accepts " + perS + " a second, " + tokens + " at once";
     }
 
     /**
@@ -45,6 +56,7 @@
             tokens = Math.min(perS * BURST_S, tokens + Math.min(nowMs - atMs, 1_000) * perS / 1_000);
             atMs = nowMs;
         }
+        assert sound() : this;
         if (tokens >= 1) {
             tokens--;
             return 0;
--- a/sidecar/src/main/java/peppergauge/overload/Admission.java
+++ b/sidecar/src/main/java/peppergauge/overload/Admission.java
@@ -56,6 +56,7 @@
             return Verdict.ADMIT;
         }
         shed[rank] = (shed[rank] + 1) % TRIAL_EVERY;
+        assert shed[rank] >= 0 && shed[rank] < TRIAL_EVERY : "no trial comes any more: " + shed[rank];
         return shed[rank] == 0 ? Verdict.ADMIT : Verdict.SHED;
     }
 
@@ -85,6 +86,8 @@
         share = Math.max(LEAST_SHARE, Math.min(1, share));
         admitted = levels.holding(share);
         levels.fade();
+        assert share >= LEAST_SHARE && share <= 1 : "a share that is none, for good: " + share;
+        assert admitted >= 0 && admitted <= shed.length * LEVELS_PER_RANK : "no such level: " + admitted;
     }
 
     /** The share of arrivals that is to be taken, from {@link #LEAST_SHARE} to 1. */
--- a/sidecar/src/main/java/peppergauge/overload/Claims.java
+++ b/sidecar/src/main/java/peppergauge/overload/Claims.java
@@ -48,6 +48,9 @@
     /** Since when each is as it is: put in at that time, so the longest is always first. */
     private final Map<Kind, LinkedHashMap<C, Double>> idle = new EnumMap<>(Kind.class);
 
+    /** All of them are looked through at each sixty-fourth: it takes a while where there are thousands. */
+    private int listings;
+
     public Claims() {
         for (Kind kind : Kind.ALL) {
             idle.put(kind, new LinkedHashMap<>());
@@ -180,5 +183,25 @@
         if (kind != null) {
             idle.get(kind).put(connection, nowMs);
         }
+        assert (++listings & 63) != 0 || sound() : "connections by what they have done do not add up";
+    }
+
+    /** Each idle connection is named in one place, no busy one in any, and none that is closed. */
+    boolean sound() {
+        int named = 0;
+        for (Map.Entry<Kind, LinkedHashMap<C, Double>> each : idle.entrySet()) {
+            double beforeMs = Double.NEGATIVE_INFINITY;
+            for (Map.Entry<C, Double> waiting : each.getValue().entrySet()) {
+                State state = states.get(waiting.getKey());
+                if (state == null || state.listed != each.getKey() || state.sessions > 0
+                        || waiting.getValue() < beforeMs) {
+                    return false;
+                }
+                beforeMs = waiting.getValue();
+                named++;
+            }
+        }
+        return named == states.values().stream().filter(state -> state.listed != null).count()
+                && states.values().stream().allMatch(state -> state.sessions >= 0);
     }
 }
--- a/sidecar/src/main/java/peppergauge/overload/LeastService.java
+++ b/sidecar/src/main/java/peppergauge/overload/LeastService.java
@@ -30,6 +30,7 @@
     double ms(double nowMs) {
         turn(nowMs);
         double known = Math.min(least, leastBefore);
+        assert known >= 0 : "a service that took " + known + " ms";
         return known == Double.POSITIVE_INFINITY ? FLOOR_MS : Math.max(FLOOR_MS, Math.min(BOUND_MS, known));
     }
 
--- a/sidecar/src/main/java/peppergauge/overload/Levels.java
+++ b/sidecar/src/main/java/peppergauge/overload/Levels.java
@@ -1,4 +1,5 @@
 package peppergauge.overload;
+import java.util.Arrays;
 
 /**
  * How many sessions came lately at each level, the dearest first, and down to which level a given share of them
@@ -25,6 +26,7 @@
             came[level] /= 2;
         }
         all /= 2;
+        assert Math.abs(Arrays.stream(came).sum() - all) <= 1e-6 * (1 + all) : "the levels' sum is not " + all;
     }
 
     /** The number of levels, from the dearest on, that hold at least {@code share} of what came. */
--- a/sidecar/src/main/java/peppergauge/overload/Order.java
+++ b/sidecar/src/main/java/peppergauge/overload/Order.java
@@ -53,6 +53,8 @@
         while (task == null && !ids.isEmpty()) {
             task = sessions.remove(newestFirst ? ids.pollLast() : ids.pollFirst());
         }
+        assert ids.size() >= sessions.size() : "sessions that wait and are never met: " + sessions.size();
+        assert task != null || sessions.isEmpty() : "nothing is next, and " + sessions.size() + " wait";
         return task;
     }
 
--- a/sidecar/src/main/java/peppergauge/overload/Rounds.java
+++ b/sidecar/src/main/java/peppergauge/overload/Rounds.java
@@ -63,6 +63,8 @@
             earliestMs = selectedMs;
         }
         endedMs = Double.NaN;
+        assert earliestMs <= selectedMs : "bytes came in after they were read: " + earliestMs + " > " + selectedMs;
+        assert stalledMs >= 0 : "stalled for " + stalledMs;
     }
 
     /**
--- a/sidecar/src/main/java/peppergauge/overload/StandingDelay.java
+++ b/sidecar/src/main/java/peppergauge/overload/StandingDelay.java
@@ -45,6 +45,8 @@
             aboveMs += Math.max(0, Math.min(nowMs - sampledMs, intervalMs / 2));
         }
         leastMs = Math.min(leastMs, delayMs);
+        assert aboveMs == -1 || aboveMs >= 0 : "over the target for " + aboveMs;
+        assert leastMs <= delayMs : "the least of them is " + leastMs + ", and one " + delayMs;
         sampledMs = nowMs;
     }
 
--- a/sidecar/src/main/java/peppergauge/session/Sessions.java
+++ b/sidecar/src/main/java/peppergauge/session/Sessions.java
@@ -161,15 +161,17 @@
 
     private void onOpening(Opening opening, Frontend frontend) {
         Session session = new Session(opening, frontend);
-        open.put(opening.id(), session);
+        Session other = open.put(opening.id(), session);
+        assert other == null : "one id for two open sessions: " + opening.id();
         double now = clock.nowMs();
         session.deadline = after(opening.deadlineMs() - now, () -> onDeadline(session));
         if (opening.message().flow() != null) {
             opening.message().flow().watch(passing(session));
         }
         if (!tell(new Balancer.RequestArrived(opening.id(), opening.requestClass(), opening.tenant(),
-                opening.deadlineMs() - now, opening.clientRetry())) && session.out == 0) {
+                opening.deadlineMs() - now, opening.clientRetry())) && session.out == 0 && !session.answered) {
             fail(session, false);
+            forgetIfOver(session);
         }
     }
 
@@ -274,6 +276,7 @@
         attempt.timeout.cancel();
         out.remove(attempt);
         attempt.session.out--;
+        assert attempt.session.out >= 0 : "more ends than attempts of session " + attempt.session.id();
         if (attempt.to != null) {
             forgetIfGone(attempt.to);
         }
@@ -410,7 +413,9 @@
         if (action instanceof Balancer.Send send) {
             send(send);
         } else if (action instanceof Balancer.SetTimer timer) {
-            timers.put(timer.token(), after(timer.atMs() - clock.nowMs(), () -> onTimer(timer.token())));
+            Scheduler.Wait other =
+                    timers.put(timer.token(), after(timer.atMs() - clock.nowMs(), () -> onTimer(timer.token())));
+            assert other == null : "one token for two timers: " + timer.token();
         } else if (action instanceof Balancer.ClearTimer timer) {
             Scheduler.Wait wait = timers.remove(timer.token());
             if (wait != null) {
@@ -441,6 +446,7 @@
             return;
         }
         double now = clock.nowMs();
+        assert !session.committed : "sent again while one server has its body: " + session.id();
         Attempt attempt = new Attempt(session, send.server(), server, now);
         session.attempts.add(attempt);
         session.out++;
@@ -551,6 +557,7 @@
     }
 
     private void end(Session session) {
+        assert !session.answered : "a second answer to session " + session.id();
         session.answered = true;
         session.deadline.cancel();
     }
@@ -574,15 +581,18 @@
     }
 
     private void remember(String id) {
+        assert !open.containsKey(id) : "over and open: " + id;
         ended.add(id);
         if (ended.size() > IDS_KEPT) {
             Iterator<String> oldest = ended.iterator();
             oldest.next();
             oldest.remove();
         }
+        assert ended.size() <= IDS_KEPT : "ids are kept without bound: " + ended.size();
     }
 
     private void checkIdle() {
+        assert !open.isEmpty() || out.isEmpty() : "attempts of sessions that are over: " + out.size();
         if (whenIdle != null && open.isEmpty() && overload.order().size() == 0) {
             Runnable task = whenIdle;
             whenIdle = null;
--- a/sidecar/src/main/java/peppergauge/sockets/Clients.java
+++ b/sidecar/src/main/java/peppergauge/sockets/Clients.java
@@ -78,7 +78,8 @@
 
     /** A connection that passed here is up. */
     public void opened(Claimant connection) {
-        open.add(connection);
+        boolean fresh = open.add(connection);
+        assert fresh : "a connection came up twice: " + connection;
         claims.opened(connection, clock.nowMs());
     }
 
@@ -104,7 +105,8 @@
 
     /** It is over, by whichever side; to be told once. */
     public void closed(Claimant connection) {
-        open.remove(connection);
+        boolean was = open.remove(connection);
+        assert was : "over twice, or never up: " + connection;
         claims.closed(connection);
         room.closed();
         checkWritten();
--- a/sidecar/src/main/java/peppergauge/sockets/Loop.java
+++ b/sidecar/src/main/java/peppergauge/sockets/Loop.java
@@ -292,6 +292,10 @@
             task.run();
         } catch (RuntimeException | StackOverflowError bug) {
             Log.bug("bug", bug);
+        } catch (AssertionError broken) {
+            // Under -ea alone. What goes on after it would only follow from it: the thread ends, and the program.
+            Log.bug("invariant", broken);
+            throw broken;
         }
     }
 
--- a/sidecar/src/main/java/peppergauge/sockets/SocketRoom.java
+++ b/sidecar/src/main/java/peppergauge/sockets/SocketRoom.java
@@ -13,12 +13,14 @@
 
     private final Loop loop;
     private final Semaphore free;
+    private final int most;
     private final AtomicInteger closedThisRound = new AtomicInteger();
     /** Closed in an earlier round; only the loop's thread touches it. */
     private int closedBefore;
 
     public SocketRoom(int most, Loop loop) {
         this.loop = loop;
+        this.most = most;
         free = new Semaphore(most);
         loop.eachRound(this::roundEnded);
     }
@@ -34,13 +36,21 @@
     /** One of the sockets was closed just now; to be called on the loop's thread. */
     public void closed() {
         closedThisRound.incrementAndGet();
+        assert sound() : "a socket was closed twice, or had no place: " + closedThisRound + " of " + most;
     }
 
-    private void roundEnded() {
+    /** No place is given back that nobody had: each would be a descriptor too many, for good. */
+    private boolean sound() {
+        // Other threads only take places meanwhile.
+        return closedThisRound.get() + closedBefore + free.availablePermits() <= most;
+    }
+
+    void roundEnded() {
         if (closedBefore > 0) {
             free.release(closedBefore);
         }
         closedBefore = closedThisRound.getAndSet(0);
+        assert sound() : "more places than there are: " + free.availablePermits() + " of " + most;
         if (closedBefore > 0 && free.hasQueuedThreads()) {
             loop.wakeUp();
         }
--- /dev/null
+++ b/sidecar/src/test/java/peppergauge/invariant/PlantedFaultsTest.java
@@ -0,0 +1,84 @@
+package peppergauge.invariant;
+
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.overload.OverloadLoad;
+import peppergauge.session.SessionsLoad;
+import peppergauge.sockets.ClientsLoad;
+
+/**
+ * Sessions, overload control and sockets' places under random load, as they are and with faults planted in their
+ * sources. {@code -Dinvariant.seeds} is the long run by hand.
+ */
+public class PlantedFaultsTest {
+
+    private static final int SEEDS = Integer.getInteger("invariant.seeds", 25);
+    private static final int SEEDS_FOR_A_FAULT = 25;
+
+    private static final String SESSIONS = "peppergauge.session.SessionsLoad";
+    private static final String OVERLOAD = "peppergauge.overload.OverloadLoad";
+    private static final String CLIENTS = "peppergauge.sockets.ClientsLoad";
+
+    @Test
+    public void allHoldsWhateverHappens() throws InterruptedException, ReflectiveOperationException {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SessionsLoad.run(seed);
+            OverloadLoad.run(seed);
+            ClientsLoad.run(seed);
+        }
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return new Object[][] {
+            {SESSIONS, "session/Sessions.java", "if (!session.answered) {\n                end(session);",
+                "if (session != null) {\n                end(session);", "a second answer"},
+            {SESSIONS, "session/Sessions.java", " && session.out == 0 && !session.answered", " && session.out == 0",
+                "a second answer"},
+            {SESSIONS, "session/Sessions.java", "            fail(session, false);\n            forgetIfOver(session);\n",
+                "            fail(session, false);\n", "sessions are held that are over"},
+            {SESSIONS, "session/Sessions.java", "if (attempt.ended || attempt.begun) {", "if (attempt.begun) {",
+                "more ends than attempts"},
+            {SESSIONS, "session/Sessions.java", "        out.remove(attempt);\n", "", "attempts of sessions that are over"},
+            {SESSIONS, "session/Sessions.java", "open.containsKey(id) || ended.contains(id) || ", "",
+                "one id for two open sessions"},
+            {SESSIONS, "session/Sessions.java", "session.answered && session.out == 0 && open.remove",
+                "session.answered && open.remove", "attempts of sessions that are over"},
+            {OVERLOAD, "overload/Accepts.java", "tokens = Math.min(tokens, perS * BURST_S);\n        assert", "assert",
+                "accepts"},
+            {OVERLOAD, "overload/Accepts.java", "Math.max(TRICKLE_PER_S, ", "Math.max(0, ", "accepts"},
+            {OVERLOAD, "overload/Admission.java", "Math.max(LEAST_SHARE, Math.min(1, share))", "Math.min(1, share)",
+                "a share that is none"},
+            {OVERLOAD, "overload/Admission.java", "(shed[rank] + 1) % TRIAL_EVERY", "shed[rank] + 1", "no trial"},
+            {OVERLOAD, "overload/Levels.java", "        all /= 2;\n", "", "the levels' sum"},
+            {OVERLOAD, "overload/Rounds.java", "earliestMs = selectedMs;\n        }\n        endedMs",
+                "earliestMs = nowMs + 1;\n        }\n        endedMs", "after they were read"},
+            {OVERLOAD, "overload/RetryAfter.java", "Math.min(boundMs, leftMs)", "boundMs", "to come back after"},
+            {OVERLOAD, "overload/Order.java", "return sessions.remove(id);", "ids.remove(id); ids.pollFirst();"
+                + " return sessions.remove(id);", "wait"},
+            {OVERLOAD, "overload/Claims.java", "state.served > 0 || state.sessions > 0 ? null : Kind.BROKEN_OFF",
+                "state.served > 0 ? null : Kind.BROKEN_OFF", "do not add up"},
+            {OVERLOAD, "overload/Claims.java", "            list(connection, state, null, 0);\n        }\n    }\n\n    /**\n"
+                + "     * The connection to close now", "        }\n    }\n\n    /**\n     * The connection to close now",
+                "\"listed\""},
+            {CLIENTS, "sockets/SocketRoom.java", "closedThisRound.getAndSet(0)", "closedThisRound.get()",
+                "more places than there are"},
+            {CLIENTS, "sockets/Clients.java", "        room.closed();\n", "        room.closed();\n        room.closed();\n",
+                "closed twice"},
+            {CLIENTS, "sockets/Clients.java", "for (Claimant spare = claims.surplus",
+                "closed(connection); for (Claimant spare = claims.surplus", "over twice"},
+        };
+    }
+
+    @Test(dataProvider = "faults")
+    public void aPlantedFaultIsFound(String load, String file, String sound, String faulty, String says)
+            throws IOException, ReflectiveOperationException {
+        Throwable found = new PlantedSource(file, sound, faulty).find(load, SEEDS_FOR_A_FAULT);
+        assertNotNull(found, "not found");
+        assertTrue(found.getMessage().contains(says), found.toString());
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/peppergauge/invariant/PlantedSource.java
@@ -0,0 +1,76 @@
+package peppergauge.invariant;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.lang.reflect.InvocationTargetException;
+import java.net.MalformedURLException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
+import javax.tools.JavaCompiler;
+import javax.tools.ToolProvider;
+
+/**
+ * Plants a fault in a copy of one source file of the present module, and runs a load over the program with it, with
+ * assertions on: all classes of the program are loaded anew, and the faulty ones before the sound ones.
+ *
+ * @param file under {@code src/main/java/peppergauge}
+ * @param sound what stands there, once
+ * @param faulty what stands there in its place
+ */
+public record PlantedSource(String file, String sound, String faulty) {
+
+    /** Something with a method {@code run(long seed)} that throws what does not hold. */
+    public Throwable find(String load, int seeds) throws IOException, ReflectiveOperationException {
+        Path classes = Files.createTempDirectory("planted");
+        try (URLClassLoader planted = new URLClassLoader(compile(classes), ClassLoader.getPlatformClassLoader())) {
+            planted.setDefaultAssertionStatus(true);
+            var run = planted.loadClass(load).getMethod("run", long.class);
+            for (long seed = 1; seed <= seeds; seed++) {
+                try {
+                    run.invoke(null, seed);
+                } catch (InvocationTargetException broken) {
+                    return broken.getCause();
+                }
+            }
+            return null;
+        } finally {
+            try (Stream<Path> made = Files.walk(classes)) {
+                made.sorted((a, b) -> b.compareTo(a)).map(Path::toFile).forEach(File::delete);
+            }
+        }
+    }
+
+    private URL[] compile(Path classes) throws IOException {
+        Path source = Path.of("src", "main", "java", "peppergauge").resolve(file);
+        String text = Files.readString(source);
+        if (text.split(java.util.regex.Pattern.quote(sound), -1).length != 2) {
+            throw new AssertionError(file + " does not have once: " + sound);
+        }
+        Path copy = classes.resolve(source.getFileName());
+        Files.writeString(copy, text.replace(sound, faulty));
+        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
+        String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        StringWriter said = new StringWriter();
+        var files = compiler.getStandardFileManager(null, Locale.ROOT, null);
+        if (!compiler.getTask(said, files, null, List.of("-nowarn", "-proc:none", "-cp", path, "-d", classes.toString()),
+                null, files.getJavaFileObjects(copy)).call()) {
+            throw new AssertionError(file + " with its fault does not compile: " + said);
+        }
+        List<URL> urls = new ArrayList<>(List.of(url(classes)));
+        for (String each : path.split(File.pathSeparator)) {
+            urls.add(url(Path.of(each)));
+        }
+        return urls.toArray(URL[]::new);
+    }
+
+    private static URL url(Path path) throws MalformedURLException {
+        return path.toUri().toURL();
+    }
+}
--- a/sidecar/src/test/java/peppergauge/invariant/RandomLoadTest.java
+++ b/sidecar/src/test/java/peppergauge/invariant/RandomLoadTest.java
@@ -2,12 +2,24 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.lang.reflect.Field;
+import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import peppergauge.decision.Balancer.DiscoveryFailed;
+import peppergauge.decision.Balancer.RequestArrived;
+import peppergauge.decision.Balancer.ServerEntry;
+import peppergauge.decision.Balancer.ServerState;
+import peppergauge.decision.Balancer.ServersListed;
 import peppergauge.decision.Balancer.Settings;
+import peppergauge.decision.Balancer;
 import peppergauge.decision.Decide;
 
 /**
@@ -17,6 +29,7 @@
 public class RandomLoadTest {
 
     private static final int SEEDS = Integer.getInteger("invariant.seeds", 60);
+    private static final int SEEDS_FOR_A_FAULT = 60;
     private static final int FIRST = Integer.getInteger("invariant.first", 1);
     private static final int EVENTS = Integer.getInteger("invariant.events", 2_000);
 
@@ -50,6 +63,53 @@
         return host;
     }
 
+    @DataProvider
+    public Object[][] mutants() {
+        return Stream.of(Mutant.values()).map(mutant -> new Object[] {mutant}).toArray(Object[][]::new);
+    }
+
+    /** Each is found by its own invariant, where another one does not bind first. */
+    @Test(dataProvider = "mutants")
+    public void aPlantedFaultIsFound(Mutant mutant) {
+        Map<Invariant, Integer> found = new EnumMap<>(Invariant.class);
+        for (long seed = 1; seed <= SEEDS_FOR_A_FAULT && !found.containsKey(mutant.found); seed++) {
+            Settings settings = DrawnSettings.of(new SplittableRandom(seed));
+            Balancer module = new Decide(mutant.settings(settings), seed);
+            try {
+                new RandomHost(CheckedBalancer.around(mutant.around(module, settings), settings), settings, seed)
+                        .run(EVENTS);
+            } catch (InvariantBroken broken) {
+                found.merge(broken.invariant(), 1, Integer::sum);
+            }
+        }
+        assertTrue(found.containsKey(mutant.found), mutant + " was found by " + found);
+    }
+
+    /** A host's own faults: what it tells is held against the same account. */
+    @Test
+    public void aHostThatTellsWhatCannotBeIsFound() {
+        Settings settings = DrawnSettings.of(new SplittableRandom(1));
+        RequestArrived arrived = new RequestArrived("r", 0, 0, 100, false);
+        assertBroken(Invariant.CLOCK, settings, balancer -> {
+            balancer.on(10, new DiscoveryFailed(), action -> { });
+            balancer.on(9, new DiscoveryFailed(), action -> { });
+        });
+        assertBroken(Invariant.CLOCK, settings, balancer -> balancer.on(Double.NaN, arrived, action -> { }));
+        assertBroken(Invariant.HOST, settings, balancer -> {
+            balancer.on(9, new ServersListed(true, false, List.of(new ServerEntry("s", 0, 0, ServerState.READY, 0))),
+                    action -> { });
+            balancer.on(10, arrived, action -> { });
+            balancer.on(11, arrived, action -> { });
+        });
+        assertBroken(Invariant.HOST, settings, balancer -> balancer.on(10,
+                new RequestArrived("r", 0, 0, Double.NaN, false), action -> { }));
+    }
+
+    private static void assertBroken(Invariant invariant, Settings settings, Consumer<Balancer> host) {
+        Balancer checked = CheckedBalancer.around(new Decide(settings, 1), settings);
+        assertEquals(expectThrows(InvariantBroken.class, () -> host.accept(checked)).invariant(), invariant);
+    }
+
     /** The module's own maps: what stays in them is never let go. */
     private static void assertOver(RandomHost host, CheckedBalancer checked, Decide module)
             throws ReflectiveOperationException {
--- /dev/null
+++ b/sidecar/src/test/java/peppergauge/overload/OverloadLoad.java
@@ -0,0 +1,90 @@
+package peppergauge.overload;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** The overload control in rounds, pauses and crowds of any shape. */
+public final class OverloadLoad {
+
+    private static final int ROUNDS = 400;
+
+    private final SplittableRandom random;
+    private final Overload<Integer, String> overload;
+    private double nowMs = 5_000;
+    private int asked;
+    private int rounds;
+
+    private OverloadLoad(long seed) {
+        random = new SplittableRandom(seed);
+        overload = new Overload<>(OverloadSettings.of(List.of(3.0, 0.0, 9.0), random.nextInt(3) / 2.0,
+                random.nextBoolean(), 1_500, 20, seed));
+    }
+
+    /** @throws AssertionError if something does not hold */
+    public static void run(long seed) {
+        OverloadLoad load = new OverloadLoad(seed);
+        for (int i = 0; i < ROUNDS; i++) {
+            load.round();
+        }
+        require(load.overload.claims().sound(), "claims do not add up");
+    }
+
+    private void round() {
+        boolean crush = rounds++ / 100 % 2 == 1;
+        nowMs += crush ? 0.01 : random.nextInt(500) == 0 ? random.nextInt(5_000) : random.nextDouble() * 20;
+        overload.selectReturned(nowMs);
+        for (int i = random.nextInt(crush ? 40 : 4); i > 0; i--) {
+            String id = "x" + asked++;
+            if (overload.order().arrived(id, id) && random.nextInt(20) == 0) {
+                overload.order().withdraw(id);
+            }
+            overload.order().owed("owed");
+            connection();
+        }
+        for (String task = overload.next(); task != null; task = overload.next()) {
+            nowMs += random.nextDouble() * (crush ? 4 : 0.5);
+            if (!task.equals("owed")) {
+                judge(task);
+            }
+        }
+        require(overload.order().size() == 0, "tasks are left");
+        // Two threads bring their times in any order.
+        double waitMs = overload.accepts().waitMs(nowMs - random.nextInt(3));
+        require(waitMs >= 0 && waitMs <= Accepts.MOST_WAIT_MS, "to wait " + waitMs);
+        overload.roundEnded(nowMs, random.nextBoolean());
+    }
+
+    private void judge(String id) {
+        overload.judge(nowMs, new Arrival(id, random.nextInt(3), random.nextBoolean(), random.nextBoolean(),
+                random.nextInt(-10, 500)));
+        double leftMs = random.nextInt(-100, 2_000);
+        double afterMs = overload.retryAfterMs(nowMs, leftMs);
+        require(afterMs >= 0 && afterMs <= 1_500, "to come back after " + afterMs);
+        if (random.nextBoolean()) {
+            overload.served(nowMs, random.nextDouble() * 200);
+        }
+        require(overload.share() > 0 && overload.share() <= 1, "a share of " + overload.share());
+    }
+
+    /** Any call for any connection, also for one that is closed or never was. */
+    private void connection() {
+        int connection = random.nextInt(60);
+        switch (random.nextInt(8)) {
+            case 0, 1 -> overload.claims().opened(connection, nowMs);
+            case 2 -> overload.claims().reading(connection, nowMs);
+            case 3, 4 -> overload.claims().whole(connection);
+            case 5 -> overload.claims().answered(connection, nowMs, random.nextBoolean());
+            case 6 -> overload.claims().closed(connection);
+            default -> {
+                overload.claims().nextToClose(nowMs);
+                overload.claims().surplus(nowMs, 3);
+            }
+        }
+    }
+
+    private static void require(boolean holds, String about) {
+        if (!holds) {
+            throw new AssertionError(about);
+        }
+    }
+}
--- a/snapshot/src/main/java/peppergauge/snapshot/donations/DonationJournal.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/donations/DonationJournal.java
@@ -93,6 +93,7 @@
     }
 
     private void write(List<Waiting> batch) {
+        assert Thread.currentThread() == writer : "the ledger is the writer's alone";
         List<Entry> entries = batch.stream().map(Waiting::entry).toList();
         long now = wallMs.getAsLong();
         entries.forEach(ledger::tell);
--- a/snapshot/src/main/java/peppergauge/snapshot/donations/JournalFile.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/donations/JournalFile.java
@@ -99,6 +99,7 @@
     }
 
     private void write(List<Entry> entries, int bytes) throws IOException {
+        assert length + bytes <= Math.max(most, MAGIC.length + most / 2) : "past its bound: " + (length + bytes);
         ByteBuffer out = ByteBuffer.allocate(bytes);
         for (Entry entry : entries) {
             out.put(entry.encode(length + out.position()));
--- a/snapshot/src/main/java/peppergauge/snapshot/donations/Ledger.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/donations/Ledger.java
@@ -24,6 +24,7 @@
         if (entry.kind() != Entry.Kind.NEVER_RAN) {
             entries.put(entry.id(), entry);
         }
+        assert holds(entry.id()) == (entry.kind() != Entry.Kind.NEVER_RAN) : "not as told: " + entry;
     }
 
     boolean holds(String id) {
@@ -53,6 +54,8 @@
             }
         }
         Collections.reverse(kept);
+        assert kept.stream().mapToLong(Entry::size).sum() <= mostBytes : "more than fits in " + mostBytes;
+        assert kept.stream().map(Entry::id).distinct().count() == kept.size() : "an id is kept twice";
         return kept;
     }
 
--- /dev/null
+++ b/snapshot/src/test/java/peppergauge/snapshot/donations/LedgerLoad.java
@@ -0,0 +1,91 @@
+package peppergauge.snapshot.donations;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+import peppergauge.snapshot.disk.FaultyDisk;
+import peppergauge.snapshot.disk.Shelf;
+
+/** Donations sent and ended in any order, on a disk that fails now and then, read again after each few. */
+public final class LedgerLoad {
+
+    private static final int STEPS = 300;
+    private static final long MOST = 2_000;
+
+    private final SplittableRandom random;
+    private final FaultyDisk disk = new FaultyDisk();
+    private final Ledger ledger = new Ledger();
+    /** What must be known: told last, and not by a disk that failed. */
+    private final Map<String, Entry> told = new HashMap<>();
+    private long wallMs = 1_700_000_000_000L;
+
+    private LedgerLoad(long seed) {
+        random = new SplittableRandom(seed);
+    }
+
+    /** @throws AssertionError if something does not hold */
+    public static void run(long seed) throws IOException {
+        Path folder = Files.createTempDirectory("ledger");
+        try (Shelf shelf = new Shelf(new FaultyDisk(), folder.resolve("kept"), "a")) {
+            new LedgerLoad(seed).whole(shelf);
+        } finally {
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted((a, b) -> b.compareTo(a)).map(Path::toFile).forEach(File::delete);
+            }
+        }
+    }
+
+    private void whole(Shelf shelf) throws IOException {
+        JournalFile file = new JournalFile(disk, shelf, MOST);
+        boolean fails = random.nextBoolean();
+        disk.fails = operation -> fails && random.nextInt(40) == 0;
+        for (int i = 0; i < STEPS; i++) {
+            wallMs += random.nextInt(20) == 0 ? random.nextInt(40_000) : random.nextInt(100);
+            List<Entry> batch = batch();
+            batch.forEach(ledger::tell);
+            boolean written = true;
+            try {
+                file.append(batch, ledger, random.nextBoolean(), wallMs);
+            } catch (IOException full) {
+                written = false;
+            }
+            if (written) {
+                readAgain(shelf, batch);
+            }
+        }
+        file.close();
+    }
+
+    private List<Entry> batch() {
+        List<Entry> batch = new ArrayList<>();
+        for (int i = random.nextInt(1, 4); i > 0; i--) {
+            batch.add(new Entry(Entry.Kind.values()[random.nextInt(3)], "d" + random.nextInt(120), wallMs));
+        }
+        return batch;
+    }
+
+    /** What was just written is what a process after a crash would know. */
+    private void readAgain(Shelf shelf, List<Entry> batch) {
+        Ledger again = new Ledger();
+        String wrong = new JournalFile(new FaultyDisk(), shelf, MOST).read(again);
+        require(wrong == null, wrong);
+        told.clear();
+        batch.forEach(entry -> told.put(entry.id(), entry));
+        // One that ended may have had to make room for one that did not.
+        told.values().forEach(entry -> require(entry.kind() == Entry.Kind.ENDED
+                || again.holds(entry.id()) == (entry.kind() == Entry.Kind.SENT), entry + " is known otherwise"));
+    }
+
+    private static void require(boolean holds, String about) {
+        if (!holds) {
+            throw new AssertionError(about);
+        }
+    }
+}
