--- a/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
@@ -70,7 +70,8 @@
                 settings.classes().stream().map(Balancer.RequestClass::worth).toList(), settings.overShareWorth(),
                 limits.retryAfter(), limits.maxRetryAfterMs(), Loop.SELECT_MS, seed));
         loop = new SidecarLoop(world.time, overload, sabotage,
-                thrown -> world.rulebook.broken(Rulebook.Rule.BUG, name() + " threw " + thrown));
+                thrown -> world.rulebook.broken(thrown instanceof AssertionError ? Rulebook.Rule.INVARIANT
+                        : Rulebook.Rule.BUG, name() + " threw " + thrown));
         backend = new SidecarBackend(world, this, world.streams.of("ways/" + name() + '/' + life));
         List<ServerTable.Row> first = List.copyOf(known.values());
         sessions = new Sessions(watched(sabotage.instead(
--- a/lab/src/main/java/peppergauge/lab/emulator/SidecarLoop.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/SidecarLoop.java
@@ -112,21 +112,27 @@
             time.at(pausedUntil, this::round);
             return;
         }
-        idleRounds();
         double nowMs = time.nowMs();
-        overload.selectReturned(nowMs);
+        guarded(() -> {
+            idleRounds();
+            overload.selectReturned(nowMs);
+        });
         for (Runnable task = tasks.pollFirst(); task != null; task = tasks.pollFirst()) {
-            try {
-                task.run();
-            } catch (RuntimeException | AssertionError thrown) {
-                bug.accept(thrown);
-            }
+            guarded(task);
         }
         awake = false;
         busyUntil = time.now() + VirtualTime.ticks(spentMs);
         endedMs = nowMs + spentMs;
         spentMs = 0;
-        overload.roundEnded(endedMs, true);
+        guarded(() -> overload.roundEnded(endedMs, true));
+    }
+
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | AssertionError thrown) {
+            bug.accept(thrown);
+        }
     }
 
     /** The present round takes so much longer, ms. */
--- a/lab/src/main/java/peppergauge/lab/process/Deploy.java
+++ b/lab/src/main/java/peppergauge/lab/process/Deploy.java
@@ -23,6 +23,11 @@
         return run(Files.readString(checkout.resolve("deploy").resolve("balancer.toml")));
     }
 
+    /** Such a command with the program's invariants on (docs/INVARIANTS.md): the first that breaks ends the process. */
+    public static String checked(String run) {
+        return run.replaceFirst("\\bjava\\b", "java -ea:peppergauge...");
+    }
+
     /** The same from the text of such a file. */
     public static String run(String toml) {
         Matcher line = RUN.matcher(toml);
--- a/lab/src/test/java/peppergauge/lab/cost/PartsTest.java
+++ b/lab/src/test/java/peppergauge/lab/cost/PartsTest.java
@@ -67,6 +67,7 @@
                 new Proc.Stat("a) b", 560, 80));
         assertEquals(Deploy.run("build = \"b\"\nrun = \"exec a \\\"b\\\"\" # c\n"), "exec a \"b\"");
         assertTrue(Deploy.run(Path.of("..")).startsWith("exec "), "without exec the shell would be measured too");
+        assertEquals(Deploy.checked("exec java -jar java.jar"), "exec java -ea:peppergauge... -jar java.jar");
         Usage usage = Usage.of(ProcessHandle.current());
         assertTrue(usage.cpuMs() > 0 && usage.rssKb() > 0 && usage.threads().size() > 1);
     }
