--- a/sidecar/src/main/java/peppergauge/invariant/CheckedBudget.java
+++ b/sidecar/src/main/java/peppergauge/invariant/CheckedBudget.java
@@ -31,8 +31,12 @@
         }
         further.addLast(nowMs);
         double fromMs = nowMs - budget.windowMs();
-        further.removeIf(atMs -> atMs < fromMs);
-        taken.removeIf(atMs -> atMs <= fromMs);
+        while (further.peekFirst() < fromMs) {
+            further.removeFirst();
+        }
+        while (!taken.isEmpty() && taken.peekFirst() <= fromMs) {
+            taken.removeFirst();
+        }
         return further.size() <= budget.free() + budget.share() * taken.size();
     }
 }
--- a/sidecar/src/main/java/peppergauge/invariant/CheckedSession.java
+++ b/sidecar/src/main/java/peppergauge/invariant/CheckedSession.java
@@ -52,7 +52,13 @@
     }
 
     boolean anyOut() {
-        return sent.stream().anyMatch(each -> each.ended == null);
+        // A loop: it is asked at each event.
+        for (Sent each : sent) {
+            if (each.ended == null) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Whether one more attempt there could let it run twice where it must not. */
