--- a/sidecar/src/test/java/peppergauge/invariant/RandomHost.java
+++ b/sidecar/src/test/java/peppergauge/invariant/RandomHost.java
@@ -28,6 +28,7 @@
 import peppergauge.decision.Balancer.ServersListed;
 import peppergauge.decision.Balancer.SetTimer;
 import peppergauge.decision.Balancer.Settings;
+import peppergauge.decision.Balancer.Steered;
 import peppergauge.decision.Balancer.TimerDue;
 import peppergauge.decision.Learned;
 
@@ -126,10 +127,20 @@
             }
             case 8 -> tell(new TimerDue(random.nextInt(1_000)));
             case 9 -> tell(new AttemptEnded("never", 0, "s0", Outcome.SUCCESS, 1, true, null));
+            case 10 -> tell(new Steered(steering()));
             default -> { }
         }
     }
 
+    /** By tenant and zone; none now and then, or fewer than there are. */
+    private double[][] steering() {
+        double[][] factors = new double[random.nextInt(4)][];
+        for (int tenant = 0; tenant < factors.length; tenant++) {
+            factors[tenant] = random.doubles(random.nextInt(4), 0.05, 1).toArray();
+        }
+        return factors;
+    }
+
     private void arrive() {
         String id = "r" + asked++;
         double budgetMs = random.nextInt(40) == 0 ? -random.nextInt(3) : 1 + random.nextInt(1_500);
