--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
@@ -0,0 +1,25 @@
+package peppergauge.fleet.decide;
+
+import peppergauge.promises.Steering;
+
+/** Decides how stations lean. One thread calls it. */
+public interface Planner {
+
+    /** Steers nothing. */
+    Planner NONE = (nowMs, merged) -> Steering.NONE;
+
+    /** @param nowMs Unix time, ms */
+    Steering plan(long nowMs, MergedView merged);
+
+    /** What has to outlive the process; of a form of the planner's own. */
+    default byte[] state() {
+        return new byte[0];
+    }
+
+    /**
+     * Goes on from what {@link #state} gave, before the first plan.
+     *
+     * @throws IllegalArgumentException if it is of no use: then it starts anew
+     */
+    default void restore(byte[] state) { }
+}
--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/state/FleetState.java
@@ -0,0 +1,130 @@
+package peppergauge.fleet.state;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import peppergauge.fleet.wire.DaemonReport;
+
+/**
+ * The newest accounts of each daemon's last incarnations: a join semilattice, so that instances that were told the
+ * same in any order, any number of times and through any of them hold the same. Not safe for several threads.
+ *
+ * <p>Beside it, and no part of what is merged, each account has a stamp that grows with each change here: another
+ * instance asks for what changed since the stamp that it has.
+ */
+public final class FleetState {
+
+    /** Accounts of dead incarnations are kept so that instances agree on them before they are dropped. */
+    static final int INCARNATIONS = 3;
+    /** Of one (incarnation, sequence) there is one report; where a broken daemon sends two, all keep the same. */
+    private static final Comparator<DaemonReport> NEWER = Comparator.comparingLong(DaemonReport::sequence)
+            .thenComparingLong(DaemonReport::sentMs).thenComparing(DaemonReport::toString);
+
+    private final Map<String, TreeMap<Long, Held>> daemons = new HashMap<>();
+    private final TreeMap<Long, DaemonReport> changes = new TreeMap<>();
+    private long stamp;
+
+    private record Held(DaemonReport report, long stamp) { }
+
+    /** What a report took the place of. */
+    public record Change(DaemonReport before, DaemonReport now) { }
+
+    /** @return null where all of it is held already, or it is older than all that is held of its daemon */
+    public Change take(DaemonReport report) {
+        TreeMap<Long, Held> incarnations = daemons.computeIfAbsent(report.daemon(), name -> new TreeMap<>());
+        Held held = incarnations.get(report.incarnation());
+        if (held != null && NEWER.compare(report, held.report()) <= 0
+                || held == null && incarnations.size() >= INCARNATIONS
+                        && report.incarnation() < incarnations.firstKey()) {
+            return null;
+        }
+        put(incarnations, report, held);
+        if (incarnations.size() > INCARNATIONS) {
+            changes.remove(incarnations.pollFirstEntry().getValue().stamp());
+        }
+        return new Change(held == null ? null : held.report(), report);
+    }
+
+    private void put(TreeMap<Long, Held> incarnations, DaemonReport report, Held before) {
+        if (before != null) {
+            changes.remove(before.stamp());
+        }
+        incarnations.put(report.incarnation(), new Held(report, ++stamp));
+        changes.put(stamp, report);
+    }
+
+    /** The least state that holds both. */
+    public void join(FleetState other) {
+        other.reports().forEach(this::take);
+    }
+
+    /** Drops each account that was sent longer ago. A rule of account and time alone: all instances drop the same. */
+    public void forget(long nowMs, long forgetMs) {
+        daemons.values().forEach(incarnations -> incarnations.values().removeIf(held -> {
+            boolean old = nowMs - held.report().sentMs() > forgetMs;
+            if (old) {
+                changes.remove(held.stamp());
+            }
+            return old;
+        }));
+        daemons.values().removeIf(Map::isEmpty);
+    }
+
+    /** Null where none is held. */
+    public DaemonReport newest(String daemon) {
+        TreeMap<Long, Held> incarnations = daemons.get(daemon);
+        return incarnations == null || incarnations.isEmpty() ? null : incarnations.lastEntry().getValue().report();
+    }
+
+    /** Daemons whose newest account was sent at that time or later. */
+    public int sentSince(long ms) {
+        return (int) daemons.keySet().stream().filter(name -> newest(name).sentMs() >= ms).count();
+    }
+
+    public int size() {
+        return daemons.size();
+    }
+
+    public long stamp() {
+        return stamp;
+    }
+
+    /** All accounts, the longest unchanged first. */
+    public List<DaemonReport> reports() {
+        return List.copyOf(changes.values());
+    }
+
+    /** Newest of each daemon. */
+    public List<DaemonReport> newest() {
+        return daemons.keySet().stream().map(this::newest).collect(Collectors.toList());
+    }
+
+    /** What changed since, and the stamp to ask from next; not all at once. */
+    public Changes since(long from, int most) {
+        List<DaemonReport> changed = new ArrayList<>();
+        long through = stamp;
+        for (Map.Entry<Long, DaemonReport> change : changes.tailMap(from, false).entrySet()) {
+            if (changed.size() == most) {
+                return new Changes(changed, through, true);
+            }
+            changed.add(change.getValue());
+            through = change.getKey();
+        }
+        return new Changes(changed, stamp, false);
+    }
+
+    /** @param through asked from there, what comes next follows */
+    public record Changes(List<DaemonReport> reports, long through, boolean more) { }
+
+    /** Equal where the same is held, whatever the stamps. */
+    public Map<String, Map<Long, DaemonReport>> accounts() {
+        Map<String, Map<Long, DaemonReport>> accounts = new HashMap<>();
+        reports().forEach(report -> accounts.computeIfAbsent(report.daemon(), name -> new HashMap<>())
+                .put(report.incarnation(), report));
+        return accounts;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/state/Intake.java
@@ -0,0 +1,69 @@
+package peppergauge.fleet.state;
+
+import java.util.HashSet;
+import java.util.Set;
+import peppergauge.fleet.wire.DaemonReport;
+import peppergauge.promises.Cell;
+
+/** Judges a report by itself and by what is held of its daemon. */
+public record Intake(String site, Limits limits) {
+
+    private static final int LONGEST_NAME = 200;
+
+    /** The newest account held of a daemon. */
+    public record Newest(long incarnation, long sequence) { }
+
+    /**
+     * @param newest null where its daemon is not held
+     * @param held daemons held in all
+     */
+    public Verdict judge(DaemonReport report, long nowMs, Newest newest, int held) {
+        if (!wellFormed(report)) {
+            return Verdict.MALFORMED;
+        }
+        if (!report.site().equals(site)) {
+            return Verdict.OTHER_SITE;
+        }
+        if (report.sentMs() - nowMs > limits.futureMs() || report.incarnation() - nowMs > limits.futureMs()) {
+            return Verdict.FUTURE;
+        }
+        if (nowMs - report.sentMs() > limits.lateMs()) {
+            return Verdict.LATE;
+        }
+        if (newest == null) {
+            return held < limits.daemons() ? Verdict.TAKEN : Verdict.FULL;
+        }
+        if (report.incarnation() < newest.incarnation()) {
+            return Verdict.DEAD_INCARNATION;
+        }
+        return report.incarnation() == newest.incarnation() && report.sequence() <= newest.sequence()
+                ? Verdict.REPEATED : Verdict.TAKEN;
+    }
+
+    /** Whether another instance may hand it on: it was judged there, by another clock. */
+    public boolean mayJoin(DaemonReport report, long nowMs) {
+        return wellFormed(report) && report.site().equals(site) && report.sentMs() - nowMs <= 2 * limits.futureMs()
+                && report.incarnation() - nowMs <= 2 * limits.futureMs();
+    }
+
+    private boolean wellFormed(DaemonReport report) {
+        if (report == null || !name(report.site()) || !name(report.daemon()) || report.incarnation() <= 0
+                || report.sequence() <= 0 || report.sentMs() <= 0 || report.cells() == null
+                || report.cells().size() > limits.cells()) {
+            return false;
+        }
+        Set<Cell> met = new HashSet<>();
+        return report.cells().stream().allMatch(counts -> counts != null && wellFormed(counts)
+                && met.add(Tally.cell(counts)));
+    }
+
+    private static boolean wellFormed(DaemonReport.CellCounts counts) {
+        return name(counts.station()) && name(counts.requestClass()) && counts.zone() != null
+                && counts.zone().length() <= LONGEST_NAME && counts.answered() >= 0 && counts.denied() >= 0
+                && counts.failed() >= 0 && (counts.latency() == null || Latencies.usable(counts.latency()));
+    }
+
+    private static boolean name(String name) {
+        return name != null && !name.isEmpty() && name.length() <= LONGEST_NAME;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/table/Publishing.java
@@ -0,0 +1,22 @@
+package peppergauge.fleet.table;
+
+import peppergauge.fleet.wire.FleetTable;
+import peppergauge.promises.Steering;
+
+/** What an instance issues after what went before, and what it still hands out. */
+public record Publishing(String site, String issuer, long leaseMs, double step) {
+
+    /**
+     * @param before the last table that this instance issued or was told of; null for none
+     * @param wanted goes out in bounded steps
+     */
+    public FleetTable issue(long version, long nowMs, FleetTable before, Steering wanted) {
+        Steering from = handsOut(before, nowMs) ? before.steering() : Steering.NONE;
+        return new FleetTable(site, version, nowMs, leaseMs, issuer, Factors.towards(from, wanted, step));
+    }
+
+    /** Whether it is still worth handing out. */
+    public boolean handsOut(FleetTable table, long nowMs) {
+        return table != null && nowMs - table.issuedMs() < table.leaseMs();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/table/TableReader.java
@@ -0,0 +1,105 @@
+package peppergauge.fleet.table;
+
+import peppergauge.fleet.wire.FleetTable;
+import peppergauge.promises.Steering;
+
+/**
+ * Which tables a reader takes, and what is in force. A table holds in full for the first half of its lease; in the
+ * second half it fades evenly to no steering, so that hundreds of readers whose service is gone do not turn at once.
+ * What is in force also moves by one bounded step at a time: a reader that was never told, or not for long, walks to
+ * the first table that it takes. Not safe for several threads.
+ */
+public final class TableReader {
+
+    /**
+     * @param futureMs by how far clocks may differ
+     * @param step by how much any factor may move at once, above 0 and 1 at the most
+     * @param stepMs time that a table may take for each such step
+     */
+    public record Bounds(String site, long futureMs, double step, long stepMs, long longestLeaseMs) { }
+
+    private static final double ROUNDING = 1e-9;
+
+    private final Bounds bounds;
+    private FleetTable table;
+    private long newest;
+    private Steering inForce = Steering.NONE;
+    private long movedMs;
+
+    public TableReader(Bounds bounds) {
+        this.bounds = bounds;
+        movedMs = Long.MIN_VALUE / 2;
+    }
+
+    /** @param nowMs Unix time, ms */
+    public Acceptance offer(FleetTable offered, long nowMs) {
+        Acceptance answer = judge(offered, nowMs);
+        if (answer == Acceptance.TAKEN) {
+            table = offered;
+            newest = offered.version();
+        }
+        return answer;
+    }
+
+    private Acceptance judge(FleetTable offered, long nowMs) {
+        if (offered.site() == null || !offered.site().equals(bounds.site())) {
+            return Acceptance.OTHER_SITE;
+        }
+        if (offered.steering() == null || offered.leaseMs() <= 0 || offered.leaseMs() > bounds.longestLeaseMs()
+                || offered.version() <= 0 || offered.issuedMs() <= 0) {
+            return Acceptance.MALFORMED;
+        }
+        if (offered.version() <= newest) {
+            return Acceptance.OLDER;
+        }
+        if (offered.issuedMs() - nowMs > bounds.futureMs()) {
+            return Acceptance.FUTURE;
+        }
+        if (expired(offered, nowMs)) {
+            return Acceptance.EXPIRED;
+        }
+        return valid(nowMs) && Factors.distance(table.steering(), offered.steering())
+                > allowed(offered.issuedMs() - table.issuedMs()) + ROUNDING ? Acceptance.TOO_FAR : Acceptance.TAKEN;
+    }
+
+    private double allowed(long betweenMs) {
+        return bounds.step() * Math.max(1, Math.ceil((double) betweenMs / bounds.stepMs()));
+    }
+
+    private static boolean expired(FleetTable held, long nowMs) {
+        return nowMs - held.issuedMs() >= held.leaseMs();
+    }
+
+    private boolean valid(long nowMs) {
+        return table != null && !expired(table, nowMs);
+    }
+
+    /** What is in force now; to be asked every second or so, for it moves by itself. */
+    public Steering steering(long nowMs) {
+        if (!valid(nowMs)) {
+            // By then it has faded; what a step left over ends here, since without a table nothing may lean.
+            inForce = Steering.NONE;
+            return inForce;
+        }
+        if (nowMs - movedMs >= bounds.stepMs()) {
+            movedMs = nowMs;
+            inForce = Factors.towards(inForce, Factors.faded(table.steering(), weight(nowMs)), bounds.step());
+        }
+        return inForce;
+    }
+
+    private double weight(long nowMs) {
+        double age = (double) Math.max(0, nowMs - table.issuedMs()) / table.leaseMs();
+        return age <= 0.5 ? 1 : 2 - 2 * age;
+    }
+
+    /** The newest version taken, 0 for none; kept after the lease, so that none goes backward. */
+    public long version() {
+        return newest;
+    }
+
+    /** The last one taken, null for none. */
+    public FleetTable table() {
+        return table;
+    }
+}
--- a/snapshot/src/main/java/peppergauge/snapshot/format/Frame.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/format/Frame.java
@@ -13,19 +13,19 @@
  *
  * @param body as {@link Body} writes it
  */
-record Frame(int version, String writer, String name, String settings, long wallMs, byte[] body) {
+public record Frame(int version, String writer, String name, String settings, long wallMs, byte[] body) {
 
     /** As of PNG: a transfer that changes line ends, or cuts the eighth bit, is seen at once. */
     private static final byte[] MAGIC = {(byte) 0x89, 'P', 'G', 'S', '\r', '\n', 0x1A, '\n'};
     /** What this program writes. */
-    static final int VERSION = 1;
+    public static final int VERSION = 1;
     /** The oldest program that understands what this one writes. */
     private static final int READABLE_SINCE = 1;
     private static final int FIXED = 8 + 2 + 2 + 4 + 8 + 32;
     private static final int LONGEST_TEXT = 1_000;
     private static final int CHECKSUM = 4;
 
-    byte[] encode() {
+    public byte[] encode() {
         byte[] by = text(writer);
         byte[] of = text(name);
         int length = FIXED + 2 + by.length + 2 + of.length + body.length + CHECKSUM;
@@ -38,7 +38,7 @@
     }
 
     /** Nothing of a file is believed, its versions neither, before length and checksum are right. */
-    static Frame decode(byte[] bytes) throws UnusableSnapshot {
+    public static Frame decode(byte[] bytes) throws UnusableSnapshot {
         ByteBuffer file = ByteBuffer.wrap(bytes);
         require(bytes.length > 0, "it is empty");
         require(bytes.length >= MAGIC.length && Arrays.equals(bytes, 0, MAGIC.length, MAGIC, 0, MAGIC.length),
