--- a/daemon/src/main/java/peppergauge/daemon/Daemon.java
+++ b/daemon/src/main/java/peppergauge/daemon/Daemon.java
@@ -2,11 +2,18 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
 import peppergauge.HangUp;
 import peppergauge.daemon.file.DaemonFile;
 import peppergauge.daemon.file.LogSection;
 import peppergauge.daemon.lines.JsonLines;
+import peppergauge.fleet.decide.Planner;
+import peppergauge.fleet.file.FleetFile;
+import peppergauge.fleet.file.ServiceSection;
+import peppergauge.fleet.service.FleetService;
+import peppergauge.operator.Reading;
 import peppergauge.operator.Values;
+import peppergauge.snapshot.disk.RealDisk;
 
 /** The command line of the daemon: {@code daemon --config FILE}. Exit codes are those of docs/COMMANDS.md. */
 public final class Daemon {
@@ -20,7 +27,12 @@
         }
         try {
             Path file = Path.of(args[2]);
-            Values values = DaemonFile.read(file);
+            Reading reading = DaemonFile.readAny(file);
+            Values values = reading.values().orElseThrow();
+            if (reading.kind().filter(FleetFile.KIND::equals).isPresent()) {
+                serveFleet(values);
+                return;
+            }
             if (values.find(LogSection.TABLE).map(log -> log.get(LogSection.FORMAT)).orElse(LogSection.Format.LINES)
                     == LogSection.Format.JSON) {
                 JsonLines.install();
@@ -36,6 +48,15 @@
         }
     }
 
+    /** An instance of the fleet service: no sidecar, and no decision module. */
+    private static void serveFleet(Values values) throws IOException, InterruptedException {
+        FleetService service = new FleetService(ServiceSection.settings(values), Planner.NONE, new RealDisk(),
+                System::currentTimeMillis);
+        Runtime.getRuntime().addShutdownHook(new Thread(service::close, "wind-down"));
+        // Its own threads end with the program; this one is what keeps it.
+        new CountDownLatch(1).await();
+    }
+
     private static void exit(int code, String why) {
         why.lines().forEach(line -> System.err.println("peppergauge: " + line));
         // Not exit: where the start failed there is nothing to wind down.
--- a/daemon/src/main/java/peppergauge/daemon/file/DaemonFile.java
+++ b/daemon/src/main/java/peppergauge/daemon/file/DaemonFile.java
@@ -6,6 +6,7 @@
 import java.util.stream.Collectors;
 import peppergauge.daemon.part.Subsystem;
 import peppergauge.daemon.part.Subsystems;
+import peppergauge.fleet.file.FleetFile;
 import peppergauge.operator.FileKind;
 import peppergauge.operator.OperatorFiles;
 import peppergauge.operator.Problem;
@@ -29,7 +30,17 @@
 
     /** @throws IllegalArgumentException with all problems, one a line */
     public static Values read(Path file) {
-        Reading reading = new OperatorFiles(List.of(KIND)).read(file);
+        return values(new OperatorFiles(List.of(KIND)).read(file));
+    }
+
+    /** A file of any kind that the program can be started with, and throws as {@link #read}. */
+    public static Reading readAny(Path file) {
+        Reading reading = new OperatorFiles(List.of(KIND, FleetFile.KIND)).read(file);
+        values(reading);
+        return reading;
+    }
+
+    private static Values values(Reading reading) {
         return reading.values().orElseThrow(() -> new IllegalArgumentException(
                 reading.problems().stream().map(Problem::toString).collect(Collectors.joining("\n"))));
     }
--- a/daemon/src/main/java/peppergauge/daemon/part/Subsystems.java
+++ b/daemon/src/main/java/peppergauge/daemon/part/Subsystems.java
@@ -12,7 +12,7 @@
 public final class Subsystems {
 
     public static final List<Subsystem> ALL = List.of(
-            new Plugins(), new Thrift(), new Snapshots(), new Nomad(), new Bodies());
+            new Fleet(), new Plugins(), new Thrift(), new Snapshots(), new Nomad(), new Bodies());
 
     private Subsystems() { }
 }
--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/disk/KeptFile.java
@@ -0,0 +1,96 @@
+package peppergauge.fleet.disk;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Optional;
+import java.util.function.Consumer;
+import peppergauge.fleet.wire.Json;
+import peppergauge.snapshot.disk.Disk;
+import peppergauge.snapshot.disk.Shelf;
+import peppergauge.snapshot.format.Frame;
+import peppergauge.snapshot.format.UnusableSnapshot;
+
+/**
+ * One record on disk, JSON in the frame of a snapshot: an end at any moment leaves the newest or the one before. Not
+ * safe for several threads.
+ *
+ * @param <T> of the record
+ */
+public final class KeptFile<T> implements Closeable {
+
+    /** Written with each file; a file of another is not read. Greater with each change that an older one misreads. */
+    private static final int FORMAT = 1;
+    static final long MOST_BYTES = 64 << 20;
+
+    private final Shelf shelf;
+    private final String name;
+    private final String kind;
+    private final Class<T> type;
+
+    /**
+     * @param name of the instance
+     * @param what is kept here, a word
+     * @throws IOException if another process uses it, or the folder is not for this user alone
+     */
+    public KeptFile(Disk disk, Path folder, String name, String what, Class<T> type) throws IOException {
+        this.name = name;
+        this.type = type;
+        kind = kind(what);
+        shelf = new Shelf(disk, folder, name + "-" + what);
+    }
+
+    /** Where a snapshot has its settings: no snapshot, and no file of another format, is taken for this. */
+    private static String kind(String what) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256")
+                    .digest(("fleet " + what + " " + FORMAT).getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    /** The newest that is whole, else the one before; empty where there is neither. */
+    public Optional<T> read(Consumer<String> log) {
+        for (Shelf.Found found : shelf.read(MOST_BYTES)) {
+            try {
+                if (found.bytes() != null) {
+                    return Optional.of(decode(found.bytes()));
+                }
+                log.accept(found.file() + " is not used: " + found.why());
+            } catch (UnusableSnapshot | IllegalArgumentException unusable) {
+                log.accept(found.file() + " is not used: " + unusable.getMessage());
+            }
+        }
+        return Optional.empty();
+    }
+
+    private T decode(byte[] bytes) throws UnusableSnapshot {
+        Frame frame = Frame.decode(bytes);
+        if (!frame.settings().equals(kind)) {
+            throw new IllegalArgumentException("it is of another kind or format");
+        }
+        if (!frame.name().equals(name)) {
+            throw new IllegalArgumentException("it is of another instance, " + frame.name());
+        }
+        return Json.read(frame.body(), type);
+    }
+
+    /** Returns when it is on disk; on an {@link IOException} what was there still is. */
+    public void write(T value, long nowMs) throws IOException {
+        byte[] bytes = new Frame(Frame.VERSION, "peppergauge fleet", name, kind, nowMs, Json.write(value)).encode();
+        if (bytes.length > MOST_BYTES) {
+            throw new IOException("it would take " + bytes.length + " bytes, and at most " + MOST_BYTES + " are read");
+        }
+        shelf.put(bytes);
+    }
+
+    @Override
+    public void close() throws IOException {
+        shelf.close();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/disk/KeptState.java
@@ -0,0 +1,37 @@
+package peppergauge.fleet.disk;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import peppergauge.fleet.state.Latencies;
+import peppergauge.fleet.state.Tally;
+import peppergauge.fleet.wire.DaemonReport;
+import peppergauge.promises.Cell;
+
+/**
+ * Accounts and the totals that they were counted into, as of one moment: from one without the other growth would be
+ * counted twice or not at all.
+ *
+ * @param planner its own state
+ */
+public record KeptState(List<DaemonReport> reports, List<KeptTotal> totals, byte[] planner) {
+
+    /** One cell's total. */
+    public record KeptTotal(Cell cell, long answered, long denied, long failed, String latency) { }
+
+    public static KeptState of(List<DaemonReport> reports, Map<Cell, Tally.Total> totals, byte[] planner) {
+        List<KeptTotal> kept = new ArrayList<>();
+        totals.forEach((cell, total) -> kept.add(new KeptTotal(cell, total.answered(), total.denied(), total.failed(),
+                Latencies.encode(total.latency()))));
+        return new KeptState(reports, kept, planner);
+    }
+
+    /** @throws IllegalArgumentException if a histogram is none */
+    public Map<Cell, Tally.Total> tally() {
+        Map<Cell, Tally.Total> tally = new HashMap<>();
+        totals.forEach(kept -> tally.put(kept.cell(), new Tally.Total(kept.answered(), kept.denied(), kept.failed(),
+                Latencies.decode(kept.latency()))));
+        return tally;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/file/FleetFile.java
@@ -0,0 +1,14 @@
+package peppergauge.fleet.file;
+
+import java.util.List;
+import peppergauge.operator.FileKind;
+
+/** The kind of operator file that makes the daemon's program an instance of the fleet service. */
+public final class FleetFile {
+
+    public static final FileKind KIND = new FileKind("fleet",
+            "One instance of the fleet service: it merges what daemons report, and hands out tables.",
+            List.of(new ServiceSection()));
+
+    private FleetFile() { }
+}
--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/file/package-info.java
@@ -0,0 +1,2 @@
+/** The operator files of the service and of its readers. */
+package peppergauge.fleet.file;
--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/reader/ReaderSettings.java
@@ -0,0 +1,12 @@
+package peppergauge.fleet.reader;
+
+import java.util.List;
+import peppergauge.fleet.table.TableReader;
+
+/**
+ * A daemon's settings; {@code [fleet]} of its file says what each is for.
+ *
+ * @param addresses host:port each
+ */
+public record ReaderSettings(String site, List<String> addresses, boolean steers, long firstMs, long longestMs,
+        long patienceMs, TableReader.Bounds bounds) { }
--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/service/package-info.java
@@ -0,0 +1,2 @@
+/** One instance of the service: a thread for each duty, bounded rings between them. */
+package peppergauge.fleet.service;
--- a/fleet/src/main/java/peppergauge/fleet/state/FleetState.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/FleetState.java
@@ -103,12 +103,14 @@
         return daemons.keySet().stream().map(this::newest).collect(Collectors.toList());
     }
 
-    /** What changed since, and the stamp to ask from next; not all at once. */
-    public Changes since(long from, int most) {
+    /** What changed since, and the stamp to ask from next; about so many bytes at once, and at least one report. */
+    public Changes since(long from, long mostBytes) {
         List<DaemonReport> changed = new ArrayList<>();
-        long through = stamp;
+        long through = from;
+        long bytes = 0;
         for (Map.Entry<Long, DaemonReport> change : changes.tailMap(from, false).entrySet()) {
-            if (changed.size() == most) {
+            bytes += bytes(change.getValue());
+            if (bytes > mostBytes && !changed.isEmpty()) {
                 return new Changes(changed, through, true);
             }
             changed.add(change.getValue());
@@ -117,6 +119,15 @@
         return new Changes(changed, stamp, false);
     }
 
+    /** About as long as it is on the wire. */
+    private static long bytes(DaemonReport report) {
+        long bytes = 300;
+        for (DaemonReport.CellCounts counts : report.cells()) {
+            bytes += 300 + (counts.latency() == null ? 0 : counts.latency().length());
+        }
+        return bytes + (report.keys() == null ? 0 : report.keys().keys().size() * 200L);
+    }
+
     /** @param through asked from there, what comes next follows */
     public record Changes(List<DaemonReport> reports, long through, boolean more) { }
 
--- a/fleet/src/main/java/peppergauge/fleet/wire/Json.java
+++ b/fleet/src/main/java/peppergauge/fleet/wire/Json.java
@@ -16,7 +16,7 @@
 public final class Json {
 
     private static final int DEEPEST = 12;
-    private static final int LONGEST_TEXT = 64 << 10;
+    private static final int LONGEST_TEXT = 4 << 20;
     private static final int LONGEST_NAME = 200;
     private static final int LONGEST_NUMBER = 30;
 
--- a/lab/src/main/java/peppergauge/lab/files/Kinds.java
+++ b/lab/src/main/java/peppergauge/lab/files/Kinds.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import peppergauge.daemon.file.DaemonFile;
+import peppergauge.fleet.file.FleetFile;
 import peppergauge.lab.scenario.Scenario;
 import peppergauge.nomad.NomadFile;
 import peppergauge.operator.FileKind;
@@ -24,6 +25,7 @@
     private Kinds() { }
 
     public static OperatorFiles all() {
-        return new OperatorFiles(List.of(SCENARIO, DaemonFile.KIND, NomadFile.KIND, ThriftSection.KIND, SIDECAR));
+        return new OperatorFiles(List.of(SCENARIO, DaemonFile.KIND, NomadFile.KIND, ThriftSection.KIND, SIDECAR,
+                FleetFile.KIND));
     }
 }
