--- a/fleet/src/main/java/peppergauge/fleet/http/Caller.java
+++ b/fleet/src/main/java/peppergauge/fleet/http/Caller.java
@@ -2,16 +2,20 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.SocketException;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.NoHttpResponseException;
 import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
 import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 
 /** Asks and waits, on the thread that calls: never the loop's. */
@@ -45,6 +49,18 @@
      * @throws IOException if there is no answer in time, or one that is too long
      */
     public Answer call(String address, String path, byte[] body) throws IOException {
+        try {
+            return once(address, path, body);
+        } catch (ConnectException nobody) {
+            throw nobody;
+        } catch (NoHttpResponseException | SocketException closed) {
+            // Likely a connection that was kept from before, to a process that has ended: all calls may come twice.
+            requester.closeIdle(TimeValue.ZERO_MILLISECONDS);
+            return once(address, path, body);
+        }
+    }
+
+    private Answer once(String address, String path, byte[] body) throws IOException {
         int colon = address.lastIndexOf(':');
         HttpHost host = new HttpHost("http", address.substring(0, colon),
                 Integer.parseInt(address.substring(colon + 1)));
--- a/fleet/src/main/java/peppergauge/fleet/service/Publisher.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/Publisher.java
@@ -31,6 +31,7 @@
     private final Publishing publishing;
     private final Complaints complaints = new Complaints(line -> Log.line("fleet", line));
     private final Ring<Seen> seen = new Ring<>(SEEN);
+    private final long startedMs;
     private Deciding.Plan plan;
     private long issuedMs;
     private volatile FleetTable current;
@@ -42,6 +43,7 @@
             KeptFile<KeptVersions> file) {
         this.settings = settings;
         this.clock = clock;
+        startedMs = clock.getAsLong();
         this.plans = plans;
         this.onDuty = onDuty;
         this.file = file;
@@ -86,12 +88,13 @@
     private boolean mayIssue(long now) {
         long rounds = ROUNDS * settings.tables().everyMs();
         boolean fresh = now - plan.viewMs() <= rounds;
-        return fresh && (onDuty.getAsBoolean() || current == null || now - current.issuedMs() > rounds);
+        long lastMs = current == null ? startedMs : current.issuedMs();
+        return fresh && (onDuty.getAsBoolean() || now - lastMs > rounds);
     }
 
     private void issue(long now) {
         long version = versions.next(now);
-        long reserve = versions.toReserve(version);
+        long reserve = versions.toReserve(version, now);
         if (reserve > 0) {
             try {
                 file.write(new KeptVersions(reserve), now);
--- a/fleet/src/main/java/peppergauge/fleet/table/Versions.java
+++ b/fleet/src/main/java/peppergauge/fleet/table/Versions.java
@@ -11,6 +11,7 @@
     private static final int COUNT_SHIFT = 8;
     /** Reserved at once, so that the disk is written to once in so long, ms. */
     static final long RESERVED_MS = 60_000;
+    private static final long AHEAD_MS = 1_000;
     /** A version that is further ahead of this clock is a broken clock's: followed, it would never be caught up. */
     static final long BELIEVED_AHEAD_MS = 600_000;
 
@@ -46,9 +47,13 @@
         return byClock > highest ? byClock : (highest >> COUNT_SHIFT) + 1 << COUNT_SHIFT | issuer;
     }
 
-    /** What has to be on disk before that one is handed out; 0 where it is already. */
-    public long toReserve(long version) {
-        return version <= reserved ? 0 : version + (RESERVED_MS << TIME_SHIFT);
+    /**
+     * What has to be on disk before that one is handed out; 0 where it is already. Ahead of the clock, where a start
+     * leads, only little more is reserved: a process that ends again and again must not run away from the clock.
+     */
+    public long toReserve(long version, long nowMs) {
+        return version <= reserved ? 0
+                : Math.max(version + (AHEAD_MS << TIME_SHIFT), nowMs + RESERVED_MS << TIME_SHIFT);
     }
 
     /** It is on disk. */
--- /dev/null
+++ b/fleet/src/test/java/peppergauge/fleet/Samples.java
@@ -0,0 +1,32 @@
+package peppergauge.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.HdrHistogram.Histogram;
+import peppergauge.fleet.state.Latencies;
+import peppergauge.fleet.wire.DaemonReport;
+import peppergauge.fleet.wire.DaemonReport.CellCounts;
+
+/** Reports whose counts follow from daemon, incarnation and sequence: what a truthful daemon would say. */
+public final class Samples {
+
+    public static final String SITE = "north";
+
+    private Samples() { }
+
+    /** Answers of a cell after so many reports. */
+    public static long answered(int daemon, long incarnation, long sequence) {
+        return sequence * (1 + daemon + incarnation % 7);
+    }
+
+    public static DaemonReport report(int daemon, long incarnation, long sequence, long sentMs) {
+        List<CellCounts> cells = new ArrayList<>();
+        for (String zone : new String[] {"east", "west"}) {
+            Histogram latency = Latencies.empty();
+            latency.recordValueWithCount(10 + daemon, answered(daemon, incarnation, sequence));
+            cells.add(new CellCounts("radio", "listen", zone, answered(daemon, incarnation, sequence), sequence, 0,
+                    Latencies.encode(latency)));
+        }
+        return new DaemonReport(SITE, "d" + daemon, incarnation, sequence, sentMs, cells, null);
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
@@ -0,0 +1,199 @@
+package peppergauge.fleet.service;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.testng.annotations.Test;
+import peppergauge.fleet.Samples;
+import peppergauge.fleet.http.Caller;
+import peppergauge.fleet.wire.FleetTable;
+import peppergauge.fleet.wire.Json;
+
+/** Real sockets, threads and files. What is waited for is a state, never a time. */
+public class ServiceTest {
+
+    private static int held(Bed bed, int i) {
+        return Bed.<Integer>of(bed.service(i).status(), "daemons");
+    }
+
+    private static FleetTable awaited(Bed bed, int i, long known) {
+        FleetTable[] found = new FleetTable[1];
+        Bed.until("a table after " + known + " at " + i, () -> {
+            try {
+                found[0] = bed.table(i, known).table();
+                return found[0] != null;
+            } catch (IOException gone) {
+                return false;
+            }
+        });
+        return found[0];
+    }
+
+    @Test
+    public void oneAnswersEachReportByItsName() throws Exception {
+        try (Bed bed = new Bed(1)) {
+            bed.start(0);
+            long now = System.currentTimeMillis();
+            assertEquals(bed.report(0, Samples.report(1, now, 2, now)), "taken");
+            Bed.until("merged", () -> held(bed, 0) == 1);
+            assertEquals(bed.report(0, Samples.report(1, now, 2, now)), "repeated");
+            assertEquals(bed.report(0, Samples.report(1, now, 1, now)), "repeated");
+            assertEquals(bed.report(0, Samples.report(1, now - 1, 9, now)), "dead-incarnation");
+            assertEquals(bed.report(0, Samples.report(2, now, 1, now - 60_000)), "late");
+            assertEquals(bed.report(0, Samples.report(2, now, 1, now + 60_000)), "future");
+            Caller.Answer oversized = bed.post(0, new byte[150_000]);
+            assertEquals(oversized.status() + new String(oversized.body()).replaceAll(",.*", ""),
+                    "413{\"verdict\":\"oversized\"");
+            assertEquals(bed.post(0, "{".getBytes()).status(), 400);
+            assertEquals(held(bed, 0), 1);
+            Map<String, Long> counts = Bed.of(bed.service(0).status(), "reports");
+            assertEquals(counts.get("taken") + counts.get("repeated") + counts.get("oversized")
+                    + counts.get("malformed") + counts.get("late") + counts.get("future")
+                    + counts.get("dead-incarnation"), 8);
+        }
+    }
+
+    @Test
+    public void threeHoldWhatOneWasToldAndAnyOneOfThemGoesOn() throws Exception {
+        try (Bed bed = new Bed(3)) {
+            for (int i = 0; i < 3; i++) {
+                bed.start(i);
+            }
+            long now = System.currentTimeMillis();
+            for (int daemon = 0; daemon < 6; daemon++) {
+                assertEquals(bed.report(daemon % 3, Samples.report(daemon, now, 1, now)), "taken");
+            }
+            for (int i = 0; i < 3; i++) {
+                int at = i;
+                Bed.until("all at " + i, () -> held(bed, at) == 6);
+            }
+            Bed.until("one of them issues", () -> awaited(bed, 2, 0).issuer().equals("fleet-0"));
+            FleetTable first = awaited(bed, 2, 0);
+            bed.crash(0);
+            bed.crash(1);
+            long version = first.version();
+            FleetTable next = awaited(bed, 2, version);
+            while (!next.issuer().equals("fleet-2")) {
+                assertTrue(next.version() > version);
+                version = next.version();
+                next = awaited(bed, 2, version);
+            }
+            assertEquals(bed.report(2, Samples.report(0, now, 2, now)), "taken");
+            assertEquals(held(bed, 2), 6, "with nothing lost");
+            // Back with its old disk, it learns what it missed, and takes over without a version that goes back.
+            bed.start(0);
+            Bed.until("caught up", () -> held(bed, 0) == 6);
+            long before = next.version();
+            Bed.until("on duty again", () -> awaited(bed, 2, before).issuer().equals("fleet-0"));
+            Bed.until("buried", () -> "dead".equals(
+                    Bed.<Map<String, String>>of(bed.service(2).status(), "members").get("fleet-1")));
+        }
+    }
+
+    @Test
+    public void noVersionIsHandedOutTwiceOverACrashAndAClockThatWentBack() throws Exception {
+        try (Bed bed = new Bed(1)) {
+            bed.start(0);
+            FleetTable before = awaited(bed, 0, 0);
+            bed.crash(0);
+            bed.clockShiftMs.set(-3_600_000);
+            bed.start(0);
+            FleetTable after = awaited(bed, 0, 0);
+            assertTrue(after.version() > before.version());
+        }
+    }
+
+    @Test
+    public void totalsOutliveTheProcessAndADamagedFileMeansAFreshStart() throws Exception {
+        try (Bed bed = new Bed(1)) {
+            bed.start(0);
+            long now = System.currentTimeMillis();
+            bed.report(0, Samples.report(1, now, 1, now));
+            Bed.until("merged", () -> held(bed, 0) == 1);
+            bed.service(0).close();
+            bed.start(0);
+            assertEquals(held(bed, 0), 1);
+            bed.service(0).close();
+            for (String ending : new String[] {"", ".before"}) {
+                Path kept = bed.folder(0).resolve("fleet-0-state.snapshot" + ending);
+                if (Files.exists(kept)) {
+                    Files.write(kept, new byte[] {1, 2, 3});
+                }
+            }
+            bed.start(0);
+            assertEquals(held(bed, 0), 0);
+            assertEquals(bed.report(0, Samples.report(1, now, 2, now)), "taken");
+        }
+    }
+
+    @Test
+    public void aFullRingTurnsReportsAwayAndAllIsWellAfterIt() throws Exception {
+        try (Bed bed = new Bed(1)) {
+            bed.start(0);
+            bed.hold(0, "merge");
+            long now = System.currentTimeMillis();
+            int busy = 0;
+            for (int daemon = 0; daemon < 40; daemon++) {
+                Caller.Answer answer = bed.post(0, Json.write(Samples.report(daemon, now, 1, now)));
+                busy += answer.status() == 503 ? 1 : 0;
+            }
+            assertTrue(busy >= 40 - 16, busy + " were turned away");
+            Bed.until("seen", () -> "stalled".equals(
+                    Bed.<Map<String, String>>of(bed.service(0).status(), "duties").get("merge")));
+            bed.release(0, "merge");
+            int turnedAway = busy;
+            Bed.until("merged", () -> held(bed, 0) == 40 - turnedAway);
+            assertEquals(Bed.<Map<String, Long>>of(bed.service(0).status(), "reports").get("busy"), (Long) (long) busy);
+        }
+    }
+
+    /** The lease runs out by the clock; until then what is handed out is the last table, and after it nothing. */
+    @Test
+    public void aDecisionThatDoesNotComeOnLetsNoTableOutPastItsLease() throws Exception {
+        try (Bed bed = new Bed(1)) {
+            bed.start(0);
+            awaited(bed, 0, 0);
+            bed.hold(0, "decide");
+            Bed.until("seen", () -> "stalled".equals(
+                    Bed.<Map<String, String>>of(bed.service(0).status(), "duties").get("decide")));
+            Bed.until("nothing is handed out", () -> {
+                try {
+                    FleetTable table = bed.table(0, 0).table();
+                    assertFalse(table != null && table.issuedMs() + Bed.LEASE_MS + 1_000 < System.currentTimeMillis());
+                    return table == null;
+                } catch (IOException failed) {
+                    throw new AssertionError(failed);
+                }
+            });
+            bed.release(0, "decide");
+            assertNotNull(awaited(bed, 0, 0));
+        }
+    }
+
+    @Test
+    public void whereVersionsCannotBeKeptNoTableGoesOut() throws Exception {
+        try (Bed bed = new Bed(1)) {
+            bed.start(0);
+            FleetTable last = awaited(bed, 0, 0);
+            bed.crash(0);
+            // In the place of the file that is written first there is a folder.
+            Path blocked = bed.folder(0).resolve("fleet-0-versions.snapshot.new");
+            Files.createDirectory(blocked);
+            Files.createFile(blocked.resolve("x"));
+            bed.start(0);
+            Bed.until("counted", () -> Bed.<Map<String, Long>>of(bed.service(0).status(), "failed")
+                    .get("versions") > 0);
+            assertNull(bed.table(0, 0).table());
+            Files.delete(blocked.resolve("x"));
+            Files.delete(blocked);
+            assertTrue(awaited(bed, 0, 0).version() > last.version());
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
@@ -0,0 +1,134 @@
+package peppergauge.fleet.state;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.zip.Deflater;
+import org.HdrHistogram.Histogram;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.fleet.Samples;
+import peppergauge.fleet.state.Intake.Newest;
+import peppergauge.fleet.wire.DaemonReport;
+import peppergauge.fleet.wire.DaemonReport.CellCounts;
+import peppergauge.fleet.wire.Json;
+
+public class IntakeTest {
+
+    private static final long NOW = 1_000_000;
+    private static final Limits LIMITS = new Limits(30_000, 5_000, 500_000, 2, 3);
+
+    private static DaemonReport sent(long ms) {
+        return Samples.report(1, 900_000, 4, ms);
+    }
+
+    private static DaemonReport with(String site, String daemon, long incarnation, long sequence,
+            List<CellCounts> cells) {
+        return new DaemonReport(site, daemon, incarnation, sequence, NOW, cells, null);
+    }
+
+    private static List<CellCounts> cell(long answered, String latency) {
+        return List.of(new CellCounts("radio", "listen", "east", answered, 0, 0, latency));
+    }
+
+    @DataProvider
+    public Object[][] reports() {
+        Newest held = new Newest(900_000, 3);
+        List<CellCounts> many = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            many.add(new CellCounts("radio" + i, "listen", "east", 1, 0, 0, null));
+        }
+        List<CellCounts> twice = new ArrayList<>(cell(1, null));
+        twice.addAll(cell(2, null));
+        return new Object[][] {
+            {sent(NOW), null, 0, Verdict.TAKEN}, {sent(NOW), held, 1, Verdict.TAKEN},
+            {sent(NOW), held, 2, Verdict.TAKEN}, {sent(NOW), null, 2, Verdict.FULL},
+            {sent(NOW), new Newest(900_000, 4), 1, Verdict.REPEATED},
+            {sent(NOW), new Newest(900_000, 9), 1, Verdict.REPEATED},
+            {sent(NOW), new Newest(900_001, 1), 1, Verdict.DEAD_INCARNATION},
+            {sent(NOW - 30_000), null, 0, Verdict.TAKEN}, {sent(NOW - 30_001), null, 0, Verdict.LATE},
+            {sent(NOW + 5_000), null, 0, Verdict.TAKEN}, {sent(NOW + 5_001), null, 0, Verdict.FUTURE},
+            {with("north", "d", NOW + 5_001, 1, List.of()), null, 0, Verdict.FUTURE},
+            {with("south", "d", 1, 1, List.of()), null, 0, Verdict.OTHER_SITE},
+            {with("north", "", 1, 1, List.of()), null, 0, Verdict.MALFORMED},
+            {with("north", "d", 0, 1, List.of()), null, 0, Verdict.MALFORMED},
+            {with("north", "d", 1, 0, List.of()), null, 0, Verdict.MALFORMED},
+            {with("north", "d", 1, 1, null), null, 0, Verdict.MALFORMED},
+            {with("north", "d", 1, 1, many), null, 0, Verdict.MALFORMED},
+            {with("north", "d", 1, 1, twice), null, 0, Verdict.MALFORMED},
+            {with("north", "d", 1, 1, cell(-1, null)), null, 0, Verdict.MALFORMED},
+            {with("north", "d", 1, 1, cell(1, "no histogram")), null, 0, Verdict.MALFORMED},
+            {with("north", "d", 1, 1, cell(1, Latencies.encode(new Histogram(1, 1_000, 5)))), null, 0,
+                Verdict.MALFORMED},
+        };
+    }
+
+    @Test(dataProvider = "reports")
+    public void eachReportHasANamedAnswer(DaemonReport report, Newest held, int daemons, Verdict verdict) {
+        assertEquals(new Intake(Samples.SITE, LIMITS).judge(report, NOW, held, daemons), verdict);
+    }
+
+    /** The library would take as much memory as the head says: 2^40 entries here. */
+    @Test(timeOut = 5_000)
+    public void aHistogramThatSaysThatItIsHugeIsNotMade() {
+        ByteBuffer inner = ByteBuffer.allocate(100);
+        inner.putInt(0x1c849303 | 0x10).putInt(60).putInt(0).putInt(5).putLong(1).putLong(1L << 62).putDouble(1);
+        Deflater deflater = new Deflater();
+        deflater.setInput(inner.array());
+        deflater.finish();
+        byte[] packed = new byte[200];
+        int length = deflater.deflate(packed);
+        ByteBuffer whole = ByteBuffer.allocate(8 + length).putInt(0x1c849304 | 0x10).putInt(length)
+                .put(packed, 0, length);
+        assertThrows(IllegalArgumentException.class,
+                () -> Latencies.decode(Base64.getEncoder().encodeToString(whole.array())));
+    }
+
+    @DataProvider
+    public Object[][] texts() {
+        String good = new String(Json.write(sent(NOW)));
+        return new Object[][] {{""}, {"null"}, {"[]"}, {good + "x"}, {good.substring(0, good.length() / 2)},
+            {good.replace("\"sequence\":4", "\"sequence\":\"4\"")}, {good.replace("\"sequence\":4,", "")},
+            {good.replace("\"sequence\":4", "\"sequence\":4.5")},
+            {good.replace("\"sequence\":4", "\"sequence\":" + "9".repeat(40))},
+            {good.replace("\"cells\":[", "\"cells\":" + "[".repeat(50))}};
+    }
+
+    @Test(dataProvider = "texts")
+    public void whatIsNoReportIsNotRead(String text) {
+        assertThrows(IllegalArgumentException.class, () -> Json.read(text.getBytes(), DaemonReport.class));
+    }
+
+    @Test
+    public void aReportReadsAsItWasWritten() {
+        DaemonReport report = sent(NOW);
+        assertEquals(Json.read(Json.write(report), DaemonReport.class), report);
+        String more = new String(Json.write(report)).replaceFirst("\\{", "{\"of-a-later-release\":[1],");
+        assertEquals(Json.read(more.getBytes(), DaemonReport.class), report);
+    }
+
+    /** It may have been counted, and forgotten since. */
+    @Test
+    public void whatMayHaveBeenCountedBeforeCountsFromHereOn() {
+        Tally tally = new Tally(10);
+        FleetState state = new FleetState();
+        tally.count(state.take(Samples.report(1, NOW - 500_001, 4, NOW)), NOW, LIMITS.forgetMs());
+        assertEquals(tally.totals().size(), 0);
+        tally.count(state.take(Samples.report(1, NOW - 500_001, 5, NOW)), NOW, LIMITS.forgetMs());
+        assertEquals(tally.totals().values().iterator().next().denied(), 1);
+    }
+
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {{0, 2_000}, {100, 2_000}, {1_000, 20_000}, {3_000, 60_000}, {100_000, 120_000}};
+    }
+
+    @Test(dataProvider = "fleets")
+    public void theIntervalKeepsTheCostOfAllFlat(int daemons, long intervalMs) {
+        assertEquals(new Pace(50, 2_000, 120_000).intervalMs(daemons), intervalMs);
+    }
+}
