--- /dev/null
+++ b/daemon/src/test/java/peppergauge/daemon/FleetProcessesTest.java
@@ -0,0 +1,269 @@
+package peppergauge.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.File;
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URL;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+import peppergauge.daemon.admin.AdminAddress;
+import peppergauge.daemon.admin.AdminClient;
+import peppergauge.fleet.http.Caller;
+import peppergauge.fleet.wire.FleetTable;
+import peppergauge.fleet.wire.Json;
+import peppergauge.fleet.wire.TableAnswer;
+import peppergauge.settings.JsonTree;
+
+/** Three instances and a daemon, processes each; two instances are killed, and one comes back with an old disk. */
+public class FleetProcessesTest {
+
+    private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+    private final Map<String, Process> processes = new HashMap<>();
+    private final int[] ports = new int[3];
+    private final Caller caller = new Caller(1_000, 1 << 20);
+    /** All tables that any instance handed out, by version. */
+    private final Map<Long, FleetTable> issued = new TreeMap<>();
+    private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger others = new AtomicInteger();
+    private Path directory;
+    private HttpServer backend;
+    private int sidecar;
+    private AdminAddress admin;
+
+    @BeforeClass
+    public void start() throws Exception {
+        directory = Files.createTempDirectory("fleet");
+        List<ServerSocket> taken = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            taken.add(new ServerSocket(0));
+            ports[i] = taken.get(i).getLocalPort();
+        }
+        for (ServerSocket each : taken) {
+            each.close();
+        }
+        backend = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        backend.setExecutor(Executors.newCachedThreadPool());
+        backend.createContext("/", exchange -> {
+            exchange.getRequestBody().readAllBytes();
+            exchange.sendResponseHeaders(200, 2);
+            exchange.getResponseBody().write(new byte[2]);
+            exchange.close();
+        });
+        backend.start();
+        for (int i = 0; i < 3; i++) {
+            write(i);
+            launch("fleet-" + i);
+        }
+        for (int i = 0; i < 3; i++) {
+            awaitLine("fleet-" + i, " serves on ");
+        }
+        launchDaemon();
+    }
+
+    private void write(int i) throws IOException {
+        StringBuilder text = new StringBuilder("kind = \"fleet\"\n[service]\nsite = \"north\"\nname = \"fleet-" + i
+                + "\"\nnumber = " + (i + 1) + "\nlisten = \"127.0.0.1:" + ports[i] + "\"\nfolder = \""
+                + directory.resolve("f" + i) + "\"\nleast-interval = \"100 ms\"\ntable-every = \"100 ms\"\n"
+                + "lease = \"5 s\"\ngossip-every = \"100 ms\"\nsuspect-after = \"500 ms\"\ndead-after = \"500 ms\"\n"
+                + "keep-every = \"200 ms\"\n");
+        for (int j = 0; j < 3; j++) {
+            if (j != i) {
+                text.append("[[service.peer]]\nname = \"fleet-").append(j).append("\"\naddress = \"127.0.0.1:")
+                        .append(ports[j]).append("\"\n");
+            }
+        }
+        Files.writeString(directory.resolve("fleet-" + i + ".toml"), text);
+    }
+
+    private void launch(String name) throws IOException {
+        processes.put(name, new ProcessBuilder(System.getProperty("java.home") + File.separator + "bin"
+                + File.separator + "java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
+                System.getProperty("java.class.path"), "peppergauge.daemon.Daemon", "daemon", "--config",
+                directory.resolve(name + ".toml").toString()).directory(ROOT.toFile()).redirectErrorStream(true)
+                .start());
+    }
+
+    /** Then goes on reading, so that no process waits for its lines to be read. */
+    private String awaitLine(String name, String part) throws IOException {
+        var reader = processes.get(name).inputReader();
+        String line = reader.readLine();
+        while (line != null && !line.contains(part)) {
+            line = reader.readLine();
+        }
+        assertTrue(line != null, name + " ended");
+        Thread rest = new Thread(() -> reader.lines().forEach(each -> { }));
+        rest.setDaemon(true);
+        rest.start();
+        return line;
+    }
+
+    private void launchDaemon() throws IOException, InterruptedException {
+        admin = new AdminAddress(Optional.of(directory.resolve("a.sock")), 0);
+        Files.writeString(directory.resolve("daemon.toml"), "kind = \"daemon\"\n[sidecar]\n"
+                + "config = \"example/config.json\"\nlisten = \"127.0.0.1:0\"\nknown = '{\"version\": 1, \"full\": true,"
+                + " \"servers\": [{\"id\": \"s-1\", \"addr\": \"127.0.0.1:" + backend.getAddress().getPort()
+                + "\", \"zone\": \"here\", \"cell\": 0, \"state\": \"active\", \"started_ms\": 0}]}'\n[admin]\n"
+                + "socket = \"" + directory.resolve("a.sock") + "\"\n[fleet]\nsite = \"north\"\naddresses = ["
+                + "\"127.0.0.1:" + ports[0] + "\", \"127.0.0.1:" + ports[1] + "\", \"127.0.0.1:" + ports[2] + "\"]\n"
+                + "first-interval = \"100 ms\"\npatience = \"300 ms\"\nlongest-interval = \"1 s\"\n");
+        launch("daemon");
+        sidecar = Integer.parseInt(awaitLine("daemon", " serves on ").replaceAll(".*:(\\d+) with.*", "$1"));
+        for (int i = 0; i < 500 && !Files.exists(directory.resolve("a.sock")); i++) {
+            Thread.sleep(10);
+        }
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void end() throws Exception {
+        for (Process process : processes.values()) {
+            process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
+        }
+        backend.stop(0);
+        caller.close();
+        try (var files = Files.walk(directory)) {
+            files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+        }
+    }
+
+    private void session(int number) {
+        try {
+            HttpURLConnection connection = (HttpURLConnection) new URL("http://127.0.0.1:" + sidecar
+                    + "/episode-list/listener-" + number).openConnection();
+            connection.setRequestProperty("X-Txn", "t" + number);
+            connection.setRequestProperty("X-Org", "hanul-fm");
+            connection.setRequestProperty("X-Remaining-Ms", "900");
+            (connection.getResponseCode() == 200 ? served : others).incrementAndGet();
+        } catch (IOException broken) {
+            others.incrementAndGet();
+        }
+    }
+
+    /** Null where nobody, or nothing, is there. */
+    private FleetTable table(int i) {
+        try {
+            Caller.Answer answer = caller.call("127.0.0.1:" + ports[i], "/fleet/v1/table", null);
+            FleetTable table = Json.read(answer.body(), TableAnswer.class).table();
+            if (table != null) {
+                FleetTable before = issued.putIfAbsent(table.version(), table);
+                assertTrue(before == null || before.equals(table), "one version is one table");
+            }
+            return table;
+        } catch (IOException gone) {
+            return null;
+        }
+    }
+
+    private Map<String, Object> status(int i) throws IOException {
+        byte[] body = caller.call("127.0.0.1:" + ports[i], "/fleet/v1/status", null).body();
+        return JsonTree.parse(body, 0, body.length);
+    }
+
+    private long heldByDaemon() throws IOException {
+        return ((Number) ((Map<?, ?>) AdminClient.ask(admin, "fleet").get("fleet")).get("version")).longValue();
+    }
+
+    interface Condition {
+        boolean holds() throws Exception;
+    }
+
+    private long version;
+
+    /** All the while the daemon's version must not fall. */
+    private void until(String what, Condition condition) throws Exception {
+        for (int i = 0; i < 400; i++) {
+            long now = heldByDaemon();
+            assertTrue(now >= version, now + " after " + version);
+            version = now;
+            for (int at = 0; at < 3; at++) {
+                table(at);
+            }
+            if (condition.holds()) {
+                return;
+            }
+            Thread.sleep(20);
+        }
+        throw new AssertionError("never: " + what);
+    }
+
+    private void kill(int i) throws Exception {
+        processes.remove("fleet-" + i).destroyForcibly().waitFor(5, TimeUnit.SECONDS);
+    }
+
+    private static void copy(Path from, Path to) throws IOException {
+        Files.createDirectories(to);
+        try (var files = Files.list(from)) {
+            for (Path file : files.toList()) {
+                Files.copy(file, to.resolve(file.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+            }
+        }
+    }
+
+    @Test
+    public void twoOfThreeDieAndOneComesBackWithAnOldDisk() throws Exception {
+        AtomicBoolean over = new AtomicBoolean();
+        Thread clients = new Thread(() -> {
+            for (int i = 0; !over.get(); i++) {
+                session(i);
+            }
+        });
+        clients.start();
+        try {
+            until("the daemon has a table", () -> heldByDaemon() > 0);
+            until("all three know the daemon", () -> status(0).get("daemons").toString().equals("1")
+                    && status(1).get("daemons").toString().equals("1")
+                    && status(2).get("daemons").toString().equals("1"));
+            copy(directory.resolve("f0"), directory.resolve("old"));
+            kill(0);
+            kill(1);
+            long before = heldByDaemon();
+            until("the third issues, and the daemon hears of it", () -> heldByDaemon() > before
+                    && table(2) != null && table(2).issuer().equals("fleet-2"));
+            try (var files = Files.list(directory.resolve("f0"))) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+            copy(directory.resolve("old"), directory.resolve("f0"));
+            launch("fleet-0");
+            awaitLine("fleet-0", " serves on ");
+            long then = heldByDaemon();
+            until("the first has the duty again", () -> table(2) != null && table(2).issuer().equals("fleet-0")
+                    && heldByDaemon() > then);
+            assertTrue(served.get() > 20, served.get() + " sessions");
+            processes.get("fleet-2").destroy();
+            assertTrue(processes.get("fleet-2").waitFor(10, TimeUnit.SECONDS));
+            until("it said that it leaves", () -> String.valueOf(status(0).get("members")).contains("fleet-2=left"));
+        } finally {
+            over.set(true);
+            clients.join();
+        }
+        assertEquals(others.get(), 0, "of " + served.get() + " sessions");
+        // By the order in which each was issued, versions only grow: at each issuer, whatever became of it.
+        Map<String, FleetTable> last = new HashMap<>();
+        issued.values().forEach(table -> {
+            FleetTable former = last.put(table.issuer(), table);
+            assertTrue(former == null || former.issuedMs() < table.issuedMs(), former + ", then " + table);
+        });
+    }
+}
--- a/lab/src/test/java/peppergauge/lab/command/LabTest.java
+++ b/lab/src/test/java/peppergauge/lab/command/LabTest.java
@@ -65,6 +65,7 @@
             {"shrink src/test/resources/breaks.toml", 3, "kind = \"scenario\"", "still breaks answer"},
             {"shrink ../deploy/examples/scenario.toml", 0, "", "breaks no rule with seed 1"},
             {"schema zz", 2, "", "unknown kind zz; known: scenario, daemon, nomad, thrift, sidecar"},
+            {"check ../deploy/examples/fleet.toml", 0, "fleet.toml: fine, kind fleet", ""},
             {"check ../deploy/examples/daemon.toml", 0, "daemon.toml: fine, kind daemon", ""},
             {"daemon", 2, "", "start it by bin/peppergauge daemon"},
             {"plugin", 2, "", "a command is missing"},
