--- a/daemon/src/main/java/peppergauge/daemon/part/Fleet.java
+++ b/daemon/src/main/java/peppergauge/daemon/part/Fleet.java
@@ -2,10 +2,12 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import peppergauge.Additions;
 import peppergauge.fleet.file.FleetSection;
 import peppergauge.fleet.reader.FleetAddition;
 import peppergauge.fleet.reader.KeySource;
+import peppergauge.fleet.reader.ReaderSettings;
 import peppergauge.operator.Section;
 import peppergauge.operator.Values;
 
@@ -19,16 +21,13 @@
 
     @Override
     public Part open(Values file) {
-        return new InService(new FleetAddition(FleetSection.settings(file), KeySource.NONE));
+        Optional<ReaderSettings> settings = FleetSection.settings(file);
+        return settings.isEmpty() ? new Fixed(Additions.NONE)
+                : new InService(new FleetAddition(settings.get(), KeySource.NONE));
     }
 
     /** Goes by the file of the start. */
-    private record InService(FleetAddition fleet) implements Part, Reports {
-
-        @Override
-        public Additions additions() {
-            return fleet;
-        }
+    private record InService(FleetAddition additions) implements Part, Reports {
 
         @Override
         public Change prepare(Values file) {
@@ -42,7 +41,7 @@
 
         @Override
         public Map<String, Object> report() {
-            return fleet.report();
+            return additions.report();
         }
     }
 }
--- a/daemon/src/test/java/peppergauge/daemon/FleetProcessesTest.java
+++ b/daemon/src/test/java/peppergauge/daemon/FleetProcessesTest.java
@@ -121,8 +121,8 @@
     private void launchDaemon() throws IOException, InterruptedException {
         admin = new AdminAddress(Optional.of(directory.resolve("a.sock")), 0);
         Files.writeString(directory.resolve("daemon.toml"), "kind = \"daemon\"\n[sidecar]\n"
-                + "config = \"example/config.json\"\nlisten = \"127.0.0.1:0\"\nknown = '{\"version\": 1, \"full\": true,"
-                + " \"servers\": [{\"id\": \"s-1\", \"addr\": \"127.0.0.1:" + backend.getAddress().getPort()
+                + "config = \"example/config.json\"\nlisten = \"127.0.0.1:0\"\nknown = '{\"version\": 1, "
+                + "\"full\": true, \"servers\": [{\"id\": \"s-1\", \"addr\": \"127.0.0.1:" + backend.getAddress().getPort()
                 + "\", \"zone\": \"here\", \"cell\": 0, \"state\": \"active\", \"started_ms\": 0}]}'\n[admin]\n"
                 + "socket = \"" + directory.resolve("a.sock") + "\"\n[fleet]\nsite = \"north\"\naddresses = ["
                 + "\"127.0.0.1:" + ports[0] + "\", \"127.0.0.1:" + ports[1] + "\", \"127.0.0.1:" + ports[2] + "\"]\n"
--- a/fleet/src/main/java/peppergauge/fleet/disk/KeptFile.java
+++ b/fleet/src/main/java/peppergauge/fleet/disk/KeptFile.java
@@ -1,5 +1,7 @@
 package peppergauge.fleet.disk;
 
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -9,6 +11,9 @@
 import java.util.HexFormat;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.zip.Deflater;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
 import peppergauge.fleet.wire.Json;
 import peppergauge.snapshot.disk.Disk;
 import peppergauge.snapshot.disk.Shelf;
@@ -16,8 +21,8 @@
 import peppergauge.snapshot.format.UnusableSnapshot;
 
 /**
- * One record on disk, JSON in the frame of a snapshot: an end at any moment leaves the newest or the one before. Not
- * safe for several threads.
+ * One record on disk, deflated JSON in the frame of a snapshot: an end at any moment leaves the newest or the one
+ * before. Not safe for several threads.
  *
  * @param <T> of the record
  */
@@ -25,7 +30,7 @@
 
     /** Written with each file; a file of another is not read. Greater with each change that an older one misreads. */
     private static final int FORMAT = 1;
-    static final long MOST_BYTES = 64 << 20;
+    static final long MOST_BYTES = 256 << 20;
 
     private final Shelf shelf;
     private final String name;
@@ -77,12 +82,20 @@
         if (!frame.name().equals(name)) {
             throw new IllegalArgumentException("it is of another instance, " + frame.name());
         }
-        return Json.read(frame.body(), type);
+        return Json.read(new InflaterInputStream(new ByteArrayInputStream(frame.body())), type);
     }
 
     /** Returns when it is on disk; on an {@link IOException} what was there still is. */
     public void write(T value, long nowMs) throws IOException {
-        byte[] bytes = new Frame(Frame.VERSION, "peppergauge fleet", name, kind, nowMs, Json.write(value)).encode();
+        // Accounts of a large fleet are a large part of the memory that there is: never whole in it twice.
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+        try (DeflaterOutputStream packing = new DeflaterOutputStream(body, deflater)) {
+            Json.write(value, packing);
+        } finally {
+            deflater.end();
+        }
+        byte[] bytes = new Frame(Frame.VERSION, "peppergauge fleet", name, kind, nowMs, body.toByteArray()).encode();
         if (bytes.length > MOST_BYTES) {
             throw new IOException("it would take " + bytes.length + " bytes, and at most " + MOST_BYTES + " are read");
         }
--- a/fleet/src/main/java/peppergauge/fleet/file/ServiceSection.java
+++ b/fleet/src/main/java/peppergauge/fleet/file/ServiceSection.java
@@ -47,6 +47,9 @@
             "A daemon that has been silent for so long is forgotten; what it counted stays in the totals.");
     private static final Key<Long> DAEMONS = Key.preset("most-daemons", Types.wholeNumber(1, 100_000), "4000",
             "Daemons held at once; further ones are turned away.");
+    private static final Key<Long> HELD = Key.preset("most-held", Types.size(1 << 20, 4L << 30), "\"32 MiB\"",
+            "Bytes that all accounts take, as on the wire; in memory they take some three times as much. From four"
+                    + " fifths on further daemons are turned away.");
     private static final Key<Long> CELLS = Key.preset("most-cells", Types.wholeNumber(1, 100_000), "2000",
             "Cells (station, class, zone) in a report, and in the totals.");
     private static final Key<Long> REPORT_SIZE = Key.preset("report-size", Types.size(1 << 10, 4 << 20), "\"1 MiB\"",
@@ -79,7 +82,7 @@
             "Another instance. Three in all bear the loss of two.", PEER_NAME, PEER_ADDRESS);
 
     public static final Table TABLE = Table.required("service", "One instance of the fleet service.", SITE, NAME,
-            NUMBER, LISTEN, FOLDER, REPORTS, ASKS, LEAST, MOST, LATE, SKEW, FORGET, DAEMONS, CELLS, REPORT_SIZE,
+            NUMBER, LISTEN, FOLDER, REPORTS, ASKS, LEAST, MOST, LATE, SKEW, FORGET, DAEMONS, HELD, CELLS, REPORT_SIZE,
             CONNECTIONS, RING, EVERY, LEASE, STEP, GOSSIP, SUSPECT, DEAD, KEEP, STALL).with(PEER);
 
     private static Type<Duration> ms(long least, long most) {
@@ -122,7 +125,7 @@
                         peer.get(PEER_ADDRESS))).toList(),
                 Path.of(said.get(FOLDER)),
                 new Limits(said.get(LATE).toMillis(), said.get(SKEW).toMillis(), said.get(FORGET).toMillis(),
-                        said.get(DAEMONS).intValue(), said.get(CELLS).intValue()),
+                        said.get(DAEMONS).intValue(), said.get(CELLS).intValue(), said.get(HELD)),
                 new Pace(said.get(REPORTS), least, most), new Pace(said.get(ASKS), least, most),
                 new Membership.Patience(said.get(SUSPECT).toMillis(), said.get(DEAD).toMillis()),
                 new ServiceSettings.Tables(said.get(EVERY).toMillis(), said.get(LEASE).toMillis(), said.get(STEP)),
--- a/fleet/src/main/java/peppergauge/fleet/http/Server.java
+++ b/fleet/src/main/java/peppergauge/fleet/http/Server.java
@@ -30,6 +30,8 @@
 /** All connections on one thread. Connections beyond the bound, and ones that say nothing, are closed. */
 public final class Server {
 
+    /** A whole fleet may start at once. */
+    private static final int BACKLOG = 1_024;
     private static final int SILENCE_S = 10;
     private static final int ENDING_S = 1;
 
@@ -48,7 +50,7 @@
             throws IOException, InterruptedException {
         server = AsyncServerBootstrap.bootstrap()
                 .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
-                        .setSoReuseAddress(true).setSoTimeout(Timeout.ofSeconds(SILENCE_S)).build())
+                        .setSoReuseAddress(true).setBacklogSize(BACKLOG).setSoTimeout(Timeout.ofSeconds(SILENCE_S)).build())
                 .setAuthorityResolver(RequestRouter.LOCAL_AUTHORITY_RESOLVER)
                 .setIOSessionListener(new Bounded(mostConnections))
                 .register("*", new Adapter(handler, mostBytes)).create();
--- a/fleet/src/main/java/peppergauge/fleet/reader/FleetAddition.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/FleetAddition.java
@@ -2,7 +2,6 @@
 
 import java.util.Arrays;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import peppergauge.Additions;
 import peppergauge.decision.Balancer;
@@ -12,25 +11,22 @@
 import peppergauge.session.Sessions;
 import peppergauge.settings.SiteNames;
 
-/** What the daemon's file adds by {@code [fleet]}; nothing at all where it has none. */
+/** What the daemon's file adds by {@code [fleet]}. */
 public final class FleetAddition implements Additions.Before {
 
-    private final Optional<ReaderSettings> settings;
+    private final ReaderSettings settings;
     private final KeySource keys;
     private Witness witness;
     private SteeredBalancer steered;
     private Reporting reporting;
 
-    public FleetAddition(Optional<ReaderSettings> settings, KeySource keys) {
+    public FleetAddition(ReaderSettings settings, KeySource keys) {
         this.settings = settings;
         this.keys = keys;
     }
 
     @Override
     public Balancer balancer(Balancer module, Parts parts) {
-        if (settings.isEmpty()) {
-            return module;
-        }
         witness = new Witness(parts.names());
         steered = new SteeredBalancer(module, witness);
         return steered;
@@ -38,8 +34,8 @@
 
     @Override
     public Intake intake(Intake next, Parts parts) {
-        return settings.isEmpty() ? next : new WitnessedIntake(next, witness, keys, parts.names().tenants(),
-                parts.clock(), new WitnessedIntake.Loop() {
+        return new WitnessedIntake(next, witness, keys, parts.names().tenants(), parts.clock(),
+                new WitnessedIntake.Loop() {
                     @Override
                     public boolean isHere() {
                         return parts.loop().isHere();
@@ -54,12 +50,10 @@
 
     @Override
     public void starting(Intake intake, Sessions sessions, Parts parts) {
-        settings.ifPresent(said -> {
-            reporting = new Reporting(said, parts.config().name(), parts.config().seed(), System::currentTimeMillis,
-                    future -> parts.loop().execute(() -> collect(future)),
-                    steering -> steered.steer(factors(steering, parts.names())));
-            reporting.start();
-        });
+        reporting = new Reporting(settings, parts.config().name(), parts.config().seed(), System::currentTimeMillis,
+                future -> parts.loop().execute(() -> collect(future)),
+                steering -> steered.steer(factors(steering, parts.names())));
+        reporting.start();
     }
 
     private void collect(CompletableFuture<Reporting.Counted> future) {
@@ -83,7 +77,7 @@
 
     /** For people; any thread. */
     public Map<String, Object> report() {
-        return reporting == null ? Map.of("enabled", false) : reporting.report();
+        return reporting == null ? Map.of() : reporting.report();
     }
 
     @Override
--- a/fleet/src/main/java/peppergauge/fleet/reader/Reporting.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/Reporting.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -51,9 +52,10 @@
     private long sequence;
     private long reportAtMs;
     private long askAtMs;
-    private long reportMs;
-    private long askMs;
-    private Steering told = Steering.NONE;
+    private volatile long reportMs;
+    private volatile long askMs;
+    private volatile long version;
+    private volatile Steering told = Steering.NONE;
     private boolean failing;
     private volatile boolean closed;
 
@@ -69,7 +71,7 @@
         this.clock = clock;
         this.collector = collector;
         this.steer = steer;
-        random = new Random(seed * 31 + daemon.hashCode());
+        random = random(seed, daemon);
         reportsTo = new Addresses(settings.addresses(), settings.longestMs(), random);
         caller = new Caller(settings.patienceMs(), TABLE_BYTES);
         reader = new TableReader(settings.bounds());
@@ -78,6 +80,11 @@
         thread.setDaemon(true);
     }
 
+    /** Well mixed: names that differ by one digit, and one seed for all, must not draw nearly the same. */
+    static Random random(long seed, String daemon) {
+        return new Random(new SplittableRandom(seed * 31 + daemon.hashCode()).nextLong());
+    }
+
     void start() {
         incarnation = clock.getAsLong();
         reportAtMs = incarnation + (long) (reportMs * random.nextDouble());
@@ -156,6 +163,7 @@
             }
             if (read.table() != null) {
                 Acceptance acceptance = reader.offer(read.table(), clock.getAsLong());
+                version = reader.version();
                 say("tables " + acceptance.name().toLowerCase(Locale.ROOT).replace('_', '-'));
             }
             worked();
@@ -192,7 +200,7 @@
     Map<String, Object> report() {
         Map<String, Object> report = new LinkedHashMap<>();
         report.put("site", settings.site());
-        report.put("version", reader.version());
+        report.put("version", version);
         report.put("report_ms", reportMs);
         report.put("ask_ms", askMs);
         report.put("in_force", told.factors());
--- a/fleet/src/main/java/peppergauge/fleet/reader/Witness.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/Witness.java
@@ -10,8 +10,8 @@
 import peppergauge.settings.SiteNames;
 
 /**
- * Counts what this sidecar's clients saw, by station, class and the data centre that was last sent to. All on the loop, without
- * locks; a cell costs some 10 KiB from its first session on.
+ * Counts what this sidecar's clients saw, by station, class and the data centre that was last sent to. All on the
+ * loop, without locks; a cell costs some 10 KiB from its first session on.
  */
 final class Witness {
 
--- a/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
@@ -29,8 +29,6 @@
 /** One instance, put together. The thread that takes requests judges them and hands in; it never waits for another. */
 public final class FleetService implements AutoCloseable {
 
-    private static final String TABLE = "/fleet/v1/table";
-
     private final ServiceSettings settings;
     private final LongSupplier clock;
     private final Merging merging;
@@ -73,7 +71,7 @@
         server = new Server(settings.listen(), settings.sizes().reportBytes(), settings.sizes().connections(),
                 this::handle);
         Log.line("fleet", settings.name() + " of " + settings.site() + " serves on " + server.address() + " with "
-                + merging.held() + " daemons known");
+                + merging.held().daemons() + " daemons known");
     }
 
     private KeptState kept() {
@@ -102,10 +100,10 @@
     private void handle(String method, String path, byte[] body, Consumer<Reply> reply) {
         intakeSinceNs = System.nanoTime() | 1;
         try {
-            String known = path.startsWith(TABLE + "?known=") ? path.substring(TABLE.length() + 7) : "0";
-            switch (method + " " + (path.startsWith(TABLE) ? TABLE : path)) {
+            int query = path.indexOf('?');
+            switch (method + " " + (query < 0 ? path : path.substring(0, query))) {
                 case "POST /fleet/v1/reports" -> reply.accept(report(body));
-                case "GET " + TABLE -> reply.accept(table(known));
+                case "GET /fleet/v1/table" -> reply.accept(table(query < 0 ? "known=0" : path.substring(query + 1)));
                 case "POST /fleet/v1/gossip" -> gossip(body, reply);
                 case "GET /fleet/v1/status" -> reply.accept(Reply.json(200, status()));
                 default -> reply.accept(Reply.json(404, Map.of("error", "unknown")));
@@ -122,7 +120,8 @@
         Verdict verdict = verdict(body);
         counts.count(verdict);
         Reply reply = Reply.json(verdict.status(), new ReportAnswer(Counts.word(verdict),
-                settings.reports().intervalMs(merging.live()), settings.asks().intervalMs(merging.live())));
+                settings.reports().intervalMs(merging.expected()),
+                settings.asks().intervalMs(merging.expected())));
         return verdict == Verdict.BUSY ? reply.retryAfter(1) : reply;
     }
 
@@ -138,14 +137,15 @@
         }
         Verdict verdict = intake.judge(report, clock.getAsLong(),
                 report.daemon() == null ? null : merging.newest(report.daemon()), merging.held());
-        return verdict == Verdict.TAKEN && !merging.offer(new Merging.Reported(List.of(report))) ? Verdict.BUSY
+        return verdict == Verdict.TAKEN && !merging.offer(new Merging.Reported(List.of(report), true)) ? Verdict.BUSY
                 : verdict;
     }
 
-    private Reply table(String known) {
+    private Reply table(String query) {
         try {
-            return Reply.json(200, new TableAnswer(publisher.newerThan(Long.parseLong(known)),
-                    settings.asks().intervalMs(merging.live())));
+            long known = Long.parseLong(query.replaceFirst("^known=", ""));
+            return Reply.json(200, new TableAnswer(publisher.newerThan(known),
+                    settings.asks().intervalMs(merging.expected())));
         } catch (NumberFormatException malformed) {
             return Reply.json(400, Map.of("error", "malformed"));
         }
@@ -165,7 +165,7 @@
             return;
         }
         gossiping.heard(asked);
-        boolean taken = merging.offer(new Merging.Asked(gossiping.since(asked),
+        boolean taken = merging.offer(new Merging.Asked(gossiping.since(asked), asked.all(),
                 changes -> reply.accept(Reply.json(200, gossiping.answer(asked, changes)))));
         if (!taken) {
             reply.accept(Reply.json(503, Map.of("error", "busy")).retryAfter(1));
@@ -182,9 +182,10 @@
         status.put("name", settings.name());
         status.put("members", gossiping.standings());
         status.put("on_duty", gossiping.onDuty());
-        status.put("daemons", merging.held());
+        status.put("daemons", merging.held().daemons());
+        status.put("held_bytes", merging.held().bytes());
         status.put("daemons_live", merging.live());
-        status.put("report_ms", settings.reports().intervalMs(merging.live()));
+        status.put("report_ms", settings.reports().intervalMs(merging.expected()));
         status.put("version", publisher.highest());
         status.put("table", table == null ? Map.of() : Map.of("version", table.version(), "issuer", table.issuer(),
                 "age_ms", clock.getAsLong() - table.issuedMs()));
--- a/fleet/src/main/java/peppergauge/fleet/service/Gossiping.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/Gossiping.java
@@ -20,6 +20,8 @@
 final class Gossiping {
 
     private static final int ANSWER_BYTES = 32 << 20;
+    /** Failures in a row after which a peer's own news are had from others. */
+    private static final int LOST = 3;
     private static final String PATH = "/fleet/v1/gossip";
 
     private final ServiceSettings settings;
@@ -32,6 +34,8 @@
     private final long started;
     private final Caller caller;
     private final Map<String, Point> points = new HashMap<>();
+    /** Calls in a row that failed, by peer. */
+    private final Map<String, Integer> silent = new HashMap<>();
     private long askedMs;
     private volatile long failures;
 
@@ -72,21 +76,28 @@
 
     private void ask(ServiceSettings.Peer peer, Point point) {
         try {
-            Caller.Answer answer = caller.call(peer.address(), PATH, Json.write(words(point)));
+            Caller.Answer answer = caller.call(peer.address(), PATH, Json.write(words(peer, point)));
             if (answer.status() != 200) {
                 throw new IOException("it answers " + answer.status());
             }
             take(peer, point, Json.read(answer.body(), Gossip.Answer.class));
+            silent.remove(peer.name());
         } catch (IOException | IllegalArgumentException failed) {
             failures++;
+            if (silent.merge(peer.name(), 1, Integer::sum) == LOST) {
+                // What it told others and not this one they tell from now on, from the first.
+                points.clear();
+            }
             points.computeIfPresent(peer.name(), (name, held) -> new Point(held.started(), held.through(), false));
         }
     }
 
-    private Gossip words(Point point) {
+    private Gossip words(ServiceSettings.Peer to, Point point) {
+        boolean all = silent.entrySet().stream().anyMatch(each -> !each.getKey().equals(to.name())
+                && each.getValue() >= LOST);
         synchronized (membership) {
             return new Gossip(settings.site(), settings.name(), settings.number(), membership.incarnation(),
-                    membership.view(), point.started(), point.through());
+                    membership.view(), point.started(), point.through(), all);
         }
     }
 
@@ -98,7 +109,7 @@
         List<DaemonReport> sound = new ArrayList<>(answer.reports());
         sound.removeIf(report -> !intake.mayJoin(report, now));
         // Where there is no room they are asked for again.
-        boolean taken = sound.isEmpty() || merging.offer(new Merging.Reported(sound));
+        boolean taken = sound.isEmpty() || merging.offer(new Merging.Reported(sound, false));
         points.put(peer.name(), taken ? new Point(answer.started(), answer.through(), answer.more())
                 : new Point(point.started(), point.through(), false));
         publisher.told(new Publisher.Seen(answer.version(), answer.table()));
--- a/fleet/src/main/java/peppergauge/fleet/service/Merging.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/Merging.java
@@ -10,6 +10,7 @@
 import peppergauge.fleet.decide.MergedView;
 import peppergauge.fleet.disk.KeptState;
 import peppergauge.fleet.state.FleetState;
+import peppergauge.fleet.state.Intake.Held;
 import peppergauge.fleet.state.Intake.Newest;
 import peppergauge.fleet.state.Tally;
 import peppergauge.fleet.wire.DaemonReport;
@@ -21,10 +22,10 @@
     /** What is handed in. */
     sealed interface Item { }
 
-    record Reported(List<DaemonReport> reports) implements Item { }
+    record Reported(List<DaemonReport> reports, boolean firstHand) implements Item { }
 
     /** Another instance asks what changed. */
-    record Asked(long since, Consumer<FleetState.Changes> answer) implements Item { }
+    record Asked(long since, boolean all, Consumer<FleetState.Changes> answer) implements Item { }
 
     private static final int AT_ONCE = 256;
     /** Of one answer to another instance. */
@@ -41,6 +42,8 @@
     private final Map<String, Newest> newest = new ConcurrentHashMap<>();
     private volatile byte[] plannerState = new byte[0];
     private volatile int live;
+    private volatile long bytes;
+    private final long startedMs;
     private long viewedMs;
     private long keptMs;
     private long forgottenMs;
@@ -50,7 +53,8 @@
         this.settings = settings;
         this.clock = clock;
         ring = new Ring<>(settings.sizes().ring());
-        keptMs = clock.getAsLong();
+        startedMs = clock.getAsLong();
+        keptMs = startedMs;
         tally = before == null ? new Tally(settings.sizes().cells())
                 : new Tally(settings.sizes().cells(), before.tally());
         if (before != null) {
@@ -70,6 +74,7 @@
     boolean step() {
         boolean worked = ring.drain(this::carryOut, AT_ONCE);
         long now = clock.getAsLong();
+        bytes = state.bytes();
         views.retry();
         kept.retry();
         if (now - viewedMs >= settings.tables().everyMs() || now < viewedMs) {
@@ -91,26 +96,31 @@
 
     private void carryOut(Item item) {
         if (item instanceof Asked asked) {
-            asked.answer().accept(state.since(asked.since(), ANSWER_BYTES));
+            asked.answer().accept(state.since(asked.since(), ANSWER_BYTES, asked.all()));
         } else if (item instanceof Reported reported) {
-            reported.reports().forEach(this::take);
+            reported.reports().forEach(report -> take(report, reported.firstHand()));
         }
     }
 
-    private void take(DaemonReport report) {
+    private void take(DaemonReport report, boolean firstHand) {
         long now = clock.getAsLong();
         // What is older would come back from another instance's memory as often as it is forgotten here.
-        if (now - report.sentMs() > settings.limits().forgetMs()
-                || state.newest(report.daemon()) == null && state.size() >= settings.limits().daemons()) {
+        if (now - report.sentMs() > settings.limits().forgetMs() || !room(report)) {
             return;
         }
-        FleetState.Change change = state.take(report);
+        FleetState.Change change = state.take(report, firstHand);
         if (change != null) {
             tally.count(change, now, settings.limits().forgetMs());
             note(state.newest(report.daemon()));
         }
     }
 
+    /** Also for what another instance took. */
+    private boolean room(DaemonReport report) {
+        return state.bytes() < settings.limits().bytes()
+                && (state.newest(report.daemon()) != null || state.size() < settings.limits().daemons());
+    }
+
     private void note(DaemonReport report) {
         newest.put(report.daemon(), new Newest(report.incarnation(), report.sequence()));
     }
@@ -147,9 +157,9 @@
         return newest.get(daemon);
     }
 
-    /** Daemons held; any thread. */
-    int held() {
-        return newest.size();
+    /** Any thread. */
+    Held held() {
+        return new Held(newest.size(), bytes);
     }
 
     /** Daemons that reported lately; any thread. */
@@ -157,6 +167,12 @@
         return live;
     }
 
+    /** Daemons to reckon with: a process that has just started has not yet heard of all. Any thread. */
+    int expected() {
+        boolean young = clock.getAsLong() - startedMs < 2 * settings.reports().mostMs();
+        return young ? Math.max(live, newest.size()) : live;
+    }
+
     long refused() {
         return ring.refused();
     }
--- a/fleet/src/main/java/peppergauge/fleet/state/FleetState.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/FleetState.java
@@ -19,22 +19,31 @@
 public final class FleetState {
 
     /** Accounts of dead incarnations are kept so that instances agree on them before they are dropped. */
-    static final int INCARNATIONS = 3;
+    static final int INCARNATIONS = 2;
     /** Of one (incarnation, sequence) there is one report; where a broken daemon sends two, all keep the same. */
     private static final Comparator<DaemonReport> NEWER = Comparator.comparingLong(DaemonReport::sequence)
             .thenComparingLong(DaemonReport::sentMs).thenComparing(DaemonReport::toString);
 
     private final Map<String, TreeMap<Long, Held>> daemons = new HashMap<>();
-    private final TreeMap<Long, DaemonReport> changes = new TreeMap<>();
+    private final TreeMap<Long, Held> changes = new TreeMap<>();
     private long stamp;
+    private long bytes;
 
-    private record Held(DaemonReport report, long stamp) { }
+    private record Held(DaemonReport report, long stamp, boolean firstHand) { }
 
     /** What a report took the place of. */
     public record Change(DaemonReport before, DaemonReport now) { }
 
-    /** @return null where all of it is held already, or it is older than all that is held of its daemon */
+    /** As {@link #take(DaemonReport, boolean)}, of the daemon itself. */
     public Change take(DaemonReport report) {
+        return take(report, true);
+    }
+
+    /**
+     * @param firstHand from the daemon itself, not from another instance
+     * @return null where all of it is held already, or it is older than all that is held of its daemon
+     */
+    public Change take(DaemonReport report, boolean firstHand) {
         TreeMap<Long, Held> incarnations = daemons.computeIfAbsent(report.daemon(), name -> new TreeMap<>());
         Held held = incarnations.get(report.incarnation());
         if (held != null && NEWER.compare(report, held.report()) <= 0
@@ -42,19 +51,26 @@
                         && report.incarnation() < incarnations.firstKey()) {
             return null;
         }
-        put(incarnations, report, held);
+        put(incarnations, report, held, firstHand);
         if (incarnations.size() > INCARNATIONS) {
-            changes.remove(incarnations.pollFirstEntry().getValue().stamp());
+            drop(incarnations.pollFirstEntry().getValue());
         }
         return new Change(held == null ? null : held.report(), report);
     }
 
-    private void put(TreeMap<Long, Held> incarnations, DaemonReport report, Held before) {
+    private void put(TreeMap<Long, Held> incarnations, DaemonReport report, Held before, boolean firstHand) {
         if (before != null) {
-            changes.remove(before.stamp());
+            drop(before);
         }
-        incarnations.put(report.incarnation(), new Held(report, ++stamp));
-        changes.put(stamp, report);
+        bytes += bytes(report);
+        Held held = new Held(report, ++stamp, firstHand);
+        incarnations.put(report.incarnation(), held);
+        changes.put(stamp, held);
+    }
+
+    private void drop(Held held) {
+        changes.remove(held.stamp());
+        bytes -= bytes(held.report());
     }
 
     /** The least state that holds both. */
@@ -67,7 +83,7 @@
         daemons.values().forEach(incarnations -> incarnations.values().removeIf(held -> {
             boolean old = nowMs - held.report().sentMs() > forgetMs;
             if (old) {
-                changes.remove(held.stamp());
+                drop(held);
             }
             return old;
         }));
@@ -89,13 +105,14 @@
         return daemons.size();
     }
 
-    public long stamp() {
-        return stamp;
+    /** About as many as all accounts take on the wire. */
+    public long bytes() {
+        return bytes;
     }
 
     /** All accounts, the longest unchanged first. */
     public List<DaemonReport> reports() {
-        return List.copyOf(changes.values());
+        return changes.values().stream().map(Held::report).toList();
     }
 
     /** Newest of each daemon. */
@@ -103,17 +120,24 @@
         return daemons.keySet().stream().map(this::newest).collect(Collectors.toList());
     }
 
-    /** What changed since, and the stamp to ask from next; about so many bytes at once, and at least one report. */
-    public Changes since(long from, long mostBytes) {
+    /**
+     * What changed since, and the stamp to ask from next; about so many bytes at once, and at least one report.
+     *
+     * @param all also what other instances told: not asked for by one that reaches them
+     */
+    public Changes since(long from, long mostBytes, boolean all) {
         List<DaemonReport> changed = new ArrayList<>();
         long through = from;
-        long bytes = 0;
-        for (Map.Entry<Long, DaemonReport> change : changes.tailMap(from, false).entrySet()) {
-            bytes += bytes(change.getValue());
-            if (bytes > mostBytes && !changed.isEmpty()) {
-                return new Changes(changed, through, true);
+        long sum = 0;
+        for (Map.Entry<Long, Held> change : changes.tailMap(from, false).entrySet()) {
+            Held held = change.getValue();
+            if (all || held.firstHand()) {
+                sum += bytes(held.report());
+                if (sum > mostBytes && !changed.isEmpty()) {
+                    return new Changes(changed, through, true);
+                }
+                changed.add(held.report());
             }
-            changed.add(change.getValue());
             through = change.getKey();
         }
         return new Changes(changed, stamp, false);
@@ -123,7 +147,7 @@
     private static long bytes(DaemonReport report) {
         long bytes = 300;
         for (DaemonReport.CellCounts counts : report.cells()) {
-            bytes += 300 + (counts.latency() == null ? 0 : counts.latency().length());
+            bytes += 130 + (counts.latency() == null ? 0 : counts.latency().length());
         }
         return bytes + (report.keys() == null ? 0 : report.keys().keys().size() * 200L);
     }
--- a/fleet/src/main/java/peppergauge/fleet/state/Intake.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/Intake.java
@@ -13,12 +13,12 @@
     /** The newest account held of a daemon. */
     public record Newest(long incarnation, long sequence) { }
 
-    /**
-     * @param newest null where its daemon is not held
-     * @param held daemons held in all
-     */
-    public Verdict judge(DaemonReport report, long nowMs, Newest newest, int held) {
-        if (!wellFormed(report)) {
+    /** All that is held. */
+    public record Held(int daemons, long bytes) { }
+
+    /** @param newest null where its daemon is not held */
+    public Verdict judge(DaemonReport report, long nowMs, Newest newest, Held held) {
+        if (!wellFormed(report, true)) {
             return Verdict.MALFORMED;
         }
         if (!report.site().equals(site)) {
@@ -31,22 +31,27 @@
             return Verdict.LATE;
         }
         if (newest == null) {
-            return held < limits.daemons() ? Verdict.TAKEN : Verdict.FULL;
+            return held.daemons() < limits.daemons() && held.bytes() < limits.bytes() / 5 * 4 ? Verdict.TAKEN
+                    : Verdict.FULL;
         }
         if (report.incarnation() < newest.incarnation()) {
             return Verdict.DEAD_INCARNATION;
         }
-        return report.incarnation() == newest.incarnation() && report.sequence() <= newest.sequence()
-                ? Verdict.REPEATED : Verdict.TAKEN;
+        if (report.incarnation() == newest.incarnation() && report.sequence() <= newest.sequence()) {
+            return Verdict.REPEATED;
+        }
+        return held.bytes() < limits.bytes() ? Verdict.TAKEN : Verdict.FULL;
     }
 
     /** Whether another instance may hand it on: it was judged there, by another clock. */
     public boolean mayJoin(DaemonReport report, long nowMs) {
-        return wellFormed(report) && report.site().equals(site) && report.sentMs() - nowMs <= 2 * limits.futureMs()
+        return wellFormed(report, false) && report.site().equals(site)
+                && report.sentMs() - nowMs <= 2 * limits.futureMs()
                 && report.incarnation() - nowMs <= 2 * limits.futureMs();
     }
 
-    private boolean wellFormed(DaemonReport report) {
+    /** @param closely histograms, too: that takes most of the time, and the instance that took it has looked */
+    private boolean wellFormed(DaemonReport report, boolean closely) {
         if (report == null || !name(report.site()) || !name(report.daemon()) || report.incarnation() <= 0
                 || report.sequence() <= 0 || report.sentMs() <= 0 || report.cells() == null
                 || report.cells().size() > limits.cells()) {
@@ -54,13 +59,14 @@
         }
         Set<Cell> met = new HashSet<>();
         return report.cells().stream().allMatch(counts -> counts != null && wellFormed(counts)
+                && (!closely || counts.latency() == null || Latencies.usable(counts.latency()))
                 && met.add(Tally.cell(counts)));
     }
 
     private static boolean wellFormed(DaemonReport.CellCounts counts) {
         return name(counts.station()) && name(counts.requestClass()) && counts.zone() != null
                 && counts.zone().length() <= LONGEST_NAME && counts.answered() >= 0 && counts.denied() >= 0
-                && counts.failed() >= 0 && (counts.latency() == null || Latencies.usable(counts.latency()));
+                && counts.failed() >= 0;
     }
 
     private static boolean name(String name) {
--- a/fleet/src/main/java/peppergauge/fleet/state/Latencies.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/Latencies.java
@@ -43,10 +43,7 @@
         byte[] bytes = Base64.getDecoder().decode(text);
         try {
             boundsChecked(bytes);
-            Histogram read = Histogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(bytes), 0);
-            Histogram histogram = empty();
-            histogram.add(read);
-            return histogram;
+            return Histogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(bytes), 0);
         } catch (DataFormatException | RuntimeException garbage) {
             throw new IllegalArgumentException("no histogram: " + garbage.getMessage(), garbage);
         }
@@ -66,7 +63,7 @@
             }
             ByteBuffer fields = ByteBuffer.wrap(head);
             if (fields.getInt(4) < 0 || fields.getInt(4) > LONGEST_TEXT || fields.getInt(12) != DIGITS
-                    || fields.getLong(16) != 1 || fields.getLong(24) > MOST_MS || fields.getLong(24) < 2) {
+                    || fields.getLong(16) != 1 || fields.getLong(24) != MOST_MS) {
                 throw new IllegalArgumentException("of another shape");
             }
         } finally {
--- a/fleet/src/main/java/peppergauge/fleet/state/Limits.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/Limits.java
@@ -8,5 +8,6 @@
  * @param forgetMs an account that is older is dropped
  * @param daemons most that are held at once
  * @param cells most in a report
+ * @param bytes most that all accounts take, as on the wire; from four fifths on no further daemon is taken
  */
-public record Limits(long lateMs, long futureMs, long forgetMs, int daemons, int cells) { }
+public record Limits(long lateMs, long futureMs, long forgetMs, int daemons, int cells, long bytes) { }
--- a/fleet/src/main/java/peppergauge/fleet/state/Tally.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/Tally.java
@@ -16,36 +16,55 @@
     /** @param latency answers in ms; not to be changed by who is handed it */
     public record Total(long answered, long denied, long failed, Histogram latency) {
 
-        static final Total NOTHING = new Total(0, 0, 0, Latencies.empty());
-
         /** Answered within so many ms. */
         public long within(long ms) {
             return latency.getCountBetweenValues(0, Math.min(ms, Latencies.MOST_MS));
         }
+    }
+
+    /** One that grows. */
+    private static final class Sum {
+
+        private long answered;
+        private long denied;
+        private long failed;
+        private final Histogram latency;
+
+        Sum(Total before) {
+            answered = before == null ? 0 : before.answered();
+            denied = before == null ? 0 : before.denied();
+            failed = before == null ? 0 : before.failed();
+            latency = before == null ? Latencies.empty() : before.latency().copy();
+        }
 
-        Total plus(CellCounts before, CellCounts now) {
-            Histogram sum = latency.copy();
-            Histogram grown = Latencies.decode(now.latency());
-            if (before != null && before.latency() != null) {
-                try {
+        void add(CellCounts before, CellCounts now) {
+            answered += grown(before == null ? 0 : before.answered(), now.answered());
+            denied += grown(before == null ? 0 : before.denied(), now.denied());
+            failed += grown(before == null ? 0 : before.failed(), now.failed());
+            if (now.latency() == null || before != null && now.latency().equals(before.latency())) {
+                return;
+            }
+            try {
+                Histogram grown = Latencies.decode(now.latency());
+                if (before != null && before.latency() != null) {
                     grown.subtract(Latencies.decode(before.latency()));
-                } catch (RuntimeException fell) {
-                    // Not cumulative, so a broken daemon's: nothing of it is counted twice.
-                    grown.reset();
                 }
+                latency.add(grown);
+            } catch (RuntimeException fell) {
+                // It is none, or not cumulative, so a broken daemon's: nothing of it is counted twice.
             }
-            sum.add(grown);
-            return new Total(answered + grown(before == null ? 0 : before.answered(), now.answered()),
-                    denied + grown(before == null ? 0 : before.denied(), now.denied()),
-                    failed + grown(before == null ? 0 : before.failed(), now.failed()), sum);
         }
 
         private static long grown(long before, long now) {
             return Math.max(0, now - before);
         }
+
+        Total total() {
+            return new Total(answered, denied, failed, latency.copy());
+        }
     }
 
-    private final Map<Cell, Total> totals;
+    private final Map<Cell, Sum> totals = new HashMap<>();
     private final int mostCells;
     private long passedOver;
 
@@ -55,7 +74,7 @@
 
     public Tally(int mostCells, Map<Cell, Total> before) {
         this.mostCells = mostCells;
-        totals = new HashMap<>(before);
+        before.forEach((cell, total) -> totals.put(cell, new Sum(total)));
     }
 
     static Cell cell(CellCounts counts) {
@@ -84,17 +103,18 @@
     }
 
     private void add(Cell cell, CellCounts before, CellCounts now) {
-        Total total = totals.get(cell);
-        if (total == null && totals.size() >= mostCells) {
-            passedOver++;
+        if (totals.containsKey(cell) || totals.size() < mostCells) {
+            totals.computeIfAbsent(cell, fresh -> new Sum(null)).add(before, now);
         } else {
-            totals.put(cell, (total == null ? Total.NOTHING : total).plus(before, now));
+            passedOver++;
         }
     }
 
     /** As it is now; later counting does not change it. */
     public Map<Cell, Total> totals() {
-        return Map.copyOf(totals);
+        Map<Cell, Total> copy = new HashMap<>();
+        totals.forEach((cell, sum) -> copy.put(cell, sum.total()));
+        return copy;
     }
 
     /** Accounts of cells beyond what is held. */
--- a/fleet/src/main/java/peppergauge/fleet/wire/Gossip.java
+++ b/fleet/src/main/java/peppergauge/fleet/wire/Gossip.java
@@ -9,10 +9,11 @@
  *
  * @param number the asker's, for versions; another's is refused
  * @param since stamp of the asked one's last answer, 0 at first
+ * @param all also what the asked one was told by others, since the asker does not reach them all
  * @param sinceStart whose stamp that is: a new process counts anew
  */
 public record Gossip(String site, String from, int number, long incarnation, List<Member> members, long sinceStart,
-        long since) {
+        long since, boolean all) {
 
     /**
      * @param started tells this process of the asked one from others
--- a/fleet/src/main/java/peppergauge/fleet/wire/Json.java
+++ b/fleet/src/main/java/peppergauge/fleet/wire/Json.java
@@ -8,6 +8,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 
 /**
  * Records to JSON and back, strictly: a number is no text, a missing one no 0. Unknown fields are passed over, for
@@ -40,6 +42,20 @@
         }
     }
 
+    /** As it goes, without holding all of it at once. */
+    public static void write(Object value, OutputStream out) throws IOException {
+        MAPPER.writeValue(out, value);
+    }
+
+    /** As it comes, and throws as {@link #read(byte[], Class)}. */
+    public static <T> T read(InputStream in, Class<T> type) {
+        try {
+            return MAPPER.readValue(in, type);
+        } catch (IOException malformed) {
+            throw new IllegalArgumentException(malformed.getMessage(), malformed);
+        }
+    }
+
     /** @throws IllegalArgumentException saying why it is none */
     public static <T> T read(byte[] bytes, Class<T> type) {
         try {
--- a/fleet/src/test/java/peppergauge/fleet/reader/ReaderTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/reader/ReaderTest.java
@@ -206,6 +206,19 @@
 
     // ---- Whom it asks ----
 
+    @Test
+    public void daemonsOfOneSeedWithNamesThatDifferByADigitSpread() {
+        Map<String, Integer> first = new TreeMap<>();
+        int[] tenths = new int[10];
+        for (int i = 0; i < 300; i++) {
+            Random random = Reporting.random(7, "sidecar-" + i);
+            first.merge(new Addresses(List.of("a", "b", "c"), 60_000, random).present(), 1, Integer::sum);
+            tenths[(int) (random.nextDouble() * 10)]++;
+        }
+        assertTrue(first.values().stream().allMatch(count -> count > 70 && count < 130), first.toString());
+        assertTrue(java.util.Arrays.stream(tenths).allMatch(count -> count > 10 && count < 60));
+    }
+
     @Test
     public void daemonsSpreadOverInstancesAndOverTime() {
         Set<String> first = new HashSet<>();
--- a/fleet/src/test/java/peppergauge/fleet/service/Bed.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/Bed.java
@@ -60,7 +60,7 @@
             }
         }
         return new ServiceSettings(Samples.SITE, "fleet-" + i, i + 1, new InetSocketAddress("127.0.0.1", ports[i]),
-                peers, root.resolve("f" + i), new Limits(30_000, 5_000, 3_600_000, 100, 50),
+                peers, root.resolve("f" + i), new Limits(30_000, 5_000, 3_600_000, 100, 50, 1 << 20),
                 new Pace(50, 100, 10_000), new Pace(100, 50, 10_000), new Membership.Patience(600, 400),
                 new ServiceSettings.Tables(100, LEASE_MS, 0.1), new ServiceSettings.Times(50, 200, 300),
                 new ServiceSettings.Sizes(100_000, 100, 50, 8));
@@ -118,6 +118,10 @@
         return caller.call(address(i), "/fleet/v1/reports", body);
     }
 
+    Caller.Answer get(int i, String path) throws IOException {
+        return caller.call(address(i), path, null);
+    }
+
     String report(int i, DaemonReport report) throws IOException {
         return Json.read(post(i, Json.write(report)).body(), ReportAnswer.class).verdict();
     }
--- a/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
@@ -53,6 +53,9 @@
                     "413{\"verdict\":\"oversized\"");
             assertEquals(bed.post(0, "{".getBytes()).status(), 400);
             assertEquals(held(bed, 0), 1);
+            for (String path : new String[] {"/fleet/v1/table?known=x", "/fleet/v1/tables", "/"}) {
+                assertEquals(bed.get(0, path).status(), path.endsWith("x") ? 400 : 404);
+            }
             Map<String, Long> counts = Bed.of(bed.service(0).status(), "reports");
             assertEquals(counts.get("taken") + counts.get("repeated") + counts.get("oversized")
                     + counts.get("malformed") + counts.get("late") + counts.get("future")
--- a/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
@@ -20,7 +20,7 @@
 public class IntakeTest {
 
     private static final long NOW = 1_000_000;
-    private static final Limits LIMITS = new Limits(30_000, 5_000, 500_000, 2, 3);
+    private static final Limits LIMITS = new Limits(30_000, 5_000, 500_000, 2, 3, 100);
 
     private static DaemonReport sent(long ms) {
         return Samples.report(1, 900_000, 4, ms);
@@ -69,7 +69,12 @@
 
     @Test(dataProvider = "reports")
     public void eachReportHasANamedAnswer(DaemonReport report, Newest held, int daemons, Verdict verdict) {
-        assertEquals(new Intake(Samples.SITE, LIMITS).judge(report, NOW, held, daemons), verdict);
+        Intake intake = new Intake(Samples.SITE, LIMITS);
+        assertEquals(intake.judge(report, NOW, held, new Intake.Held(daemons, 79)), verdict);
+        Verdict tight = verdict != Verdict.TAKEN ? verdict : held == null ? Verdict.FULL : Verdict.TAKEN;
+        assertEquals(intake.judge(report, NOW, held, new Intake.Held(daemons, 80)), tight);
+        assertEquals(intake.judge(report, NOW, held, new Intake.Held(daemons, 100)),
+                tight == Verdict.TAKEN ? Verdict.FULL : tight);
     }
 
     /** The library would take as much memory as the head says: 2^40 entries here. */
--- a/fleet/src/test/java/peppergauge/fleet/state/MergePropertiesTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/state/MergePropertiesTest.java
@@ -60,6 +60,8 @@
         parts.forget(2_000, 997);
         parts.join(whole);
         assertEquals(whole.accounts(), parts.accounts(), "both forget the same");
+        assertEquals(whole.reports().stream().mapToLong(each -> 300 + each.cells().stream()
+                .mapToLong(cell -> 130 + cell.latency().length()).sum()).sum(), whole.bytes());
         assertTrue(whole.accounts().values().stream().allMatch(each -> each.size() <= FleetState.INCARNATIONS));
     }
 
@@ -106,7 +108,7 @@
         FleetState expected = joined(teller, listener);
         long since = 0;
         for (int round = 0; round < 40; round++) {
-            FleetState.Changes changes = teller.since(since, 1 + random.nextInt(3_000));
+            FleetState.Changes changes = teller.since(since, 1 + random.nextInt(3_000), true);
             if (random.nextInt(4) > 0) {
                 changes.reports().forEach(listener::take);
                 since = changes.through();
@@ -117,6 +119,11 @@
                 expected.take(news);
             }
         }
+        FleetState relaying = new FleetState();
+        relaying.take(Samples.report(1, 1, 1, 1), false);
+        relaying.take(Samples.report(2, 1, 1, 1), true);
+        assertEquals(1, relaying.since(0, 9_999, false).reports().size());
+        assertEquals(2, relaying.since(0, 9_999, true).reports().size());
         expected.join(teller);
         assertEquals(expected.accounts(), listener.accounts());
     }
