--- a/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
+++ b/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
@@ -1,5 +1,6 @@
 package peppergauge.fleet.decide;
 
+import java.util.Map;
 import peppergauge.promises.Steering;
 
 /** Decides how stations lean. One thread calls it. */
@@ -11,6 +12,11 @@
     /** @param nowMs Unix time, ms */
     Steering plan(long nowMs, MergedView merged);
 
+    /** For people: maps, lists, texts and numbers that do not change any more. Asked after each plan. */
+    default Object report() {
+        return Map.of();
+    }
+
     /** What has to outlive the process; of a form of the planner's own. */
     default byte[] state() {
         return new byte[0];
--- a/fleet/src/main/java/peppergauge/fleet/reader/WitnessedIntake.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/WitnessedIntake.java
@@ -79,27 +79,34 @@
 
         @Override
         public void served(Message answer) {
-            end(Witness.Ending.ANSWERED);
-            client.served(answer);
+            over(Witness.Ending.ANSWERED, () -> client.served(answer));
         }
 
         @Override
         public void denied(double retryAfterMs) {
-            end(Witness.Ending.DENIED);
-            client.denied(retryAfterMs);
+            over(Witness.Ending.DENIED, () -> client.denied(retryAfterMs));
         }
 
         @Override
         public void failed(boolean late) {
-            end(Witness.Ending.FAILED);
-            client.failed(late);
+            over(Witness.Ending.FAILED, () -> client.failed(late));
         }
 
         /** Another session has its id: what is known by the id is that one's. */
         @Override
         public void duplicate() {
-            open.remove(client);
-            client.duplicate();
+            onLoop(() -> {
+                open.remove(client);
+                client.duplicate();
+            });
+        }
+
+        /** What stands between here and the sessions may answer from a thread of its own. */
+        private void over(Witness.Ending ending, Runnable answer) {
+            onLoop(() -> {
+                end(ending);
+                answer.run();
+            });
         }
 
         void end(Witness.Ending ending) {
--- a/fleet/src/main/java/peppergauge/fleet/service/Deciding.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/Deciding.java
@@ -1,5 +1,6 @@
 package peppergauge.fleet.service;
 
+import java.util.Map;
 import peppergauge.fleet.decide.MergedView;
 import peppergauge.fleet.decide.Planner;
 import peppergauge.log.Log;
@@ -14,6 +15,7 @@
     private final Planner planner;
     private final Merging merging;
     private final Latest<Plan> plans = new Latest<>();
+    private volatile Object report = Map.of();
 
     Deciding(Planner planner, Merging merging) {
         this.planner = planner;
@@ -35,10 +37,16 @@
         }
         Steering steering = planner.plan(view.builtMs(), view);
         merging.plannerState(planner.state());
+        report = planner.report();
         plans.hand(new Plan(view.builtMs(), steering));
         return true;
     }
 
+    /** The planner's own, as of its last plan; any thread. */
+    Object report() {
+        return report;
+    }
+
     Latest<Plan> plans() {
         return plans;
     }
--- a/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
@@ -32,6 +32,7 @@
     private final ServiceSettings settings;
     private final LongSupplier clock;
     private final Merging merging;
+    private final Deciding deciding;
     private final Publisher publisher;
     private final Keeping keeping;
     private final Gossiping gossiping;
@@ -57,7 +58,7 @@
         intake = new Intake(settings.site(), settings.limits());
         stateFile = new KeptFile<>(disk, settings.folder(), settings.name(), "state", KeptState.class);
         merging = new Merging(settings, clock, kept());
-        Deciding deciding = new Deciding(planner, merging);
+        deciding = new Deciding(planner, merging);
         keeping = new Keeping(stateFile, merging.kept(), clock);
         Membership membership = new Membership(settings.name(), started, settings.peers().stream()
                 .map(ServiceSettings.Peer::name).collect(Collectors.toSet()), settings.patience(), started);
@@ -189,6 +190,7 @@
         status.put("version", publisher.highest());
         status.put("table", table == null ? Map.of() : Map.of("version", table.version(), "issuer", table.issuer(),
                 "age_ms", clock.getAsLong() - table.issuedMs()));
+        status.put("planner", deciding.report());
         status.put("duties", duties());
         status.put("reports", counts.report());
         status.put("rings", Map.of("merge_full", merging.refused(), "views_let_go", merging.views().letGo(),
--- a/fleet/src/test/java/peppergauge/fleet/Measure.java
+++ b/fleet/src/test/java/peppergauge/fleet/Measure.java
@@ -83,6 +83,14 @@
         long start = System.currentTimeMillis();
         // Of a full set each they would take gigabytes here.
         Histogram[][] shared = new Histogram[20][cells];
+        for (Histogram[] set : shared) {
+            for (int i = 0; i < cells; i++) {
+                set[i] = Latencies.empty();
+                for (int sessions = 0; sessions < 2_000; sessions++) {
+                    set[i].recordValue((long) (40 * Math.exp(random.nextGaussian())));
+                }
+            }
+        }
         for (int i = 0; i < count; i++) {
             Daemon daemon = new Daemon(i, shared[i % shared.length]);
             due.add(new Due(start + random.nextInt(10_000), daemon, true));
@@ -148,9 +156,6 @@
     private long report(Daemon daemon) throws Exception {
         List<CellCounts> counts = new ArrayList<>();
         for (int i = 0; i < cells; i++) {
-            if (daemon.latencies[i] == null) {
-                daemon.latencies[i] = Latencies.empty();
-            }
             for (int sessions = 0; sessions < 10; sessions++) {
                 daemon.latencies[i].recordValue((long) (40 * Math.exp(random.nextGaussian())));
             }
--- a/fleet/src/test/java/peppergauge/fleet/reader/ReaderTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/reader/ReaderTest.java
@@ -190,7 +190,12 @@
         handed.get("served").served(null);
         handed.get("again").served(null);
         handed.get("refused").denied(0);
+        here[0] = false;
+        posted.clear();
         handed.get("denied").denied(0);
+        assertEquals(clients.get("denied").answers, 0, "nothing off the loop");
+        here[0] = true;
+        posted.forEach(Runnable::run);
         handed.get("failed").failed(true);
         handed.get("twice").duplicate();
         intake.left("left", clients.get("left"));
--- a/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
@@ -7,11 +7,13 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.Map;
 import java.util.zip.Deflater;
 import org.HdrHistogram.Histogram;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import peppergauge.fleet.Samples;
+import peppergauge.fleet.decide.MergedView;
 import peppergauge.fleet.state.Intake.Newest;
 import peppergauge.fleet.wire.DaemonReport;
 import peppergauge.fleet.wire.DaemonReport.CellCounts;
@@ -127,6 +129,18 @@
         assertEquals(tally.totals().values().iterator().next().denied(), 1);
     }
 
+    @Test
+    public void whatCameLateWasDeniedOrFailedIsMissed() {
+        Tally tally = new Tally(10);
+        FleetState state = new FleetState();
+        // Answered in 11 ms, 4 x (1 + 1 + 1) of them, and 4 denied.
+        tally.count(state.take(Samples.report(1, 1, 4, NOW)), NOW, 2 * NOW);
+        MergedView view = new MergedView(NOW, tally.totals(), Map.of(), 1);
+        assertEquals(view.evidence(cell -> cell.zone().equals("east") ? 11 : 10).stream().map(each ->
+                each.cell().zone() + " " + each.kept() + " " + each.missed()).sorted().toList(),
+                List.of("east 12 4", "west 0 16"));
+    }
+
     @DataProvider
     public Object[][] fleets() {
         return new Object[][] {{0, 2_000}, {100, 2_000}, {1_000, 20_000}, {3_000, 60_000}, {100_000, 120_000}};
--- a/fleet/src/test/java/peppergauge/fleet/state/MergePropertiesTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/state/MergePropertiesTest.java
@@ -31,7 +31,11 @@
     private static FleetState state(Random random) {
         FleetState state = new FleetState();
         for (int i = random.nextInt(12); i > 0; i--) {
-            state.take(any(random, 6));
+            DaemonReport report = any(random, 6);
+            // A broken daemon may send two of one sequence.
+            state.take(random.nextInt(4) > 0 ? report : new DaemonReport(report.site(), report.daemon(),
+                    report.incarnation(), report.sequence(), report.sentMs(),
+                    report.cells().subList(0, random.nextInt(2)), null));
         }
         return state;
     }
