--- a/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
@@ -166,6 +166,8 @@
             bed.hold(0, "decide");
             Bed.until("seen", () -> "stalled".equals(
                     Bed.<Map<String, String>>of(bed.service(0).status(), "duties").get("decide")));
+            Bed.until("views are let go, not piled up", () ->
+                    Bed.<Map<String, Long>>of(bed.service(0).status(), "rings").get("views_let_go") > 0);
             Bed.until("nothing is handed out", () -> {
                 try {
                     FleetTable table = bed.table(0, 0).table();
--- a/fleet/src/test/java/peppergauge/fleet/table/TablesTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/table/TablesTest.java
@@ -99,7 +99,9 @@
                     long next = versions[side].next(clock);
                     versions[side].reserved(next);
                     versions[side].issued(next);
+                    Steering former = last[side] == null ? Steering.NONE : last[side].steering();
                     last[side] = sides[side].issue(next, clock, last[side], east(side == 0 ? 0.05 : 1));
+                    assertTrue(Factors.distance(former, last[side].steering()) <= 0.1 + 1e-9);
                 }
                 taken += reader.offer(last[random.nextInt(2)], NOW + ms) == Acceptance.TAKEN ? 1 : 0;
                 double factor = Factors.of(reader.steering(NOW + ms), "radio", "east");
