Let zones stand by lot for stations that lean, and mend two edges found by random load

Two edges were found by random load over the module: an end of a server that had been forgotten made it ready where gone does not bind, and a last call whose timer came after the aim went out with a time-out of 0 or less.

Change: a request's own lot says for each zone whether its servers stand in the draw, with the factor as the chance, taking no draw; if no sound, untried server stands, all do. An unknown server that is gone is passed over; a last call without time left goes nowhere. The wrapper's two allowances for these edges go.

--- a/sidecar/src/main/java/peppergauge/decision/Decide.java
+++ b/sidecar/src/main/java/peppergauge/decision/Decide.java
@@ -122,7 +122,7 @@
     /** Whether there are usable servers that it does not work with. */
     private boolean partial;
     private double[] scratch = new double[16];
-    /** By tenant and zone; empty without a table from the fleet service, and then nothing leans. */
+    /** By tenant and zone, the share of requests for which the zone stands in the draw; else it is 1. */
     private double[][] leanings = {};
     double nowMs, firstEventMs = Double.NaN, firstArrivalMs = Double.NaN;
     double crowding = 0.5;
@@ -620,6 +620,7 @@
         double limit = roomMs(request);
         double best = 0;
         boolean fresh = false;
+        boolean leaning = false;
         double bestUnit = Double.POSITIVE_INFINITY;
         double bestSound = 0;
         for (Server server : pool) {
@@ -627,13 +628,15 @@
         }
         for (Server server : pool) {
             server.open = mayJoin(request, server, limit, trial);
-            fresh |= server.open && !request.tried(server);
+            boolean untried = server.open && !request.tried(server);
+            fresh |= untried;
+            leaning |= untried && server.sound >= FAILING_CUT * bestSound && leans(request, server);
             bestUnit = Math.min(bestUnit, server.unitMs);
         }
         for (int i = 0; i < pool.size(); i++) {
             Server server = pool.get(i);
             double health = 0;
-            if (server.open && !(fresh && request.tried(server))) {
+            if (server.open && !(fresh && request.tried(server)) && (!leaning || leans(request, server))) {
                 double condition = even ? 1 : server.sound * bestUnit / server.unitMs;
                 health = Math.max(condition, TRIAL_CONDITION) * server.load * server.capacity;
             }
@@ -649,7 +652,6 @@
         for (int i = 0; i < pool.size(); i++) {
             scratch[i] = scratch[i] < 0 ? CONDITION_FLOOR
                     : scratch[i] == 0 ? 0 : Math.pow(scratch[i] / best, STEEPNESS);
-            scratch[i] *= leaning(request, pool.get(i));
             total += scratch[i];
         }
         double mark = random.nextDouble() * total;
@@ -663,11 +665,11 @@
         return drawn;
     }
 
-    /** How the request's station leans to the server's zone: on the odds, not under the steep curve. */
-    private double leaning(Request request, Server server) {
-        boolean told = request.tenant >= 0 && request.tenant < leanings.length
-                && server.zone >= 0 && server.zone < leanings[request.tenant].length;
-        return told ? leanings[request.tenant][server.zone] : 1;
+    /** Whether a server stands for a request whose station leans elsewhere; if none good does, all do. */
+    private boolean leans(Request request, Server server) {
+        return request.tenant < 0 || request.tenant >= leanings.length || server.zone < 0
+                || server.zone >= leanings[request.tenant].length
+                || request.lot(server.zone) < leanings[request.tenant][server.zone];
     }
 
     private boolean mayJoin(Request request, Server server, double limitMs, boolean trial) {
@@ -880,7 +882,8 @@
         if (held.get(request.id) != request) {
             return;
         }
-        Server idle = draw(request, true);
+        // After a pause of the whole process the call may come when there is no time left.
+        Server idle = leftMs(request) > 0 ? draw(request, true) : null;
         if (idle != null) {
             send(request, idle);
         } else {
@@ -959,6 +962,9 @@
         }
         for (ServerEntry entry : listed.entries()) {
             Server server = servers.get(entry.server());
+            if (server == null && entry.state() == ServerState.GONE) {
+                continue;
+            }
             if (server == null) {
                 server = new Server(entry.server(), entry.zone(), entry.cell());
                 servers.put(entry.server(), server);
--- a/sidecar/src/main/java/peppergauge/decision/Request.java
+++ b/sidecar/src/main/java/peppergauge/decision/Request.java
@@ -45,6 +45,11 @@
                 ? attempts.get(number) : null;
     }
 
+    /** Where in [0,1) the request stands in the lot of a zone: of its own, so that no draw is taken for it. */
+    double lot(int zone) {
+        return (Server.mix(Double.doubleToLongBits(lot) + zone) >>> 11) * 0x1p-53;
+    }
+
     boolean tried(Server server) {
         for (Attempt attempt : attempts) {
             if (attempt.server == server) {
--- a/sidecar/src/main/java/peppergauge/invariant/CheckedBalancer.java
+++ b/sidecar/src/main/java/peppergauge/invariant/CheckedBalancer.java
@@ -34,11 +34,6 @@
     private final List<CheckedSession> touched = new ArrayList<>();
     private double nowMs = Double.NEGATIVE_INFINITY;
     private boolean listing;
-    /**
-     * A timer is late, or was. A last call that comes after the aim is sent all the same, with no time left to it: known
-     * of the module, and the host takes the deadline for it (docs/INVARIANTS.md).
-     */
-    private boolean timerLate;
 
     private CheckedBalancer(Balancer module, Settings settings) {
         this.module = module;
@@ -57,7 +52,6 @@
         unless(Double.isFinite(now) && now >= nowMs, Invariant.CLOCK, now + " after " + nowMs);
         nowMs = now;
         listing = settings.mustWatch() && (event instanceof ServersListed || event instanceof DiscoveryFailed);
-        timerLate = timers.anyDue(now - settings.tickMs());
         told(event);
         module.on(now, event, action -> {
             asked(action);
@@ -163,7 +157,7 @@
         CheckedServers.Place place = servers.open(send.server());
         unless(place != null, Invariant.SERVER, send);
         unless(!session.mayRunTwice(place, nowMs), Invariant.RAN_TWICE, send);
-        unless((send.timeoutMs() > 0 || timerLate) && nowMs + send.timeoutMs() <= session.deadlineMs + ROUNDING_MS,
+        unless(send.timeoutMs() > 0 && nowMs + send.timeoutMs() <= session.deadlineMs + ROUNDING_MS,
                 Invariant.TIME_OUT, send);
         unless(session.sent.isEmpty() || budget.further(nowMs), Invariant.BUDGET, send);
         session.sent.add(new CheckedSession.Sent(send.server(), place.zone(), place.cell(), nowMs));
--- a/sidecar/src/test/java/peppergauge/decision/LeaningTest.java
+++ b/sidecar/src/test/java/peppergauge/decision/LeaningTest.java
@@ -19,13 +19,13 @@
             {new double[][] {{1, 1, 1}}, 0.27, 0.40},
             {new double[][] {{0.5, 1, 1}}, 0.14, 0.26},
             {new double[][] {{0.05, 1, 1}}, 0.005, 0.05},
-            {new double[][] {{1, 0.5, 0.5}}, 0.43, 0.57},
+            {new double[][] {{1, 0.5, 0.5}}, 0.50, 0.66},
             {new double[][] {{1}}, 0.27, 0.40},
             {new double[][] {{}}, 0.27, 0.40},
         };
     }
 
-    /** The factor stands on the odds: under the steep curve 0.5 would leave a zone next to nothing. */
+    /** Under the steep curve a factor of 0.5 would leave a zone next to nothing, and a busy one's all to an idle one. */
     @Test(dataProvider = "factors")
     public void aStationLeansByTheFactorsThatItWasTold(double[][] factors, double least, double most) {
         Scripted scripted = Scripted.withServers(9);
--- a/sidecar/src/test/java/peppergauge/invariant/RandomHost.java
+++ b/sidecar/src/test/java/peppergauge/invariant/RandomHost.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 import peppergauge.decision.Balancer;
 import peppergauge.decision.Balancer.Action;
@@ -48,7 +46,6 @@
     private final PriorityQueue<SetTimer> timers = new PriorityQueue<>(Comparator.comparingDouble(SetTimer::atMs));
     private final Set<Long> cleared = new HashSet<>();
     private final Map<String, Integer> sends = new HashMap<>();
-    private final Set<String> listed = new HashSet<>();
     private final Set<String> open = new HashSet<>();
     private final List<Out> out = new ArrayList<>();
     /** The longest that a timer comes late, ms: drawn for the whole run. */
@@ -204,10 +201,9 @@
         List<ServerEntry> entries = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
             if (random.nextDouble() < share) {
-                // A source tells of no server's end twice. Mostly ready; a new start now and then, and one that lies ahead by a clock that is wrong.
+                // Mostly ready; a new start now and then, and one that lies ahead by a clock that is wrong.
                 ServerState state = random.nextInt(3) > 0 ? ServerState.READY
-                        : listed.contains("s" + i) ? DrawnSettings.any(random, ServerState.values())
-                        : ServerState.DRAINING;
+                        : DrawnSettings.any(random, ServerState.values());
                 double startedMs = random.nextInt(4) > 0 ? 0 : nowMs + random.nextInt(-5_000, 500);
                 entries.add(new ServerEntry("s" + i, i % 3, i % 2, state, startedMs, i % 2));
             }
@@ -216,15 +212,6 @@
     }
 
     private void list(boolean whole, List<ServerEntry> entries) {
-        if (whole) {
-            listed.clear();
-        }
-        for (ServerEntry entry : entries) {
-            listed.remove(entry.server());
-            if (entry.state() != ServerState.GONE) {
-                listed.add(entry.server());
-            }
-        }
         tell(new ServersListed(whole, random.nextBoolean(), entries));
     }
 
