--- a/sidecar/src/test/java/peppergauge/invariant/Mutant.java
+++ b/sidecar/src/test/java/peppergauge/invariant/Mutant.java
@@ -186,7 +186,7 @@
         void asked(Fault fault, Action action, Consumer<Action> out) {
             // Its first: the end of what it was asked for.
             if (!(action instanceof SetTimer timer && timer.token() % 50 == 1)
-                    && !(action instanceof ClearTimer timer && timer.token() % 50 == 1)) {
+                    && !(action instanceof ClearTimer cleared && cleared.token() % 50 == 1)) {
                 out.accept(action);
             }
         }
