Decide which data centres stations lean to, and play it in the emulator

Stations are to have promised latencies kept, and nothing decided from fleet-wide evidence where their sessions go.

Module promises: contracts ([[promise]], strict), windows of evidence with burn rates over two windows and Jeffreys' bounds, what data centres were seen to hold, a water-filling solver in the order of penalty saved for each session of room, and the decision with bounded steps, flap damping, fading, and a state that lasts and merges. The emulator gathers evidence, decides late and tells sidecars later still ([promises], [[promise]]), beside nearest-first and winner-takes-all. Without contracts it does nothing.

--- a/lab/src/main/java/peppergauge/lab/emulator/Attempt.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Attempt.java
@@ -111,6 +111,7 @@
             return;
         }
         release(outcome != Outcome.BROKEN && outcome != Outcome.UNREACHABLE);
+        session.zone = outcome == Outcome.SUCCESS ? connection.server().zone() : session.zone;
         double tookMs = written < 0 ? Double.NaN : VirtualTime.ms(home.time().now() - written);
         home.world().note(Trace.Kind.ENDED, sidecar(), session(), server(), outcome.ordinal());
         ended.accept(new Backend.Result(outcome, outcome == Outcome.SUCCESS ? ANSWER : null, load, tookMs));
--- a/lab/src/main/java/peppergauge/lab/emulator/BackendServer.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/BackendServer.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import peppergauge.decision.Balancer.Outcome;
 import peppergauge.decision.Balancer.ServerState;
@@ -52,6 +54,7 @@
     private VirtualTime.Event next;
     private double serviceMs;
     private double slowBy = 1;
+    private final Map<Integer, Double> slowKind = new HashMap<>();
     private int pauses;
     private double failShare;
     private double lossShare;
@@ -170,6 +173,11 @@
         reschedule();
     }
 
+    /** One class takes so many times the work; what has begun does not. */
+    void slow(int ofKind, double times) {
+        slowKind.merge(ofKind, times, (was, is) -> was * is);
+    }
+
     void pause(double ms) {
         update();
         pauses++;
@@ -285,7 +293,7 @@
             return;
         }
         job.begun = world.time.now();
-        job.leftMs *= memory.meet(job.request.key, world.time.now());
+        job.leftMs *= memory.meet(job.request.key, world.time.now()) * slowKind.getOrDefault(job.request.kind, 1.0);
         job.wholeMs = job.leftMs;
         inSlots++;
         active.add(job);
--- a/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
@@ -45,6 +45,7 @@
     private SidecarLoop loop;
     private SidecarBackend backend;
     private Sessions sessions;
+    private Balancer module;
     /** When it stood still last, or was down, in ticks. */
     private long troubledUntil = -1;
 
@@ -71,7 +72,8 @@
                 thrown -> world.rulebook.broken(Rulebook.Rule.BUG, name() + " threw " + thrown));
         backend = new SidecarBackend(world, this, world.streams.of("ways/" + name() + '/' + life));
         List<ServerTable.Row> first = List.copyOf(known.values());
-        sessions = new Sessions(watched(sabotage.instead(new Decide(settings, seed), settings)),
+        module = watched(sabotage.instead(new Decide(settings, seed), settings));
+        sessions = new Sessions(module,
                 world.discovery.started(this, loop, loop.clock(), first, backend), loop.clock(), loop, overload,
                 settings.classes(), world.figures.connectTimeoutMs);
         world.note(Trace.Kind.STARTED, index, -1, -1, life);
@@ -181,6 +183,18 @@
         loop.execute(() -> told(table));
     }
 
+    /** A table of the fleet service has come. */
+    void steered(double[][] factors) {
+        int then = life;
+        if (up) {
+            loop.execute(() -> {
+                if (life == then) {
+                    module.on(world.time.nowMs(), new Balancer.Steered(factors), action -> { });
+                }
+            });
+        }
+    }
+
     void tableLost() {
         sessions.tableLost();
     }
--- a/lab/src/main/java/peppergauge/lab/emulator/Emulator.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Emulator.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.DoubleConsumer;
 import peppergauge.lab.result.RunResult;
 import peppergauge.lab.scenario.Discovery;
@@ -57,6 +58,13 @@
         return new Emulator(name, scenario, sabotage).run();
     }
 
+    /** A run whose world can be looked into and changed beside the script. */
+    static RunResult run(String name, Scenario scenario, Consumer<World> beside) {
+        Emulator emulator = new Emulator(name, scenario, Sabotage.NONE);
+        beside.accept(emulator.world);
+        return emulator.run();
+    }
+
     private RunResult run() {
         Scenario scenario = world.scenario;
         double lengthMs = Scenario.ms(scenario.run().length());
@@ -66,6 +74,7 @@
         director.start();
         applications.forEach(Application::start);
         world.meters.start();
+        world.stations.start();
         world.time.after(lengthMs, () -> applications.forEach(Application::close));
         tellProgress();
         double longestMs = scenario.classes().stream().map(RequestKind::deadline).mapToDouble(Scenario::ms).max()
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/Stations.java
@@ -0,0 +1,199 @@
+package peppergauge.lab.emulator;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import peppergauge.lab.scenario.Promises;
+import peppergauge.lab.scenario.RequestKind;
+import peppergauge.lab.scenario.Scenario;
+import peppergauge.lab.scenario.Tenant;
+import peppergauge.promises.Cell;
+import peppergauge.promises.Contract;
+import peppergauge.promises.Evidence;
+import peppergauge.promises.MoveCost;
+import peppergauge.promises.Steering;
+import peppergauge.promises.steer.Steerer;
+import peppergauge.promises.steer.Tuning;
+
+/**
+ * The fleet service as far as promises go: what clients saw, by station, class and zone; late, what is decided of it;
+ * later still, at each sidecar, the table. Without contracts it does nothing at all.
+ */
+final class Stations {
+
+    /** Any time long after the clock's origin, ms. */
+    private static final long BEGAN_MS = 1_000_000_000;
+    /** Sessions under which a zone is no winner. */
+    private static final long FEW = 5;
+
+    private final World world;
+    private final Promises figures;
+    private final List<String> zones;
+    private final Map<Cell, long[]> counters = new LinkedHashMap<>();
+    private final Map<Contract, List<Map<Long, long[]>>> windows = new LinkedHashMap<>();
+    private final Steerer steerer;
+    private Map<Cell, long[]> before = Map.of();
+    private final Map<String, Map<String, Double>> winners = new TreeMap<>();
+    private boolean down;
+
+    Stations(World world) {
+        this.world = world;
+        figures = world.scenario.promises();
+        zones = world.scenario.network().zones();
+        long periodMs = Math.round(Scenario.ms(figures.period()));
+        steerer = new Steerer(new Tuning(periodMs, figures.step(), 4 * periodMs));
+        steerer.contracts(world.scenario.contracts());
+        world.scenario.contracts().forEach(contract -> windows.put(contract,
+                contract.windowsMs().stream().map(each -> (Map<Long, long[]>) new TreeMap<Long, long[]>()).toList()));
+    }
+
+    void start() {
+        if (!windows.isEmpty() && figures.policy() != Promises.Policy.NONE) {
+            UniformRandomProvider luck = world.streams.of("promises");
+            world.time.after(Scenario.ms(figures.period()), () -> period(luck));
+        }
+    }
+
+    /** The service is gone, or is back as it was. */
+    void down(boolean is) {
+        down = is;
+    }
+
+    // ---- What clients saw ----
+
+    void answered(ClientRequest request, int zone, double tookMs) {
+        count(request, zones.get(zone), tookMs);
+    }
+
+    void unanswered(ClientRequest request) {
+        count(request, Cell.NOWHERE, Double.POSITIVE_INFINITY);
+    }
+
+    private void count(ClientRequest request, String zone, double tookMs) {
+        if (windows.isEmpty()) {
+            return;
+        }
+        List<Tenant> tenants = world.scenario.tenants();
+        RequestKind kind = world.scenario.classes().get(request.kind);
+        String station = tenants.isEmpty() ? "" : tenants.get(request.tenant).name();
+        Contract contract = windows.keySet().stream().filter(each -> each.station().equals(station)
+                && each.requestClass().equals(kind.name())).findFirst().orElse(null);
+        boolean kept = tookMs <= (contract == null ? Scenario.ms(kind.deadline()) : contract.withinMs());
+        counters.computeIfAbsent(new Cell(station, kind.name(), zone), cell -> new long[2])[kept ? 0 : 1]++;
+        if (contract != null) {
+            for (int i = 0; i < contract.windowsMs().size(); i++) {
+                long number = (long) (world.time.elapsedMs() / contract.windowsMs().get(i));
+                windows.get(contract).get(i).computeIfAbsent(number, each -> new long[2])[kept ? 0 : 1]++;
+            }
+        }
+    }
+
+    // ---- What is decided ----
+
+    private void period(UniformRandomProvider luck) {
+        List<Evidence> seen = new ArrayList<>();
+        counters.forEach((cell, counts) -> seen.add(new Evidence(cell, counts[0], counts[1])));
+        world.time.after(Scenario.ms(figures.told()), () -> decide(seen, luck));
+        world.time.after(Scenario.ms(figures.period()), () -> period(luck));
+    }
+
+    private void decide(List<Evidence> seen, UniformRandomProvider luck) {
+        if (down) {
+            return;
+        }
+        Map<String, Map<String, Double>> factors = switch (figures.policy()) {
+            case STEERING -> steerer.decide(BEGAN_MS + (long) world.time.elapsedMs(), seen, MoveCost.NONE).factors();
+            case WINNER_TAKES_ALL -> winners(seen);
+            default -> Map.of();
+        };
+        for (EmulatedSidecar sidecar : world.sidecars) {
+            double[][] table = figures.policy() == Promises.Policy.NEAREST_FIRST ? nearest(sidecar) : table(factors);
+            world.time.after(Scenario.ms(figures.spread()) * luck.nextDouble(), () -> sidecar.steered(table));
+        }
+    }
+
+    private double[][] table(Map<String, Map<String, Double>> factors) {
+        return world.scenario.tenants().stream().map(tenant -> zones.stream().mapToDouble(zone ->
+                factors.getOrDefault(tenant.name(), Map.of()).getOrDefault(zone, 1.0)).toArray())
+                .toArray(double[][]::new);
+    }
+
+    private double[][] nearest(EmulatedSidecar sidecar) {
+        double[] row = new double[zones.size()];
+        Arrays.fill(row, Steering.FLOOR);
+        row[sidecar.zone()] = 1;
+        return world.scenario.tenants().stream().map(tenant -> row).toArray(double[][]::new);
+    }
+
+    /** Each station's zone that kept the most of what was asked since the last period. */
+    private Map<String, Map<String, Double>> winners(List<Evidence> seen) {
+        Map<String, Map<String, long[]>> now = new TreeMap<>();
+        for (Evidence each : seen) {
+            long[] was = before.getOrDefault(each.cell(), new long[2]);
+            if (windows.keySet().stream().anyMatch(contract -> contract.station().equals(each.cell().station())
+                    && contract.requestClass().equals(each.cell().requestClass()))
+                    && !each.cell().zone().equals(Cell.NOWHERE)) {
+                long[] sum = now.computeIfAbsent(each.cell().station(), station -> new TreeMap<>())
+                        .computeIfAbsent(each.cell().zone(), zone -> new long[2]);
+                sum[0] += each.kept() - was[0];
+                sum[1] += each.missed() - was[1];
+            }
+        }
+        before = new LinkedHashMap<>();
+        seen.forEach(each -> before.put(each.cell(), new long[] {each.kept(), each.missed()}));
+        now.forEach((station, sums) -> {
+            String best = null;
+            double most = -1;
+            for (Map.Entry<String, long[]> each : sums.entrySet()) {
+                long all = each.getValue()[0] + each.getValue()[1];
+                double share = all < FEW ? -1 : (double) each.getValue()[0] / all;
+                best = share > most ? each.getKey() : best;
+                most = Math.max(most, share);
+            }
+            if (best != null) {
+                Map<String, Double> row = new TreeMap<>();
+                zones.forEach(zone -> row.put(zone, Steering.FLOOR));
+                row.put(best, 1.0);
+                winners.put(station, row);
+            }
+        });
+        return winners;
+    }
+
+    // ---- What became of it ----
+
+    /**
+     * Windows of all contracts that are over.
+     *
+     * @param kept of them; {@code penalty} of the others together, of {@code most} if all had been missed
+     */
+    record Balance(long windows, long kept, double penalty, double most) { }
+
+    Balance balance() {
+        long all = 0;
+        long kept = 0;
+        double penalty = 0;
+        double most = 0;
+        for (Map.Entry<Contract, List<Map<Long, long[]>>> each : windows.entrySet()) {
+            Contract contract = each.getKey();
+            for (int i = 0; i < contract.windowsMs().size(); i++) {
+                long over = (long) (Scenario.ms(world.scenario.run().length()) / contract.windowsMs().get(i));
+                for (Map.Entry<Long, long[]> window : each.getValue().get(i).entrySet()) {
+                    if (window.getKey() < over) {
+                        long[] counts = window.getValue();
+                        boolean held = counts[0] >= contract.share() * (counts[0] + counts[1]);
+                        all++;
+                        kept += held ? 1 : 0;
+                        penalty += held ? 0 : contract.penalty();
+                        most += contract.penalty();
+                    }
+                }
+            }
+        }
+        return new Balance(all, kept, penalty, most);
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/emulator/Try.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Try.java
@@ -19,6 +19,9 @@
     int attempts;
     /** Since when the sidecar knows that it is over, in ticks; -1 as long as it does not. */
     long knownOver = -1;
+    /** Of the server that answered; -1 as long as none did. */
+    int zone = -1;
+    private long asked;
 
     Try(long number, ClientRequest request, EmulatedSidecar sidecar, Application client) {
         this.number = number;
@@ -31,6 +34,7 @@
     /** Asks, and waits for so long, and a little more for an answer that is just in time. */
     void ask(double remainingMs, double patienceMs, boolean marked) {
         long began = world.time.now();
+        asked = began;
         giveUp = world.time.after(Math.min(remainingMs, patienceMs) + world.figures.answerSlackMs,
                 () -> giveUp(patienceMs >= remainingMs, began));
         sidecar.open(this, remainingMs, marked);
@@ -42,6 +46,7 @@
                     + " had no answer by its deadline");
         }
         over = true;
+        world.stations.unanswered(request);
         world.note(Trace.Kind.LEFT, sidecar.index(), number, -1, -1);
         sidecar.left(this);
         client.failed(this);
@@ -66,6 +71,7 @@
     @Override
     public void served(Message answer) {
         if (answered(Trace.Kind.SERVED)) {
+            world.stations.answered(request, zone, VirtualTime.ms(world.time.now() - asked));
             client.served(this);
         }
     }
@@ -74,6 +80,7 @@
     public void denied(double retryAfterMs) {
         if (answered(Trace.Kind.DENIED)) {
             world.meters.denied();
+            world.stations.unanswered(request);
             if (request.unsafe() && request.hasRun()) {
                 world.rulebook.broken(Rulebook.Rule.TWICE, "session " + number + " of " + sidecar.name()
                         + " was denied, although its request had run");
@@ -86,6 +93,7 @@
     public void failed(boolean late) {
         if (answered(Trace.Kind.FAILED)) {
             world.meters.failed();
+            world.stations.unanswered(request);
             client.failed(this);
         }
     }
@@ -100,6 +108,7 @@
         if (!over) {
             over = true;
             giveUp.cancel();
+            world.stations.unanswered(request);
             client.failed(this);
         }
     }
--- a/lab/src/main/java/peppergauge/lab/emulator/World.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/World.java
@@ -18,6 +18,7 @@
     final Figures figures;
     final List<EmulatedSidecar> sidecars = new ArrayList<>();
     DiscoveryModel discovery;
+    final Stations stations;
 
     World(Scenario scenario) {
         this.scenario = scenario;
@@ -27,6 +28,7 @@
         fleet = new Fleet(this);
         rulebook = new Rulebook(time, trace, fleet);
         meters = new Meters(scenario, time, fleet);
+        stations = new Stations(this);
     }
 
     void note(Trace.Kind kind, long sidecar, long session, long server, long detail) {
--- a/lab/src/main/java/peppergauge/lab/scenario/Scenario.java
+++ b/lab/src/main/java/peppergauge/lab/scenario/Scenario.java
@@ -8,6 +8,8 @@
 import peppergauge.operator.Type;
 import peppergauge.operator.Types;
 import peppergauge.operator.Values;
+import peppergauge.promises.Contract;
+import peppergauge.promises.file.PromiseSection;
 
 /**
  * A whole scenario file. Immutable; two files that mean the same are equal.
@@ -16,10 +18,11 @@
  * @param classes of requests, at least one
  * @param tenants none or more
  * @param entries what happens, in the order of the file
+ * @param contracts what stations are promised, none or more
  */
 public record Scenario(Run run, Network network, List<ServerKind> servers, List<RequestKind> classes,
         List<Tenant> tenants, Clients clients, Sidecars sidecars, Discovery discovery, Rules rules,
-        List<Entry> entries) {
+        List<Entry> entries, Promises promises, List<Contract> contracts) {
 
     /** Lists that nobody changes. */
     public Scenario {
@@ -27,13 +30,15 @@
         classes = List.copyOf(classes);
         tenants = List.copyOf(tenants);
         entries = List.copyOf(entries);
+        contracts = List.copyOf(contracts);
     }
 
     /** For {@code lab.files.Kinds}, in the order in which they are printed. */
     public static List<Section> sections() {
         return List.of(new RunSection(), section(Network.TABLE), new Names(ServerKind.TABLE),
                 new Names(RequestKind.TABLE), new Names(Tenant.TABLE), section(Clients.TABLE),
-                section(Sidecars.TABLE), section(Discovery.TABLE), section(Rules.TABLE), new EntrySection());
+                section(Sidecars.TABLE), section(Discovery.TABLE), section(Rules.TABLE), new EntrySection(),
+                section(Promises.TABLE), new Promises.Contracts(new PromiseSection()));
     }
 
     private static Section section(Table table) {
@@ -52,7 +57,9 @@
                 file.find(Rules.TABLE).map(values -> Rows.read(Rules.class, Rules.TABLE, values))
                         .orElseGet(() -> new Rules(Duration.ofMillis(20), Duration.ofSeconds(1), 0.32,
                                 Duration.ofMillis(8_700), 2.5, Duration.ofSeconds(3), 0.05)),
-                all(Entry.class, Entry.TABLE, file));
+                all(Entry.class, Entry.TABLE, file),
+                file.find(Promises.TABLE).map(values -> Rows.read(Promises.class, Promises.TABLE, values))
+                        .orElse(Promises.NONE), PromiseSection.contracts(file));
     }
 
     private static <R extends Record> R one(Class<R> type, Table table, Values file) {
@@ -68,7 +75,9 @@
         return "kind = \"scenario\"\n\n" + Rows.write(RunSection.TABLE, run) + Rows.write(Network.TABLE, network)
                 + text(ServerKind.TABLE, servers) + text(RequestKind.TABLE, classes) + text(Tenant.TABLE, tenants)
                 + Rows.write(Clients.TABLE, clients) + Rows.write(Sidecars.TABLE, sidecars)
-                + Rows.write(Discovery.TABLE, discovery) + Rows.write(Rules.TABLE, rules) + text(Entry.TABLE, entries);
+                + Rows.write(Discovery.TABLE, discovery) + Rows.write(Rules.TABLE, rules) + text(Entry.TABLE, entries)
+                + Rows.write(Promises.TABLE, promises)
+                + contracts.stream().map(PromiseSection::toToml).collect(Collectors.joining());
     }
 
     private static String text(Table table, List<? extends Record> rows) {
@@ -87,7 +96,15 @@
 
     /** The same with another length, seed, fleet and entries; what names something that is gone must be left out. */
     public Scenario with(Run other, List<ServerKind> kinds, List<Entry> kept) {
-        return new Scenario(other, network, kinds, classes, tenants, clients, sidecars, discovery, rules, kept);
+        return new Scenario(other, network, kinds, classes, tenants, clients, sidecars, discovery, rules, kept,
+                promises, contracts);
+    }
+
+    /** The same steered otherwise. */
+    public Scenario steeredBy(Promises.Policy policy) {
+        return new Scenario(run, network, servers, classes, tenants, clients, sidecars, discovery, rules, entries,
+                new Promises(policy, promises.period(), promises.step(), promises.told(), promises.spread()),
+                contracts);
     }
 
     /** The same with another seed. */
--- a/lab/src/test/java/peppergauge/lab/emulator/RestartGain.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/RestartGain.java
@@ -219,7 +219,8 @@
         return new Scenario(there.run(), there.network(), there.servers(), there.classes(), there.tenants(),
                 new Clients(c.rate() * rate, c.burstEvery(), c.burstLength(), c.burstTimes(),
                         c.keys(), c.zipf(), c.retries(), c.tryShare(), c.firstWait(), c.honour(), c.impatient(),
-                        c.marksRetry()), there.sidecars(), there.discovery(), there.rules(), there.entries());
+                        c.marksRetry()), there.sidecars(), there.discovery(), there.rules(), there.entries(),
+                there.promises(), there.contracts());
     }
 
     static RunResult result(Scenario base, String script, double rate, Snapshots snapshots, long seed) {
--- /dev/null
+++ b/promises/src/main/java/peppergauge/promises/file/package-info.java
@@ -0,0 +1,2 @@
+/** Contracts as operators write them. */
+package peppergauge.promises.file;
--- /dev/null
+++ b/promises/src/test/java/peppergauge/promises/HardCasesTest.java
@@ -0,0 +1,205 @@
+package peppergauge.promises;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.Test;
+import peppergauge.promises.steer.State;
+import peppergauge.promises.steer.Steerer;
+
+/** What must not go wrong, one by one, over a platform without chance. */
+public class HardCasesTest {
+
+    private static Steerer steerer(Contract... contracts) {
+        Steerer steerer = new Steerer(Platform.TUNING);
+        steerer.contracts(List.of(contracts));
+        return steerer;
+    }
+
+    /** Seen to hold half as much again as is usual: a busy hour went before. */
+    private static Platform after(Steerer steerer, Platform platform, double busy) {
+        platform.run(steerer, 1);
+        platform.station("rush", "any", busy);
+        platform.run(steerer, 20);
+        platform.station("rush", "any", 0);
+        platform.run(steerer, 30);
+        return platform;
+    }
+
+    @Test
+    public void aDataCentreThatIsSlowForOneClassIsLeftByStationsOfThatClassOnly() {
+        Steerer steerer = steerer(Platform.contract("a", "save", 1), Platform.contract("b", "list", 1));
+        Platform platform = after(steerer, new Platform("x", "y", "z").station("a", "save", 20)
+                .station("b", "list", 20), 30);
+        assertEquals(platform.steering, Steering.NONE);
+        platform.miss("a", "save", "x", 0.4);
+        platform.run(steerer, 40);
+        assertTrue(platform.load.get("a").get("x") < 0.1, platform.load.toString());
+        assertEquals(platform.factor("b", "x"), 1.0);
+        platform.misses.clear();
+        platform.run(steerer, 60);
+        assertEquals(platform.steering, Steering.NONE, "it is good again");
+    }
+
+    /** The good zone has room for one of them: who pays more for each session gets it, whatever its name. */
+    @Test
+    public void ofTwoStationsThatWantTheSameRoomTheDearerGetsIt() {
+        for (boolean first : new boolean[] {true, false}) {
+            Steerer steerer = steerer(Platform.contract("a", "save", first ? 9 : 1),
+                    Platform.contract("b", "save", first ? 1 : 9));
+            Platform platform = after(steerer, new Platform("x", "y").station("a", "save", 20)
+                    .station("b", "save", 20), 12);
+            platform.capacity.put("y", 29.0);
+            platform.miss("a", "save", "x", 0.4);
+            platform.miss("b", "save", "x", 0.4);
+            platform.run(steerer, 60);
+            double dear = platform.load.get(first ? "a" : "b").get("x");
+            double cheap = platform.load.get(first ? "b" : "a").get("x");
+            assertTrue(dear < 0.2 && cheap > 0.4, dear + " and " + cheap);
+        }
+    }
+
+    @Test
+    public void aPromiseThatNobodyCanKeepMovesNothingAndTakesNoRoom() {
+        Steerer steerer = steerer(Platform.contract("a", "save", 100), Platform.contract("b", "save", 1));
+        Platform platform = after(steerer, new Platform("x", "y").station("a", "save", 20)
+                .station("b", "save", 20), 24);
+        platform.miss("a", "save", "x", 0.6);
+        platform.miss("a", "save", "y", 0.3);
+        platform.miss("b", "save", "x", 0.4);
+        platform.run(steerer, 60);
+        assertEquals(platform.steering.factors().get("a"), null);
+        assertTrue(platform.load.get("b").get("x") < 0.3, platform.load.toString());
+    }
+
+    @Test
+    public void threeSessionsAMinuteMoveNothing() {
+        Steerer steerer = steerer(Platform.contract("tiny", "save", 100));
+        Platform platform = after(steerer, new Platform("x", "y", "z").station("tiny", "save", 0.05)
+                .station("b", "list", 40), 30);
+        platform.miss("tiny", "save", "x", 1);
+        for (int i = 0; i < 120; i++) {
+            platform.run(steerer, 1);
+            assertEquals(platform.steering, Steering.NONE);
+        }
+    }
+
+    @Test
+    public void changedContractsHoldFromTheNextPeriodOn() {
+        Steerer steerer = steerer(Platform.contract("a", "save", 1));
+        Platform platform = after(steerer, new Platform("x", "y", "z").station("a", "save", 20), 20);
+        steerer.contracts(List.of(Platform.contract("a", "save", 1, "y", "z")));
+        platform.run(steerer, 30);
+        assertEquals(platform.factor("a", "x"), Steering.FLOOR, "what the contract leaves out keeps the floor");
+        assertTrue(steerer.shares().get("a").get("x") < 1e-6, steerer.shares().toString());
+        steerer.contracts(List.of());
+        platform.run(steerer, 30);
+        assertEquals(platform.steering, Steering.NONE);
+    }
+
+    /** Good and bad in turn, each period: it turns a few times in half an hour, not a hundred. */
+    @Test
+    public void aDataCentreThatFlapsEachPeriodIsNotFollowed() {
+        Steerer steerer = steerer(Platform.contract("a", "save", 1));
+        Platform platform = after(steerer, new Platform("x", "y", "z").station("a", "save", 20), 20);
+        int turns = 0;
+        double before = 1;
+        for (int i = 0; i < 360; i++) {
+            platform.miss("a", "save", "x", i % 2 == 0 ? 0.5 : 0);
+            platform.run(steerer, 1);
+            double factor = platform.factor("a", "x");
+            turns += before == 1 != (factor == 1) ? 1 : 0;
+            before = factor;
+        }
+        assertTrue(turns <= 6, turns + " turns");
+        assertTrue(before < 0.5, "half missed is no kept promise");
+    }
+
+    @Test
+    public void aDataCentreThatIsLostInTheMiddleOfAMoveIsPlannedForNoMore() {
+        Steerer steerer = steerer(Platform.contract("a", "save", 1));
+        Platform platform = after(steerer, new Platform("x", "y", "z").station("a", "save", 30), 45);
+        platform.miss("a", "save", "x", 0.4);
+        platform.run(steerer, 6);
+        double then = steerer.shares().get("a").get("x");
+        assertTrue(then < 0.33 && then > 0.06, "in the middle: " + then);
+        platform.lost.put("y", 0.0);
+        platform.run(steerer, 40);
+        assertTrue(steerer.shares().get("a").get("y") < 0.02, steerer.shares().toString());
+        assertTrue(platform.load.get("a").get("z") > 0.6, platform.load.toString());
+    }
+
+    /** An old disk brings no steering back, and no misses into windows in which they did not happen. */
+    @Test
+    public void goneForTenMinutesAndBackWithAnOldDisk() {
+        Contract contract = Platform.contract("a", "save", 1);
+        Steerer steerer = steerer(contract);
+        Platform platform = after(steerer, new Platform("x", "y", "z").station("a", "save", 20), 20);
+        platform.miss("a", "save", "x", 0.4);
+        platform.run(steerer, 30);
+        State old = steerer.state();
+        assertTrue(platform.factor("a", "x") < 0.5);
+        platform.steering = Steering.NONE;
+        for (int i = 0; i < 110; i++) {
+            platform.pass();
+        }
+        platform.misses.clear();
+        for (int i = 0; i < 10; i++) {
+            platform.pass();
+        }
+        Steerer back = steerer(contract);
+        back.restore(old, platform.nowMs);
+        for (int i = 0; i < 20; i++) {
+            platform.run(back, 1);
+            assertEquals(platform.steering, Steering.NONE);
+        }
+        double hour = back.burnRates(List.of(contract), platform.nowMs).get(0).get(1);
+        double before = steerer.burnRates(List.of(contract), old.atMs()).get(0).get(1);
+        assertTrue(hour > 0 && hour <= before, hour + " after " + before);
+        // The same process, only not asked for as long, counts as little.
+        platform.miss("a", "save", "x", 0.4);
+        for (int i = 0; i < 120; i++) {
+            platform.pass();
+        }
+        platform.misses.clear();
+        platform.run(back, 1);
+        assertTrue(back.burnRates(List.of(contract), platform.nowMs).get(0).get(0) < 0.1);
+    }
+
+    /** Where all that is missed is asked again, a move that overfills the good ones would feed itself. */
+    @Test
+    public void clientsThatRetryMoreDoNotCrushTheGoodOnes() {
+        Steerer steerer = steerer(Platform.contract("a", "save", 1), Platform.contract("b", "list", 1));
+        Platform platform = new Platform("x", "y", "z").station("a", "save", 30).station("b", "list", 30);
+        List.of("x", "y", "z").forEach(zone -> platform.capacity.put(zone, 26.0));
+        platform.retries = 2;
+        after(steerer, platform, 9);
+        platform.miss("a", "save", "x", 0.5);
+        for (int i = 0; i < 100; i++) {
+            platform.run(steerer, 1);
+            Map<String, Double> b = platform.load.get("b");
+            double y = 30 * (platform.load.get("a").get("y") + b.get("y"));
+            assertTrue(y <= 27, "planned " + y + " onto what holds 26");
+        }
+    }
+
+    @Test
+    public void staleEvidenceFadesToNoSteeringInSteps() {
+        Steerer steerer = steerer(Platform.contract("a", "save", 1, "y", "z"));
+        Platform platform = after(steerer, new Platform("x", "y", "z").station("a", "save", 20), 20);
+        assertEquals(platform.factor("a", "x"), Steering.FLOOR);
+        platform.station("a", "save", 0);
+        platform.run(steerer, 5);
+        double before = platform.factor("a", "x");
+        int fading = 0;
+        while (!platform.steering.equals(Steering.NONE)) {
+            platform.run(steerer, 1);
+            assertTrue(platform.factor("a", "x") <= 1.5 * before + 1e-9 || platform.factor("a", "x") == 1);
+            before = platform.factor("a", "x");
+            assertTrue(fading++ < 12, platform.steering.toString());
+        }
+        assertTrue(fading > 2, "not at once: " + fading);
+    }
+}
