Let contracts bind whether there is room or not, and let steering fade by what is heard

A contract's data centres held only where there was room, and a flag of its own for stale evidence did what lost data centres do already. A station's natural shares are now of what it may use; where nothing is heard from anywhere it is let go. What turns bad again soon stays left for longer: a test of it.

--- a/promises/src/main/java/peppergauge/promises/plan/Solver.java
+++ b/promises/src/main/java/peppergauge/promises/plan/Solver.java
@@ -67,7 +67,7 @@
         double sum = room.values().stream().mapToDouble(each -> each).sum();
         double leaving = 0;
         for (Map.Entry<String, Double> each : shares.entrySet()) {
-            leaving += room.containsKey(each.getKey()) ? 0 : leaves(wish, each.getKey(), each.getValue());
+            leaving += room.containsKey(each.getKey()) ? 0 : leaves(each.getValue());
         }
         if (sum <= CLOSE || leaving <= CLOSE) {
             return shares;
@@ -75,7 +75,7 @@
         double each = leaving / sum;
         double part = part(wish, room, each);
         shares.replaceAll((zone, share) -> room.containsKey(zone) ? share + each * part * room.get(zone)
-                : share - part * leaves(wish, zone, share));
+                : share - part * leaves(share));
         shares.forEach((zone, share) -> load.merge(zone, work(wish, zone, share - wish.natural().get(zone)),
                 Double::sum));
         return shares;
@@ -106,9 +106,9 @@
         return wish.perS() * (more + (more > 0 ? cost.extraWork(wish.station(), zone, from, from + more) : 0));
     }
 
-    /** Share of its sessions that a station takes away from there; a bad one keeps the floor, so that it is heard of. */
-    private static double leaves(Wish wish, String zone, double share) {
-        return wish.allowed().contains(zone) ? Math.max(0, share - Steering.FLOOR) : share;
+    /** Share of its sessions that a station takes away; it keeps the floor, so that the data centre is heard of. */
+    private static double leaves(double share) {
+        return Math.max(0, share - Steering.FLOOR);
     }
 
     /** Share of its sessions that a station may add there. */
@@ -118,11 +118,11 @@
 
     private static boolean valid(Wish wish, Map<String, Double> shares) {
         double sum = shares.values().stream().mapToDouble(each -> each).sum();
-        return Math.abs(sum - 1) < 1e-6 && shares.entrySet().stream().allMatch(each -> each.getValue() >= -CLOSE
-                && (each.getValue() <= wish.natural().get(each.getKey()) + CLOSE
-                || wish.allowed().contains(each.getKey()) && !wish.bad().contains(each.getKey()))
-                && (each.getValue() >= Math.min(Steering.FLOOR, wish.natural().get(each.getKey())) - CLOSE
-                || !wish.allowed().contains(each.getKey())));
+        return Math.abs(sum - 1) < 1e-6 && shares.entrySet().stream().allMatch(each -> {
+            double was = wish.natural().get(each.getKey());
+            boolean good = wish.allowed().contains(each.getKey()) && !wish.bad().contains(each.getKey());
+            return each.getValue() >= Math.min(Steering.FLOOR, was) - CLOSE && (good || each.getValue() <= was + CLOSE);
+        });
     }
 
     /** Steering brings no data centre over what it was seen to hold; where it stands over that by itself, no further. */
--- a/promises/src/main/java/peppergauge/promises/plan/Wish.java
+++ b/promises/src/main/java/peppergauge/promises/plan/Wish.java
@@ -7,9 +7,9 @@
  * What one station asks of the plan.
  *
  * @param perS its sessions a second over all data centres, 0 or more
- * @param natural its shares of the data centres where nobody steers; add up to 1
+ * @param natural its shares of the data centres where nobody steers, of those that it may use; add up to 1
  * @param bad data centres that do not keep its promises while another may
- * @param allowed data centres that it may use
+ * @param allowed data centres that it may use; its natural share of others is 0
  * @param atRisk penalty at risk where it is not moved
  */
 public record Wish(String station, double perS, Map<String, Double> natural, Set<String> bad, Set<String> allowed,
--- a/promises/src/main/java/peppergauge/promises/steer/Steerer.java
+++ b/promises/src/main/java/peppergauge/promises/steer/Steerer.java
@@ -55,7 +55,6 @@
     private final Map<String, Double> perS = new HashMap<>();
     private Map<String, List<Contract>> contracts = Map.of();
     private long lastMs = Long.MIN_VALUE;
-    private long heardMs = Long.MIN_VALUE;
 
     public Steerer(Tuning tuning) {
         this.tuning = tuning;
@@ -83,24 +82,24 @@
         lastMs = nowMs;
         if (gap) {
             // Nothing is known of what happened meanwhile: the former table goes on for a period.
-            heardMs = Math.max(heardMs, nowMs - tuning.staleMs() + tuning.periodMs());
             return told();
         }
-        heardMs = ledger.fresh(cell -> true).all() > 0 ? nowMs : heardMs;
         observe(ms);
-        boolean stale = nowMs - heardMs > tuning.staleMs();
-        judge(nowMs, stale);
+        judge(nowMs);
         Set<String> zones = ledger.zones();
-        Plan plan = Solver.solve(wishes(zones, stale, nowMs), zone -> lost(zone, nowMs) ? 0 : holds.holds(zone),
+        Plan plan = Solver.solve(wishes(zones, nowMs), zone -> lost(zone, nowMs) ? 0 : holds.holds(zone),
                 cost);
         Map<String, Map<String, Double>> before = shares;
         shares = stepped(plan.shares());
         assert stepsWithin(before) : before + " to " + shares;
-        factors = factors(zones, stale);
+        factors = factors(zones);
         return told();
     }
 
-    /** Whether nothing at all came from there of late: whatever it held once, it holds nothing now. */
+    /**
+     * Whether nothing at all came from there of late: whatever it held once, it holds nothing now. Where that is so of
+     * all, the evidence is stale: steering fades.
+     */
     private boolean lost(String zone, long nowMs) {
         return nowMs - heardFrom.getOrDefault(zone, Long.MIN_VALUE / 2) > tuning.staleMs();
     }
@@ -184,17 +183,17 @@
 
     // ---- Who is bad for whom ----
 
-    private void judge(long nowMs, boolean stale) {
+    private void judge(long nowMs) {
         for (Map.Entry<String, List<Contract>> station : contracts.entrySet()) {
             Map<String, Flag> known = flags.computeIfAbsent(station.getKey(), each -> new TreeMap<>());
             for (String zone : ledger.zones()) {
                 known.compute(zone, (each, flag) -> turned(flag == null ? Flag.GOOD : flag, station.getValue(), zone,
-                        nowMs, stale));
+                        nowMs));
             }
         }
     }
 
-    private Flag turned(Flag flag, List<Contract> promised, String zone, long nowMs, boolean stale) {
+    private Flag turned(Flag flag, List<Contract> promised, String zone, long nowMs) {
         boolean bad = false;
         boolean good = true;
         long windowMs = promised.get(0).windowsMs().get(0);
@@ -207,29 +206,29 @@
             seen += quick.all();
         }
         if (!flag.bad()) {
-            return bad && !stale ? flag.turnBad(nowMs, windowMs) : flag;
+            return bad ? flag.turnBad(nowMs, windowMs) : flag;
         }
         // Silence for a whole window is no evidence that it is still bad.
-        boolean silent = stale || seen == 0 && nowMs - flag.changedMs() > windowMs;
+        boolean silent = seen == 0 && nowMs - flag.changedMs() > windowMs;
         boolean proved = seen >= ENOUGH && good && nowMs >= flag.untilMs();
         return silent || proved ? flag.turnGood(nowMs) : flag;
     }
 
     // ---- The plan ----
 
-    private List<Wish> wishes(Set<String> zones, boolean stale, long nowMs) {
+    private List<Wish> wishes(Set<String> zones, long nowMs) {
         List<Wish> wishes = new ArrayList<>();
+        boolean stale = zones.stream().allMatch(zone -> lost(zone, nowMs));
         for (String station : ledger.stations()) {
             List<Contract> promised = contracts.getOrDefault(station, List.of());
             Set<String> allowed = stale ? zones : allowed(promised, zones);
-            Set<String> bad = stale ? Set.of() : bad(station, allowed);
+            Set<String> bad = bad(station, allowed);
             double atRisk = 0;
             for (Contract contract : promised) {
-                atRisk += bad.isEmpty() && allowed.size() == zones.size() ? 0 : contract.penalty()
-                        * Math.min(1, 0.01 + ledger.burnRates(contract, nowMs).get(0));
+                atRisk += bad.isEmpty() ? 0 : contract.penalty()
+                        * Math.min(1, ledger.burnRates(contract, nowMs).get(0));
             }
-            wishes.add(new Wish(station, perS.getOrDefault(station, 0.0), new TreeMap<>(natural), bad, allowed,
-                    atRisk));
+            wishes.add(new Wish(station, perS.getOrDefault(station, 0.0), within(allowed), bad, allowed, atRisk));
         }
         return wishes;
     }
@@ -241,7 +240,7 @@
         return allowed.isEmpty() ? zones : allowed;
     }
 
-    /** None if all are: a promise that no data centre keeps moves nothing, and takes no room from others. */
+    /** If all that is allowed is bad, the solver finds no room: what nobody keeps moves nothing, and takes none. */
     private Set<String> bad(String station, Set<String> allowed) {
         Set<String> bad = new LinkedHashSet<>();
         flags.getOrDefault(station, Map.of()).forEach((zone, flag) -> {
@@ -249,7 +248,16 @@
                 bad.add(zone);
             }
         });
-        return bad.containsAll(allowed) ? Set.of() : bad;
+        return bad;
+    }
+
+    /** Natural shares of a station that may use no others: whether there is room or not, the contract binds. */
+    private Map<String, Double> within(Set<String> allowed) {
+        double sum = allowed.stream().mapToDouble(natural::get).sum();
+        Map<String, Double> shares = new TreeMap<>();
+        natural.forEach((zone, share) -> shares.put(zone, !allowed.contains(zone) ? 0
+                : sum > 1e-9 ? share / sum : 1.0 / allowed.size()));
+        return shares;
     }
 
     /** Towards the plan by one step, all shares of a station in the same part, so that they still add up. */
@@ -284,7 +292,7 @@
      * chance that they do. Of those sessions a part goes there, the pull. So the factor is share over pull, and 1
      * where no less than the natural share is wanted.
      */
-    private Map<String, Map<String, Double>> factors(Set<String> zones, boolean stale) {
+    private Map<String, Map<String, Double>> factors(Set<String> zones) {
         Map<String, Map<String, Double>> next = new TreeMap<>();
         for (String station : contracts.keySet()) {
             Map<String, Double> before = factors.getOrDefault(station, Map.of());
@@ -292,7 +300,7 @@
             Map<String, Double> now = new TreeMap<>();
             for (String zone : zones) {
                 double was = before.getOrDefault(zone, 1.0);
-                now.put(zone, paced(was, factor(wanted.getOrDefault(zone, 1.0), zone), idle(zone), stale));
+                now.put(zone, paced(was, factor(wanted.getOrDefault(zone, 1.0), zone), idle(zone)));
             }
             next.put(station, now);
         }
@@ -310,11 +318,11 @@
     }
 
     /** Bounded steps, however far the pull was misjudged; and none for noise. */
-    private static double paced(double was, double wanted, double idle, boolean stale) {
+    private static double paced(double was, double wanted, double idle) {
         double least = Math.max(Steering.FLOOR, Math.min(was, idle) / PACE);
         double most = was * PACE >= idle ? 1 : was * PACE;
         double next = Math.max(least, Math.min(most, wanted));
-        boolean still = Math.abs(next - was) < STILL * was && next < 1 && next > Steering.FLOOR && !stale;
+        boolean still = Math.abs(next - was) < STILL * was && next < 1 && next > Steering.FLOOR;
         return still ? was : next;
     }
 
--- a/promises/src/test/java/peppergauge/promises/HardCasesTest.java
+++ b/promises/src/test/java/peppergauge/promises/HardCasesTest.java
@@ -94,6 +94,10 @@
         platform.run(steerer, 30);
         assertEquals(platform.factor("a", "x"), Steering.FLOOR, "what the contract leaves out keeps the floor");
         assertTrue(steerer.shares().get("a").get("x") < 1e-6, steerer.shares().toString());
+        platform.miss("a", "save", "y", 0.4);
+        platform.miss("a", "save", "z", 0.4);
+        platform.run(steerer, 30);
+        assertEquals(platform.factor("a", "x"), Steering.FLOOR, "nor is it used when all that is allowed is bad");
         steerer.contracts(List.of());
         platform.run(steerer, 30);
         assertEquals(platform.steering, Steering.NONE);
@@ -117,6 +121,23 @@
         assertTrue(before < 0.5, "half missed is no kept promise");
     }
 
+    /** Bad for a minute and a half, good for two and a half, for two hours: it stays left for longer each time. */
+    @Test
+    public void aDataCentreThatTurnsBadAgainSoonStaysLeftForLonger() {
+        Steerer steerer = steerer(Platform.contract("a", "save", 1));
+        Platform platform = after(steerer, new Platform("x", "y", "z").station("a", "save", 20), 20);
+        int left = 0;
+        double before = 1;
+        for (int i = 0; i < 1_440; i++) {
+            platform.miss("a", "save", "x", i % 48 < 18 ? 0.5 : 0);
+            platform.run(steerer, 1);
+            double factor = platform.factor("a", "x");
+            left += before == 1 && factor < 1 ? 1 : 0;
+            before = factor;
+        }
+        assertTrue(left > 1 && left <= 12, "left " + left + " times in 30 turns");
+    }
+
     @Test
     public void aDataCentreThatIsLostInTheMiddleOfAMoveIsPlannedForNoMore() {
         Steerer steerer = steerer(Platform.contract("a", "save", 1));
