Steer by stations' promises in the fleet service

Need: the fleet service had a seam for its planner and no planner, and the promises' decision nobody who asked it.

Change: PromisePlanner turns the merged totals into evidence by each promise's time, asks the Steerer once a table, and keeps its state with the service's; what is kept comes back by its age. Contracts are [[promise]] tables of the file of kind fleet. Moves cost nothing yet: the forecaster is not asked.

--- a/daemon/src/main/java/peppergauge/daemon/Daemon.java
+++ b/daemon/src/main/java/peppergauge/daemon/Daemon.java
@@ -10,9 +10,14 @@
 import peppergauge.fleet.decide.Planner;
 import peppergauge.fleet.file.FleetFile;
 import peppergauge.fleet.file.ServiceSection;
+import peppergauge.fleet.plan.PromisePlanner;
 import peppergauge.fleet.service.FleetService;
+import peppergauge.fleet.service.ServiceSettings;
 import peppergauge.operator.Reading;
 import peppergauge.operator.Values;
+import peppergauge.promises.MoveCost;
+import peppergauge.promises.file.PromiseSection;
+import peppergauge.promises.steer.Tuning;
 import peppergauge.snapshot.disk.RealDisk;
 
 /** The command line of the daemon: {@code daemon --config FILE}. Exit codes are those of docs/COMMANDS.md. */
@@ -50,8 +55,10 @@
 
     /** An instance of the fleet service: no sidecar, and no decision module. */
     private static void serveFleet(Values values) throws IOException, InterruptedException {
-        FleetService service = new FleetService(ServiceSection.settings(values), Planner.NONE, new RealDisk(),
-                System::currentTimeMillis);
+        ServiceSettings settings = ServiceSection.settings(values);
+        Planner planner = new PromisePlanner(PromiseSection.contracts(values),
+                Tuning.every(settings.tables().everyMs()), MoveCost.NONE);
+        FleetService service = new FleetService(settings, planner, new RealDisk(), System::currentTimeMillis);
         Runtime.getRuntime().addShutdownHook(new Thread(service::close, "wind-down"));
         // Its own threads end with the program; this one is what keeps it.
         new CountDownLatch(1).await();
--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/plan/PromisePlanner.java
@@ -0,0 +1,99 @@
+package peppergauge.fleet.plan;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import peppergauge.fleet.decide.MergedView;
+import peppergauge.fleet.decide.Planner;
+import peppergauge.fleet.state.Latencies;
+import peppergauge.fleet.wire.Json;
+import peppergauge.promises.Cell;
+import peppergauge.promises.Contract;
+import peppergauge.promises.MoveCost;
+import peppergauge.promises.Steering;
+import peppergauge.promises.steer.State;
+import peppergauge.promises.steer.Steerer;
+import peppergauge.promises.steer.Tuning;
+
+/**
+ * Steers stations by what they are promised. Without contracts it steers nothing. For one thread.
+ *
+ * <p>What is kept is as old as its last decision: the time that passed since then, by Unix time, decides how much of it
+ * still counts, so that an old disk brings no old steering back.
+ */
+public final class PromisePlanner implements Planner {
+
+    private final List<Contract> contracts;
+    private final Steerer steerer;
+    private final MoveCost cost;
+    private final Map<Cell, Long> promisedMs = new HashMap<>();
+    private State kept;
+    private Steering told = Steering.NONE;
+    private long decidedMs;
+
+    public PromisePlanner(List<Contract> contracts, Tuning tuning, MoveCost cost) {
+        this.contracts = List.copyOf(contracts);
+        this.cost = cost;
+        steerer = new Steerer(tuning);
+        steerer.contracts(this.contracts);
+        contracts.forEach(each -> promisedMs.put(new Cell(each.station(), each.requestClass(), Cell.NOWHERE),
+                (long) each.withinMs()));
+    }
+
+    @Override
+    public Steering plan(long nowMs, MergedView merged) {
+        if (contracts.isEmpty()) {
+            return Steering.NONE;
+        }
+        if (kept != null) {
+            steerer.restore(kept, nowMs);
+            kept = null;
+        }
+        told = steerer.decide(nowMs, merged.evidence(this::promisedMs), cost);
+        decidedMs = nowMs;
+        return told;
+    }
+
+    /** Classes without a promise count as answered however long they took: they say what data centres hold. */
+    private long promisedMs(Cell cell) {
+        return promisedMs.getOrDefault(new Cell(cell.station(), cell.requestClass(), Cell.NOWHERE), Latencies.MOST_MS);
+    }
+
+    @Override
+    public Object report() {
+        Map<String, Object> report = new LinkedHashMap<>();
+        report.put("contracts", contracts.size());
+        report.put("decided_ms", decidedMs);
+        report.put("shares", steerer.shares());
+        report.put("factors", told.factors());
+        report.put("burn_rates", burnRates());
+        return report;
+    }
+
+    /** By "station / class": for each window, how many times its error budget is being spent. */
+    private Map<String, List<Double>> burnRates() {
+        Map<String, List<Double>> rates = new LinkedHashMap<>();
+        List<List<Double>> burning = steerer.burnRates(contracts, decidedMs);
+        for (int i = 0; i < contracts.size(); i++) {
+            rates.put(contracts.get(i).station() + " / " + contracts.get(i).requestClass(), burning.get(i));
+        }
+        return rates;
+    }
+
+    @Override
+    public byte[] state() {
+        return contracts.isEmpty() ? new byte[0] : Json.write(steerer.state());
+    }
+
+    /** Taken with the first plan, for only then it is known how old it is. */
+    @Override
+    public void restore(byte[] state) {
+        State read = Json.read(state, State.class);
+        if (read.windows() == null || read.shares() == null || read.factors() == null || read.flags() == null
+                || read.holds() == null) {
+            throw new IllegalArgumentException("no state of promises");
+        }
+        kept = read;
+    }
+}
