Forecast hit rates of key memories for changes of placement, proved on drawn worlds

Nothing said what a change of placement does to backend servers' key memories.

Sampler, merge, estimate of life and size from service times, model (Che and TTL, while cold too), track record.

--- /dev/null
+++ b/forecast/src/main/java/peppergauge/forecast/popularity/package-info.java
@@ -0,0 +1,2 @@
+/** What all daemons together counted of the sampled keys, lately. */
+package peppergauge.forecast.popularity;
--- /dev/null
+++ b/forecast/src/main/java/peppergauge/forecast/trust/TrackRecord.java
@@ -0,0 +1,72 @@
+package peppergauge.forecast.trust;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import peppergauge.forecast.hits.HitRate;
+
+/**
+ * Holds forecasts against what followed, and says whether the next is to be listened to. Forecasts lose their say when,
+ * of the last {@value #LAST}, six or more missed their interval (which happens to right ones once in a hundred such
+ * rows) or were further off in the mean than to say that nothing changes, by over 0.01. They get it back after
+ * {@value #AGAIN} in a row of which at most one missed, and which were no further off than that.
+ */
+public final class TrackRecord {
+
+    static final int LAST = 20;
+    static final int AGAIN = 10;
+    private static final int MOST_MISSED = 5;
+    private static final int LEAST = 6;
+    private static final double CLOSE = 0.01;
+
+    private final Deque<Outcome> last = new ArrayDeque<>();
+    private boolean trusted = true;
+
+    private record Outcome(boolean held, double off, double plainOff) { }
+
+    /**
+     * @param said before the change
+     * @param before what was seen before it: what is said by who says that nothing changes
+     * @param seen after it
+     */
+    public void followed(HitRate said, double before, double seen) {
+        last.addLast(new Outcome(said.holds(seen), Math.abs(said.mean() - seen), Math.abs(before - seen)));
+        if (last.size() > LAST) {
+            last.removeFirst();
+        }
+        boolean worse = last.size() >= LEAST && off() > plainOff() + CLOSE;
+        if (trusted && (missed() > MOST_MISSED || worse)) {
+            trusted = false;
+            // Only what comes from now on can bring the say back.
+            last.clear();
+        } else if (!trusted && last.size() >= AGAIN) {
+            trusted = missed() <= 1 && off() <= plainOff() + CLOSE;
+            if (!trusted) {
+                last.removeFirst();
+            }
+        }
+    }
+
+    /** Whether the next forecast counts. */
+    public boolean trusted() {
+        return trusted;
+    }
+
+    /** The forecast, or that nothing is known while it has no say. */
+    public HitRate heard(HitRate said) {
+        return trusted ? said : HitRate.UNKNOWN;
+    }
+
+    /** Mean distance of the last forecasts from what followed. */
+    public double off() {
+        return last.stream().mapToDouble(Outcome::off).average().orElse(0);
+    }
+
+    /** The same of the forecast that nothing changes. */
+    public double plainOff() {
+        return last.stream().mapToDouble(Outcome::plainOff).average().orElse(0);
+    }
+
+    private long missed() {
+        return last.stream().filter(outcome -> !outcome.held()).count();
+    }
+}
--- /dev/null
+++ b/forecast/src/test/java/peppergauge/forecast/ForecasterTest.java
@@ -0,0 +1,142 @@
+package peppergauge.forecast;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.forecast.hits.Forecast;
+import peppergauge.forecast.hits.Forecaster;
+import peppergauge.forecast.hits.HitRate;
+import peppergauge.forecast.memory.MemoryEstimate;
+import peppergauge.forecast.placement.Placement;
+import peppergauge.forecast.placement.Placement.Draws;
+import peppergauge.forecast.placement.Placement.Rendezvous;
+import peppergauge.forecast.placement.Placement.Server;
+import peppergauge.forecast.placement.PlacementChange;
+import peppergauge.forecast.popularity.Popularity;
+import peppergauge.forecast.popularity.Popularity.KeyCount;
+
+public class ForecasterTest {
+
+    private static final double SPAN_MS = 1_000_000;
+
+    /** So many keys of two stations, each as often. */
+    private static Popularity alike(int keys, long count) {
+        List<KeyCount> all = new ArrayList<>();
+        for (int i = 0; i < keys; i++) {
+            all.add(new KeyCount(i, i % 2 == 0 ? "a" : "b", count));
+        }
+        return new Popularity(1, keys * count, SPAN_MS, all);
+    }
+
+    private static Placement placement(int servers, Placement.Rule rule) {
+        return new Placement(IntStream.range(0, servers).mapToObj(i -> new Server("s" + i, i % 2 == 0 ? "x" : "y", 1))
+                .toList(), rule, 0, List.of(0.5, 0.5), Map.of());
+    }
+
+    private static Forecaster forecaster(Placement placement, double keys) {
+        return new Forecaster(alike(100, 2_000), MemoryEstimate.told(5_000, keys, 0.4), placement);
+    }
+
+    private static double hit(double ratePerS, double seconds) {
+        return 1 - Math.exp(-ratePerS * seconds);
+    }
+
+    @DataProvider
+    public Object[][] steady() {
+        // 100 keys, each twice a second, over 10 servers: 0.2 a second at each; life 5 s.
+        return new Object[][] {
+            {new PlacementChange.Members(0), hit(0.2, 5)},
+            {new PlacementChange.Leave(Set.of("s0", "s1", "s2", "s3", "s4")), hit(0.4, 5)},
+            {new PlacementChange.ZoneLost("x"), hit(0.4, 5)},
+            {new PlacementChange.Come(IntStream.range(0, 10).mapToObj(i -> new Server("n" + i, "x", 1)).toList()),
+                hit(0.1, 5)},
+            {new PlacementChange.Replace(List.of("s0", "s1", "s2", "s3", "s4", "s5"), 7_000), hit(0.2, 5)},
+            {new PlacementChange.Ruled(new Rendezvous(2, 0, 1)), hit(1, 5)},
+            {new PlacementChange.ZoneShunned("x", 1e-9), hit(0.4, 5)},
+            {new PlacementChange.Steered("a", Map.of("x", 1e-9)), (hit(0.4, 5) + hit(0.2, 5)) / 2},
+        };
+    }
+
+    @Test(dataProvider = "steady")
+    public void steadyRatesAreThoseOfPoissonSessionsAndALife(PlacementChange change, double rate) {
+        Forecast found = forecaster(placement(10, new Draws()), 1e9).forecast(change);
+        assertEquals(found.steady().fleet().mean(), rate, 0.002);
+        assertEquals(found.now().fleet().mean(), hit(0.2, 5), 0.002);
+    }
+
+    @Test
+    public void aSmallMemoryHasTheReachInWhichItMeetsAsManyKeys() {
+        // Of 100 keys 50 are met in the time in which each is with chance one half, which is then the hit rate.
+        assertEquals(forecaster(placement(10, new Draws()), 50).now().fleet().mean(), 0.5, 0.002);
+    }
+
+    @DataProvider
+    public Object[][] soon() {
+        // Mean over 30 s of 1 - exp(-0.2 min(t, 5)) at a server that starts cold.
+        double cold = (5 - hit(0.2, 5) / 0.2 + 25 * hit(0.2, 5)) / 30;
+        // Of a reach of 5 s, t are at the new rate and the rest at the old one.
+        double doubled = (25 * hit(0.4, 5) + 5 - Math.exp(-1) * hit(0.2, 5) / 0.2) / 30;
+        return new Object[][] {
+            {new PlacementChange.Replace(IntStream.range(0, 10).mapToObj(i -> "s" + i).toList(), 0), cold},
+            {new PlacementChange.ZoneLost("x"), doubled},
+        };
+    }
+
+    @Test(dataProvider = "soon")
+    public void memoriesFillAfterTheChange(PlacementChange change, double rate) {
+        Forecast found = forecaster(placement(10, new Draws()), 1e9).forecast(change);
+        assertEquals(found.soon().fleet().mean(), rate, 0.004);
+    }
+
+    @Test
+    public void onlyNewServersAndTheStationThatMovesAreCold() {
+        Forecast come = forecaster(placement(10, new Draws()), 1e9).forecast(
+                new PlacementChange.Come(List.of(new Server("new", "x", 1))));
+        assertTrue(come.soon().servers().get("new").mean() < come.soon().servers().get("s1").mean() - 0.03);
+        Forecast moved = forecaster(placement(10, new Draws()), 1e9).forecast(
+                new PlacementChange.Steered("a", Map.of("x", 0.1)));
+        assertEquals(moved.soon().stations().get("b").mean(), moved.now().stations().get("b").mean(), 0.002);
+        assertTrue(moved.steady().stations().get("a").mean() > moved.soon().stations().get("a").mean());
+        HitRate own = moved.steady().sidecar(Map.of("a", 1.0), 0.5);
+        assertEquals(own.mean(), moved.steady().stations().get("a").mean(), 1e-9);
+    }
+
+    @Test
+    public void extraWorkIsThatOfColdMemoriesAndNoneWhereNothingMovesIn() {
+        Forecaster forecaster = forecaster(placement(10, new Draws()), 1e9);
+        double small = forecaster.extraWork("a", "x", 0.5, 0.6);
+        double great = forecaster.extraWork("a", "x", 0.0, 1.0);
+        assertTrue(0 < small && small < great && great < 0.4, small + " " + great);
+        assertEquals(forecaster.extraWork("a", "x", 0.5, 0.5), 0.0);
+        assertEquals(forecaster.extraWork("a", "x", 0.6, 0.5), 0.0);
+        assertEquals(forecaster.extraWork("unknown", "x", 0.1, 0.5), 0.0);
+    }
+
+    @Property(tries = 40)
+    void rarerSamplesAndUnsureMemoriesWidenTheInterval(@ForAll @IntRange(min = 3, max = 60) int servers,
+            @ForAll @DoubleRange(min = 10, max = 200) double keys) {
+        Placement placement = placement(servers, new Draws());
+        List<KeyCount> some = IntStream.range(0, 20).mapToObj(i -> new KeyCount(i, "a", 1 + 3_000 / (i + 1))).toList();
+        long sessions = some.stream().mapToLong(KeyCount::count).sum();
+        HitRate sure = new Forecaster(new Popularity(1, sessions, SPAN_MS, some),
+                MemoryEstimate.told(5_000, keys, 0.4), placement).now().fleet();
+        HitRate sampled = new Forecaster(new Popularity(0.1, 10 * sessions, SPAN_MS, some),
+                MemoryEstimate.told(5_000, keys, 0.4), placement).now().fleet();
+        HitRate unsure = new Forecaster(new Popularity(1, sessions, SPAN_MS, some), new MemoryEstimate(List.of(
+                new MemoryEstimate.Point(2_500, 1e9, 0.5), new MemoryEstimate.Point(10_000, 1e9, 0.5)), 0.4, 0.1),
+                placement).now().fleet();
+        assertTrue(sampled.high() - sampled.low() >= sure.high() - sure.low());
+        assertTrue(unsure.high() - unsure.low() > sure.high() - sure.low());
+    }
+}
--- /dev/null
+++ b/forecast/src/test/java/peppergauge/forecast/KeyMergeTest.java
@@ -0,0 +1,90 @@
+package peppergauge.forecast;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import peppergauge.forecast.popularity.KeyMerge;
+import peppergauge.forecast.popularity.Popularity;
+import peppergauge.forecast.popularity.Popularity.KeyCount;
+import peppergauge.forecast.sample.KeySampler;
+
+public class KeyMergeTest {
+
+    private KeyMerge merge;
+
+    @BeforeMethod
+    public void begin() {
+        merge = new KeyMerge(60_000, 300_000);
+    }
+
+    private static KeyReport report(long threshold, long sessions, long... hashesAndCounts) {
+        java.util.List<KeyReport.Key> keys = new java.util.ArrayList<>();
+        for (int i = 0; i < hashesAndCounts.length; i += 2) {
+            keys.add(new KeyReport.Key(hashesAndCounts[i], "s", hashesAndCounts[i + 1], List.of()));
+        }
+        return new KeyReport(threshold, sessions, keys);
+    }
+
+    @Test
+    public void whatCameIsTheNewestLessTheOneBeforeTheWindowOverAllDaemons() {
+        merge.accept("a", 1, 0, report(KeySampler.ALL, 100, 7, 50, 8, 50));
+        assertTrue(merge.popularity(0).isEmpty());
+        merge.accept("b", 1, 0, report(KeySampler.ALL, 10, 7, 10));
+        merge.accept("a", 1, 60_000, report(KeySampler.ALL, 160, 7, 100, 8, 50, 9, 10));
+        merge.accept("b", 1, 60_000, report(KeySampler.ALL, 15, 7, 15));
+        Popularity found = merge.popularity(60_000).orElseThrow();
+        assertEquals(found.keys(), List.of(new KeyCount(7, "s", 55), new KeyCount(9, "s", 10)));
+        assertEquals(found.sessions(), 65);
+        assertEquals(found.spanMs(), 60_000.0);
+        assertEquals(found.share(), 1.0, 1e-9);
+    }
+
+    @Test
+    public void lossRepetitionAndDisorderChangeNothing() {
+        KeyReport late = report(KeySampler.ALL, 20, 7, 20);
+        KeyReport newest = report(KeySampler.ALL, 90, 7, 90);
+        merge.accept("a", 1, 0, report(KeySampler.ALL, 10, 7, 10));
+        merge.accept("a", 1, 60_000, newest);
+        Popularity once = merge.popularity(60_000).orElseThrow();
+        assertFalse(merge.accept("a", 1, 60_000, late));
+        assertTrue(merge.accept("a", 1, 60_000, newest));
+        assertFalse(merge.accept("a", 0, 60_000, report(KeySampler.ALL, 900, 7, 900)));
+        assertEquals(merge.popularity(60_000).orElseThrow(), once);
+    }
+
+    @Test
+    public void aRestartBeginsAnewAndASilentDaemonIsForgotten() {
+        merge.accept("a", 1, 0, report(KeySampler.ALL, 500, 7, 500));
+        merge.accept("a", 2, 10_000, report(KeySampler.ALL, 1, 7, 1));
+        assertTrue(merge.popularity(10_000).isEmpty());
+        merge.accept("a", 2, 70_000, report(KeySampler.ALL, 4, 7, 4));
+        assertEquals(merge.popularity(70_000).orElseThrow().sessions(), 3);
+        assertTrue(merge.popularity(400_000).isEmpty());
+    }
+
+    @Test
+    public void onlyKeysBelowTheLowestThresholdCount() {
+        for (int i = 0; i < 2; i++) {
+            merge.accept("a", 1, 60_000 * i, report(KeySampler.threshold(0.5), 100 * i, 5, 40 * i, 1L << 62, 60 * i));
+            merge.accept("b", 1, 60_000 * i, report(KeySampler.threshold(0.25), 100 * i, 5, 40 * i));
+        }
+        Popularity found = merge.popularity(60_000).orElseThrow();
+        assertEquals(found.share(), 0.25, 1e-9);
+        assertEquals(found.keys(), List.of(new KeyCount(5, "s", 80)));
+        assertEquals(found.sessions(), 200);
+    }
+
+    @Test
+    public void oftenReportingTakesNoMoreMemoryAndKeepsTheWindow() {
+        for (int i = 0; i <= 1_000; i++) {
+            merge.accept("a", 1, i * 1_000L, report(KeySampler.ALL, i * 10L, 7, i * 10L));
+        }
+        Popularity found = merge.popularity(1_000_000).orElseThrow();
+        assertTrue(found.spanMs() >= 60_000 && found.spanMs() <= 80_000, "span " + found.spanMs());
+        assertEquals(found.sessions(), Math.round(found.spanMs() / 100));
+    }
+}
--- /dev/null
+++ b/forecast/src/test/java/peppergauge/forecast/KeySamplerTest.java
@@ -0,0 +1,89 @@
+package peppergauge.forecast;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.forecast.sample.KeySampler;
+
+public class KeySamplerTest {
+
+    @DataProvider
+    public Object[][] tables() {
+        return new Object[][] {{16, 10, 1.0}, {16, 5_000, 1.0}, {1_000, 100_000, 1.0}, {4_096, 200_000, 0.01}};
+    }
+
+    @Test(dataProvider = "tables")
+    public void keysBelowTheThresholdAreCountedInFullAndNoOthers(int table, int keys, double share) {
+        KeySampler sampler = new KeySampler(table, share);
+        for (int i = 0; i < 2 * keys; i++) {
+            sampler.seen("k" + i % keys, "s", i);
+        }
+        KeyReport report = sampler.report();
+        long below = 0;
+        for (int i = 0; i < keys; i++) {
+            below += Long.compareUnsigned(KeySampler.hash("k" + i), report.threshold()) < 0 ? 1 : 0;
+        }
+        assertEquals(report.sessions(), 2L * keys);
+        assertEquals(report.keys().size(), below);
+        assertTrue(below <= table);
+        assertTrue(report.keys().stream().allMatch(key -> key.count() == 2), report.keys().toString());
+        assertEquals(below / (double) keys, KeySampler.share(report.threshold()), 4 / Math.sqrt(below));
+    }
+
+    @Property(tries = 50)
+    void twoDaemonsTellOfTheSameKeys(@ForAll @Size(min = 1, max = 400) List<@IntRange(max = 300) Integer> keys) {
+        KeySampler one = new KeySampler(64);
+        KeySampler other = new KeySampler(32);
+        Map<Long, Long> truth = new HashMap<>();
+        for (int key : keys) {
+            one.seen("k" + key, "a", 5);
+            other.seen("k" + key, "a", 9);
+            truth.merge(KeySampler.hash("k" + key), 1L, Long::sum);
+        }
+        for (KeySampler sampler : List.of(one, other)) {
+            KeyReport report = sampler.report();
+            Map<Long, Long> told = report.keys().stream().collect(Collectors.toMap(KeyReport.Key::hash,
+                    KeyReport.Key::count));
+            Map<Long, Long> below = new HashMap<>(truth);
+            below.keySet().removeIf(hash -> Long.compareUnsigned(hash, report.threshold()) >= 0);
+            assertEquals(told, below);
+        }
+    }
+
+    @Test
+    public void gapsAreCountedByDoublingsAndStationsApart() {
+        KeySampler sampler = new KeySampler(16);
+        long[] times = {0, 1, 4, 1_000, 1_000, 9_000_000};
+        for (long ms : times) {
+            sampler.seen("k", "a", ms);
+        }
+        sampler.seen("k", "b", 7);
+        sampler.seen("", "b", 7);
+        sampler.seen(null, "b", 7);
+        List<KeyReport.Key> keys = sampler.report().keys();
+        assertEquals(keys.size(), 2);
+        Long[] gaps = new Long[KeySampler.GAPS];
+        java.util.Arrays.fill(gaps, 0L);
+        gaps[0] = 2L;
+        gaps[1] = 1L;
+        gaps[9] = 1L;
+        gaps[KeySampler.GAPS - 1] = 1L;
+        assertEquals(keys.get(0).gaps(), List.of(gaps));
+        assertEquals(sampler.report().sessions(), 7);
+    }
+
+    @Test
+    public void aTableForManyKeysStaysWithinFourMegabytes() {
+        assertTrue(KeySampler.bytes(32_768) <= 4 << 20);
+    }
+}
--- /dev/null
+++ b/forecast/src/test/java/peppergauge/forecast/MemoryEstimatorTest.java
@@ -0,0 +1,101 @@
+package peppergauge.forecast;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.forecast.memory.MemoryEstimate;
+import peppergauge.forecast.memory.MemoryEstimate.Point;
+import peppergauge.forecast.memory.MemoryEstimator;
+import peppergauge.forecast.memory.ServiceTimes;
+import peppergauge.forecast.placement.Placement;
+import peppergauge.forecast.placement.Placement.Draws;
+import peppergauge.forecast.placement.Placement.Server;
+import peppergauge.forecast.popularity.Popularity;
+import peppergauge.forecast.popularity.Popularity.KeyCount;
+
+public class MemoryEstimatorTest {
+
+    private static final double SPAN_MS = 300_000;
+    private static final Popularity KEYS = new Popularity(1, 30_000, SPAN_MS,
+            IntStream.range(0, 300).mapToObj(i -> new KeyCount(i, "s", 100)).toList());
+    private static final Placement PLACEMENT = new Placement(IntStream.range(0, 10).mapToObj(i ->
+            new Server("s" + i, "z", 1)).toList(), new Draws(), 0, List.of(0.5, 0.5), Map.of());
+
+    /** Answers with gaps drawn evenly by their logarithm; what comes within the reach took less. */
+    private static ServiceTimes.Seen seen(int answers, double part, double reachMs, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        ServiceTimes times = new ServiceTimes(1_000);
+        for (int i = 0; i < answers; i++) {
+            double gapMs = 250 * Math.pow(128, random.nextDouble());
+            // What the other sidecar sends hits, too.
+            boolean others = random.nextDouble() < 1 - Math.exp(-100 * part / 2 * reachMs / SPAN_MS);
+            boolean known = i % 2 == 0;
+            times.answered(i % 300, known ? gapMs : Double.POSITIVE_INFINITY,
+                    (others || known && gapMs < reachMs ? 0.6 : 1) * (0.5 + random.nextDouble()));
+        }
+        return times.seen();
+    }
+
+    private static MemoryEstimate estimate(double part, int answers, double reachMs) {
+        return MemoryEstimator.estimate(PLACEMENT, List.of(new MemoryEstimator.Kind(part,
+                seen(answers, part, reachMs, 1))), KEYS);
+    }
+
+    /** Keys that a server with this part of the sessions meets. */
+    private static double met(double part, double ms) {
+        return 300 * (1 - Math.exp(-100 * part * ms / SPAN_MS));
+    }
+
+    private static double reachMs(Point point, double part) {
+        double ms = 0;
+        while (ms < point.lifeMs() && met(part, ms) < point.keys()) {
+            ms += 10;
+        }
+        return ms;
+    }
+
+    @DataProvider
+    public Object[][] reaches() {
+        return new Object[][] {{1_500.0}, {4_000.0}, {11_000.0}};
+    }
+
+    @Test(dataProvider = "reaches")
+    public void theReachIsFoundWhetherTimeOrSizeSetsIt(double reachMs) {
+        MemoryEstimate found = estimate(0.1, 16_000, reachMs);
+        double mean = found.points().stream().mapToDouble(point -> reachMs(point, 0.1)).average().orElseThrow();
+        assertEquals(mean / reachMs, 1, 0.12);
+        assertEquals(found.saving(), 0.4, 0.03);
+    }
+
+    @Test
+    public void aFewAnswersOfOneKindOfServerCannotTellTimeFromSize() {
+        double reachMs = 4_000;
+        MemoryEstimate found = estimate(0.1, 600, reachMs);
+        assertTrue(found.points().stream().anyMatch(point -> point.lifeMs() > 1.5 * reachMs));
+        assertTrue(found.points().stream().anyMatch(point -> point.keys() > 1.5 * met(0.1, reachMs)));
+    }
+
+    @Test
+    public void serversWithUnlikePartsTellTimeFromSize() {
+        MemoryEstimate life = MemoryEstimator.estimate(PLACEMENT, List.of(
+                new MemoryEstimator.Kind(0.05, seen(8_000, 0.05, 4_000, 1)),
+                new MemoryEstimator.Kind(0.2, seen(8_000, 0.2, 4_000, 2))), KEYS);
+        assertTrue(life.points().stream().allMatch(point -> Math.abs(point.lifeMs() / 4_000 - 1) < 0.15),
+                life.points().toString());
+    }
+
+    @Test
+    public void withoutAnswersAllThatMayBeStaysInTheEstimate() {
+        MemoryEstimate found = estimate(0.1, 0, 4_000);
+        assertTrue(found.points().stream().mapToDouble(Point::lifeMs).min().orElseThrow() < 1_000
+                || found.points().stream().mapToDouble(point -> reachMs(point, 0.1)).min().orElseThrow() < 1_000);
+        assertTrue(found.points().stream().mapToDouble(Point::lifeMs).max().orElseThrow() > 16_000);
+        assertEquals(found.savingError(), 1.0);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/emulator/ForecastTrial.java
@@ -0,0 +1,168 @@
+package peppergauge.lab.emulator;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import peppergauge.forecast.hits.Forecast;
+import peppergauge.forecast.hits.Forecaster;
+import peppergauge.forecast.hits.HitRate;
+import peppergauge.forecast.hits.HitRates;
+import peppergauge.forecast.memory.MemoryEstimate;
+import peppergauge.forecast.popularity.Popularity;
+
+/**
+ * Forecasts of drawn changes in drawn worlds, held against what the emulator's key memories then do. By hand, with
+ * the first seed, how many worlds, and which: {@code few} (200 to 5,000 keys, all in the table), {@code many} (20,000 to
+ * 200,000 keys, 1% sampled), or a share such as {@code 0.1} of the first's keys.
+ */
+final class ForecastTrial {
+
+    private final KeyWorld world;
+    private final KeyTruth truth;
+    private final Forecast said;
+    private final Forecast alike;
+    private final Forecast sure;
+
+    ForecastTrial(KeyWorld world) {
+        this.world = world;
+        truth = new KeyTruth(world);
+        said = forecast(truth.popularity, truth.estimate);
+        alike = forecast(alike(truth.popularity), truth.estimate);
+        sure = forecast(truth.popularity, MemoryEstimate.told(world.memory().memoryTime().toMillis(),
+                world.memory().memoryKeys(), world.memory().memorySaving()));
+    }
+
+    private Forecast forecast(Popularity popularity, MemoryEstimate memory) {
+        return new Forecaster(popularity, memory, world.placement()).forecast(world.change());
+    }
+
+    /** As if all keys were as popular as the mean. */
+    private static Popularity alike(Popularity told) {
+        int keys = told.keys().size();
+        List<Popularity.KeyCount> same = told.keys().stream().map(key -> new Popularity.KeyCount(key.hash(),
+                key.station(), Math.max(1, Math.round((double) told.sampled() / keys)))).toList();
+        return new Popularity(told.share(), told.sessions(), told.spanMs(), same);
+    }
+
+    double soon() {
+        return truth.soon.rate("fleet");
+    }
+
+    double steady() {
+        return truth.steady.rate("fleet");
+    }
+
+    double before() {
+        return truth.before.rate("fleet");
+    }
+
+    Forecast said() {
+        return said;
+    }
+
+    /** Of what was said of stations, servers or sidecars: those held, those not, and the sum of distances. */
+    double[] parts(String what, KeyTruth.Tally seen, HitRates rates) {
+        double[] held = new double[3];
+        for (String name : seen.names()) {
+            if (name.startsWith(what) && seen.sessions(name) >= 100) {
+                String id = name.substring(what.length() + 1);
+                HitRate own = what.equals("station") ? rates.stations().get(id)
+                        : what.equals("server") ? rates.servers().get(id)
+                        : rates.sidecar(truth.mixes.get(Integer.parseInt(id)), world.placement().sidecars().get(
+                                Integer.parseInt(id)));
+                if (own != null) {
+                    held[own.holds(seen.rate(name)) ? 0 : 1]++;
+                    held[2] += Math.abs(own.mean() - seen.rate(name));
+                }
+            }
+        }
+        return held;
+    }
+
+    public static void main(String[] args) {
+        long from = Long.parseLong(args[0]);
+        int count = Integer.parseInt(args[1]);
+        List<ForecastTrial> trials = LongStream.range(from, from + count).parallel().mapToObj(seed ->
+                new ForecastTrial(world(seed, args[2]))).toList();
+        if (args.length > 3) {
+            trials.forEach(ForecastTrial::print);
+        }
+        summary(trials);
+    }
+
+    private static KeyWorld world(long seed, String which) {
+        return which.equals("many") || which.equals("few") ? KeyWorld.draw(seed, which.equals("many"))
+                : KeyWorld.draw(seed, false).sampled(Double.parseDouble(which));
+    }
+
+    private void print() {
+        System.out.printf("%d servers %d sidecars %d members %d keys %d zipf %.2f rate %.0f life %d size %d %s -> %s: "
+                + "before %.3f (%.3f) soon %.3f said %.3f [%.3f %.3f] sure %.3f steady %.3f said %.3f [%.3f %.3f] sure %.3f%n",
+                world.seed(), world.placement().servers().size(), world.placement().sidecars().size(),
+                world.placement().members(), world.keys(), world.zipf(), world.rate(),
+                world.memory().memoryTime().toMillis(), world.memory().memoryKeys(), world.placement().rule(),
+                kind(), before(), said.now().fleet().mean(), soon(), said.soon().fleet().mean(),
+                said.soon().fleet().low(), said.soon().fleet().high(), sure.soon().fleet().mean(), steady(),
+                said.steady().fleet().mean(), said.steady().fleet().low(), said.steady().fleet().high(),
+                sure.steady().fleet().mean());
+    }
+
+    private String kind() {
+        String change = world.change().getClass().getSimpleName();
+        return world.change() instanceof peppergauge.forecast.placement.PlacementChange.Ruled ruled
+                ? change + ruled.rule() : change;
+    }
+
+    static void summary(List<ForecastTrial> trials) {
+        Map<String, List<ForecastTrial>> kinds = new TreeMap<>();
+        trials.forEach(trial -> kinds.computeIfAbsent(trial.world.change().getClass().getSimpleName(),
+                any -> new ArrayList<>()).add(trial));
+        System.out.println("| change | worlds | steady | soon | held | soon held | nothing changes | alike | told |");
+        kinds.forEach(ForecastTrial::line);
+        line("all", trials);
+        for (String what : List.of("station", "server", "sidecar")) {
+            double[] soon = new double[3];
+            double[] steady = new double[3];
+            trials.forEach(trial -> {
+                double[] a = trial.parts(what, trial.truth.soon, trial.said.soon());
+                double[] b = trial.parts(what, trial.truth.steady, trial.said.steady());
+                IntStream.range(0, 3).forEach(i -> {
+                    soon[i] += a[i];
+                    steady[i] += b[i];
+                });
+            });
+            System.out.printf("by %s: steady off %.4f held %.3f of %.0f; soon off %.4f held %.3f of %.0f%n", what,
+                    steady[2] / (steady[0] + steady[1]), steady[0] / (steady[0] + steady[1]), steady[0] + steady[1],
+                    soon[2] / (soon[0] + soon[1]), soon[0] / (soon[0] + soon[1]), soon[0] + soon[1]);
+        }
+        System.out.printf("half width steady %.4f soon %.4f; sampled keys %s%n",
+                mean(trials, t -> (t.said.steady().fleet().high() - t.said.steady().fleet().low()) / 2),
+                mean(trials, t -> (t.said.soon().fleet().high() - t.said.soon().fleet().low()) / 2),
+                Arrays.toString(trials.stream().mapToInt(t -> t.truth.popularity.keys().size()).sorted()
+                        .filter(i -> true).boxed().skip(trials.size() / 2).limit(1).mapToInt(i -> i).toArray()));
+        System.out.printf("saving off %.4f%n", mean(trials, t -> Math.abs(t.truth.estimate.saving()
+                - t.world.memory().memorySaving())));
+    }
+
+    private static void line(String name, List<ForecastTrial> trials) {
+        System.out.printf("| %s | %d | %.4f | %.4f | %.3f | %.3f | %.4f, %.4f | %.4f, %.4f | %.4f, %.4f |%n", name,
+                trials.size(), mean(trials, t -> Math.abs(t.said.steady().fleet().mean() - t.steady())),
+                mean(trials, t -> Math.abs(t.said.soon().fleet().mean() - t.soon())),
+                mean(trials, t -> t.said.steady().fleet().holds(t.steady()) ? 1 : 0),
+                mean(trials, t -> t.said.soon().fleet().holds(t.soon()) ? 1 : 0),
+                mean(trials, t -> Math.abs(t.before() - t.steady())), mean(trials, t -> Math.abs(t.before() - t.soon())),
+                mean(trials, t -> Math.abs(t.alike.steady().fleet().mean() - t.steady())),
+                mean(trials, t -> Math.abs(t.alike.soon().fleet().mean() - t.soon())),
+                mean(trials, t -> Math.abs(t.sure.steady().fleet().mean() - t.steady())),
+                mean(trials, t -> Math.abs(t.sure.soon().fleet().mean() - t.soon())));
+    }
+
+    private static double mean(List<ForecastTrial> trials, ToDoubleFunction<ForecastTrial> of) {
+        return trials.stream().mapToDouble(of).average().orElse(0);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/emulator/KeyPlacer.java
@@ -0,0 +1,97 @@
+package peppergauge.lab.emulator;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import peppergauge.forecast.placement.Placement;
+import peppergauge.forecast.placement.Placement.Rendezvous;
+import peppergauge.forecast.placement.Placement.Server;
+
+/** Sends each session to a server, as a placement says, with each sidecar's own members. */
+final class KeyPlacer {
+
+    /** Time constant of a server's load. */
+    static final double LOAD_MS = 1_500;
+
+    private final Placement placement;
+    private final UniformRandomProvider luck;
+    private final Map<Integer, int[]> ranks = new HashMap<>();
+    private final Map<Integer, double[]> sums = new HashMap<>();
+    private final double[] parts;
+    private final double[] loads;
+    private final double[] loadsAtMs;
+    private double wholeLoad;
+    private double wholeAtMs;
+
+    KeyPlacer(Placement placement, UniformRandomProvider luck) {
+        this.placement = placement;
+        this.luck = luck;
+        parts = placement.shares("");
+        loads = new double[parts.length];
+        loadsAtMs = new double[parts.length];
+    }
+
+    Server place(int sidecar, int station, int key, double nowMs) {
+        int at = placement.rule() instanceof Rendezvous rule ? ranked(rule, key, nowMs) : drawn(sidecar, station);
+        return placement.servers().get(at);
+    }
+
+    private int drawn(int sidecar, int station) {
+        double[] cumulated = sums.computeIfAbsent(sidecar * 64 + station, any -> cumulated(sidecar, station));
+        int at = Arrays.binarySearch(cumulated, luck.nextDouble() * cumulated[cumulated.length - 1]);
+        return at < 0 ? -at - 1 : at + 1;
+    }
+
+    private double[] cumulated(int sidecar, int station) {
+        List<Server> servers = placement.servers();
+        double[] shares = placement.shares(KeyWorld.STATIONS.get(station));
+        if (placement.members() > 0 && placement.members() < servers.size()) {
+            List<Integer> order = new ArrayList<>(IntStream.range(0, servers.size()).boxed().toList());
+            order.sort(Comparator.comparingDouble(i -> unit(sidecar, servers.get(i).id())));
+            order.subList(placement.members(), order.size()).forEach(i -> shares[i] = 0);
+        }
+        for (int i = 1; i < shares.length; i++) {
+            shares[i] += shares[i - 1];
+        }
+        return shares;
+    }
+
+    /** Weighted rendezvous hashing. */
+    private int ranked(Rendezvous rule, int key, double nowMs) {
+        int[] order = ranks.computeIfAbsent(key, any -> IntStream.range(0, parts.length).boxed()
+                .sorted(Comparator.comparingDouble(i -> -StrictMath.log(unit(key, placement.servers().get(i).id()))
+                        / placement.servers().get(i).weight())).mapToInt(Integer::intValue).toArray());
+        int choice = luck.nextInt(Math.min(rule.servers(), order.length));
+        if (rule.bound() > 1 && full(order[choice], rule, nowMs)) {
+            choice = Math.min(rule.servers(), order.length - 1);
+            while (choice < order.length - 1 && full(order[choice], rule, nowMs)) {
+                choice++;
+            }
+        }
+        int server = order[choice];
+        loads[server] = load(loads[server], loadsAtMs[server], nowMs) + 1;
+        loadsAtMs[server] = nowMs;
+        wholeLoad = load(wholeLoad, wholeAtMs, nowMs) + 1;
+        wholeAtMs = nowMs;
+        return server;
+    }
+
+    private boolean full(int server, Rendezvous rule, double nowMs) {
+        return load(loads[server], loadsAtMs[server], nowMs) > 1
+                + rule.bound() * parts[server] * load(wholeLoad, wholeAtMs, nowMs);
+    }
+
+    private static double load(double load, double atMs, double nowMs) {
+        return load * Math.exp((atMs - nowMs) / LOAD_MS);
+    }
+
+    /** From 0 to 1, the same for the same two at any time. */
+    private static double unit(int number, String id) {
+        return ((new Streams(number).number(id) >>> 11) + 0.5) * 0x1p-53;
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/emulator/KeyTruth.java
@@ -0,0 +1,165 @@
+package peppergauge.lab.emulator;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
+import peppergauge.forecast.memory.MemoryEstimate;
+import peppergauge.forecast.memory.MemoryEstimator;
+import peppergauge.forecast.memory.ServiceTimes;
+import peppergauge.forecast.placement.Placement.Server;
+import peppergauge.forecast.placement.Step;
+import peppergauge.forecast.popularity.KeyMerge;
+import peppergauge.forecast.popularity.Popularity;
+import peppergauge.forecast.sample.KeySampler;
+
+/**
+ * Plays a drawn world with the emulator's own key memories, in virtual time: clients ask by a Poisson process, keys by
+ * Zipf's law, as in {@link Application}. What is not played is queues, failures and retries.
+ */
+final class KeyTruth {
+
+    static final double FIRST_REPORT_MS = 75_000;
+    static final double CHANGE_MS = 315_000;
+    static final double SOON_MS = 30_000;
+    static final double END_MS = CHANGE_MS + 90_000;
+    static final int TABLE = 8_192;
+
+    /** Hits and sessions by what was asked for: "fleet", "station a", "server s1", "sidecar 3". */
+    static final class Tally {
+        private final Map<String, long[]> counts = new TreeMap<>();
+
+        void add(String what, boolean hit) {
+            long[] count = counts.computeIfAbsent(what, any -> new long[2]);
+            count[0] += hit ? 1 : 0;
+            count[1]++;
+        }
+
+        double rate(String what) {
+            long[] count = counts.getOrDefault(what, new long[2]);
+            return count[1] == 0 ? 0 : (double) count[0] / count[1];
+        }
+
+        long sessions(String what) {
+            return counts.getOrDefault(what, new long[2])[1];
+        }
+
+        java.util.Set<String> names() {
+            return counts.keySet();
+        }
+    }
+
+    final Tally before = new Tally();
+    final Tally soon = new Tally();
+    final Tally steady = new Tally();
+    Popularity popularity;
+    MemoryEstimate estimate;
+    final List<Map<String, Double>> mixes = new ArrayList<>();
+
+    private final KeyWorld world;
+    private final UniformRandomProvider luck;
+    private final UniformRandomProvider noise;
+    private final Map<String, KeyMemory> memories = new HashMap<>();
+    private final List<KeySampler> samplers = new ArrayList<>();
+    private final List<Map<Long, Double>> lastSent = new ArrayList<>();
+    private final Map<Double, ServiceTimes> times = new TreeMap<>();
+    private KeyMerge merge = new KeyMerge(240_000, 900_000);
+    private final long threshold;
+
+    KeyTruth(KeyWorld world) {
+        this.world = world;
+        luck = new Streams(world.seed()).of("sessions");
+        noise = new Streams(world.seed()).of("noise");
+        threshold = KeySampler.threshold(world.keySampling());
+        for (int i = 0; i < world.placement().sidecars().size(); i++) {
+            samplers.add(new KeySampler(TABLE, world.keySampling()));
+            lastSent.add(new HashMap<>());
+            mixes.add(new TreeMap<>());
+        }
+        play();
+    }
+
+    private void play() {
+        DiscreteSampler keys = RejectionInversionZipfSampler.of(new Streams(world.seed()).of("keys"), world.keys(),
+                world.zipf());
+        double[] sidecars = new double[samplers.size()];
+        for (int i = 0; i < sidecars.length; i++) {
+            sidecars[i] = world.placement().sidecars().get(i) + (i == 0 ? 0 : sidecars[i - 1]);
+        }
+        List<Step> steps = world.truth();
+        KeyPlacer placer = new KeyPlacer(world.placement(), luck);
+        int step = 0;
+        boolean reported = false;
+        for (double ms = 0; ms < END_MS; ms += Streams.exponential(luck) / world.rate() * 1e3) {
+            if (!reported && ms >= FIRST_REPORT_MS) {
+                report((long) FIRST_REPORT_MS);
+                reported = true;
+            }
+            while (step < steps.size() && ms >= CHANGE_MS + steps.get(step).atMs()) {
+                if (step == 0) {
+                    learn();
+                }
+                placer = new KeyPlacer(steps.get(step++).placement(), luck);
+            }
+            int key = keys.sample();
+            int sidecar = java.util.Arrays.binarySearch(sidecars, luck.nextDouble() * sidecars[sidecars.length - 1]);
+            session(placer, sidecar < 0 ? -sidecar - 1 : sidecar, key, ms);
+        }
+    }
+
+    private void session(KeyPlacer placer, int sidecar, int key, double ms) {
+        int station = Math.floorMod(new Streams(key).number("station"), 21);
+        station = station < 6 ? 0 : station < 11 ? 1 : station < 15 ? 2 : station < 18 ? 3 : station < 20 ? 4 : 5;
+        Server server = placer.place(sidecar, station, key, ms);
+        boolean hit = memories.computeIfAbsent(server.id(), id -> new KeyMemory(world.memory()))
+                .meet(key, VirtualTime.ticks(ms)) < 1;
+        String name = KeyWorld.STATIONS.get(station);
+        if (ms < CHANGE_MS) {
+            String told = "key-" + key;
+            samplers.get(sidecar).seen(told, name, (long) ms);
+            mixes.get(sidecar).merge(name, 1.0, Double::sum);
+            if (Long.compareUnsigned(KeySampler.hash(told), threshold) < 0) {
+                answered(sidecar, key, server, hit, ms);
+            }
+        }
+        Tally tally = ms < CHANGE_MS - SOON_MS ? null : ms < CHANGE_MS ? before
+                : ms < CHANGE_MS + SOON_MS ? soon : steady;
+        if (tally != null) {
+            tally.add("fleet", hit);
+            tally.add("station " + name, hit);
+            tally.add("server " + server.id(), hit);
+            tally.add("sidecar " + sidecar, hit);
+        }
+    }
+
+    /** What the sidecar sees of it: how long the server took, and when it last sent that key there. */
+    private void answered(int sidecar, int key, Server server, boolean hit, double ms) {
+        Double last = lastSent.get(sidecar).put((long) key << 20 | Integer.parseInt(server.id().substring(1)), ms);
+        if (ms > FIRST_REPORT_MS) {
+            double relative = Streams.spread(noise, hit ? 1 - world.memory().memorySaving() : 1, world.spread());
+            times.computeIfAbsent(server.weight(), any -> new ServiceTimes(TABLE)).answered(KeySampler.hash("key-" + key),
+                    last == null ? Double.POSITIVE_INFINITY : ms - last, relative);
+        }
+    }
+
+    private void report(long ms) {
+        for (int i = 0; i < samplers.size(); i++) {
+            merge.accept("d" + i, 1, ms, samplers.get(i).report());
+        }
+    }
+
+    private void learn() {
+        report((long) CHANGE_MS);
+        popularity = merge.popularity((long) CHANGE_MS).orElseThrow();
+        double weights = world.placement().servers().stream().mapToDouble(Server::weight).sum();
+        estimate = MemoryEstimator.estimate(world.placement(), times.entrySet().stream().map(each ->
+                new MemoryEstimator.Kind(each.getKey() / weights, each.getValue().seen())).toList(), popularity);
+        samplers.clear();
+        lastSent.clear();
+        merge = null;
+    }
+}
