--- a/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
@@ -2,12 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.function.IntPredicate;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.apache.commons.statistics.distribution.NormalDistribution;
 import peppergauge.forecast.memory.MemoryEstimate;
@@ -29,17 +30,20 @@
     /** Long after any change. */
     private static final double STEADY_MS = 1e9;
     /** By how much the model itself was off on worlds that served for nothing else, standard deviation. */
-    private static final double MODEL_ERROR = 0.006;
+    private static final double MODEL_ERROR = 0.009;
     /** And while memories are cold. */
     private static final double COLD_MODEL_ERROR = 0.009;
+    /** Where more keys are sampled than this share, the popular ones among them stand for themselves. */
+    private static final double MOST_SAMPLED = 0.5;
     private static final NormalDistribution NORMAL = NormalDistribution.of(0, 1);
 
     private final Popularity popularity;
     private final MemoryEstimate memory;
     private final Placement placement;
     private final List<String> stations;
-    private final List<KeyClass> classes;
-    private final double sampledSessions;
+    /** What the keys may be like; one if all are sampled. */
+    private final List<List<KeyClass>> populations = new ArrayList<>();
+    private final List<Point> points = new ArrayList<>();
 
     /** Not for no sampled key at all. */
     public Forecaster(Popularity popularity, MemoryEstimate memory, Placement placement) {
@@ -47,11 +51,24 @@
         this.memory = memory;
         this.placement = placement;
         stations = List.copyOf(new TreeSet<>(popularity.keys().stream().map(KeyCount::station).toList()));
-        classes = KeyClass.of(popularity, stations);
-        sampledSessions = popularity.sampled();
-        if (classes.isEmpty()) {
+        if (stations.isEmpty()) {
             throw new IllegalArgumentException("no sampled key came");
         }
+        if (popularity.share() > MOST_SAMPLED) {
+            populations.add(KeyClass.of(popularity, stations));
+            points.addAll(memory.points());
+        } else {
+            double off = Math.min(0.6, Math.sqrt(1.5 / KeyClass.head(popularity)));
+            for (double each : new double[] {-off, 0, off}) {
+                populations.add(KeyClass.withHead(popularity, stations, each));
+            }
+            // The i-th point goes with population i modulo 3: so many points meet all, a few have to do so thrice.
+            int times = memory.points().size() < 9 ? 3 : 1;
+            for (Point point : memory.points()) {
+                points.addAll(Collections.nCopies(times, new Point(point.lifeMs(), point.keys(),
+                        point.weight() / times)));
+            }
+        }
     }
 
     public Forecast forecast(PlacementChange change) {
@@ -100,7 +117,7 @@
                 missed += part * spells.get(i).groupMisses[group][at];
                 sessions += part * spells.get(i).groupSessions[group][at];
             }
-            rate += sessions > 0 ? memory.points().get(i).weight() * (1 - missed / sessions) : 0;
+            rate += sessions > 0 ? points.get(i).weight() * (1 - missed / sessions) : 0;
         }
         return rate;
     }
@@ -133,8 +150,7 @@
         Map<String, HitRate> ofStations = new HashMap<>();
         for (int station = 0; station < stations.size(); station++) {
             int only = station;
-            ofStations.put(stations.get(station), rate(spells, each -> classes.get(each).station() == only, false,
-                    modelError));
+            ofStations.put(stations.get(station), rate(spells, each -> each.station() == only, false, modelError));
         }
         double sessions = popularity.sessions() * SOON_MS / popularity.spanMs();
         return new HitRates(rate(spells, each -> true, true, modelError), ofStations,
@@ -144,8 +160,9 @@
 
     private List<Spell> spells(Course course, double fromMs, int moments) {
         List<Spell> spells = new ArrayList<>();
-        for (Point point : memory.points()) {
-            Spell spell = new Spell(course, classes, popularity.spanMs(), popularity.share(), sampledSessions);
+        for (Point point : points) {
+            Spell spell = new Spell(course, populations.get(spells.size() % populations.size()), popularity.spanMs(),
+                    popularity.share());
             for (int i = 0; i < moments; i++) {
                 double atMs = moments == 1 ? fromMs : SOON_MS * (i + 0.5) / moments;
                 spell.add(atMs, point.lifeMs(), point.keys(), 1.0 / moments);
@@ -185,7 +202,7 @@
     }
 
     /** @param total whether the sum of all sessions is told, not only of the sampled ones */
-    private HitRate rate(List<Spell> spells, IntPredicate which, boolean total, double modelError) {
+    private HitRate rate(List<Spell> spells, Predicate<KeyClass> which, boolean total, double modelError) {
         double[] means = new double[spells.size()];
         double[] errors = new double[spells.size()];
         for (int i = 0; i < means.length; i++) {
@@ -200,15 +217,15 @@
      * Hit rate and its variance. Where the sum of all sessions is told, a regression on it corrects for popular keys
      * that were or were not drawn (as in the general regression estimator: Sarndal, Swensson and Wretman 1992).
      */
-    private double[] estimate(Spell spell, IntPredicate which, boolean total) {
+    private double[] estimate(Spell spell, Predicate<KeyClass> which, boolean total) {
         double sessions = 0;
         double missed = 0;
         double cross = 0;
         double squares = 0;
         double keys = 0;
-        for (int i = 0; i < classes.size(); i++) {
-            if (which.test(i)) {
-                KeyClass each = classes.get(i);
+        for (int i = 0; i < spell.classes.size(); i++) {
+            KeyClass each = spell.classes.get(i);
+            if (which.test(each)) {
                 keys += each.keys();
                 sessions += each.keys() * each.count();
                 missed += each.keys() * spell.misses[i];
@@ -220,9 +237,9 @@
         double slope = total ? cross / squares : missed / sessions;
         double rate = Math.max(0, Math.min(1, (missed + slope * (all - sessions)) / all));
         double variance = 0;
-        for (int i = 0; i < classes.size(); i++) {
-            if (which.test(i)) {
-                KeyClass each = classes.get(i);
+        for (int i = 0; i < spell.classes.size(); i++) {
+            KeyClass each = spell.classes.get(i);
+            if (which.test(each)) {
                 double off = spell.misses[i] - slope * each.count();
                 double counted = spell.slopes[i] - rate;
                 variance += each.keys() * ((1 - popularity.share()) * off * off + each.count() * counted * counted);
@@ -298,7 +315,7 @@
     private HitRate mixed(double[] means, double[] errors) {
         double mean = 0;
         for (int i = 0; i < means.length; i++) {
-            mean += memory.points().get(i).weight() * means[i];
+            mean += points.get(i).weight() * means[i];
         }
         double low = quantile(means, errors, 0.05);
         double high = quantile(means, errors, 0.95);
@@ -312,7 +329,7 @@
             double mid = (low + high) / 2;
             double below = 0;
             for (int i = 0; i < means.length; i++) {
-                below += memory.points().get(i).weight() * NORMAL.cumulativeProbability((mid - means[i]) / errors[i]);
+                below += points.get(i).weight() * NORMAL.cumulativeProbability((mid - means[i]) / errors[i]);
             }
             if (below < share) {
                 low = mid;
--- a/forecast/src/main/java/peppergauge/forecast/hits/Spell.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Spell.java
@@ -21,7 +21,7 @@
     private static final int HALVINGS = 16;
 
     private final Course course;
-    private final List<KeyClass> classes;
+    final List<KeyClass> classes;
     private final double spanMs;
     private final double sampled;
     private final double whole;
@@ -34,16 +34,13 @@
     /** By group: sums of one server's squared sessions of a key, and of the same times the missed share and its square. */
     final double[][] groupSquares;
 
-    /**
-     * @param sampled share of keys
-     * @param whole sampled sessions
-     */
-    Spell(Course course, List<KeyClass> classes, double spanMs, double sampled, double whole) {
+    /** @param sampled share of keys */
+    Spell(Course course, List<KeyClass> classes, double spanMs, double sampled) {
         this.course = course;
         this.classes = classes;
         this.spanMs = spanMs;
         this.sampled = sampled;
-        this.whole = whole;
+        whole = classes.stream().mapToDouble(each -> each.keys() * each.count()).sum();
         misses = new double[classes.size()];
         slopes = new double[classes.size()];
         int stations = classes.stream().mapToInt(KeyClass::station).max().orElse(0) + 1;
--- a/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimator.java
+++ b/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimator.java
@@ -33,6 +33,8 @@
     private static final double LEAST_KEYS = 4;
     /** Points that stand for all that may be. */
     private static final int POINTS = 15;
+    /** Answers tell as if there were fewer by this: the curve fitted is not quite that of real memories. */
+    private static final double TEMPER = 1.5;
     /** Fewer answers than this tell nothing. */
     private static final long LEAST_ANSWERS = 50;
     /** Regressors: the unsaved work, what a hit saves of it, far answers' level and its slope. */
@@ -180,7 +182,7 @@
             LeastSquares line = line(kind, lifeMs, keys);
             squares += line.left(line.solve()[0]);
         }
-        return -squares / (2 * variance);
+        return -squares / (2 * TEMPER * variance);
     }
 
     private LeastSquares line(int kind, double lifeMs, double keys) {
--- a/lab/src/test/java/peppergauge/lab/emulator/KeyTruth.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/KeyTruth.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
 import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
@@ -69,12 +70,14 @@
     private final Map<Double, ServiceTimes> times = new TreeMap<>();
     private KeyMerge merge = new KeyMerge(240_000, 900_000);
     private final long threshold;
+    private final int[] stations;
 
     KeyTruth(KeyWorld world) {
         this.world = world;
         luck = new Streams(world.seed()).of("sessions");
         noise = new Streams(world.seed()).of("noise");
         threshold = KeySampler.threshold(world.keySampling());
+        stations = IntStream.rangeClosed(1, world.keys()).map(KeyTruth::station).toArray();
         for (int i = 0; i < world.placement().sidecars().size(); i++) {
             samplers.add(new KeySampler(TABLE, world.keySampling()));
             lastSent.add(new HashMap<>());
@@ -111,9 +114,14 @@
         }
     }
 
+    /** Six stations of unlike size, six parts to one. */
+    private static int station(int key) {
+        int drawn = Math.floorMod(new Streams(key).number("station"), 21);
+        return drawn < 6 ? 0 : drawn < 11 ? 1 : drawn < 15 ? 2 : drawn < 18 ? 3 : drawn < 20 ? 4 : 5;
+    }
+
     private void session(KeyPlacer placer, int sidecar, int key, double ms) {
-        int station = Math.floorMod(new Streams(key).number("station"), 21);
-        station = station < 6 ? 0 : station < 11 ? 1 : station < 15 ? 2 : station < 18 ? 3 : station < 20 ? 4 : 5;
+        int station = stations[key - 1];
         Server server = placer.place(sidecar, station, key, ms);
         boolean hit = memories.computeIfAbsent(server.id(), id -> new KeyMemory(world.memory()))
                 .meet(key, VirtualTime.ticks(ms)) < 1;
