--- a/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
@@ -163,9 +163,19 @@
         for (Point point : points) {
             Spell spell = new Spell(course, populations.get(spells.size() % populations.size()), popularity.spanMs(),
                     popularity.share());
+            double settledMs = course.fromMs[course.fromMs.length - 1] + point.lifeMs();
+            int settled = 0;
             for (int i = 0; i < moments; i++) {
                 double atMs = moments == 1 ? fromMs : SOON_MS * (i + 0.5) / moments;
-                spell.add(atMs, point.lifeMs(), point.keys(), 1.0 / moments);
+                if (atMs >= settledMs) {
+                    settled++;
+                } else {
+                    spell.add(atMs, point.lifeMs(), point.keys(), 1.0 / moments);
+                }
+            }
+            if (settled > 0) {
+                // Nothing from before the last step is remembered: all such moments are alike.
+                spell.add(STEADY_MS, point.lifeMs(), point.keys(), (double) settled / moments);
             }
             spells.add(spell);
         }
--- a/forecast/src/main/java/peppergauge/forecast/hits/Spell.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Spell.java
@@ -18,7 +18,7 @@
  */
 final class Spell {
 
-    private static final int HALVINGS = 16;
+    private static final int HALVINGS = 11;
 
     private final Course course;
     final List<KeyClass> classes;
--- a/lab/src/test/java/peppergauge/lab/emulator/ForecastTrial.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/ForecastTrial.java
@@ -1,7 +1,6 @@
 package peppergauge.lab.emulator;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -14,6 +13,7 @@
 import peppergauge.forecast.hits.HitRates;
 import peppergauge.forecast.memory.MemoryEstimate;
 import peppergauge.forecast.popularity.Popularity;
+import peppergauge.forecast.sample.KeySampler;
 
 /**
  * Forecasts of drawn changes in drawn worlds, held against what the emulator's key memories then do. By hand, with
@@ -85,6 +85,10 @@
     }
 
     public static void main(String[] args) {
+        if (args[0].equals("sampler")) {
+            sampler();
+            return;
+        }
         long from = Long.parseLong(args[0]);
         int count = Integer.parseInt(args[1]);
         List<ForecastTrial> trials = LongStream.range(from, from + count).parallel().mapToObj(seed ->
@@ -95,6 +99,30 @@
         summary(trials);
     }
 
+    /** What a call of the sampler costs, and what a full one takes. */
+    private static void sampler() {
+        String[] keys = IntStream.range(0, 100_000).mapToObj(i -> "account-" + i % 977 + "/episode-" + i)
+                .toArray(String[]::new);
+        Runtime runtime = Runtime.getRuntime();
+        for (double share : new double[] {1, 0.01}) {
+            System.gc();
+            long before = runtime.totalMemory() - runtime.freeMemory();
+            KeySampler sampler = new KeySampler(32_768, share);
+            long nanos = 0;
+            for (int round = 0; round < 60; round++) {
+                long began = System.nanoTime();
+                for (int i = 0; i < keys.length; i++) {
+                    sampler.seen(keys[i], KeyWorld.STATIONS.get(i % 6), round * 1_000L + i / 100);
+                }
+                nanos = System.nanoTime() - began;
+            }
+            System.gc();
+            long bytes = runtime.totalMemory() - runtime.freeMemory() - before;
+            System.out.printf("sampled at most %.2f: %.0f ns a call, %d bytes (reckoned %d), %d keys of 100,000%n", share,
+                    (double) nanos / keys.length, bytes, KeySampler.bytes(32_768), sampler.report().keys().size());
+        }
+    }
+
     private static KeyWorld world(long seed, String which) {
         return which.equals("many") || which.equals("few") ? KeyWorld.draw(seed, which.equals("many"))
                 : KeyWorld.draw(seed, false).sampled(Double.parseDouble(which));
@@ -140,11 +168,10 @@
                     steady[2] / (steady[0] + steady[1]), steady[0] / (steady[0] + steady[1]), steady[0] + steady[1],
                     soon[2] / (soon[0] + soon[1]), soon[0] / (soon[0] + soon[1]), soon[0] + soon[1]);
         }
-        System.out.printf("half width steady %.4f soon %.4f; sampled keys %s%n",
+        System.out.printf("half width steady %.4f soon %.4f; sampled keys in the median %d%n",
                 mean(trials, t -> (t.said.steady().fleet().high() - t.said.steady().fleet().low()) / 2),
                 mean(trials, t -> (t.said.soon().fleet().high() - t.said.soon().fleet().low()) / 2),
-                Arrays.toString(trials.stream().mapToInt(t -> t.truth.popularity.keys().size()).sorted()
-                        .filter(i -> true).boxed().skip(trials.size() / 2).limit(1).mapToInt(i -> i).toArray()));
+                trials.stream().map(t -> t.truth.popularity.keys().size()).sorted().toList().get(trials.size() / 2));
         System.out.printf("saving off %.4f%n", mean(trials, t -> Math.abs(t.truth.estimate.saving()
                 - t.world.memory().memorySaving())));
     }
