--- /dev/null
+++ b/forecast/src/main/java/peppergauge/forecast/answers/package-info.java
@@ -0,0 +1,2 @@
+/** Reports in, forecasts out: what the fleet service asks. */
+package peppergauge.forecast.answers;
--- a/forecast/src/main/java/peppergauge/forecast/popularity/KeyMerge.java
+++ b/forecast/src/main/java/peppergauge/forecast/popularity/KeyMerge.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import peppergauge.forecast.KeyReport;
 import peppergauge.forecast.popularity.Popularity.KeyCount;
 import peppergauge.forecast.sample.KeySampler;
@@ -112,6 +113,11 @@
                 : Optional.of(new Popularity(KeySampler.share(lowest), Math.round(sessions), spanMs, keys));
     }
 
+    /** Those whose reports count. */
+    public Set<String> daemons() {
+        return Set.copyOf(sources.keySet());
+    }
+
     private record Named(long hash, String station) { }
 
     private static double spanMs(Source source) {
--- a/forecast/src/test/java/peppergauge/forecast/KeySamplerTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/KeySamplerTest.java
@@ -82,6 +82,16 @@
         assertEquals(sampler.report().sessions(), 7);
     }
 
+    @Test
+    public void oneKeyOfManyStationsIsAsManyEntries() {
+        KeySampler sampler = new KeySampler(512);
+        for (int i = 0; i < 1_200; i++) {
+            sampler.seen("k" + i % 4, "s" + i % 300, i);
+        }
+        assertEquals(sampler.report().keys().stream().map(key -> key.hash() + key.station()).distinct().count(), 300);
+        assertTrue(sampler.report().keys().stream().allMatch(key -> key.count() == 4));
+    }
+
     @Test
     public void aTableForManyKeysStaysWithinFourMegabytes() {
         assertTrue(KeySampler.bytes(32_768) <= 4 << 20);
