--- a/forecast/src/main/java/peppergauge/forecast/hits/Course.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Course.java
@@ -1,6 +1,7 @@
 package peppergauge.forecast.hits;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,10 +18,9 @@
      * Servers with alike parts.
      *
      * @param count of them; a fraction where a part of them has more luck
-     * @param bornMs when they came, with empty memories
      * @param parts by station, then by step: of the station's sessions at one of them
      */
-    record Group(List<String> ids, double count, double bornMs, double[][] parts) { }
+    record Group(List<String> ids, double count, double[][] parts) { }
 
     /** Beginnings of the steps, ms; the first is long ago, the second 0. */
     final double[] fromMs;
@@ -42,26 +42,23 @@
 
     private void collect(List<String> stations) {
         Map<String, double[][]> parts = new LinkedHashMap<>();
-        Map<String, Double> born = new LinkedHashMap<>();
         for (int step = 0; step < fromMs.length; step++) {
             for (int station = 0; station < stations.size(); station++) {
                 double[] shares = placements.get(step).shares(stations.get(station));
                 int at = 0;
                 for (Server server : placements.get(step).servers()) {
-                    born.putIfAbsent(server.id(), fromMs[step]);
                     parts.computeIfAbsent(server.id(), id -> new double[stations.size()][fromMs.length])
                             [station][step] = shares[at++];
                 }
             }
         }
         Map<String, List<String>> alike = new LinkedHashMap<>();
-        parts.forEach((id, own) -> alike.computeIfAbsent(java.util.Arrays.deepToString(own) + born.get(id),
-                any -> new ArrayList<>()).add(id));
-        alike.values().forEach(ids -> spread(ids, born.get(ids.get(0)), parts.get(ids.get(0))));
+        parts.forEach((id, own) -> alike.computeIfAbsent(Arrays.deepToString(own), any -> new ArrayList<>()).add(id));
+        alike.values().forEach(ids -> spread(ids, parts.get(ids.get(0))));
     }
 
     /** Servers of which sidecars' choice of members makes more or less. */
-    private void spread(List<String> ids, double bornMs, double[][] parts) {
+    private void spread(List<String> ids, double[][] parts) {
         List<double[]> luck = placements.stream().map(Placement::luck).toList();
         int values = luck.stream().mapToInt(each -> each.length).max().orElse(1);
         for (int value = 0; value < values; value++) {
@@ -72,7 +69,7 @@
                     own[station][step] *= luck.get(step)[Math.min(value, luck.get(step).length - 1)];
                 }
             }
-            groups.add(new Group(ids, (double) ids.size() / values, bornMs, own));
+            groups.add(new Group(ids, (double) ids.size() / values, own));
         }
     }
 
--- a/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
@@ -30,9 +30,11 @@
     /** Long after any change. */
     private static final double STEADY_MS = 1e9;
     /** By how much the model itself was off on worlds that served for nothing else, standard deviation. */
-    private static final double MODEL_ERROR = 0.009;
+    private static final double MODEL_ERROR = 0.007;
     /** And while memories are cold. */
-    private static final double COLD_MODEL_ERROR = 0.009;
+    private static final double COLD_MODEL_ERROR = 0.008;
+    /** And more where servers' loads are bounded: which sessions spill is reckoned from means alone. */
+    private static final double BOUND_ERROR = 0.012;
     /** Where more keys are sampled than this share, the popular ones among them stand for themselves. */
     private static final double MOST_SAMPLED = 0.5;
     private static final NormalDistribution NORMAL = NormalDistribution.of(0, 1);
@@ -146,7 +148,8 @@
     private HitRates rates(List<Step> steps, double fromMs, int moments) {
         Course course = new Course(placement, steps, stations, popularity);
         List<Spell> spells = spells(course, fromMs, moments);
-        double modelError = moments == 1 ? MODEL_ERROR : COLD_MODEL_ERROR;
+        double modelError = (moments == 1 ? MODEL_ERROR : COLD_MODEL_ERROR)
+                + (course.placements.stream().anyMatch(Forecaster::bounded) ? BOUND_ERROR : 0);
         Map<String, HitRate> ofStations = new HashMap<>();
         for (int station = 0; station < stations.size(); station++) {
             int only = station;
@@ -158,6 +161,10 @@
                 course.placements.get(course.placements.size() - 1));
     }
 
+    private static boolean bounded(Placement placement) {
+        return placement.rule() instanceof Placement.Rendezvous rule && rule.bound() > 1;
+    }
+
     private List<Spell> spells(Course course, double fromMs, int moments) {
         List<Spell> spells = new ArrayList<>();
         for (Point point : points) {
--- a/forecast/src/main/java/peppergauge/forecast/hits/Spell.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Spell.java
@@ -9,8 +9,8 @@
  * long, has a reach: the time since when its server met as many other keys (Che, Tung and Wang, JSAC 2002; why that
  * holds: Fricker, Robert and Roberts, ITC 2012), or the life of a key if that is shorter (caches by time to live:
  * Fofack, Nain, Neglia and Towsley, VALUETOOLS 2012). A session hits if its key came there within the reach. After a
- * change the reach is looked for over the sessions that really went there, by old and new placement, and never further
- * back than the server's start.
+ * change the reach is looked for over the sessions that really went there, by old and new placement; none did before a
+ * server's start.
  *
  * <p>Counts are taken as Poisson: a key that came n times in the span, each time with chance x into the part looked
  * at, counts n (1 - x)^(n - 1) misses. That is free of bias where the exponential of an estimated rate is not (Good
@@ -60,7 +60,7 @@
     }
 
     private double reachMs(Group group, double atMs, double lifeMs, double keys) {
-        double high = Math.min(lifeMs, atMs - group.bornMs());
+        double high = lifeMs;
         if (met(group, atMs, high) <= keys) {
             return lifeMs;
         }
@@ -157,10 +157,9 @@
 
     /** Chance of one of the span's sessions with a key to come to a server in so many ms up to a moment. */
     private double came(Group group, KeyClass each, Chances chances, int i, double atMs, double ms) {
-        double since = Math.max(group.bornMs(), atMs - ms);
         double sum = 0;
         for (int step = 0; step < course.fromMs.length; step++) {
-            double from = Math.max(since, course.fromMs[step]);
+            double from = Math.max(atMs - ms, course.fromMs[step]);
             double to = step + 1 < course.fromMs.length ? Math.min(atMs, course.fromMs[step + 1]) : atMs;
             if (to > from) {
                 sum += (to - from) * part(group, each, chances, i, step);
--- a/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimator.java
+++ b/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimator.java
@@ -34,7 +34,10 @@
     /** Points that stand for all that may be. */
     private static final int POINTS = 15;
     /** Answers tell as if there were fewer by this: the curve fitted is not quite that of real memories. */
-    private static final double TEMPER = 1.5;
+    private static final double TEMPER = 1.2;
+    /** A memory that saves less than this of the work, or all but this, is the less likely by e to this power. */
+    private static final double LEAST_SAVING = 0.1;
+    private static final double UNLIKELY = 6;
     /** Fewer answers than this tell nothing. */
     private static final long LEAST_ANSWERS = 50;
     /** Regressors: the unsaved work, what a hit saves of it, far answers' level and its slope. */
@@ -178,9 +181,12 @@
 
     private double fit(double lifeMs, double keys) {
         double squares = 0;
+        double unlikely = 2 * TEMPER * variance * UNLIKELY;
         for (int kind = 0; kind < kinds.size(); kind++) {
             LeastSquares line = line(kind, lifeMs, keys);
-            squares += line.left(line.solve()[0]);
+            double[] factors = line.solve()[0];
+            double saving = -factors[1] / Math.max(1e-6, factors[0]);
+            squares += line.left(factors) + (saving < LEAST_SAVING || saving > 1 - LEAST_SAVING ? unlikely : 0);
         }
         return -squares / (2 * TEMPER * variance);
     }
--- a/forecast/src/test/java/peppergauge/forecast/ForecasterTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/ForecasterTest.java
@@ -136,6 +136,9 @@
         HitRate unsure = new Forecaster(new Popularity(1, sessions, SPAN_MS, some), new MemoryEstimate(List.of(
                 new MemoryEstimate.Point(2_500, 1e9, 0.5), new MemoryEstimate.Point(10_000, 1e9, 0.5)), 0.4, 0.1),
                 placement).now().fleet();
+        HitRate partly = new Forecaster(new Popularity(0.6, Math.round(sessions / 0.6), SPAN_MS, some),
+                MemoryEstimate.told(5_000, keys, 0.4), placement).now().fleet();
+        assertTrue(partly.high() - partly.low() > 1.02 * (sure.high() - sure.low()), partly + " " + sure);
         assertTrue(sampled.high() - sampled.low() >= sure.high() - sure.low());
         assertTrue(unsure.high() - unsure.low() > sure.high() - sure.low());
     }
