--- a/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
@@ -139,7 +139,8 @@
         double factor = inside == 0 || outside == 0 ? 1 : held / (1 - held) * outside / inside;
         Map<String, Map<String, Double>> steering = new HashMap<>(placement.steering());
         steering.put(station, Map.of(zone, factor));
-        return new Placement(placement.servers(), placement.rule(), placement.members(), placement.sidecars(), steering);
+        return new Placement(placement.servers(), placement.rule(), placement.members(), placement.sidecars(),
+                steering);
     }
 
     // ---- Means and intervals ----
--- a/forecast/src/main/java/peppergauge/forecast/hits/Spell.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Spell.java
@@ -31,7 +31,7 @@
     /** By group, then by station. */
     final double[][] groupMisses;
     final double[][] groupSessions;
-    /** By group: sums of one server's squared sessions of a key, and of the same times the missed share and its square. */
+    /** By group: sums of a server's squared sessions with a key, of these times the missed share, and its square. */
     final double[][] groupSquares;
 
     /** @param sampled share of keys */
