--- a/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimator.java
+++ b/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimator.java
@@ -250,7 +250,7 @@
         return points;
     }
 
-    /** Share of the work saved, with its standard error: how deep the fitted curve falls. */
+    /** Share of the work saved, and its standard error (1 if only a least one is known): how far the curve falls. */
     private double[] saving(Cell best) {
         double sum = 0;
         double weights = 0;
@@ -263,6 +263,19 @@
                 weights += 1 / (error * error);
             }
         }
-        return weights == 0 ? new double[] {0, 1} : new double[] {sum / weights, Math.sqrt(1 / weights)};
+        return weights == 0 ? new double[] {leastSaving(best), 1}
+                : new double[] {sum / weights, Math.sqrt(1 / weights)};
+    }
+
+    /** Where each key's gap is known, unsaved work is never seen for sure: far answers may be hits of others' sends. */
+    private double leastSaving(Cell best) {
+        double least = 0;
+        for (int kind = 0; kind < kinds.size(); kind++) {
+            double[] found = line(kind, best.lifeMs(), best.keys()).solve()[0];
+            if (found[2] > 1e-6) {
+                least = Math.max(least, Math.min(1, 1 - (found[0] + found[1]) / found[2]));
+            }
+        }
+        return least;
     }
 }
--- a/forecast/src/test/java/peppergauge/forecast/ForecasterTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/ForecasterTest.java
@@ -123,6 +123,21 @@
         assertEquals(forecaster.extraWork("unknown", "x", 0.1, 0.5), 0.0);
     }
 
+    @Test
+    public void popularKeysThatWereNotSampledAreReckonedWithTheSumThatIsKnown() {
+        List<KeyCount> all = IntStream.rangeClosed(1, 20_000).mapToObj(i -> new KeyCount(i, i % 3 == 0 ? "a" : "b",
+                Math.round(100_000 * Math.pow(i, -0.8)))).toList();
+        List<KeyCount> some = all.stream().filter(key -> key.hash() % 100 == 50).toList();
+        long sessions = all.stream().mapToLong(KeyCount::count).sum();
+        MemoryEstimate memory = MemoryEstimate.told(5_000, 2_000, 0.4);
+        Placement placement = placement(10, new Draws());
+        HitRate whole = new Forecaster(new Popularity(1, sessions, SPAN_MS, all), memory, placement).now().fleet();
+        HitRate sampled = new Forecaster(new Popularity(0.01, sessions, SPAN_MS, some), memory, placement).now()
+                .fleet();
+        assertEquals(sampled.mean(), whole.mean(), 0.02);
+        assertTrue(sampled.holds(whole.mean()), sampled + " " + whole);
+    }
+
     @Property(tries = 40, seed = "12")
     void rarerSamplesAndUnsureMemoriesWidenTheInterval(@ForAll @IntRange(min = 3, max = 60) int servers,
             @ForAll @DoubleRange(min = 10, max = 200) double keys) {
