--- a/lab/src/test/java/peppergauge/lab/emulator/ForecastTrial.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/ForecastTrial.java
@@ -119,8 +119,9 @@
             }
             System.gc();
             long bytes = runtime.totalMemory() - runtime.freeMemory() - before;
-            System.out.printf("sampled at most %.2f: %.0f ns a call, %d bytes (reckoned %d), %d keys of 100,000%n",
             System.out.printf("sampled at most %.2f: %.0f ns a call, %d bytes (reckoned %d), %d of 100,000 keys%n",
+                    share, (double) nanos / keys.length, bytes, KeySampler.bytes(32_768),
+                    sampler.report().keys().size());
         }
     }
 
