--- a/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
@@ -32,7 +32,7 @@
     /** By how much the model itself was off on worlds that served for nothing else, standard deviation. */
     private static final double MODEL_ERROR = 0.007;
     /** And while memories are cold. */
-    private static final double COLD_MODEL_ERROR = 0.008;
+    private static final double COLD_MODEL_ERROR = 0.006;
     /** And more where servers' loads are bounded: which sessions spill is reckoned from means alone. */
     private static final double BOUND_ERROR = 0.012;
     /** Where more keys are sampled than this share, the popular ones among them stand for themselves. */
