--- a/forecast/src/main/java/peppergauge/forecast/hits/KeyClass.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/KeyClass.java
@@ -58,7 +58,7 @@
         int head = head(popularity);
         List<KeyCount> rest = order.subList(Math.min(order.size(), head), order.size());
         double restSessions = rest.stream().mapToLong(KeyCount::count).sum() / popularity.share();
-        double ranks = Math.max(1, head / popularity.share() * (1 + off));
+        double ranks = Math.max(1, (head + 0.5) / popularity.share() * (1 + off));
         double sessions = popularity.sessions() - restSessions;
         double edge = rest.isEmpty() ? sessions / ranks : Math.sqrt((double) order.get(head - 1).count()
                 * rest.get(0).count());
--- a/forecast/src/test/java/peppergauge/forecast/KeySamplerTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/KeySamplerTest.java
@@ -84,11 +84,11 @@
 
     @Test
     public void oneKeyOfManyStationsIsAsManyEntries() {
-        KeySampler sampler = new KeySampler(512);
-        for (int i = 0; i < 4 * 512; i++) {
-            sampler.seen("k" + i % 4, "s" + i / 4 % 128, i);
+        KeySampler sampler = new KeySampler(4_095);
+        for (int i = 0; i < 4 * 4_000; i++) {
+            sampler.seen("k" + i % 10, "s" + i / 10 % 400, i);
         }
-        assertEquals(sampler.report().keys().stream().map(key -> key.hash() + key.station()).distinct().count(), 512);
+        assertEquals(sampler.report().keys().stream().map(key -> key.hash() + key.station()).distinct().count(), 4_000);
         assertTrue(sampler.report().keys().stream().allMatch(key -> key.count() == 4));
     }
 
--- a/lab/src/test/java/peppergauge/lab/emulator/KeyTruth.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/KeyTruth.java
@@ -127,7 +127,7 @@
                 .meet(key, VirtualTime.ticks(ms)) < 1;
         String name = KeyWorld.STATIONS.get(station);
         if (ms < CHANGE_MS) {
-            String told = "key-" + key;
+            String told = name(key);
             samplers.get(sidecar).seen(told, name, (long) ms);
             mixes.get(sidecar).merge(name, 1.0, Double::sum);
             if (Long.compareUnsigned(KeySampler.hash(told), threshold) < 0) {
@@ -144,13 +144,18 @@
         }
     }
 
+    /** Of its own in each world, so that each world is another sample. */
+    private String name(int key) {
+        return "world-" + world.seed() + "/key-" + key;
+    }
+
     /** What the sidecar sees of it: how long the server took, and when it last sent that key there. */
     private void answered(int sidecar, int key, Server server, boolean hit, double ms) {
         Double last = lastSent.get(sidecar).put((long) key << 20 | Integer.parseInt(server.id().substring(1)), ms);
         if (ms > FIRST_REPORT_MS) {
             double relative = Streams.spread(noise, hit ? 1 - world.memory().memorySaving() : 1, world.spread());
             times.computeIfAbsent(server.weight(), any -> new ServiceTimes(TABLE)).answered(
-                    KeySampler.hash("key-" + key), last == null ? Double.POSITIVE_INFINITY : ms - last, relative);
+                    KeySampler.hash(name(key)), last == null ? Double.POSITIVE_INFINITY : ms - last, relative);
         }
     }
 
