--- a/forecast/src/main/java/peppergauge/forecast/sample/KeySampler.java
+++ b/forecast/src/main/java/peppergauge/forecast/sample/KeySampler.java
@@ -118,10 +118,10 @@
         lastMs[entry] = nowMs;
     }
 
-    /** Where this key of this station stands, or where it would. */
+    /** Where this key of this station stands, or where it would; few keys are of more than one station. */
     private int place(long hash, int station) {
         int mask = index.length - 1;
-        int at = (int) (hash ^ hash >>> 32) + station * 0x9E3779B9 & mask;
+        int at = (int) (hash ^ hash >>> 32) & mask;
         while (index[at] != 0 && (hashes[index[at] - 1] != hash || stations[index[at] - 1] != station)) {
             at = at + 1 & mask;
         }
