--- a/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
@@ -60,7 +60,7 @@
             populations.add(KeyClass.of(popularity, stations));
             points.addAll(memory.points());
         } else {
-            double off = Math.min(0.6, Math.sqrt(1.5 / KeyClass.head(popularity)));
+            double off = Math.min(0.6, Math.sqrt(0.75 / KeyClass.head(popularity)));
             for (double each : new double[] {-off, 0, off}) {
                 populations.add(KeyClass.withHead(popularity, stations, each));
             }
@@ -251,6 +251,10 @@
                 squares += each.keys() * each.count() * each.count();
             }
         }
+        if (sessions <= 0) {
+            // None of its keys is left beside the curve: nothing is known of it.
+            return new double[] {0.5, 1};
+        }
         double all = total ? popularity.sessions() * popularity.share() : sessions;
         double slope = total ? cross / squares : missed / sessions;
         double rate = Math.max(0, Math.min(1, (missed + slope * (all - sessions)) / all));
--- a/forecast/src/main/java/peppergauge/forecast/hits/KeyClass.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/KeyClass.java
@@ -60,8 +60,7 @@
         double restSessions = rest.stream().mapToLong(KeyCount::count).sum() / popularity.share();
         double ranks = Math.max(1, (head + 0.5) / popularity.share() * (1 + off));
         double sessions = popularity.sessions() - restSessions;
-        double edge = rest.isEmpty() ? sessions / ranks : Math.sqrt((double) order.get(head - 1).count()
-                * rest.get(0).count());
+        double edge = rest.isEmpty() ? sessions / ranks : edge(order, head);
         List<KeyClass> classes = grouped(rest, stations);
         if (sessions > 0) {
             double[] parts = parts(popularity, stations);
@@ -74,6 +73,25 @@
         return classes;
     }
 
+    /** Sessions of a key between the last that gives way and the next, on a line through the sampled ones around. */
+    private static double edge(List<KeyCount> order, int head) {
+        int last = Math.min(order.size(), 4 * head);
+        double[] sums = new double[4];
+        int first = Math.max(1, head / 4);
+        for (int rank = first; rank <= last; rank++) {
+            double x = Math.log((rank - 0.5) / head);
+            double y = Math.log(order.get(rank - 1).count());
+            sums[0] += x;
+            sums[1] += y;
+            sums[2] += x * x;
+            sums[3] += x * y;
+        }
+        int count = last - first + 1;
+        double spread = sums[2] - sums[0] * sums[0] / count;
+        double slope = spread > 0 ? (sums[3] - sums[0] * sums[1] / count) / spread : 0;
+        return Math.exp(sums[1] / count - slope * sums[0] / count);
+    }
+
     private static double[] parts(Popularity popularity, List<String> stations) {
         double[] parts = new double[stations.size()];
         popularity.keys().forEach(key -> parts[stations.indexOf(key.station())] += 1.0 / popularity.keys().size());
--- a/forecast/src/test/java/peppergauge/forecast/ForecasterTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/ForecasterTest.java
@@ -138,6 +138,16 @@
         assertTrue(sampled.holds(whole.mean()), sampled + " " + whole);
     }
 
+    @Test
+    public void nothingIsSaidOfAStationWhoseSampledKeysAllGaveWay() {
+        // The sampled ones happen to be the popular ones: what they stand for is more than all sessions.
+        List<KeyCount> some = List.of(new KeyCount(1, "b", 500), new KeyCount(2, "a", 400), new KeyCount(3, "a", 400),
+                new KeyCount(4, "a", 400));
+        Forecaster forecaster = new Forecaster(new Popularity(0.1, 2_000, SPAN_MS, some),
+                MemoryEstimate.told(5_000, 100, 0.4), placement(10, new Draws()));
+        assertEquals(forecaster.now().stations().get("b"), HitRate.UNKNOWN);
+    }
+
     @Property(tries = 40, seed = "12")
     void rarerSamplesAndUnsureMemoriesWidenTheInterval(@ForAll @IntRange(min = 3, max = 60) int servers,
             @ForAll @DoubleRange(min = 10, max = 200) double keys) {
