--- a/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
@@ -29,7 +29,7 @@
     private static final int MOMENTS = 20;
     /** Long after any change. */
     private static final double STEADY_MS = 1e9;
-    /** By how much the model itself was off on worlds that served for nothing else, standard deviation. */
+    /** By how much the model itself was off on drawn worlds, standard deviation. */
     private static final double MODEL_ERROR = 0.007;
     /** And while memories are cold. */
     private static final double COLD_MODEL_ERROR = 0.006;
