Let the emulator's discovery answer a bounded number of calls; drop the pace of greeting

Need: cold starts of 300 to 3,000 sidecars before and after, with calls that wait in turn at discovery and time out.

Each session opens one connection at most, so the peak is what is asked.

--- a/daemon/src/main/java/peppergauge/daemon/start/StartSection.java
+++ b/daemon/src/main/java/peppergauge/daemon/start/StartSection.java
@@ -1,7 +1,6 @@
 package peppergauge.daemon.start;
 
 import java.time.Duration;
-import peppergauge.coldstart.Greeting;
 import peppergauge.coldstart.Readiness;
 import peppergauge.coldstart.SpreadPace;
 import peppergauge.operator.Key;
@@ -12,7 +11,7 @@
 import peppergauge.operator.Types;
 import peppergauge.operator.Values;
 
-/** {@code [start]}: how a sidecar starts beside hundreds that share its discovery and its backend servers. */
+/** {@code [start]}: how a sidecar starts beside hundreds that share its discovery. */
 public final class StartSection implements Section {
 
     private static final Key<Double> CALLS = Key.preset("discovery-calls", Types.number(0.1, 100_000), "50",
@@ -31,20 +30,10 @@
             "How long a sidecar that knows servers waits for news before it is ready by what it knows.");
     private static final Key<Duration> LONGEST = Key.preset("longest", ms(0, 25_000), "\"20 s\"",
             "How long one that knows none waits before it is ready all the same, and denies.");
-    private static final Key<Double> HANDSHAKES = Key.preset("handshakes", Types.number(1, 1_000_000), "1000",
-            "New connections a second that all sidecars together open to backend servers while they start, as a mean.");
-    private static final Key<Long> FREE = Key.preset("free", Types.wholeNumber(1, 1_000), "4",
-            "New connections of this sidecar before that pace holds.");
-    private static final Key<Duration> HOLD = Key.preset("hold", ms(0, 500), "\"50 ms\"",
-            "The longest that a session waits for its new connection's turn.");
-    private static final Key<Duration> LENGTH = Key.preset("length", ms(0, 600_000), "\"10 s\"",
-            "How long after the start that pace holds.");
 
     /** Without it a sidecar starts as the platform's does. */
     public static final Table TABLE = Table.optional("start", "How this sidecar starts beside others that share its "
-            + "discovery and its backend servers; what it says of the whole is shared out by the settings' number of "
-            + "sidecars.", CALLS, SPREAD, ANSWER, LONGEST_ANSWER, LONGEST_PAUSE, SILENCE, PATIENCE, LONGEST, HANDSHAKES,
-            FREE, HOLD, LENGTH);
+            + "discovery; what it says of all of them is shared out by the number of sidecars in the settings.", CALLS, SPREAD, ANSWER, LONGEST_ANSWER, LONGEST_PAUSE, SILENCE, PATIENCE, LONGEST);
 
     private static Type<Duration> ms(long least, long most) {
         return Types.duration(Duration.ofMillis(least), Duration.ofMillis(most));
@@ -81,10 +70,4 @@
     public static Readiness readiness(Values table) {
         return new Readiness(ms(table, PATIENCE), ms(table, LONGEST));
     }
-
-    /** The pace of new connections to backend servers. */
-    public static Greeting.Settings greeting(Values table) {
-        return new Greeting.Settings(table.get(HANDSHAKES), (int) (long) table.get(FREE), ms(table, HOLD),
-                ms(table, LENGTH));
-    }
 }
--- a/lab/src/main/java/peppergauge/lab/emulator/BackendServer.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/BackendServer.java
@@ -226,6 +226,7 @@
 
     private void fallOver(Job last) {
         boolean knowingly = budget.knowingly();
+        world.meters.felled();
         die();
         last.attempt.answer(this, Outcome.BROKEN);
         world.discovery.changed(this, true);
--- a/lab/src/main/java/peppergauge/lab/emulator/Emulator.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Emulator.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.DoubleConsumer;
 import peppergauge.lab.result.RunResult;
 import peppergauge.lab.scenario.Discovery;
@@ -57,6 +58,14 @@
         return new Emulator(name, scenario, sabotage).run();
     }
 
+    /** As {@link #run}, and shows what the result does not hold. */
+    static RunResult run(String name, Scenario scenario, Consumer<World> look) {
+        Emulator emulator = new Emulator(name, scenario, Sabotage.NONE);
+        RunResult result = emulator.run();
+        look.accept(emulator.world);
+        return result;
+    }
+
     private RunResult run() {
         Scenario scenario = world.scenario;
         double lengthMs = Scenario.ms(scenario.run().length());
--- a/lab/src/main/java/peppergauge/lab/emulator/Meters.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Meters.java
@@ -33,6 +33,7 @@
     private long tries;
     private long connections;
     private long probes;
+    private int felled;
     private double workMs;
     private double wastedMs;
 
@@ -46,6 +47,7 @@
         private int further;
         private int denied;
         private int failed;
+        private int connections;
         private double p50Ms;
         private double p99Ms;
     }
@@ -172,6 +174,7 @@
 
     void connected() {
         connections++;
+        now().connections++;
     }
 
     void probed() {
@@ -184,6 +187,20 @@
         wastedMs += wasted ? standardMs : 0;
     }
 
+    /** A cold server was pushed over, by whomever. */
+    void felled() {
+        felled++;
+    }
+
+    int felledServers() {
+        return felled;
+    }
+
+    /** Connections opened to backend servers in the second in which most were. */
+    int mostConnectionsASecond() {
+        return seconds.stream().mapToInt(counts -> counts.connections).max().orElse(0);
+    }
+
     Totals totals() {
         return new Totals(Arrays.stream(asked).sum(), Arrays.stream(worthAsked).sum(), Arrays.stream(worth).sum(),
                 inTime, late, lost, tries, sum(counts -> counts.attempts), sum(counts -> counts.denied),
--- a/lab/src/main/java/peppergauge/lab/emulator/PlatformDiscovery.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/PlatformDiscovery.java
@@ -25,6 +25,8 @@
     private final double silentMs;
     private final Map<String, ServerTable.Row> list = new LinkedHashMap<>();
     private final long[] deliveredUntil;
+    /** Null where any number of calls is answered at once. */
+    private final SharedCalls calls;
     private long version = 1;
     private double lateMs;
     private int down;
@@ -38,9 +40,15 @@
         noticeMs = perfect ? 0 : Scenario.ms(figures.notice());
         spreadMs = perfect ? 0 : Scenario.ms(figures.spread());
         silentMs = perfect ? 0 : Scenario.ms(figures.silentNotice());
+        calls = perfect || figures.calls() == 0 ? null : new SharedCalls(world, this::deliverAll);
         deliveredUntil = new long[(int) world.scenario.sidecars().count()];
     }
 
+    /** Null where any number of calls is answered at once. */
+    SharedCalls calls() {
+        return calls;
+    }
+
     @Override
     public void open() {
         world.fleet.all().forEach(server -> list.put(server.id(), row(server)));
@@ -74,7 +82,7 @@
         long told = version;
         world.time.at(at, () -> {
             // What is lost meanwhile comes with the whole list afterwards.
-            if (sidecar.up() && down == 0 && empty == 0) {
+            if (sidecar.up() && down == 0 && empty == 0 && (calls == null || calls.watches(sidecar))) {
                 sidecar.listed(new ServerTable(told, whole, rows));
             }
         });
@@ -86,7 +94,11 @@
 
     @Override
     public void watch(EmulatedSidecar sidecar) {
-        deliverAll(sidecar);
+        if (calls == null) {
+            deliverAll(sidecar);
+        } else {
+            calls.start(sidecar);
+        }
     }
 
     @Override
@@ -95,6 +107,9 @@
             return;
         }
         down++;
+        if (calls != null) {
+            calls.down(ms);
+        }
         world.time.after(SILENCE_MS, () -> {
             if (down > 0) {
                 world.sidecars.stream().filter(EmulatedSidecar::up).forEach(EmulatedSidecar::tableLost);
@@ -102,7 +117,9 @@
         });
         world.time.after(ms, () -> {
             down--;
-            world.sidecars.forEach(this::deliverAll);
+            if (calls == null) {
+                world.sidecars.forEach(this::deliverAll);
+            }
         });
     }
 
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/SharedCalls.java
@@ -0,0 +1,133 @@
+package peppergauge.lab.emulator;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import peppergauge.coldstart.AskPace;
+import peppergauge.coldstart.SpreadPace;
+import peppergauge.coldstart.Start;
+import peppergauge.lab.scenario.Discovery;
+
+/**
+ * The calls by which sidecars open their watches, at a discovery of finite capacity: each waits in its turn, also where
+ * its sidecar has given up, and some are never answered. While discovery is down no call is, and every open watch falls
+ * silent.
+ */
+final class SharedCalls {
+
+    /** [start] as it is preset, but for the calls a second. */
+    private static final double SPREAD_MS = 2_000;
+    private static final double ANSWER_MS = 2_000;
+    private static final double LONGEST_ANSWER_MS = 10_000;
+    private static final double LONGEST_PAUSE_MS = 60_000;
+    private static final double SILENCE_MS = 2_500;
+
+    private final World world;
+    private final Discovery figures;
+    private final Consumer<EmulatedSidecar> tell;
+    private final UniformRandomProvider luck;
+    private final BitSet watching = new BitSet();
+    private final AskPace[] paces;
+    private final int[] number;
+    private final List<Integer> callsBySecond = new ArrayList<>();
+    private double freeMs;
+    private int open;
+    private int mostOpen;
+    private boolean down;
+
+    /** {@code tell}: called for a sidecar whose watch has just opened. */
+    SharedCalls(World world, Consumer<EmulatedSidecar> tell) {
+        this.world = world;
+        this.figures = world.scenario.discovery();
+        this.tell = tell;
+        luck = world.streams.of("discovery/calls");
+        int count = (int) world.scenario.sidecars().count();
+        paces = new AskPace[count];
+        number = new int[count];
+        watching.set(0, count);
+    }
+
+    boolean watches(EmulatedSidecar sidecar) {
+        return watching.get(sidecar.index());
+    }
+
+    /** Calls made in each second of the run, and the most that waited at once. */
+    List<Integer> callsBySecond() {
+        return callsBySecond;
+    }
+
+    int mostOpen() {
+        return mostOpen;
+    }
+
+    /** A process is up, or has lost its watch for good: it asks by a pace of its own. */
+    void start(EmulatedSidecar sidecar) {
+        int index = sidecar.index();
+        paces[index] = pace(world.streams.number("pace/" + index + '/' + ++number[index]));
+        watching.clear(index);
+        later(sidecar, paces[index].firstMs());
+    }
+
+    private AskPace pace(long seed) {
+        if (figures.pace() == Discovery.Pace.PROMPT) {
+            return Start.prompt(seed).paces().get();
+        }
+        SpreadPace.Settings settings = new SpreadPace.Settings(figures.calls() / 2, SPREAD_MS, ANSWER_MS,
+                LONGEST_ANSWER_MS, LONGEST_PAUSE_MS, SILENCE_MS);
+        return new SpreadPace(settings, paces.length, SpreadPace.Known.SOMETHING, seed);
+    }
+
+    private void later(EmulatedSidecar sidecar, double ms) {
+        int now = number[sidecar.index()];
+        world.time.after(ms, () -> {
+            if (sidecar.up() && now == number[sidecar.index()] && !watches(sidecar)) {
+                call(sidecar, now);
+            }
+        });
+    }
+
+    private void call(EmulatedSidecar sidecar, int now) {
+        int second = (int) (world.time.elapsedMs() / 1_000);
+        while (callsBySecond.size() <= second) {
+            callsBySecond.add(0);
+        }
+        callsBySecond.set(second, callsBySecond.get(second) + 1);
+        mostOpen = Math.max(mostOpen, ++open);
+        AskPace pace = paces[sidecar.index()];
+        double nowMs = world.time.elapsedMs();
+        double waitMs = pace.answerMs();
+        boolean taken = !down && luck.nextDouble() < figures.answered();
+        if (taken) {
+            freeMs = Math.max(freeMs, nowMs) + 1_000 / figures.calls();
+        }
+        boolean answered = taken && freeMs - nowMs <= waitMs;
+        world.time.after(answered ? freeMs - nowMs : waitMs, () -> {
+            open--;
+            if (!sidecar.up() || now != number[sidecar.index()]) {
+                return;
+            }
+            if (answered) {
+                pace.heard();
+                watching.set(sidecar.index());
+                tell.accept(sidecar);
+            } else {
+                later(sidecar, pace.afterSilenceMs());
+            }
+        });
+    }
+
+    void down(double ms) {
+        down = true;
+        world.time.after(ms, () -> down = false);
+        for (EmulatedSidecar sidecar : world.sidecars) {
+            if (sidecar.up() && watches(sidecar)) {
+                int index = sidecar.index();
+                watching.clear(index);
+                paces[index] = paces[index] == null ? pace(world.streams.number("pace/" + index + "/0")) : paces[index];
+                later(sidecar, paces[index].silenceMs() + paces[index].afterSilenceMs());
+            }
+        }
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/scenario/Scenario.java
+++ b/lab/src/main/java/peppergauge/lab/scenario/Scenario.java
@@ -48,7 +48,7 @@
                 one(Sidecars.class, Sidecars.TABLE, file),
                 file.find(Discovery.TABLE).map(values -> Rows.read(Discovery.class, Discovery.TABLE, values))
                         .orElseGet(() -> new Discovery(Discovery.Source.PLATFORM, Duration.ofMillis(1_500),
-                                Duration.ofMillis(400), Duration.ofSeconds(8))),
+                                Duration.ofMillis(400), Duration.ofSeconds(8), 0, 1, Discovery.Pace.PROMPT)),
                 file.find(Rules.TABLE).map(values -> Rows.read(Rules.class, Rules.TABLE, values))
                         .orElseGet(() -> new Rules(Duration.ofMillis(20), Duration.ofSeconds(1), 0.32,
                                 Duration.ofMillis(8_700), 2.5, Duration.ofSeconds(3), 0.05)),
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/emulator/ColdStartRuns.java
@@ -0,0 +1,81 @@
+package peppergauge.lab.emulator;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import peppergauge.lab.result.RunResult;
+import peppergauge.lab.scenario.Scenario;
+import peppergauge.log.Log;
+
+/** The emulator's table of docs/COLD-START.md: run by hand, with scenarios/cold-power.toml and numbers of sidecars. */
+public final class ColdStartRuns {
+
+    /** What is wrong beside the power cut: a line for [discovery], or further entries. */
+    private static final Map<String, String> CASES = cases();
+
+    private ColdStartRuns() { }
+
+    public static void main(String[] args) throws Exception {
+        Log.to((kind, text, passedOver) -> { });
+        String text = Files.readString(Path.of(args[0]));
+        for (int i = 1; i < args.length; i++) {
+            for (Map.Entry<String, String> each : CASES.entrySet()) {
+                for (String pace : List.of("prompt", "spread")) {
+                    play(text, Integer.parseInt(args[i]), pace, each.getKey(), each.getValue());
+                }
+            }
+        }
+    }
+
+    private static String at(double time, String what, String target, double length) {
+        return String.format(Locale.ROOT, "%n[[at]]%ntime = \"%.0f s\"%nwhat = \"%s\"%ntarget = \"%s\"%n"
+                + "length = \"%.0f s\"%n", time, what, target, length);
+    }
+
+    private static Map<String, String> cases() {
+        Map<String, String> cases = new LinkedHashMap<>();
+        cases.put("power", "");
+        cases.put("one call in twenty", "answered = 0.05");
+        cases.put("hangs for 20 s", at(10, "discovery-down", "all", 20));
+        cases.put("half gone for good", at(9, "kill", "share:0.5", 1_000));
+        StringBuilder loop = new StringBuilder();
+        for (int time = 14; time < 44; time += 5) {
+            loop.append(at(time, "sidecar-crash", "sidecars:0.33", 1));
+        }
+        cases.put("a third in a loop", loop.toString());
+        return cases;
+    }
+
+    /** The servers and what is asked stay the same: more sidecars see less each. */
+    private static void play(String text, int sidecars, String pace, String which, String more) {
+        Scenario scenario = Stock.read(text.replace("count = 300\n", "count = " + sidecars + "\n")
+                .replace("pace = \"prompt\"", "pace = \"" + pace + "\"\n" + (more.contains("[[") ? "" : more))
+                + (more.contains("[[") ? more : ""));
+        RunResult result = Emulator.run("cold", scenario, world -> {
+            SharedCalls calls = ((PlatformDiscovery) world.discovery).calls();
+            List<Integer> made = calls.callsBySecond();
+            int sum = made.stream().mapToInt(Integer::intValue).sum();
+            System.out.print(String.format(Locale.ROOT, "%d %s, %s: calls peak %d, sum %d, open %d; "
+                    + "handshakes peak %d, felled %d; ", sidecars, pace, which,
+                    made.stream().mapToInt(Integer::intValue).max().orElse(0), sum, calls.mostOpen(),
+                    world.meters.mostConnectionsASecond(), world.meters.felledServers()));
+        });
+        List<RunResult.Second> seconds = result.seconds();
+        double usual = seconds.subList(2, 10).stream().mapToDouble(s -> s.worth() / Math.max(1e-9, s.worthAsked()))
+                .average().orElse(1);
+        int back = 13;
+        for (int s = 13; s < seconds.size(); s++) {
+            if (seconds.get(s).worth() < 0.99 * usual * seconds.get(s).worthAsked()) {
+                back = s + 1;
+            }
+        }
+        long denied = seconds.stream().filter(s -> s.second() >= 13 && s.second() < 30)
+                .mapToLong(RunResult.Second::denied).sum();
+        System.out.println(String.format(Locale.ROOT, "service %.4f, denied 13..30 s %d of %d, usual back %d s after; "
+                + "connections %d; broken %s", result.totals().service(), denied, result.totals().tries(), back - 13,
+                result.totals().connections(), result.broken().stream().map(b -> b.rule() + " " + b.about()).toList()));
+    }
+}
--- a/lab/src/test/java/peppergauge/lab/emulator/NomadLoss.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/NomadLoss.java
@@ -37,7 +37,7 @@
         Discovery was = stock.discovery();
         return new Scenario(stock.run(), stock.network(), stock.servers(), stock.classes(), stock.tenants(),
                 stock.clients(), stock.sidecars(), new Discovery(source, was.notice(), was.spread(),
-                was.silentNotice()), stock.rules(), entries);
+                was.silentNotice(), was.calls(), was.answered(), was.pace()), stock.rules(), entries);
     }
 
     static Entry entry(Incident what, Fault fault, double size) {
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/emulator/SharedCallsTest.java
@@ -0,0 +1,59 @@
+package peppergauge.lab.emulator;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.lab.scenario.Scenario;
+
+/** A discovery of finite capacity under sidecars that all start at once. */
+public class SharedCallsTest {
+
+    private static final String SMALL = """
+            kind = "scenario"
+            [run]
+            length = "20 s"
+            [[servers]]
+            name = "gen"
+            count = 4
+            [[class]]
+            name = "list"
+            work = "20 ms"
+            aim = "400 ms"
+            deadline = "1 s"
+            [clients]
+            rate = 20
+            [sidecars]
+            count = 60
+            [discovery]
+            calls = 20
+            pace = "PACE"
+            [[at]]
+            time = "2 s"
+            what = "sidecar-crash"
+            target = "sidecars:1.0"
+            length = "1 s"
+            """;
+
+    @DataProvider
+    public Object[][] paces() {
+        // 60 calls wait in turn for 3 s: the prompt ones are given up and made again, the others are spread over 9 s.
+        return new Object[][] {{"prompt", 60, 200, 60}, {"spread", 0, 25, 15}};
+    }
+
+    @Test(dataProvider = "paces")
+    public void callsWaitInTurnAndAreMadeAgainOrSpread(String pace, int leastPeak, int mostPeak, int mostOpen) {
+        Scenario scenario = Stock.read(SMALL.replace("PACE", pace));
+        Emulator.run("calls", scenario, world -> {
+            SharedCalls calls = ((PlatformDiscovery) world.discovery).calls();
+            List<Integer> made = calls.callsBySecond();
+            int peak = made.stream().mapToInt(Integer::intValue).max().orElse(0);
+            assertTrue(peak >= leastPeak && peak <= mostPeak, pace + ": peak " + peak);
+            assertTrue(calls.mostOpen() <= mostOpen, pace + ": open " + calls.mostOpen());
+            assertEquals(made.stream().mapToInt(Integer::intValue).sum() == 60, pace.equals("spread"), "all told once");
+            assertTrue(world.sidecars.stream().allMatch(calls::watches), "some were never told");
+        });
+    }
+}
