--- a/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/EmulatedSidecar.java
@@ -11,6 +11,8 @@
 import peppergauge.decision.Balancer.ServerState;
 import peppergauge.decision.Balancer;
 import peppergauge.decision.Decide;
+import peppergauge.invariant.CheckedBalancer;
+import peppergauge.invariant.InvariantBroken;
 import peppergauge.lab.scenario.Scenario;
 import peppergauge.overload.Overload;
 import peppergauge.overload.OverloadSettings;
@@ -45,6 +47,7 @@
     private SidecarLoop loop;
     private SidecarBackend backend;
     private Sessions sessions;
+    private Balancer module;
     /** When it stood still last, or was down, in ticks. */
     private long troubledUntil = -1;
 
@@ -68,10 +71,12 @@
                 settings.classes().stream().map(Balancer.RequestClass::worth).toList(), settings.overShareWorth(),
                 limits.retryAfter(), limits.maxRetryAfterMs(), Loop.SELECT_MS, seed));
         loop = new SidecarLoop(world.time, overload, sabotage,
-                thrown -> world.rulebook.broken(Rulebook.Rule.BUG, name() + " threw " + thrown));
+                thrown -> world.rulebook.broken(thrown instanceof AssertionError ? Rulebook.Rule.INVARIANT
+                        : Rulebook.Rule.BUG, name() + " threw " + thrown));
         backend = new SidecarBackend(world, this, world.streams.of("ways/" + name() + '/' + life));
         List<ServerTable.Row> first = List.copyOf(known.values());
-        sessions = new Sessions(watched(sabotage.instead(new Decide(settings, seed), settings)),
+        module = watched(sabotage.instead(CheckedBalancer.around(new Decide(settings, seed), settings), settings));
+        sessions = new Sessions(module,
                 world.discovery.started(this, loop, loop.clock(), first, backend), loop.clock(), loop, overload,
                 settings.classes(), world.figures.connectTimeoutMs);
         world.note(Trace.Kind.STARTED, index, -1, -1, life);
@@ -84,6 +89,8 @@
         return (now, event, actions) -> {
             try {
                 module.on(now, event, actions);
+            } catch (InvariantBroken broken) {
+                world.rulebook.broken(Rulebook.Rule.INVARIANT, name() + ": " + broken.getMessage() + " at " + event);
             } catch (RuntimeException | StackOverflowError bug) {
                 world.rulebook.broken(Rulebook.Rule.BUG, "the module of " + name() + " threw " + bug + " at " + event);
                 throw bug;
@@ -181,6 +188,18 @@
         loop.execute(() -> told(table));
     }
 
+    /** A table of the fleet service has come. */
+    void steered(double[][] factors) {
+        int then = life;
+        if (up) {
+            loop.execute(() -> {
+                if (life == then) {
+                    module.on(world.time.nowMs(), new Balancer.Steered(factors), action -> { });
+                }
+            });
+        }
+    }
+
     void tableLost() {
         sessions.tableLost();
     }
--- a/lab/src/main/java/peppergauge/lab/emulator/Emulator.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Emulator.java
@@ -58,12 +58,11 @@
         return new Emulator(name, scenario, sabotage).run();
     }
 
-    /** As {@link #run}, and shows what the result does not hold. */
-    static RunResult run(String name, Scenario scenario, Consumer<World> look) {
+    /** A run whose world can be looked into and changed beside the script. */
+    static RunResult run(String name, Scenario scenario, Consumer<World> beside) {
         Emulator emulator = new Emulator(name, scenario, Sabotage.NONE);
-        RunResult result = emulator.run();
-        look.accept(emulator.world);
-        return result;
+        beside.accept(emulator.world);
+        return emulator.run();
     }
 
     private RunResult run() {
@@ -75,6 +74,7 @@
         director.start();
         applications.forEach(Application::start);
         world.meters.start();
+        world.stations.start();
         world.time.after(lengthMs, () -> applications.forEach(Application::close));
         tellProgress();
         double longestMs = scenario.classes().stream().map(RequestKind::deadline).mapToDouble(Scenario::ms).max()
--- a/lab/src/test/java/peppergauge/lab/emulator/ColdStartRuns.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/ColdStartRuns.java
@@ -54,15 +54,15 @@
         Scenario scenario = Stock.read(text.replace("count = 300\n", "count = " + sidecars + "\n")
                 .replace("pace = \"prompt\"", "pace = \"" + pace + "\"\n" + (more.contains("[[") ? "" : more))
                 + (more.contains("[[") ? more : ""));
-        RunResult result = Emulator.run("cold", scenario, world -> {
-            SharedCalls calls = ((PlatformDiscovery) world.discovery).calls();
-            List<Integer> made = calls.callsBySecond();
-            int sum = made.stream().mapToInt(Integer::intValue).sum();
-            System.out.print(String.format(Locale.ROOT, "%d %s, %s: calls peak %d, sum %d, open %d; "
-                    + "handshakes peak %d, felled %d; ", sidecars, pace, which,
-                    made.stream().mapToInt(Integer::intValue).max().orElse(0), sum, calls.mostOpen(),
-                    world.meters.mostConnectionsASecond(), world.meters.felledServers()));
-        });
+        World[] world = new World[1];
+        RunResult result = Emulator.run("cold", scenario, of -> world[0] = of);
+        SharedCalls calls = ((PlatformDiscovery) world[0].discovery).calls();
+        List<Integer> made = calls.callsBySecond();
+        int sum = made.stream().mapToInt(Integer::intValue).sum();
+        System.out.print(String.format(Locale.ROOT, "%d %s, %s: calls peak %d, sum %d, open %d; "
+                + "handshakes peak %d, felled %d; ", sidecars, pace, which,
+                made.stream().mapToInt(Integer::intValue).max().orElse(0), sum, calls.mostOpen(),
+                world[0].meters.mostConnectionsASecond(), world[0].meters.felledServers()));
         List<RunResult.Second> seconds = result.seconds();
         double usual = seconds.subList(2, 10).stream().mapToDouble(s -> s.worth() / Math.max(1e-9, s.worthAsked()))
                 .average().orElse(1);
--- a/lab/src/test/java/peppergauge/lab/emulator/SharedCallsTest.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/SharedCallsTest.java
@@ -52,15 +52,15 @@
     @Test(dataProvider = "paces")
     public void callsWaitInTurnAndAreMadeAgainOrSpread(String pace, int leastPeak, int mostPeak, int mostOpen) {
         Scenario scenario = Stock.read(SMALL.replace("PACE", pace));
-        Emulator.run("calls", scenario, world -> {
-            SharedCalls calls = ((PlatformDiscovery) world.discovery).calls();
-            List<Integer> made = calls.callsBySecond();
-            int peak = made.stream().mapToInt(Integer::intValue).max().orElse(0);
-            assertTrue(peak >= leastPeak && peak <= mostPeak, pace + ": peak " + peak);
-            assertTrue(calls.mostOpen() <= mostOpen, pace + ": open " + calls.mostOpen());
-            assertEquals(made.stream().mapToInt(Integer::intValue).sum() == 60, pace.equals("spread"), "all told once");
-            // Work for calls that were given up comes before that for their successors: such a crowd never ends.
-            assertEquals(world.sidecars.stream().allMatch(calls::watches), pace.equals("spread"), "all are told");
-        });
+        World[] seen = new World[1];
+        Emulator.run("calls", scenario, world -> seen[0] = world);
+        SharedCalls calls = ((PlatformDiscovery) seen[0].discovery).calls();
+        List<Integer> made = calls.callsBySecond();
+        int peak = made.stream().mapToInt(Integer::intValue).max().orElse(0);
+        assertTrue(peak >= leastPeak && peak <= mostPeak, pace + ": peak " + peak);
+        assertTrue(calls.mostOpen() <= mostOpen, pace + ": open " + calls.mostOpen());
+        assertEquals(made.stream().mapToInt(Integer::intValue).sum() == 60, pace.equals("spread"), "all told once");
+        // Work for calls that were given up comes before that for their successors: such a crowd never ends.
+        assertEquals(seen[0].sidecars.stream().allMatch(calls::watches), pace.equals("spread"), "all are told");
     }
 }
--- a/sidecar/src/main/java/peppergauge/decision/Decide.java
+++ b/sidecar/src/main/java/peppergauge/decision/Decide.java
@@ -65,18 +65,14 @@
     private static final int LEAST_MEMBERS = 8;
     /** Further members for each of its requests in flight: of more it could not know the load. */
     private static final double MEMBERS_PER_FLIGHT = 4;
+    /** Power of how far answers take too long: with 2 a hundred keep choked servers from ever being idle. */
+    private static final double CALM_POWER = 3;
     /** Instances that share a server from which on a crush is told by the aim, not by own figures. */
     private static final double MANY = 10;
     /** A member that owes answers for so many mean latencies is replaced for the time. */
     private static final double SILENT_TIMES = 3;
     /** From so many times its expected latency on an attempt is overdue, if the server answers others. */
     private static final double OVERDUE_TIMES = 6;
-    /** Power of the free share of a server's cores in the weights: reports are late and noisy. */
-    private static final double FREE_POWER = 1.5;
-    /** From this use of cores on the queue outgrows the rest: nothing is sent until the figure fades. */
-    private static final double FULL_USE = 0.8;
-    /** Time in which a report of use or rate fades into the fleet's mean, ms. */
-    private static final double USE_FADE_MS = 5_000;
     /** From this share of errors in all outcomes on, an error follows the request and is not tried again. */
     private static final double ERRORS_FOLLOW_REQUESTS = 0.15;
     /** Share of the cold-start budget that all balancers together may plan to use. */
@@ -104,9 +100,10 @@
     private final double[][] shares;
     final Decaying fleetLatency = new Decaying(HALF_LIFE_MS), fleetUnit = new Decaying(HALF_LIFE_MS);
     final Decaying fleetErrors = new Decaying(HALF_LIFE_MS), flights = new Decaying(HALF_LIFE_MS);
-    final Decaying fleetUse = new Decaying(HALF_LIFE_MS), fleetRate = new Decaying(HALF_LIFE_MS);
     final Decaying crowd = new Decaying(HALF_LIFE_MS);
     final Decaying served = new Decaying(HALF_LIFE_MS);
+    /** What answers took just now: a crush has to be seen when it begins, and its end when it ends. */
+    private final Decaying tookLately = new Decaying(LATELY_MS);
     /** How long answers and requests waited for this host itself. */
     private final Decaying lag = new Decaying(LATELY_MS);
     final Decaying covariance = new Decaying(4 * HALF_LIFE_MS);
@@ -117,7 +114,6 @@
     private final Map<Integer, Kind> kinds = new HashMap<>();
     /** Times of requests taken and of further attempts within the budget's window. */
     private final Recent taken = new Recent(), further = new Recent();
-    private final boolean reportsUse;
     private final long affinity;
     /** All servers, those that this instance has most affinity to first; and the ones it works with. */
     List<Server> ordered = List.of();
@@ -126,8 +122,10 @@
     /** Whether there are usable servers that it does not work with. */
     private boolean partial;
     private double[] scratch = new double[16];
+    /** By tenant and zone, the share of requests for which the zone stands in the draw; else it is 1. */
+    private double[][] leanings = {};
     double nowMs, firstEventMs = Double.NaN, firstArrivalMs = Double.NaN;
-    double crowding = 0.5, elsewhere;
+    double crowding = 0.5;
     double unloadedMs = Double.POSITIVE_INFINITY, unloadedAtMs;
     private int readyServers = 1, outNow, watchFailures;
     private boolean watchAsked;
@@ -142,7 +140,6 @@
         this.affinity = random.nextLong();
         boolean inFlightTold = settings.loadFields().contains(LoadField.IN_FLIGHT);
         this.cancelHelps = settings.limits().cancelling() && inFlightTold;
-        this.reportsUse = !inFlightTold && settings.loadFields().contains(LoadField.UTILISATION);
         this.classStats = new ClassStats[settings.classes().size()];
         Arrays.setAll(classStats, i -> new ClassStats());
     }
@@ -164,6 +161,8 @@
             onServersListed(listed);
         } else if (event instanceof DiscoveryFailed) {
             onDiscoveryFailed();
+        } else if (event instanceof Steered steered) {
+            leanings = steered.factors();
         } else if (event instanceof ClientLeft left) {
             Request request = requests.get(left.id());
             if (request != null && !request.answered) {
@@ -311,11 +310,12 @@
         if (ended.outcome() == Outcome.SUCCESS) {
             request.stats.latency.add(nowMs, tookMs);
             fleetLatency.add(nowMs, normalMs);
+            tookLately.add(nowMs, normalMs);
             ClassStats.overallAdd(classStats, nowMs, tookMs);
             double mean = fleetLatency.mean(nowMs);
             unloadedMs *= 1 + UNLOADED_GROWTH_PER_S * (nowMs - unloadedAtMs) / 1000;
             unloadedAtMs = nowMs;
-            if (fleetLatency.weight(nowMs) >= (thin() && reportsUse ? 4 : 1) * PRIOR_OUTCOMES) {
+            if (fleetLatency.weight(nowMs) >= PRIOR_OUTCOMES) {
                 unloadedMs = Math.min(unloadedMs, Math.min(mean, toldUnloadedMs()));
             }
         }
@@ -410,21 +410,17 @@
             if (fields.get(i) == LoadField.IN_FLIGHT && load[i] >= 0) {
                 server.reportedOthers = Math.max(0, load[i] - live(server));
                 server.reportedAtMs = nowMs;
-                crowd.add(nowMs, server.reportedOthers);
-                server.kind.others.add(nowMs, server.reportedOthers);
-            } else if (fields.get(i) == LoadField.UTILISATION && load[i] >= 0) {
-                server.use = (use(server) + 3 * load[i]) / 4;
-                server.usedAtMs = nowMs;
-                fleetUse.add(nowMs, Math.min(1, load[i]));
+                if (capacity(server) < 1) {
+                    server.kind.coldOthers.add(nowMs, server.reportedOthers);
+                } else {
+                    crowd.add(nowMs, server.reportedOthers);
+                    server.kind.others.add(nowMs, server.reportedOthers);
+                }
             } else if (fields.get(i) == LoadField.LATENCY_MS && load[i] > 0) {
                 double warmMs = load[i] * capacity(server);
                 served.add(nowMs, warmMs);
                 server.told.add(nowMs, warmMs);
                 server.kind.served.add(nowMs, warmMs);
-            } else if (fields.get(i) == LoadField.SERVED_PER_S && load[i] >= 0) {
-                server.rate = (rate(server) + 3 * load[i]) / 4;
-                server.ratedAtMs = nowMs;
-                fleetRate.add(nowMs, load[i]);
             }
         }
     }
@@ -468,10 +464,6 @@
         gather();
         double unit = fleetUnitMs();
         double errorShare = fleetErrors.mean(nowMs);
-        boolean byUse = reportsUse && thin();
-        elsewhere = byUse ? fleetRate.mean(nowMs) * Math.min(unloadedMs, fleetLatency.mean(nowMs)) / 1000 : 0;
-        // Own outcomes and requests count as what they are of a server's: one part in (1 + elsewhere).
-        double prior = PRIOR_OUTCOMES * (1 + elsewhere);
         int ready = 0;
         double nearest = Double.POSITIVE_INFINITY;
         if (scratch.length < pool.size()) {
@@ -479,12 +471,16 @@
         }
         for (Server server : pool) {
             double w = server.latency.weight(nowMs);
-            server.unitMs = (server.latency.sum(nowMs) + prior * unit * pace(server)) / (w + prior);
+            double usual = unit * pace(server);
+            server.unitMs = (server.latency.sum(nowMs) + PRIOR_OUTCOMES * usual) / (w + PRIOR_OUTCOMES);
             server.capacity = capacity(server);
             server.live = live(server);
             double believed = believed(server);
             double known = server.live + believed * server.reportedOthers;
-            server.inFlight = known + (1 - believed) * ofKind(server.kind.others, crowd.mean(nowMs));
+            // In a crush a successor counts by its like, else none would find it idle; lots guard it.
+            double usualOthers = server.capacity < 1 ? server.kind.coldOthers.mean(nowMs)
+                    : ofKind(server.kind.others, crowd.mean(nowMs));
+            server.inFlight = known + (1 - believed) * usualOthers;
             double n = server.outcomes.weight(nowMs) + server.errors.weight(nowMs);
             double excess = Math.max(0, server.errors.sum(nowMs) - n * errorShare);
             double fresh = server.streak * Math.exp(-Math.max(0, nowMs - server.restUntilMs) / HALF_LIFE_MS);
@@ -497,12 +493,7 @@
             server.expectedMs = Math.max(expected, silentMs(server));
             server.condition = Math.max(0, sound) * Math.min(1, unit / server.unitMs);
             double answering = expected / server.expectedMs;
-            double crowded = 1 + server.inFlight / (1 + elsewhere);
-            double free = byUse ? Math.pow(1 - Math.min(0.98, use(server)), FREE_POWER / STEEPNESS) : 1;
-            double throng = byUse ? rate(server) * server.unitMs / 1000 : 0;
-            server.full = byUse && (throng > elsewhere + Math.sqrt(elsewhere) + 1 || use(server) > FULL_USE);
-            double crowding2 = Math.pow(crowded, 2 / (1 + elsewhere));
-            server.load = answering * free / crowding2;
+            server.load = answering / Math.pow(1 + server.inFlight, 2);
             server.sound = Math.max(1e-6, sound);
             nearest = Math.min(nearest, server.unloadedMs);
             if (server.usable) {
@@ -544,25 +535,6 @@
         return live;
     }
 
-    /** Use of a server's cores: as last reported, fading into the fleet's mean. */
-    private double use(Server server) {
-        return faded(server.use, server.usedAtMs, fleetUse.mean(nowMs));
-    }
-
-    /** Requests from all that a server serves in a second: as last reported, fading into the mean. */
-    private double rate(Server server) {
-        return faded(server.rate, server.ratedAtMs, fleetRate.mean(nowMs));
-    }
-
-    private double faded(double told, double atMs, double mean) {
-        return mean + (told - mean) * Math.exp(-(nowMs - atMs) / USE_FADE_MS);
-    }
-
-    /** Whether balancers outnumber servers: then one's own requests say little of a server. */
-    private boolean thin() {
-        return settings.balancers() > servers.size();
-    }
-
     // ---- Draw ----
 
     /**
@@ -617,18 +589,21 @@
 
     /** 1 while answers take no longer than where there is room to send, less the longer they take. */
     private double calm() {
-        double calm = many() ? Math.min(1, roomyMs() / Math.max(1, fleetLatency.mean(nowMs))) : 1;
-        return calm * calm;
+        double usualMs = fleetLatency.mean(nowMs);
+        double tookMs = (tookLately.sum(nowMs) + usualMs) / (tookLately.weight(nowMs) + 1);
+        double calm = many() ? Math.min(1, roomyMs() / Math.max(1, tookMs)) : 1;
+        return Math.pow(calm, CALM_POWER);
     }
 
     /**
      * Mean latency among many with room to send: a service, a hold and a client's return still fit before
-     * the aim. An instance that starts into a crush takes its latencies for usual, but the aim is told.
+     * the aim. An instance that starts into a crush takes its latencies for usual, but the aim is told: more
+     * than a third of it is no usual latency.
      */
     private double roomyMs() {
         double unitMs = fleetUnitMs();
-        double inTimeMs = Math.max(settings.classes().get(0).aimMs() / RETURN_SERVICES, 1.5 * unitMs);
-        return Math.min(ROOM * unitMs, inTimeMs);
+        double aimMs = settings.classes().get(0).aimMs();
+        return Math.min(ROOM * unitMs, Math.max(aimMs / RETURN_SERVICES, Math.min(aimMs / 3, 1.5 * unitMs)));
     }
 
     /** Whether so many instances share a server that own figures say little of it. */
@@ -642,24 +617,26 @@
         if (!trial && outNow >= mostOut()) {
             return null;
         }
-        List<Server> among = pool;
         double limit = roomMs(request);
         double best = 0;
         boolean fresh = false;
+        boolean leaning = false;
         double bestUnit = Double.POSITIVE_INFINITY;
         double bestSound = 0;
         for (Server server : pool) {
             bestSound = Math.max(bestSound, server.sound);
         }
-        for (Server server : among) {
+        for (Server server : pool) {
             server.open = mayJoin(request, server, limit, trial);
-            fresh |= server.open && !request.tried(server);
+            boolean untried = server.open && !request.tried(server);
+            fresh |= untried;
+            leaning |= untried && server.sound >= FAILING_CUT * bestSound && leans(request, server);
             bestUnit = Math.min(bestUnit, server.unitMs);
         }
-        for (int i = 0; i < among.size(); i++) {
-            Server server = among.get(i);
+        for (int i = 0; i < pool.size(); i++) {
+            Server server = pool.get(i);
             double health = 0;
-            if (server.open && !(fresh && request.tried(server))) {
+            if (server.open && !(fresh && request.tried(server)) && (!leaning || leans(request, server))) {
                 double condition = even ? 1 : server.sound * bestUnit / server.unitMs;
                 health = Math.max(condition, TRIAL_CONDITION) * server.load * server.capacity;
             }
@@ -672,28 +649,34 @@
             return null;
         }
         double total = 0;
-        for (int i = 0; i < among.size(); i++) {
+        for (int i = 0; i < pool.size(); i++) {
             scratch[i] = scratch[i] < 0 ? CONDITION_FLOOR
                     : scratch[i] == 0 ? 0 : Math.pow(scratch[i] / best, STEEPNESS);
             total += scratch[i];
         }
         double mark = random.nextDouble() * total;
         Server drawn = null;
-        for (int i = 0; i < among.size() && mark >= 0; i++) {
+        for (int i = 0; i < pool.size() && mark >= 0; i++) {
             if (scratch[i] > 0) {
-                drawn = among.get(i);
+                drawn = pool.get(i);
                 mark -= scratch[i];
             }
         }
         return drawn;
     }
 
+    /** Whether a server stands for a request whose station leans elsewhere; if none good does, all do. */
+    private boolean leans(Request request, Server server) {
+        return request.tenant < 0 || request.tenant >= leanings.length || server.zone < 0
+                || server.zone >= leanings[request.tenant].length
+                || request.lot(server.zone) < leanings[request.tenant][server.zone];
+    }
+
     private boolean mayJoin(Request request, Server server, double limitMs, boolean trial) {
         return maySend(request, server) && coldMayTake(request, server) && server.restUntilMs <= nowMs
                 && server.live < server.flightLimit
-                && (trial ? server.inFlight < 0.5 && (elsewhere == 0 || outNow == 0)
-                        : !server.full
-                                && server.expectedMs <= Math.min(leftMs(request), slower(server) * limitMs));
+                && (trial ? server.inFlight < 0.5
+                        : server.expectedMs <= Math.min(leftMs(request), slower(server) * limitMs));
     }
 
     /**
@@ -711,7 +694,7 @@
         if (ownMs < Double.POSITIVE_INFINITY && server.inFlight <= 2 * server.live) {
             busy = Math.max(busy, perMs(server.latency, firstEventMs) * (ownMs + besideMs));
         }
-        return elsewhere + Math.max(LEAST_FLIGHT, busy + FLIGHT_SLACK * Math.sqrt(busy));
+        return Math.max(LEAST_FLIGHT, busy + FLIGHT_SLACK * Math.sqrt(busy));
     }
 
     /** Events in a ms, counted since then; arrivals over a second at the least: a few are no flood. */
@@ -899,7 +882,8 @@
         if (held.get(request.id) != request) {
             return;
         }
-        Server idle = draw(request, true);
+        // After a pause of the whole process the call may come when there is no time left.
+        Server idle = leftMs(request) > 0 ? draw(request, true) : null;
         if (idle != null) {
             send(request, idle);
         } else {
@@ -978,6 +962,9 @@
         }
         for (ServerEntry entry : listed.entries()) {
             Server server = servers.get(entry.server());
+            if (server == null && entry.state() == ServerState.GONE) {
+                continue;
+            }
             if (server == null) {
                 server = new Server(entry.server(), entry.zone(), entry.cell());
                 servers.put(entry.server(), server);
@@ -1054,6 +1041,7 @@
     /** What machines of one kind report: others' requests in flight, and service times as if warm. */
     static final class Kind {
         final Decaying others = new Decaying(HALF_LIFE_MS), served = new Decaying(HALF_LIFE_MS);
+        final Decaying coldOthers = new Decaying(HALF_LIFE_MS);
     }
 
     private record Timer(TimerKind kind, Request request) { }
