--- a/promises/src/main/java/peppergauge/promises/steer/Steerer.java
+++ b/promises/src/main/java/peppergauge/promises/steer/Steerer.java
@@ -210,7 +210,9 @@
         }
         // Silence for a whole window is no evidence that it is still bad.
         boolean silent = seen == 0 && nowMs - flag.changedMs() > windowMs;
-        boolean proved = seen >= ENOUGH && good && nowMs >= flag.untilMs();
+        // A clock that went back an hour must not keep it bad for that hour.
+        boolean held = nowMs < flag.untilMs() && nowMs >= flag.changedMs();
+        boolean proved = seen >= ENOUGH && good && !held;
         return silent || proved ? flag.turnGood(nowMs) : flag;
     }
 
--- a/promises/src/test/java/peppergauge/promises/HardCasesTest.java
+++ b/promises/src/test/java/peppergauge/promises/HardCasesTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.testng.annotations.Test;
+import peppergauge.promises.evidence.Ledger;
 import peppergauge.promises.steer.State;
 import peppergauge.promises.steer.Steerer;
 
@@ -206,6 +207,20 @@
         }
     }
 
+    /** A service that starts with nothing tells smaller counters: what they had counted is not taken back. */
+    @Test
+    public void countersThatFallBeginAnew() {
+        Contract contract = Platform.contract("a", "save", 1);
+        Cell cell = new Cell("a", "save", "x");
+        Ledger ledger = new Ledger();
+        ledger.contracts(List.of(contract));
+        ledger.take(1_000, List.of(new Evidence(cell, 1_000, 500)), false);
+        ledger.take(6_000, List.of(new Evidence(cell, 10, 400)), false);
+        assertEquals(ledger.burnRates(contract, 6_000), List.of(0.0, 0.0));
+        ledger.take(11_000, List.of(new Evidence(cell, 20, 410)), false);
+        assertEquals(ledger.burnRates(contract, 11_000).get(0), 10, 1e-6);
+    }
+
     @Test
     public void staleEvidenceFadesToNoSteeringInSteps() {
         Steerer steerer = steerer(Platform.contract("a", "save", 1, "y", "z"));
