--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/state/Tally.java
@@ -0,0 +1,124 @@
+package peppergauge.fleet.state;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import peppergauge.fleet.wire.DaemonReport;
+import peppergauge.fleet.wire.DaemonReport.CellCounts;
+import peppergauge.promises.Cell;
+
+/**
+ * What the fleet's clients saw in all, by cell, since this instance began to count: the growth of each account is
+ * added, so that totals never fall when daemons die, are restarted or forgotten. Not safe for several threads.
+ */
+public final class Tally {
+
+    /** @param latency answers in ms; not to be changed by who is handed it */
+    public record Total(long answered, long denied, long failed, Histogram latency) {
+
+        /** Answered within so many ms. */
+        public long within(long ms) {
+            return latency.getCountBetweenValues(0, Math.min(ms, Latencies.MOST_MS));
+        }
+    }
+
+    /** One that grows. */
+    private static final class Sum {
+
+        private long answered;
+        private long denied;
+        private long failed;
+        private final Histogram latency;
+
+        Sum(Total before) {
+            answered = before == null ? 0 : before.answered();
+            denied = before == null ? 0 : before.denied();
+            failed = before == null ? 0 : before.failed();
+            latency = before == null ? Latencies.empty() : before.latency().copy();
+        }
+
+        void add(CellCounts before, CellCounts now) {
+            answered += grown(before == null ? 0 : before.answered(), now.answered());
+            denied += grown(before == null ? 0 : before.denied(), now.denied());
+            failed += grown(before == null ? 0 : before.failed(), now.failed());
+            if (now.latency() == null || before != null && now.latency().equals(before.latency())) {
+                return;
+            }
+            try {
+                Histogram grown = Latencies.decode(now.latency());
+                if (before != null && before.latency() != null) {
+                    grown.subtract(Latencies.decode(before.latency()));
+                }
+                latency.add(grown);
+            } catch (RuntimeException fell) {
+                // It is none, or not cumulative, so a broken daemon's: nothing of it is counted twice.
+            }
+        }
+
+        private static long grown(long before, long now) {
+            return Math.max(0, now - before);
+        }
+
+        Total total() {
+            return new Total(answered, denied, failed, latency.copy());
+        }
+    }
+
+    private final Map<Cell, Sum> totals = new HashMap<>();
+    private final int mostCells;
+    private long passedOver;
+
+    public Tally(int mostCells) {
+        this(mostCells, Map.of());
+    }
+
+    public Tally(int mostCells, Map<Cell, Total> before) {
+        this.mostCells = mostCells;
+        before.forEach((cell, total) -> totals.put(cell, new Sum(total)));
+    }
+
+    static Cell cell(CellCounts counts) {
+        return new Cell(counts.station(), counts.requestClass(), counts.zone());
+    }
+
+    /**
+     * Counts by how much an account grew. One that is met for the first time and whose daemon started longer ago than
+     * accounts are held may have been counted and forgotten: it counts from here on.
+     */
+    public void count(FleetState.Change change, long nowMs, long forgetMs) {
+        DaemonReport now = change.now();
+        if (change.before() == null && nowMs - now.incarnation() > forgetMs) {
+            return;
+        }
+        Map<Cell, CellCounts> before = new HashMap<>();
+        if (change.before() != null) {
+            change.before().cells().forEach(counts -> before.put(cell(counts), counts));
+        }
+        for (CellCounts counts : now.cells()) {
+            Cell cell = cell(counts);
+            if (!counts.equals(before.get(cell))) {
+                add(cell, before.get(cell), counts);
+            }
+        }
+    }
+
+    private void add(Cell cell, CellCounts before, CellCounts now) {
+        if (totals.containsKey(cell) || totals.size() < mostCells) {
+            totals.computeIfAbsent(cell, fresh -> new Sum(null)).add(before, now);
+        } else {
+            passedOver++;
+        }
+    }
+
+    /** As it is now; later counting does not change it. */
+    public Map<Cell, Total> totals() {
+        Map<Cell, Total> copy = new HashMap<>();
+        totals.forEach((cell, sum) -> copy.put(cell, sum.total()));
+        return copy;
+    }
+
+    /** Accounts of cells beyond what is held. */
+    public long passedOver() {
+        return passedOver;
+    }
+}
