--- a/promises/src/main/java/peppergauge/promises/steer/Steerer.java
+++ b/promises/src/main/java/peppergauge/promises/steer/Steerer.java
@@ -358,12 +358,15 @@
             return;
         }
         shares = copy(kept.shares());
+        shares.values().removeIf(zones -> !zones.values().stream().allMatch(share -> share >= 0 && share <= 1)
+                || zones.values().stream().mapToDouble(share -> share).sum() <= 0);
         // Of two sides the greater shares were kept: together they are more than the whole.
         shares.values().forEach(zones -> {
             double sum = zones.values().stream().mapToDouble(share -> share).sum();
             zones.replaceAll((zone, share) -> share / sum);
         });
         factors = copy(kept.factors());
+        factors.values().forEach(zones -> zones.values().removeIf(f -> !(f >= Steering.FLOOR && f <= 1)));
         factors.keySet().retainAll(contracts.keySet());
         kept.flags().forEach((station, zones) -> {
             if (contracts.containsKey(station)) {
--- a/promises/src/test/java/peppergauge/promises/HardCasesTest.java
+++ b/promises/src/test/java/peppergauge/promises/HardCasesTest.java
@@ -207,6 +207,22 @@
         }
     }
 
+    /** One that is whole as a file, with figures that mean nothing: no table must fail by it. */
+    @Test
+    public void aStateOfImpossibleFiguresIsNotTaken() {
+        Steerer steerer = steerer(Platform.contract("a", "save", 1));
+        Platform platform = after(steerer, new Platform("x", "y", "z").station("a", "save", 20), 20);
+        Map<String, Map<String, Double>> zero = Map.of("a", Map.of("x", 0.0, "y", 0.0, "z", 0.0));
+        Steerer back = steerer(Platform.contract("a", "save", 1));
+        back.restore(new State(platform.nowMs, List.of(), zero, Map.of("a", Map.of("x", Double.NaN, "y", 7.0)),
+                Map.of(), Map.of()), platform.nowMs);
+        platform.run(back, 10);
+        assertEquals(platform.steering, Steering.NONE);
+        platform.miss("a", "save", "x", 0.4);
+        platform.run(back, 40);
+        assertTrue(platform.factor("a", "x") < 0.5, "and it steers as if there had been none");
+    }
+
     /** A service that starts with nothing tells smaller counters: what they had counted is not taken back. */
     @Test
     public void countersThatFallBeginAnew() {
