--- a/promises/src/main/java/peppergauge/promises/steer/Steerer.java
+++ b/promises/src/main/java/peppergauge/promises/steer/Steerer.java
@@ -210,7 +210,9 @@
         }
         // Silence for a whole window is no evidence that it is still bad.
         boolean silent = seen == 0 && nowMs - flag.changedMs() > windowMs;
-        boolean proved = seen >= ENOUGH && good && nowMs >= flag.untilMs();
+        // A clock that went back an hour must not keep it bad for that hour.
+        boolean held = nowMs < flag.untilMs() && nowMs >= flag.changedMs();
+        boolean proved = seen >= ENOUGH && good && !held;
         return silent || proved ? flag.turnGood(nowMs) : flag;
     }
 
@@ -356,12 +358,15 @@
             return;
         }
         shares = copy(kept.shares());
+        shares.values().removeIf(zones -> !zones.values().stream().allMatch(share -> share >= 0 && share <= 1)
+                || zones.values().stream().mapToDouble(share -> share).sum() <= 0);
         // Of two sides the greater shares were kept: together they are more than the whole.
         shares.values().forEach(zones -> {
             double sum = zones.values().stream().mapToDouble(share -> share).sum();
             zones.replaceAll((zone, share) -> share / sum);
         });
         factors = copy(kept.factors());
+        factors.values().forEach(zones -> zones.values().removeIf(f -> !(f >= Steering.FLOOR && f <= 1)));
         factors.keySet().retainAll(contracts.keySet());
         kept.flags().forEach((station, zones) -> {
             if (contracts.containsKey(station)) {
