--- a/lab/src/main/java/peppergauge/lab/emulator/Shrinker.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Shrinker.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import peppergauge.lab.fault.Fewest;
 import peppergauge.lab.result.RunResult;
 import peppergauge.lab.scenario.Entry;
 import peppergauge.lab.scenario.Run;
@@ -51,7 +52,7 @@
             return !result.broken().isEmpty() && result.broken().get(0).rule().equals(rule);
         });
         Scenario kept = shrinker.cutAt(scenario, first.broken().get(0).atS() * 1e3 + MARGIN_MS);
-        for (Scenario before = null; before != kept;) {
+        for (Scenario before = null; !kept.equals(before);) {
             before = kept;
             kept = shrinker.shorterEntries(shrinker.fewerServers(shrinker.fewerEntries(kept)));
         }
@@ -77,14 +78,9 @@
     }
 
     private Scenario fewerEntries(Scenario from) {
-        Scenario kept = from;
-        for (int i = from.entries().size() - 1; i >= 0; i--) {
-            List<Entry> rest = new ArrayList<>(kept.entries());
-            Entry gone = rest.remove(i);
-            kept = tried(kept.with(kept.run(), kept.servers(), rest), "without " + gone.what().written() + " at "
-                    + gone.time().toMillis() + " ms").orElse(kept);
-        }
-        return kept;
+        return from.with(from.run(), from.servers(), Fewest.of(from.entries(), (rest, gone) ->
+                tried(from.with(from.run(), from.servers(), rest), "without " + gone.what().written() + " at "
+                + gone.time().toMillis() + " ms").isPresent()));
     }
 
     private Scenario shorterEntries(Scenario from) {
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/fault/FaultSection.java
@@ -0,0 +1,45 @@
+package peppergauge.lab.fault;
+
+import java.util.List;
+import peppergauge.operator.Problems;
+import peppergauge.operator.Section;
+import peppergauge.operator.Table;
+import peppergauge.operator.Values;
+
+/** {@code [[fault]]} in an operator file: each must name something of its cast, of the right sort. */
+public abstract class FaultSection implements Section {
+
+    /** Processes and links that the file's cast has. */
+    protected abstract List<String> cast(Values file);
+
+    /** The backend servers among them, which alone can be told to leave. */
+    protected abstract List<String> servers(Values file);
+
+    @Override
+    public Table table() {
+        return Fault.TABLE;
+    }
+
+    @Override
+    public void check(Values file, Problems problems) {
+        for (Values values : file.all(Fault.TABLE)) {
+            FaultKind what = values.get(Fault.WHAT);
+            String target = values.get(Fault.TARGET);
+            List<String> meant = cast(file).stream().filter(name -> Names.matches(target, name))
+                    .filter(name -> name.contains(Names.TO) == what.ofLinks()).toList();
+            if (meant.isEmpty()) {
+                problems.add(values.place(Fault.TARGET), "fault.target", '"' + target + "\" names no "
+                        + (what.ofLinks() ? "link" : "process") + " of this rig; such are "
+                        + String.join(", ", cast(file).stream()
+                        .filter(name -> name.contains(Names.TO) == what.ofLinks()).limit(4).toList()) + " ...");
+            } else if (what == FaultKind.LEAVE && !servers(file).containsAll(meant)) {
+                problems.add(values.place(Fault.TARGET), "fault.target", "only backend servers can be told to leave");
+            }
+            if (what.size().isEmpty() == values.find(Fault.SIZE).isPresent()) {
+                problems.add(values.find(Fault.SIZE).isPresent() ? values.place(Fault.SIZE) : values.place(),
+                        "fault.size", what.size().isEmpty() ? "means nothing for " + what.written()
+                        : "is missing; for " + what.written() + " it counts " + what.size());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/fault/Fewest.java
@@ -0,0 +1,76 @@
+package peppergauge.lab.fault;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiPredicate;
+import java.util.function.Predicate;
+
+/** Which parts of a script are needed for it to fail, found by leaving out. */
+public final class Fewest {
+
+    /** Shorter faults are not halved any more. */
+    private static final Duration SHORT = Duration.ofMillis(400);
+
+    private Fewest() { }
+
+    /**
+     * Without what is not needed, in one pass from the last to the first: what came later can only follow.
+     *
+     * @param fails whether the rest, from which this one was left out last, still fails
+     */
+    public static <T> List<T> of(List<T> all, BiPredicate<List<T>, T> fails) {
+        List<T> kept = new ArrayList<>(all);
+        for (int i = all.size() - 1; i >= 0; i--) {
+            List<T> rest = new ArrayList<>(kept);
+            T gone = rest.remove(i);
+            if (fails.test(rest, gone)) {
+                kept = rest;
+            }
+        }
+        return kept;
+    }
+
+    /**
+     * The fewest and shortest faults that were found to fail. Halves are tried first, since each trial may take half a
+     * minute and most faults of a schedule have nothing to do with its failure.
+     *
+     * @param fails whether these faults fail still, in the same way
+     */
+    public static List<Fault> faults(List<Fault> all, Predicate<List<Fault>> fails) {
+        List<Fault> kept = all;
+        for (List<Fault> before = null; !kept.equals(before);) {
+            before = kept;
+            kept = shorter(of(half(kept, fails), (rest, gone) -> fails.test(rest)), fails);
+        }
+        return kept;
+    }
+
+    private static List<Fault> half(List<Fault> all, Predicate<List<Fault>> fails) {
+        List<Fault> kept = all;
+        while (kept.size() > 1) {
+            List<Fault> first = kept.subList(0, kept.size() / 2);
+            List<Fault> second = kept.subList(kept.size() / 2, kept.size());
+            if (fails.test(first)) {
+                kept = first;
+            } else if (fails.test(second)) {
+                kept = second;
+            } else {
+                break;
+            }
+        }
+        return kept;
+    }
+
+    private static List<Fault> shorter(List<Fault> all, Predicate<List<Fault>> fails) {
+        List<Fault> kept = all;
+        for (int i = 0; i < all.size(); i++) {
+            if (kept.get(i).length().compareTo(SHORT) >= 0) {
+                List<Fault> other = new ArrayList<>(kept);
+                other.set(i, kept.get(i).lasting(kept.get(i).length().dividedBy(2)));
+                kept = fails.test(other) ? other : kept;
+            }
+        }
+        return kept;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/history/What.java
@@ -0,0 +1,46 @@
+package peppergauge.lab.history;
+
+/** Sorts of events. Each says what {@code who}, {@code whom}, {@code id}, {@code number} and {@code text} hold. */
+public enum What {
+
+    /** The load begins. */
+    BEGIN,
+    /** The load ends: nothing is asked after it. */
+    END,
+    /** A client asks a sidecar (whom) with a session's id; number: its deadline in ms; text: safe or unsafe. */
+    ASKED,
+    /** A client has what it gets (who: the sidecar); text: the status or a word of {@code load.Ending}. */
+    ENDED,
+    /** A sidecar (who) has written an attempt to a server (whom) whole; the time is its first byte's; number: where. */
+    SENT,
+    /** That attempt is out no longer; text: answered, closed (by the sidecar) or broken. */
+    SETTLED,
+    /** A backend server (who) begins to work on a session; text: the method. */
+    BEGUN,
+    /** It has turned one away. */
+    TURNED_AWAY,
+    /** A sidecar (who) was told of a server (whom); text: its state. */
+    TOLD,
+    /** A reader (who) takes a fleet table; number: its version. */
+    TABLE,
+    /** A process is ready; text: how it can be reached. */
+    UP,
+    /** A process was ended, by SIGKILL or otherwise, on purpose. */
+    DOWN,
+    /** A process ended that nobody ended; text: its last words. */
+    LOST,
+    /** A process was sent SIGTERM. */
+    TERMINATED,
+    /** A process stands still from now on. */
+    STOPPED,
+    /** It goes on. */
+    CONTINUED,
+    /** A fault begins at a link or process (who); id: its number; text: which. */
+    FAULT,
+    /** It is over. */
+    HEALED,
+    /** A thread of the lab's (who) was this much later than it meant to be: number, ms. */
+    LATE,
+    /** A call was given up by discovery, since too many were before it. */
+    CALL_GIVEN_UP
+}
--- a/lab/src/main/java/peppergauge/lab/load/Generator.java
+++ b/lab/src/main/java/peppergauge/lab/load/Generator.java
@@ -31,8 +31,15 @@
      * @param first opened at the start
      * @param most open at once
      * @param closedLoop whether each has its own loop
+     * @param resends whether a request that crossed a close is sent once more
      */
-    public record Shape(int first, int most, boolean closedLoop) { }
+    public record Shape(int first, int most, boolean closedLoop, boolean resends) {
+
+        /** One whose clients do as the protocol says. */
+        public Shape(int first, int most, boolean closedLoop) {
+            this(first, most, closedLoop, true);
+        }
+    }
 
     /** A client that has waited for its time and this much more closes the connection. */
     private static final long GRACE_NS = 50_000_000;
@@ -251,7 +258,7 @@
             if (call != null) {
                 Call cut = call;
                 call = null;
-                if (used && !cut.again && !stopped) {
+                if (used && shape.resends() && !cut.again && !stopped) {
                     waiting.addFirst(new Call(cut.request, cut.wantedNs, true));
                     sendWaiting();
                 } else {
--- a/lab/src/main/java/peppergauge/lab/play/SidecarConfig.java
+++ b/lab/src/main/java/peppergauge/lab/play/SidecarConfig.java
@@ -12,7 +12,7 @@
 import peppergauge.lab.wire.Listener;
 
 /** A scenario's figures as a sidecar's configuration file has them. */
-final class SidecarConfig {
+public final class SidecarConfig {
 
     /** Both are the platform's, and the emulator's. */
     private static final int TICK_MS = 5;
@@ -20,7 +20,13 @@
 
     private SidecarConfig() { }
 
-    static Map<String, Object> of(Scenario scenario, int index, int zone, InetSocketAddress discovery,
+    /**
+     * In the form of {@code GW_CONFIG}, without {@code listen}.
+     *
+     * @param index of the sidecar, from 0
+     * @param zone of the sidecar, by its place in the scenario's list
+     */
+    public static Map<String, Object> of(Scenario scenario, int index, int zone, InetSocketAddress discovery,
             ServerList known, long seed) {
         Map<String, Object> config = new LinkedHashMap<>();
         config.put("name", "sidecar-" + (index + 1));
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/process/Program.java
@@ -0,0 +1,197 @@
+package peppergauge.lab.process;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.RandomAccessFile;
+import java.io.UncheckedIOException;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/**
+ * Any program over all lives of its process, in a process group and a folder of its own that outlives it. Its methods
+ * are for one thread at a time; none waits but where it says so.
+ */
+public final class Program implements Closeable {
+
+    /** Signals that are sent to all of its processes. */
+    public enum Signal { KILL, TERM, STOP, CONT }
+
+    /**
+     * How to start it.
+     *
+     * @param words the command; {@code {dir}} in them is its folder
+     * @param workplace the folder in which it is run
+     * @param environment added to this process's, whose {@code GW_*} it does not get
+     */
+    public record Command(List<String> words, Path workplace, Map<String, String> environment) { }
+
+    /** What the last bytes of a torn file are overwritten with: no text and no length that a reader could believe. */
+    private static final byte[] GARBLE = {(byte) 0xff, 0, (byte) 0xfe, 1, (byte) 0xfd, 2, (byte) 0xfc};
+    private static final int TORN = 23;
+    private static final String DIR = "{dir}";
+
+    private final String name;
+    private final Path folder;
+    private final Optional<Consumer<String>> lines;
+    private Process process;
+    private Writer input;
+    private Thread reader;
+    private int lives;
+
+    /**
+     * Nothing is started yet.
+     *
+     * @param folder is made; what the program writes there is its disk
+     * @param lines told of each line that it writes to standard output, on a thread of its own; without, it goes to its
+     *        log as standard error does
+     */
+    public Program(String name, Path folder, Optional<Consumer<String>> lines) throws IOException {
+        this.name = name;
+        this.folder = Files.createDirectories(folder);
+        this.lines = lines;
+    }
+
+    /** Where its disk is. */
+    public Path disk() {
+        return folder.resolve("disk");
+    }
+
+    private Path log() {
+        return folder.resolve("log-" + lives);
+    }
+
+    /**
+     * Starts it.
+     *
+     * @throws IOException if it cannot be started
+     */
+    public void start(Command command) throws IOException {
+        lives++;
+        Files.createDirectories(disk());
+        List<String> words = new ArrayList<>(List.of("setsid"));
+        command.words().forEach(word -> words.add(word.replace(DIR, disk().toString())));
+        ProcessBuilder builder = new ProcessBuilder(words).directory(command.workplace().toFile());
+        builder.environment().keySet().removeIf(key -> key.startsWith("GW_"));
+        builder.environment().put("TMPDIR", disk().toString());
+        command.environment().forEach((key, value) ->
+                builder.environment().put(key, value.replace(DIR, disk().toString())));
+        builder.redirectError(log().toFile());
+        if (lines.isEmpty()) {
+            builder.redirectErrorStream(true).redirectOutput(log().toFile());
+        }
+        process = builder.start();
+        input = process.outputWriter(StandardCharsets.UTF_8);
+        lines.ifPresent(consumer -> read(process, consumer));
+    }
+
+    /** What a killed process has written before stays in the pipe: it is read to its end. */
+    private void read(Process from, Consumer<String> consumer) {
+        reader = new Thread(() -> {
+            try (BufferedReader text = new BufferedReader(new InputStreamReader(from.getInputStream(),
+                    StandardCharsets.UTF_8))) {
+                for (String line = text.readLine(); line != null; line = text.readLine()) {
+                    consumer.accept(line);
+                }
+            } catch (IOException closed) {
+                // The process is gone, and so is its pipe.
+            }
+        }, "lines of " + name);
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /** Writes a line to its standard input; one to a process that is gone is lost. */
+    public synchronized void say(String line) {
+        try {
+            input.write(line + "\n");
+            input.flush();
+        } catch (IOException gone) {
+            // Its next life is told what holds then.
+        }
+    }
+
+    /**
+     * Sends a signal to its process group, and waits until it was sent.
+     *
+     * @throws IOException if it cannot be sent
+     */
+    public void signal(Signal signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-s", signal.name(), "--", "-" + process.pid()).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
+    }
+
+    public boolean isAlive() {
+        return process != null && process.isAlive();
+    }
+
+    /** Waits for its end, and for its last lines; false if it still runs. */
+    public boolean awaitEnd(long ms) throws InterruptedException {
+        boolean ended = process.waitFor(ms, TimeUnit.MILLISECONDS);
+        if (ended && reader != null) {
+            reader.join(ms);
+        }
+        return ended;
+    }
+
+    /** Resident memory of the process and all below it, KiB. */
+    public long rssKb() {
+        return isAlive() ? Usage.of(process.toHandle()).rssKb() : 0;
+    }
+
+    /** The log of its present life. */
+    public String said() {
+        return Proc.read(log());
+    }
+
+    /** Takes all away that it wrote. */
+    public void wipe() throws IOException {
+        for (Path file : files(disk())) {
+            Files.delete(file);
+        }
+    }
+
+    /** Garbles the end of the newest file that it wrote, as a machine that fell in the middle of a write may do. */
+    public void tear() throws IOException {
+        Optional<Path> newest = files(disk()).stream().max(Comparator.comparingLong(file ->
+                file.toFile().lastModified()));
+        if (newest.isPresent()) {
+            try (RandomAccessFile file = new RandomAccessFile(newest.get().toFile(), "rw")) {
+                file.setLength(Math.max(0, file.length() - TORN));
+                file.seek(Math.max(0, file.length() - GARBLE.length));
+                file.write(GARBLE);
+            }
+        }
+    }
+
+    private static List<Path> files(Path folder) throws IOException {
+        if (!Files.isDirectory(folder)) {
+            return List.of();
+        }
+        try (Stream<Path> all = Files.walk(folder)) {
+            return all.filter(Files::isRegularFile).toList();
+        } catch (UncheckedIOException changing) {
+            throw changing.getCause();
+        }
+    }
+
+    /** Kills what is left of it; its folder stays. */
+    @Override
+    public void close() throws IOException {
+        if (process != null) {
+            process.descendants().forEach(ProcessHandle::destroyForcibly);
+            process.destroyForcibly();
+        }
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/process/SidecarProcess.java
+++ b/lab/src/main/java/peppergauge/lab/process/SidecarProcess.java
@@ -96,7 +96,12 @@
 
     /** Free now; in the rare case that something else gets it meanwhile the start fails and says so. */
     public static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        return freeAddress(InetAddress.getLoopbackAddress());
+    }
+
+    /** The same of another loopback address, which nothing else uses. */
+    public static InetSocketAddress freeAddress(InetAddress host) throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, host)) {
             return (InetSocketAddress) probe.getLocalSocketAddress();
         }
     }
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/rig/Applications.java
@@ -0,0 +1,113 @@
+package peppergauge.lab.rig;
+
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import peppergauge.lab.history.Event;
+import peppergauge.lab.history.What;
+import peppergauge.lab.load.Ending;
+import peppergauge.lab.load.Generator;
+import peppergauge.lab.load.Request;
+import peppergauge.lab.load.Source;
+import peppergauge.lab.scenario.RequestKind;
+import peppergauge.lab.scenario.Scenario;
+
+/**
+ * The application beside one sidecar: a Poisson process, and one further try of what was denied. It waits longer than it
+ * says, so that the history has when a late answer came, and not only that it was late.
+ */
+final class Applications implements Source {
+
+    private static final String BODY = "x".repeat(200);
+    /** After the deadline and its slack, ms. */
+    private static final double LONGER_MS = 1_500;
+    private static final double SLACK_MS = 50;
+
+    private final Scenario scenario;
+    private final Recorder recorder;
+    private final String sidecar;
+    private final String run;
+    private final double ratePerS;
+    private final long endNs;
+    private final UniformRandomProvider random;
+    private Generator generator;
+    private long count;
+    private int open;
+
+    /** @param run in all ids, so that two runs on one machine cannot be mixed up */
+    Applications(Scenario scenario, Recorder recorder, String sidecar, String run, long seed, double ratePerS,
+            long endNs) {
+        this.scenario = scenario;
+        this.recorder = recorder;
+        this.sidecar = sidecar;
+        this.run = run;
+        this.ratePerS = ratePerS;
+        this.endNs = endNs;
+        random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+    }
+
+    /** For how long after the load's end the last answers may come, ms. */
+    static double aftermathMs(Scenario scenario) {
+        return scenario.classes().stream().mapToDouble(kind -> Scenario.ms(kind.deadline())).max().orElse(0)
+                + Scenario.ms(scenario.rules().answerSlack()) + LONGER_MS + 4 * SLACK_MS;
+    }
+
+    /** Sessions that have no end yet. */
+    int open() {
+        return open;
+    }
+
+    void use(Generator with) {
+        generator = with;
+    }
+
+    @Override
+    public long nextNs(long lastNs) {
+        long atNs = lastNs + (long) (-Math.log(1 - random.nextDouble()) / ratePerS * 1e9);
+        return atNs - endNs < 0 ? atNs : NEVER;
+    }
+
+    @Override
+    public Request next() {
+        return request(kind(), run + '-' + sidecar.substring(sidecar.indexOf('-') + 1) + '-' + count++ + ".0",
+                System.nanoTime());
+    }
+
+    private RequestKind kind() {
+        List<RequestKind> all = scenario.classes();
+        double left = random.nextDouble() * all.stream().mapToDouble(RequestKind::share).sum();
+        for (RequestKind kind : all) {
+            left -= kind.share();
+            if (left < 0) {
+                return kind;
+            }
+        }
+        return all.get(all.size() - 1);
+    }
+
+    private Request request(RequestKind kind, String id, long atNs) {
+        open++;
+        boolean unsafe = kind.effect() == RequestKind.Effect.UNSAFE;
+        double deadlineMs = Scenario.ms(kind.deadline());
+        recorder.add(new Event(atNs, What.ASKED, "clients", sidecar, id, (long) deadlineMs, unsafe ? "unsafe" : "safe"));
+        double patienceMs = deadlineMs + Scenario.ms(scenario.rules().answerSlack()) + LONGER_MS;
+        long keys = Math.max(1, scenario.clients().keys());
+        String tenant = scenario.tenants().isEmpty() ? "all" : scenario.tenants().get(0).name();
+        return new Request(id, '/' + kind.name() + "/k" + random.nextLong(keys), tenant, unsafe ? BODY : "",
+                (long) (patienceMs * 1e6), (long) (deadlineMs * 1e6), false);
+    }
+
+    @Override
+    public void ended(Request request, Ending ending, long wantedNs) {
+        open--;
+        recorder.add(new Event(System.nanoTime(), What.ENDED, sidecar, "", request.id(), 0, ending.how()));
+        int dot = request.id().lastIndexOf('.');
+        long atNs = System.nanoTime() + ending.retryAfterNs();
+        if (ending.denied() && request.id().endsWith(".0") && atNs - endNs < 0) {
+            String name = request.path().split("/")[1];
+            RequestKind kind = scenario.classes().stream().filter(one -> one.name().equals(name)).findFirst()
+                    .orElseThrow();
+            generator.ask(request(kind, request.id().substring(0, dot) + ".1", atNs), atNs);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/rig/ChildMain.java
@@ -0,0 +1,118 @@
+package peppergauge.lab.rig;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import peppergauge.lab.history.Event;
+import peppergauge.lab.history.What;
+import peppergauge.lab.standin.BackendServer;
+import peppergauge.lab.standin.Discovery;
+import peppergauge.lab.standin.ServerRow;
+import peppergauge.lab.standin.Turns;
+import peppergauge.lab.wire.Loop;
+
+/**
+ * A backend server or discovery as a process. What it is comes as one line of JSON on standard input, then what it is to
+ * do, a line each; what it does goes to standard output, an event a line, written before the deed. It ends with its
+ * input, so that none outlives the rig.
+ */
+public final class ChildMain {
+
+    /**
+     * A backend server.
+     *
+     * @param workMs mean time of each class's requests
+     * @param room requests in hand at most; what comes beyond is turned away
+     */
+    record ServerTask(String name, long seed, Map<String, Double> workMs, int room) { }
+
+    /**
+     * The list service.
+     *
+     * @param clerks calls in work at once
+     * @param callMs what a call takes; 0: nothing, and none waits
+     * @param patienceMs after which a call that waits is given up
+     * @param version of its first list
+     * @param rows what each sidecar is told, since addresses differ from one to the next
+     */
+    record DiscoveryTask(int clerks, double callMs, double patienceMs, long version, List<List<ServerRow>> rows) { }
+
+    private static final JsonMapper JSON = new JsonMapper();
+
+    private final PrintStream out = new PrintStream(new java.io.FileOutputStream(java.io.FileDescriptor.out), false,
+            StandardCharsets.UTF_8);
+    private final Loop loop = Loop.sleeping("child");
+
+    private ChildMain() throws IOException { }
+
+    /** @param args {@code server} or {@code discovery} */
+    public static void main(String[] args) throws IOException {
+        BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        new ChildMain().run(args[0].equals("server"), in);
+        Runtime.getRuntime().halt(0);
+    }
+
+    private void run(boolean server, BufferedReader in) throws IOException {
+        loop.onFailure(thrown -> {
+            thrown.printStackTrace();
+            Runtime.getRuntime().halt(3);
+        });
+        if (server) {
+            server(JSON.readValue(in.readLine(), ServerTask.class));
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                // A server has nothing to be told: it ends with its input.
+            }
+        } else {
+            discovery(JSON.readValue(in.readLine(), DiscoveryTask.class), in);
+        }
+    }
+
+    /** One write a line: a process that is killed leaves whole lines, and half of one at most. */
+    private synchronized void tell(Event event) {
+        byte[] line = (event.json() + "\n").getBytes(StandardCharsets.UTF_8);
+        out.write(line, 0, line.length);
+        out.flush();
+    }
+
+    private void up(String name, List<InetSocketAddress> addresses) {
+        tell(Event.of(System.nanoTime(), What.UP, name).saying(addresses.stream()
+                .map(address -> Integer.toString(address.getPort())).collect(Collectors.joining(","))));
+    }
+
+    private void server(ServerTask task) throws IOException {
+        BackendServer server = new BackendServer(loop, new RecordingService(loop, task, this::tell));
+        loop.post(() -> Canary.watch(loop, task.name(), this::tell));
+        loop.start();
+        up(task.name(), List.of(server.socketAddress()));
+    }
+
+    private void discovery(DiscoveryTask task, BufferedReader in) throws IOException {
+        Turns turns = task.callMs() == 0 ? Turns.FREE : new Turns(loop, task.clerks(), (long) (1e6 * task.callMs()),
+                (long) (1e6 * task.patienceMs()));
+        turns.onGivenUp(() -> tell(Event.of(System.nanoTime(), What.CALL_GIVEN_UP, "discovery")));
+        List<Discovery> agents = new ArrayList<>();
+        for (List<ServerRow> rows : task.rows()) {
+            agents.add(new Discovery(loop, rows, turns, task.version()));
+        }
+        loop.post(() -> Canary.watch(loop, "discovery", this::tell));
+        loop.start();
+        up("discovery", agents.stream().map(Discovery::address).toList());
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            List<ServerRow> changed = JSON.readValue(line, new TypeReference<List<ServerRow>>() { });
+            loop.post(() -> {
+                for (int i = 0; i < agents.size(); i++) {
+                    agents.get(i).tell(List.of(changed.get(i)));
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/rig/Recorder.java
@@ -0,0 +1,37 @@
+package peppergauge.lab.rig;
+
+import java.util.ArrayList;
+import java.util.List;
+import peppergauge.lab.history.Event;
+import peppergauge.lab.history.History;
+import peppergauge.lab.history.What;
+
+/** Where all threads and processes of a rig write what happened. */
+public final class Recorder {
+
+    private final List<Event> events = new ArrayList<>();
+
+    /** Any thread. */
+    public synchronized void add(Event event) {
+        events.add(event);
+    }
+
+    /** Something that happened just now. */
+    public void now(What what, String who, String text) {
+        add(Event.of(System.nanoTime(), what, who).saying(text));
+    }
+
+    /** What a process wrote: its last line may be cut off. */
+    void line(String line) {
+        try {
+            add(Event.read(line));
+        } catch (IllegalArgumentException half) {
+            // A process that was killed was in the middle of it: what it told of has not happened.
+        }
+    }
+
+    /** All so far. */
+    public synchronized History history() {
+        return new History(events);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/rig/RecordingService.java
@@ -0,0 +1,91 @@
+package peppergauge.lab.rig;
+
+import java.io.IOException;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import peppergauge.lab.history.Event;
+import peppergauge.lab.history.What;
+import peppergauge.lab.standin.Exchange;
+import peppergauge.lab.standin.Service;
+import peppergauge.lab.wire.Loop;
+import peppergauge.lab.wire.Message;
+
+/** A backend server with a bound on what it takes, which records what it begins before it does. */
+final class RecordingService implements Service {
+
+    private static final int BODY = 200;
+    /** Weight of the newest in the reported service time. */
+    private static final double NEWEST = 0.1;
+
+    private final Loop loop;
+    private final ChildMain.ServerTask task;
+    private final Consumer<Event> told;
+    private final UniformRandomProvider random;
+    private int inHand;
+    private double serviceMs;
+
+    RecordingService(Loop loop, ChildMain.ServerTask task, Consumer<Event> told) {
+        this.loop = loop;
+        this.task = task;
+        this.told = told;
+        random = RandomSource.XO_SHI_RO_256_PP.create(task.seed());
+        serviceMs = task.workMs().values().stream().mapToDouble(each -> each).average().orElse(0);
+    }
+
+    @Override
+    public void opened(Exchange connection) { }
+
+    /** A sidecar that leaves does not stop the work. */
+    @Override
+    public void closed(Exchange connection) { }
+
+    @Override
+    public void asked(Message message, Exchange client) throws IOException {
+        String id = message.header("X-Txn");
+        if (message.word(1).equals("/alive") || message.word(1).equals("/metrics/load")) {
+            answer(client, "200 OK", "", message.word(1).equals("/alive") ? "" : report());
+        } else if (id == null) {
+            answer(client, "404 Not Found", "", "");
+        } else if (inHand >= task.room()) {
+            record(What.TURNED_AWAY, id, "");
+            answer(client, "503 Service Unavailable", "X-Turned-Away: 1\r\n", "");
+        } else {
+            serve(client, id, message);
+        }
+    }
+
+    private void serve(Exchange client, String id, Message message) {
+        record(What.BEGUN, id, message.word(0));
+        inHand++;
+        long startNs = System.nanoTime();
+        String[] path = message.word(1).split("/");
+        double meanMs = task.workMs().getOrDefault(path.length > 1 ? path[1] : "", serviceMs);
+        // Half of it is always needed, and the tail is short: rules are to be met here, not luck.
+        double workMs = meanMs * (0.5 + random.nextDouble());
+        loop.at(startNs + (long) (workMs * 1e6), () -> {
+            inHand--;
+            serviceMs += NEWEST * ((System.nanoTime() - startNs) / 1e6 - serviceMs);
+            if (client.isOpen()) {
+                try {
+                    answer(client, "200 OK", "", id + " ".repeat(Math.max(1, BODY - id.length())));
+                } catch (IOException gone) {
+                    client.close();
+                    client.broken();
+                }
+            }
+        });
+    }
+
+    private void record(What what, String id, String text) {
+        told.accept(new Event(System.nanoTime(), what, task.name(), "", id, 0, text));
+    }
+
+    private void answer(Exchange client, String status, String headers, String body) throws IOException {
+        client.answer(status, headers + "X-Pressure: " + report() + "\r\n", body);
+    }
+
+    private String report() {
+        return "active=" + inHand + ",waiting=0,avg_ms=" + Math.round(serviceMs * 1e3) / 1e3;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/rig/Sweep.java
@@ -0,0 +1,103 @@
+package peppergauge.lab.rig;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import peppergauge.lab.fault.Budget;
+import peppergauge.lab.fault.Fault;
+import peppergauge.lab.fault.Fewest;
+import peppergauge.lab.fault.Names;
+import peppergauge.lab.fault.Schedules;
+import peppergauge.lab.history.Bounds;
+import peppergauge.lab.history.History;
+import peppergauge.lab.history.Rules;
+import peppergauge.lab.history.Verdict;
+import peppergauge.lab.scenario.Run;
+import peppergauge.lab.scenario.Scenario;
+
+/** Runs drawn schedules one after the other, each over processes of its own, and shrinks what fails. */
+public final class Sweep {
+
+    /**
+     * One run.
+     *
+     * @param memoryKb of all processes, just before they were ended, KiB
+     */
+    public record Outcome(RigFile file, History history, Verdict verdict, long memoryKb) { }
+
+    private final Commands commands;
+    private final Capacity capacity;
+    private final List<FurtherProgram> programs;
+    private final Budget budget;
+    private final double backMs;
+    private final double windowMs;
+
+    /**
+     * For runs under one budget.
+     *
+     * @param backMs see {@link Bounds}, as for the next
+     */
+    public Sweep(Commands commands, Capacity capacity, List<FurtherProgram> programs, Budget budget, double backMs,
+            double windowMs) {
+        this.commands = commands;
+        this.capacity = capacity;
+        this.programs = programs;
+        this.budget = budget;
+        this.backMs = backMs;
+        this.windowMs = windowMs;
+    }
+
+    /** The scenario with the faults that this seed draws; it lasts until service can have been seen to be back. */
+    public RigFile drawn(Scenario scenario, long seed) {
+        List<String> servers = RigFile.servers(scenario);
+        List<String> further = programs.stream().map(FurtherProgram::name).toList();
+        List<String> processes = Stream.concat(RigFile.processes(scenario).stream(), further.stream()).toList();
+        Duration length = budget.healed().plus(Duration.ofMillis((long) (backMs + windowMs)));
+        return new RigFile(scenario.with(new Run(length, seed), scenario.servers(), List.of()), Schedules.draw(seed,
+                budget, servers, processes, Names.links(RigFile.sidecars(scenario), servers, further)));
+    }
+
+    /** @throws IOException if processes cannot be started */
+    public Outcome run(RigFile file) throws IOException, InterruptedException {
+        Path folder = Files.createTempDirectory("rig");
+        try (Rig rig = new Rig(new Rig.Plan(file, commands, capacity, programs, folder, tap -> tap))) {
+            History history = rig.run();
+            return new Outcome(file, history, Rules.check(history, bounds(file)), rig.rssKb(""));
+        } finally {
+            delete(folder);
+        }
+    }
+
+    private Bounds bounds(RigFile file) {
+        return Rig.bounds(file.scenario(), backMs, windowMs);
+    }
+
+    /** The fewest faults that break a rule that this outcome broke. */
+    public RigFile shrunk(Outcome failed) {
+        return failed.file().with(Fewest.faults(failed.file().faults(), faults -> breaksSame(failed, faults)));
+    }
+
+    private boolean breaksSame(Outcome failed, List<Fault> faults) {
+        try {
+            return run(failed.file().with(faults)).verdict().rules().stream()
+                    .anyMatch(failed.verdict().rules()::contains);
+        } catch (IOException unstarted) {
+            return false;
+        } catch (InterruptedException ending) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path each : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(each);
+            }
+        }
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/scenario/Rows.java
+++ b/lab/src/main/java/peppergauge/lab/scenario/Rows.java
@@ -16,12 +16,12 @@
  * Tables of a file as records, both ways. A component that has no key, or a key of another type, fails at the first
  * file read, so no test is needed for each of them.
  */
-final class Rows {
+public final class Rows {
 
     private Rows() { }
 
     /** The record that a table's values make. */
-    static <R extends Record> R read(Class<R> type, Table table, Values values) {
+    public static <R extends Record> R read(Class<R> type, Table table, Values values) {
         RecordComponent[] components = type.getRecordComponents();
         Class<?>[] types = new Class<?>[components.length];
         Object[] arguments = new Object[components.length];
@@ -46,7 +46,7 @@
     }
 
     /** The table as it would stand in a file; reads to an equal record. */
-    static String write(Table table, Record row) {
+    public static String write(Table table, Record row) {
         StringBuilder text = new StringBuilder(table.repeats() ? "[[" + table.name() + "]]\n"
                 : "[" + table.name() + "]\n");
         for (RecordComponent component : row.getClass().getRecordComponents()) {
--- a/lab/src/main/java/peppergauge/lab/standin/Discovery.java
+++ b/lab/src/main/java/peppergauge/lab/standin/Discovery.java
@@ -23,6 +23,7 @@
     private static final long HEARTBEAT_NS = 2_000_000_000L;
 
     private final Loop loop;
+    private final Turns turns;
     private final long heartbeatNs;
     private final Listener listener;
     private final Map<String, ServerRow> rows = new LinkedHashMap<>();
@@ -43,10 +44,27 @@
     }
 
     Discovery(Loop loop, List<ServerRow> first, long heartbeatNs) throws IOException {
+        this(loop, first, heartbeatNs, Turns.FREE, 1);
+    }
+
+    /**
+     * One whose calls wait in turn.
+     *
+     * @param turns shared by all stand-ins of one list service
+     * @param version of the first list; a list service that is back begins where none of its readers has been
+     * @throws IOException if no port can be had
+     */
+    public Discovery(Loop loop, List<ServerRow> first, Turns turns, long version) throws IOException {
+        this(loop, first, HEARTBEAT_NS, turns, version);
+    }
+
+    private Discovery(Loop loop, List<ServerRow> first, long heartbeatNs, Turns turns, long version)
+            throws IOException {
         this.loop = loop;
+        this.turns = turns;
         this.heartbeatNs = heartbeatNs;
         listener = new Listener(loop, Watch::new);
-        version = 1;
+        this.version = version;
         first.forEach(row -> rows.put(row.id(), row));
     }
 
@@ -108,6 +126,10 @@
         listener.reopen();
     }
 
+    private interface Words {
+        void say() throws IOException;
+    }
+
     /** One watch: its head goes out before the first thing that it is told. */
     private final class Watch extends Peer {
 
@@ -119,7 +141,18 @@
         }
 
         @Override
-        protected void received(Message message) throws IOException {
+        protected void received(Message message) {
+            turns.wait(() -> {
+                if (isOpen()) {
+                    orClosed(() -> answer(message));
+                }
+            }, () -> {
+                close();
+                broken();
+            });
+        }
+
+        private void answer(Message message) throws IOException {
             if (message.word(1).contains("watch=1")) {
                 watching = true;
                 watches.add(this);
@@ -151,8 +184,12 @@
         }
 
         void toldOrClosed(String line) {
+            orClosed(() -> tell(line));
+        }
+
+        private void orClosed(Words words) {
             try {
-                tell(line);
+                words.say();
             } catch (IOException gone) {
                 close();
                 broken();
--- a/lab/src/main/java/peppergauge/lab/wire/Listener.java
+++ b/lab/src/main/java/peppergauge/lab/wire/Listener.java
@@ -19,7 +19,7 @@
     public interface Door {
 
         /** @throws IOException if the client has left already */
-        Peer accepted(SocketChannel channel) throws IOException;
+        Loop.Handler accepted(SocketChannel channel) throws IOException;
     }
 
     private static final int BACKLOG = 1024;
@@ -44,9 +44,19 @@
      * @throws IOException if none can be had
      */
     public Listener(Loop loop, Door door) throws IOException {
+        this(loop, InetAddress.getLoopbackAddress(), door);
+    }
+
+    /**
+     * Opens a free port of a loopback address. One that is opened again is safe only where nothing else is bound: on the
+     * usual address its port may meanwhile be the near end of anybody's connection.
+     *
+     * @throws IOException if none can be had
+     */
+    public Listener(Loop loop, InetAddress host, Door door) throws IOException {
         this.loop = loop;
         this.door = door;
-        channel = bound(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
+        channel = bound(new InetSocketAddress(host, 0), BACKLOG);
         address = (InetSocketAddress) channel.getLocalAddress();
         accept();
     }
--- a/lab/src/main/java/peppergauge/lab/wire/Loop.java
+++ b/lab/src/main/java/peppergauge/lab/wire/Loop.java
@@ -37,6 +37,7 @@
      */
     private static final long AWAKE_NS = 20 * MS;
 
+    private final long awakeNs;
     private final Selector selector;
     /** By difference, since the clock may pass from the largest number to the smallest. */
     private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) -> Long.signum(a.atNs - b.atNs));
@@ -46,11 +47,25 @@
 
     /** @throws IOException if no selector can be had */
     public Loop(String name) throws IOException {
+        this(name, AWAKE_NS);
+    }
+
+    private Loop(String name, long awakeNs) throws IOException {
+        this.awakeNs = awakeNs;
         selector = Selector.open();
         thread = new Thread(this::run, name);
         thread.setDaemon(true);
     }
 
+    /**
+     * One that sleeps between its tasks and is up to some ms late: for where many processes share few CPUs.
+     *
+     * @throws IOException if no selector can be had
+     */
+    public static Loop sleeping(String name) throws IOException {
+        return new Loop(name, 0);
+    }
+
     /** Who is told of what a task or handler throws, which ends the loop; to be called before the start. */
     public void onFailure(Consumer<Throwable> failed) {
         thread.setUncaughtExceptionHandler((ended, thrown) -> failed.accept(thrown));
@@ -82,6 +97,11 @@
         return channel.register(selector, interest, handler);
     }
 
+    /** A registered channel's key, or null. */
+    public SelectionKey key(SelectableChannel channel) {
+        return channel.keyFor(selector);
+    }
+
     private void run() {
         try {
             while (!closed) {
@@ -100,7 +120,8 @@
 
     private void select() throws IOException {
         long waitNs = timers.isEmpty() ? LONGEST_WAIT_MS * MS : timers.peek().atNs - System.nanoTime();
-        long waitMs = Math.min(LONGEST_WAIT_MS, (waitNs - AWAKE_NS) / MS);
+        // Who sleeps rounds up: a wait of less than a millisecond would else be a busy loop.
+        long waitMs = Math.min(LONGEST_WAIT_MS, awakeNs > 0 ? (waitNs - awakeNs) / MS : (waitNs + MS - 1) / MS);
         if (waitMs > 0) {
             selector.select(Loop::serve, waitMs);
         } else {
--- a/lab/src/main/java/peppergauge/lab/wire/Message.java
+++ b/lab/src/main/java/peppergauge/lab/wire/Message.java
@@ -93,7 +93,7 @@
     }
 
     /** What has come in on a connection and is not yet taken. */
-    static final class Inbox {
+    public static final class Inbox {
 
         /** Of a body, in scenarios with long ones, and a head. */
         private static final int LARGEST = 16 * 1024 * 1024 + 16 * 1024;
@@ -102,17 +102,39 @@
         private byte[] bytes = new byte[4096];
         private int size;
 
-        Inbox(Speech speech) {
+        public Inbox(Speech speech) {
             this.speech = speech;
         }
 
+        /** Whether nothing waits, not even half a message. */
+        public boolean isEmpty() {
+            return size == 0;
+        }
+
+        /**
+         * Takes bytes that came in elsewhere.
+         *
+         * @throws IOException if they make a message that is too long
+         */
+        public void add(byte[] more, int count) throws IOException {
+            while (size + count > bytes.length) {
+                grow();
+            }
+            System.arraycopy(more, 0, bytes, size, count);
+            size += count;
+        }
+
+        private void grow() throws IOException {
+            if (size >= LARGEST) {
+                throw new IOException("a message of more than " + LARGEST + " bytes");
+            }
+            bytes = Arrays.copyOf(bytes, bytes.length * 2);
+        }
+
         /** Whether the peer has not ended its sending. */
         boolean fill(SocketChannel channel) throws IOException {
             if (size == bytes.length) {
-                if (size >= LARGEST) {
-                    throw new IOException("a message of more than " + LARGEST + " bytes");
-                }
-                bytes = Arrays.copyOf(bytes, size * 2);
+                grow();
             }
             int read = channel.read(ByteBuffer.wrap(bytes, size, bytes.length - size));
             size += Math.max(0, read);
@@ -125,7 +147,7 @@
         }
 
         /** The next whole message, or null. */
-        Message next() throws IOException {
+        public Message next() throws IOException {
             Speech.Taken taken = speech.read(bytes, size);
             if (taken == null) {
                 return null;
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/relay/LinkTest.java
@@ -0,0 +1,224 @@
+package peppergauge.lab.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.lab.fault.FaultKind;
+import peppergauge.lab.wire.Loop;
+
+/** A link on real sockets, between a caller and one that answers each byte with the next one. */
+public class LinkTest {
+
+    private static final int WAIT_MS = 120;
+
+    private Loop loop;
+    private Link link;
+    private ServerSocket echo;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        loop = Loop.sleeping("test");
+        link = new Link(loop, InetAddress.getByName("127.9.9.9"), () -> Tap.NONE);
+        loop.start();
+        echo = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(this::serve, "echo");
+        thread.setDaemon(true);
+        thread.start();
+        on(() -> link.to((InetSocketAddress) echo.getLocalSocketAddress()));
+    }
+
+    @AfterMethod
+    public void end() throws IOException {
+        echo.close();
+        loop.close();
+    }
+
+    private void serve() {
+        try {
+            while (true) {
+                Socket socket = echo.accept();
+                Thread thread = new Thread(() -> answer(socket), "answer");
+                thread.setDaemon(true);
+                thread.start();
+            }
+        } catch (IOException closed) {
+            // The test is over.
+        }
+    }
+
+    private static void answer(Socket socket) {
+        try (socket) {
+            for (int next = socket.getInputStream().read(); next >= 0; next = socket.getInputStream().read()) {
+                socket.getOutputStream().write(next + 1);
+            }
+        } catch (IOException broken) {
+            // As a caller that is gone.
+        }
+    }
+
+    private void on(Runnable task) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        loop.post(() -> {
+            task.run();
+            done.complete(null);
+        });
+        done.join();
+    }
+
+    private void begin(FaultKind what, double size) {
+        on(() -> link.begin(new Condition(1, what, size, System.nanoTime())));
+    }
+
+    private void heal() {
+        on(() -> link.heal(1));
+    }
+
+    private Socket open() throws IOException {
+        Socket socket = new Socket();
+        socket.connect(link.address(), WAIT_MS);
+        socket.setSoTimeout(WAIT_MS);
+        return socket;
+    }
+
+    /** What a caller gets for a byte: the next one, or a word. */
+    private static String ask(Socket socket, int value) {
+        try {
+            if (value >= 0) {
+                socket.getOutputStream().write(value);
+            }
+            int answer = socket.getInputStream().read();
+            return answer < 0 ? "end" : Integer.toString(answer);
+        } catch (SocketTimeoutException silent) {
+            return "silent";
+        } catch (SocketException reset) {
+            return "reset";
+        } catch (IOException failed) {
+            return failed.toString();
+        }
+    }
+
+    private String asked(int value) {
+        try (Socket socket = open()) {
+            return ask(socket, value);
+        } catch (SocketTimeoutException never) {
+            return "never";
+        } catch (IOException refused) {
+            return "refused";
+        }
+    }
+
+    @DataProvider
+    public static Object[][] faults() {
+        return new Object[][] {
+            // What an open connection meets, what a new one does, and the open one once the link is healed.
+            {FaultKind.DROP, 0, "silent", "never", "reset"},
+            {FaultKind.DROP_OUT, 0, "silent", "never", "reset"},
+            {FaultKind.DROP_BACK, 0, "silent", "never", "reset"},
+            {FaultKind.STALL, 0, "silent", "silent", "11"},
+            {FaultKind.DELAY, 1_000, "silent", "silent", "silent"},
+            {FaultKind.DELAY, 1, "11", "11", "silent"},
+            {FaultKind.RESET, 0, "reset", "11", "end"},
+            {FaultKind.ACCEPT_LATE, 1_000, "11", "silent", "silent"},
+            {FaultKind.ACCEPT_MUTE, 0, "11", "silent", "silent"},
+            {FaultKind.CUT_NEW, 0, "11", "never", "silent"},
+            {FaultKind.CUT_OPEN, 0, "silent", "11", "reset"},
+        };
+    }
+
+    @Test(dataProvider = "faults")
+    public void eachFaultDoesWhatItSaysAndIsHealed(FaultKind what, double size, String open, String fresh, String after)
+            throws IOException, InterruptedException {
+        try (Socket socket = open()) {
+            assertEquals(ask(socket, 1), "2");
+            begin(what, size);
+            // A port that falls silent does so a moment later.
+            Thread.sleep(20);
+            assertEquals(ask(socket, 10), open);
+            assertEquals(asked(10), fresh);
+            heal();
+            if (size <= 1) {
+                assertEquals(ask(socket, -1), after);
+            }
+            Thread.sleep(20);
+            assertEquals(asked(20), "21");
+        }
+    }
+
+    /** Which way bytes are lost is told by whether the called one still gets them. */
+    @Test
+    public void oneWayIsLostAndTheOtherNot() throws IOException, InterruptedException {
+        try (ServerSocket called = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            on(() -> link.to((InetSocketAddress) called.getLocalSocketAddress()));
+            for (FaultKind what : new FaultKind[] {FaultKind.DROP_OUT, FaultKind.DROP_BACK}) {
+                Thread.sleep(20);
+                try (Socket caller = open(); Socket other = called.accept()) {
+                    other.setSoTimeout(WAIT_MS);
+                    assertEquals(ask(other, -1), "silent");
+                    begin(what, 0);
+                    caller.getOutputStream().write(5);
+                    assertEquals(ask(other, -1), what == FaultKind.DROP_OUT ? "silent" : "5");
+                    other.getOutputStream().write(6);
+                    assertEquals(ask(caller, -1), what == FaultKind.DROP_OUT ? "6" : "silent");
+                    heal();
+                }
+            }
+        }
+    }
+
+    @Test
+    public void aSlowLinkLetsSoManyBytesThroughASecond() throws IOException {
+        try (Socket socket = open()) {
+            begin(FaultKind.SLOW, 1_000);
+            socket.setSoTimeout(5_000);
+            long startNs = System.nanoTime();
+            socket.getOutputStream().write(new byte[500]);
+            InputStream in = socket.getInputStream();
+            assertEquals(in.readNBytes(500).length, 500);
+            double tookMs = (System.nanoTime() - startNs) / 1e6;
+            assertTrue(tookMs > 400, tookMs + " ms");
+        }
+    }
+
+    /** Bytes that were held back come in their order, all of them, and the end after them. */
+    @Test
+    public void nothingIsLostInAStall() throws IOException {
+        try (Socket socket = open()) {
+            begin(FaultKind.STALL, 0);
+            byte[] sent = new byte[100_000];
+            for (int i = 0; i < sent.length; i++) {
+                sent[i] = (byte) (i % 100);
+            }
+            socket.getOutputStream().write(sent);
+            socket.shutdownOutput();
+            heal();
+            socket.setSoTimeout(5_000);
+            byte[] got = socket.getInputStream().readAllBytes();
+            assertEquals(got.length, sent.length);
+            assertEquals(got[99_999], sent[99_999] + 1);
+        }
+    }
+
+    /** As a system does for a process that is gone; and the link finds its next life wherever that listens. */
+    @Test
+    public void aLinkToNobodyRefuses() throws IOException, InterruptedException {
+        on(() -> link.to(null));
+        Thread.sleep(20);
+        assertEquals(asked(1), "refused");
+        on(() -> link.to((InetSocketAddress) echo.getLocalSocketAddress()));
+        Thread.sleep(20);
+        assertEquals(asked(1), "2");
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/rig/RigTest.java
@@ -0,0 +1,207 @@
+package peppergauge.lab.rig;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.UnaryOperator;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.lab.fault.Fault;
+import peppergauge.lab.history.History;
+import peppergauge.lab.history.Rules;
+import peppergauge.lab.history.Verdict;
+import peppergauge.lab.history.What;
+import peppergauge.lab.relay.Tap;
+
+/** Real processes from the classes as compiled, and what is found where something is wrong with them on purpose. */
+public class RigTest {
+
+    private static final String CAST = """
+            kind = "rig"
+            [run]
+            length = "%s"
+            seed = 5
+            [network]
+            zones = ["a", "b"]
+            [[servers]]
+            name = "server"
+            count = %d
+            [[class]]
+            name = "list"
+            work = "10 ms"
+            aim = "400 ms"
+            deadline = "1 s"
+            [[class]]
+            name = "gift"
+            work = "10 ms"
+            aim = "400 ms"
+            deadline = "1 s"
+            effect = "unsafe"
+            [clients]
+            rate = 60
+            [sidecars]
+            count = %d
+            skew = 0
+            [discovery]
+            notice = "100 ms"
+            [rules]
+            answer-slack = "1 s"
+            drain-grace = "1 s"
+            """;
+    private static final double BACK_MS = 4_000;
+    private static final double WINDOW_MS = 1_500;
+
+    private static RigFile file(String text) {
+        return RigFile.read(RigFile.FILES.read("rig.toml", text).values().orElseThrow(() ->
+                new IllegalArgumentException(RigFile.FILES.read("rig.toml", text).problems().toString())));
+    }
+
+    private static String fault(String time, String what, String target, String length, String more) {
+        return "[[fault]]\ntime = \"" + time + "\"\nwhat = \"" + what + "\"\ntarget = \"" + target + "\"\nlength = \""
+                + length + "\"\n" + more + "\n";
+    }
+
+    private static Commands commands() {
+        String java = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
+                + "' -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx64m -cp '" + System.getProperty("java.class.path")
+                + "' peppergauge.Main serve";
+        return new Commands(Path.of("").toAbsolutePath(), java, Optional.empty());
+    }
+
+    private static History run(RigFile file, UnaryOperator<Tap> taps) throws IOException, InterruptedException {
+        Path folder = Files.createTempDirectory("rig");
+        try (Rig rig = new Rig(new Rig.Plan(file, commands(), new Capacity(1, 5, 1_000), List.of(), folder, taps))) {
+            return rig.run();
+        }
+    }
+
+    private static Verdict verdict(RigFile file, History history) {
+        return Rules.check(history, Rig.bounds(file.scenario(), BACK_MS, WINDOW_MS));
+    }
+
+    /** Twelve sidecars; each sort of fault of a process once, and of links what differs most. */
+    @Test
+    public void noRuleIsBrokenByFaultsBetweenTwelveSidecars() throws Exception {
+        RigFile file = file(CAST.formatted("8 s", 3, 12)
+                + fault("1500 ms", "kill-torn", "sidecar-1", "800 ms", "")
+                + fault("1500 ms", "drop", "sidecar-2>server-*", "1 s", "")
+                + fault("1600 ms", "leave", "server-1", "1500 ms", "")
+                + fault("1800 ms", "stop", "sidecar-3", "700 ms", "")
+                + fault("2 s", "drop-back", "sidecar-4>discovery", "1500 ms", "")
+                + fault("2 s", "delay", "sidecar-5>server-2", "1 s", "size = 300")
+                + fault("2200 ms", "reset", "*>server-3", "10 ms", "")
+                + fault("2500 ms", "kill", "discovery", "500 ms", "")
+                + fault("2500 ms", "terminate", "sidecar-6", "500 ms", "")
+                + fault("2700 ms", "accept-mute", "sidecar-7>server-2", "600 ms", "")
+                + fault("2700 ms", "stall", "clients>sidecar-8", "400 ms", "")
+                + fault("3 s", "kill", "server-2", "500 ms", ""));
+        History history = run(file, tap -> tap);
+        Verdict verdict = verdict(file, history);
+        assertEquals(verdict.broken(), List.of(), verdict.excused().toString());
+        assertTrue(verdict.checked().get("answer") > 300 && verdict.checked().get("twice") > 100
+                && verdict.checked().get("drain") > 300, verdict.checked().toString());
+        assertEquals(history.of(What.HEALED).count(), history.of(What.FAULT).count());
+        assertEquals(history.of(What.FAULT).map(event -> event.id()).distinct().count(), 12L);
+        assertTrue(history.of(What.TOLD).anyMatch(told -> told.text().equals("leaving")), "someone was told");
+        assertTrue(history.of(What.ENDED).filter(end -> end.text().equals("200")).count() > 250, "most is served");
+    }
+
+    /** Sends each donation on a connection of its own once more, as no relay should. */
+    private static Tap doubling(Tap inner, RigPorts ports) {
+        return new Tap() {
+            @Override
+            public void sent(byte[] bytes, int count) {
+                inner.sent(bytes, count);
+                if (new String(bytes, 0, 4).equals("POST")) {
+                    ports.again(bytes, count);
+                }
+            }
+
+            @Override
+            public void told(byte[] bytes, int count) {
+                inner.told(bytes, count);
+            }
+
+            @Override
+            public void over(boolean byCaller) {
+                inner.over(byCaller);
+            }
+        };
+    }
+
+    /** A second way to one of the servers. */
+    private static final class RigPorts {
+
+        private volatile int port;
+
+        void again(byte[] bytes, int count) {
+            if (port > 0) {
+                try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                    OutputStream out = socket.getOutputStream();
+                    out.write(bytes, 0, count);
+                    out.flush();
+                } catch (IOException gone) {
+                    throw new UncheckedIOException(gone);
+                }
+            }
+        }
+    }
+
+    /** Over real processes: what is planted between them is found, under the name of its rule. */
+    @Test
+    public void whatIsPlantedIsFound() throws Exception {
+        RigFile file = file(CAST.formatted("2 s", 2, 2));
+        Path folder = Files.createTempDirectory("rig");
+        RigPorts ports = new RigPorts();
+        try (Rig rig = new Rig(new Rig.Plan(file, commands(), new Capacity(1, 0, 1_000), List.of(), folder,
+                tap -> doubling(tap, ports)))) {
+            ports.port = 0;
+            Thread finds = new Thread(() -> {
+                while (ports.port == 0) {
+                    rig.recorder().history().of(What.UP).filter(up -> up.who().equals("server-1")).findFirst()
+                            .ifPresent(up -> ports.port = Integer.parseInt(up.text()));
+                }
+            });
+            finds.setDaemon(true);
+            finds.start();
+            assertEquals(verdict(file, rig.run()).rules(), Set.of("twice"));
+        }
+    }
+
+    @DataProvider
+    public static Object[][] files() {
+        return new Object[][] {
+            {fault("1 s", "drop", "sidecar-1>server-1", "1 s", ""), ""},
+            {fault("1 s", "slow", "*>server-1", "1 s", "size = 100"), ""},
+            {fault("1 s", "slow", "*>server-1", "1 s", ""), "fault.size: is missing"},
+            {fault("1 s", "drop", "*>server-1", "1 s", "size = 1"), "fault.size: means nothing for drop"},
+            {fault("1 s", "drop", "sidecar-1", "1 s", ""), "names no link of this rig"},
+            {fault("1 s", "kill", "sidecar-9", "1 s", ""), "names no process of this rig"},
+            {fault("1 s", "leave", "sidecar-*", "1 s", ""), "only backend servers can be told to leave"},
+            {fault("1 s", "explode", "sidecar-1", "1 s", ""), "fault.what"},
+            {"[[at]]\ntime = \"1 s\"\nwhat = \"pause\"\n", "at"},
+        };
+    }
+
+    @Test(dataProvider = "files")
+    public void aFileSaysWhatIsWrongWithIt(String faults, String problem) {
+        String problems = RigFile.FILES.read("rig.toml", CAST.formatted("2 s", 2, 2) + faults).problems().toString();
+        if (problem.isEmpty()) {
+            RigFile file = file(CAST.formatted("2 s", 2, 2) + faults);
+            assertEquals(file(file.toToml()), file);
+            assertEquals(file.faults().stream().map(Fault::line).toList().size(), 1);
+        } else {
+            assertTrue(problems.contains(problem), problems);
+        }
+    }
+}
