--- a/lab/src/main/java/peppergauge/lab/history/Rules.java
+++ b/lab/src/main/java/peppergauge/lab/history/Rules.java
@@ -16,6 +16,15 @@
 
     private Rules() { }
 
+    /**
+     * Whether nothing more is to be seen: all that went wrong is over, and service is as usual again or had its time.
+     *
+     * @param nowNs System.nanoTime
+     */
+    public static boolean isOver(History soFar, Bounds bounds, long nowNs) {
+        return Recovery.isOver(soFar, bounds, nowNs);
+    }
+
     /** Holds a whole run to them. */
     public static Verdict check(History history, Bounds bounds) {
         Verdict verdict = new Verdict(history.first(What.BEGIN).orElse(0L));
