--- a/lab/src/main/java/peppergauge/lab/process/Program.java
+++ b/lab/src/main/java/peppergauge/lab/process/Program.java
@@ -4,6 +4,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.InterruptedIOException;
 import java.io.RandomAccessFile;
 import java.io.UncheckedIOException;
 import java.io.Writer;
@@ -68,7 +69,7 @@
         return folder.resolve("disk");
     }
 
-    private Path log() {
+    Path log() {
         return folder.resolve("log-" + lives);
     }
 
@@ -125,11 +126,17 @@
     /**
      * Sends a signal to its process group, and waits until it was sent.
      *
-     * @throws IOException if it cannot be sent
+     * @throws IOException if it cannot be sent, or the thread is interrupted meanwhile
      */
-    public void signal(Signal signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-s", signal.name(), "--", "-" + process.pid()).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
+    public void signal(Signal signal) throws IOException {
+        Process sender = new ProcessBuilder("kill", "-s", signal.name(), "--", "-" + process.pid())
+                .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        try {
+            sender.waitFor();
+        } catch (InterruptedException ending) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("while a signal was sent");
+        }
     }
 
     public boolean isAlive() {
@@ -145,6 +152,11 @@
         return ended;
     }
 
+    /** The present life's process. */
+    Process process() {
+        return process;
+    }
+
     /** Resident memory of the process and all below it, KiB. */
     public long rssKb() {
         return isAlive() ? Usage.of(process.toHandle()).rssKb() : 0;
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/process/Ready.java
@@ -0,0 +1,54 @@
+package peppergauge.lab.process;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** Whether a program is ready, by one HTTP request on a connection of its own. */
+public final class Ready {
+
+    /** The status of who is ready. */
+    public static final String OK = "200";
+    private static final int PATIENCE_MS = 1_000;
+    private static final long LONGEST_NS = 60_000_000_000L;
+    private static final long PAUSE_MS = 20;
+    /** Where the status stands in an answer. */
+    private static final int FROM = 9;
+    private static final int TO = 12;
+
+    private Ready() { }
+
+    /** The answer's status; empty if nobody listens or answers. */
+    public static String ask(InetSocketAddress address, String path) {
+        try (Socket socket = new Socket()) {
+            socket.connect(address, PATIENCE_MS);
+            socket.setSoTimeout(PATIENCE_MS);
+            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: api.internal\r\n"
+                    + "Connection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            String head = new String(socket.getInputStream().readNBytes(TO), StandardCharsets.US_ASCII);
+            return head.substring(Math.min(FROM, head.length()));
+        } catch (IOException refused) {
+            return "";
+        }
+    }
+
+    /**
+     * Waits for up to 60 s; true once it is ready.
+     *
+     * @param alive whether it is worth while to wait
+     */
+    public static boolean await(InetSocketAddress address, String path, BooleanSupplier alive)
+            throws InterruptedException {
+        long startNs = System.nanoTime();
+        while (alive.getAsBoolean() && System.nanoTime() - startNs < LONGEST_NS) {
+            if (ask(address, path).equals(OK)) {
+                return true;
+            }
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+        }
+        return false;
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
@@ -176,7 +176,7 @@
             String file = Files.readString(Path.of(options.get("fleet-file")))
                     .replace("{listen}", Listener.text(listen)).replace("{number}", Integer.toString(i));
             programs.add(new FurtherProgram("fleet-" + i, List.of("/bin/sh", "-c", options.get("fleet-command")),
-                    listen, text("fleet-ready", ""), Map.of("fleet.toml", file)));
+                    listen, text("fleet-ready", "/"), Map.of("fleet.toml", file)));
         }
         return programs;
     }
--- a/lab/src/main/java/peppergauge/lab/rig/FurtherProgram.java
+++ b/lab/src/main/java/peppergauge/lab/rig/FurtherProgram.java
@@ -11,7 +11,7 @@
  * @param words its command; {@code {dir}} is its disk, and {@code {link:NAME}} the address at which it reaches another
  *         program, as {@code host:port}
  * @param listen where it listens itself
- * @param ready a path that answers 200 once it is ready; empty: when it takes connections
+ * @param ready a path that answers 200 once it is ready
  * @param files written to its disk before each start, with the same words replaced
  */
 public record FurtherProgram(String name, List<String> words, InetSocketAddress listen, String ready,
--- a/lab/src/main/java/peppergauge/lab/rig/Member.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Member.java
@@ -19,6 +19,7 @@
 import peppergauge.lab.history.What;
 import peppergauge.lab.process.Program;
 import peppergauge.lab.process.Program.Signal;
+import peppergauge.lab.process.Ready;
 
 /** One process of a rig over all its lives. Its methods wait, and are not for a loop's thread; one runs at a time. */
 final class Member implements Closeable {
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/process/ProgramTest.java
@@ -0,0 +1,96 @@
+package peppergauge.lab.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import peppergauge.lab.process.Program.Signal;
+
+/** A shell that repeats what it is told, over some lives. */
+public class ProgramTest {
+
+    private static final long LONG_MS = 20_000;
+
+    private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+    private Program program;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        lines.clear();
+        program = new Program("shell", Files.createTempDirectory("program"), Optional.of(lines::add));
+        live();
+    }
+
+    private void live() throws IOException {
+        program.start(new Program.Command(List.of("/bin/sh", "-c", "echo \"$WORD\"; while read x; do echo \"$x\"; done"),
+                Path.of("/"), Map.of("WORD", "from {dir}")));
+    }
+
+    @AfterMethod
+    public void end() throws IOException {
+        program.close();
+    }
+
+    private String line() throws InterruptedException {
+        return lines.poll(LONG_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    public void whatAKilledProcessSaidIsReadToItsEnd() throws Exception {
+        assertEquals(line(), "from " + program.disk());
+        for (int i = 0; i < 1_000; i++) {
+            program.say("line " + i);
+        }
+        while (!line().equals("line 999")) {
+            // The rest is on its way.
+        }
+        program.say("last");
+        Thread.sleep(50);
+        program.signal(Signal.KILL);
+        assertTrue(program.awaitEnd(LONG_MS));
+        assertFalse(program.isAlive());
+        assertEquals(line(), "last");
+        program.say("to nobody");
+        live();
+        assertEquals(line(), "from " + program.disk());
+        assertTrue(program.isAlive());
+    }
+
+    @Test
+    public void aStoppedProcessSaysNothingUntilItGoesOn() throws Exception {
+        line();
+        program.signal(Signal.STOP);
+        program.say("held");
+        assertEquals(lines.poll(150, TimeUnit.MILLISECONDS), null);
+        program.signal(Signal.CONT);
+        assertEquals(line(), "held");
+    }
+
+    @Test
+    public void theDiskStaysIsTornAtItsNewestFileOrGone() throws Exception {
+        Path old = Files.writeString(program.disk().resolve("old"), "0123456789".repeat(10));
+        Path torn = Files.writeString(Files.createDirectories(program.disk().resolve("in")).resolve("new"),
+                "0123456789".repeat(10));
+        assertTrue(old.toFile().setLastModified(1_000_000));
+        program.tear();
+        assertEquals(Files.readString(old).length(), 100);
+        assertEquals(Files.size(torn), 77);
+        assertEquals(new String(Files.readAllBytes(torn), java.nio.charset.StandardCharsets.ISO_8859_1)
+                .substring(0, 70), "0123456789".repeat(7));
+        assertEquals(Files.readAllBytes(torn)[76], (byte) 0xfc);
+        program.wipe();
+        assertFalse(Files.exists(old) || Files.exists(torn));
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/standin/TurnsTest.java
@@ -0,0 +1,84 @@
+package peppergauge.lab.standin;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import peppergauge.Toy;
+import peppergauge.lab.wire.Loop;
+
+/** The list service with a finite capacity, on sockets. */
+public class TurnsTest {
+
+    private static final long MS = 1_000_000;
+
+    private final AtomicInteger givenUp = new AtomicInteger();
+    private Loop loop;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        givenUp.set(0);
+        loop = Loop.sleeping("test");
+        loop.start();
+    }
+
+    @AfterMethod
+    public void end() throws IOException {
+        loop.close();
+    }
+
+    /** Some callers, one after the other; each is heard of by what its socket says first, or by its end. */
+    private List<Integer> called(Turns turns, int callers, int heard) throws IOException {
+        turns.onGivenUp(givenUp::incrementAndGet);
+        CompletableFuture<Discovery> made = new CompletableFuture<>();
+        loop.post(() -> {
+            try {
+                made.complete(new Discovery(loop, List.of(), turns, 1));
+            } catch (IOException failed) {
+                made.completeExceptionally(failed);
+            }
+        });
+        List<Socket> sockets = new ArrayList<>();
+        List<Integer> first = new ArrayList<>();
+        try {
+            for (int i = 0; i < callers; i++) {
+                Socket socket = new Socket();
+                sockets.add(socket);
+                socket.connect(made.join().address());
+                socket.setSoTimeout(20_000);
+                Toy.write(socket, "GET /discovery/hosts HTTP/1.1\r\n\r\n");
+            }
+            for (int i = callers - heard; i < callers; i++) {
+                first.add(sockets.get(i).getInputStream().read());
+            }
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+        return first;
+    }
+
+    @Test
+    public void callsWaitInTurnAndAreAllAnswered() throws IOException {
+        long startNs = System.nanoTime();
+        assertEquals(called(new Turns(loop, 2, 20 * MS, 20_000 * MS), 10, 10), java.util.Collections.nCopies(10,
+                (int) 'H'));
+        assertTrue(System.nanoTime() - startNs >= 5 * 20 * MS, "ten calls, two at once, 20 ms each");
+        assertEquals(givenUp.get(), 0);
+    }
+
+    @Test
+    public void whoWaitsTooLongIsGivenUp() throws IOException {
+        assertEquals(called(new Turns(loop, 1, 60_000 * MS, 100 * MS), 4, 3), List.of(-1, -1, -1));
+        assertEquals(givenUp.get(), 3);
+    }
+}
