--- a/lab/src/test/java/peppergauge/lab/standin/TurnsTest.java
+++ b/lab/src/test/java/peppergauge/lab/standin/TurnsTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -70,12 +71,26 @@
     @Test
     public void callsWaitInTurnAndAreAllAnswered() throws IOException {
         long startNs = System.nanoTime();
-        assertEquals(called(new Turns(loop, 2, 20 * MS, 20_000 * MS), 10, 10), java.util.Collections.nCopies(10,
+        assertEquals(called(new Turns(loop, 2, 20 * MS, 20_000 * MS), 10, 10), Collections.nCopies(10,
                 (int) 'H'));
         assertTrue(System.nanoTime() - startNs >= 5 * 20 * MS, "ten calls, two at once, 20 ms each");
         assertEquals(givenUp.get(), 0);
     }
 
+    /** Timers run in their order, however late: the second is given up before the first is done. */
+    @Test
+    public void whoIsGivenUpIsNotAnsweredLater() throws InterruptedException {
+        Turns turns = new Turns(loop, 1, 200 * MS, 50 * MS);
+        List<String> told = Collections.synchronizedList(new ArrayList<>());
+        loop.post(() -> {
+            for (String name : List.of("a", "b")) {
+                turns.wait(() -> told.add(name + " answered"), () -> told.add(name + " given up"));
+            }
+        });
+        Thread.sleep(600);
+        assertEquals(told, List.of("b given up", "a answered"));
+    }
+
     @Test
     public void whoWaitsTooLongIsGivenUp() throws IOException {
         assertEquals(called(new Turns(loop, 1, 60_000 * MS, 100 * MS), 4, 3), List.of(-1, -1, -1));
