--- a/lab/src/main/java/peppergauge/lab/emulator/SidecarLoop.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/SidecarLoop.java
@@ -21,7 +21,7 @@
     private final VirtualTime time;
     private final Overload<?, Sessions.Newcomer> overload;
     private final Sabotage sabotage;
-    private final Consumer<RuntimeException> bug;
+    private final Consumer<Throwable> bug;
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
     private boolean awake;
     private boolean dead;
@@ -32,7 +32,7 @@
     private double spentMs;
 
     SidecarLoop(VirtualTime time, Overload<?, Sessions.Newcomer> overload, Sabotage sabotage,
-            Consumer<RuntimeException> bug) {
+            Consumer<Throwable> bug) {
         this.time = time;
         this.overload = overload;
         this.sabotage = sabotage;
@@ -112,21 +112,27 @@
             time.at(pausedUntil, this::round);
             return;
         }
-        idleRounds();
         double nowMs = time.nowMs();
-        overload.selectReturned(nowMs);
+        guarded(() -> {
+            idleRounds();
+            overload.selectReturned(nowMs);
+        });
         for (Runnable task = tasks.pollFirst(); task != null; task = tasks.pollFirst()) {
-            try {
-                task.run();
-            } catch (RuntimeException thrown) {
-                bug.accept(thrown);
-            }
+            guarded(task);
         }
         awake = false;
         busyUntil = time.now() + VirtualTime.ticks(spentMs);
         endedMs = nowMs + spentMs;
         spentMs = 0;
-        overload.roundEnded(endedMs, true);
+        guarded(() -> overload.roundEnded(endedMs, true));
+    }
+
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | AssertionError thrown) {
+            bug.accept(thrown);
+        }
     }
 
     /** The present round takes so much longer, ms. */
