--- a/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
@@ -70,7 +70,7 @@
         Optional<Daemons> daemons = options.containsKey("daemon")
                 ? Optional.of(Daemons.launched(Optional.of(Files.readString(Path.of(options.get("daemon"))))))
                 : Optional.empty();
-        Commands commands = new Commands(home, Deploy.run(home), daemons);
+        Commands commands = new Commands(home, Deploy.checked(Deploy.run(home)), daemons);
         Budget budget = new Budget((int) number("faults", 6), (int) number("at-once", 3), time("first", 2),
                 time("healed", 8), time("longest", 3));
         Capacity capacity = new Capacity((int) number("clerks", 2), number("call-ms", 2), 1_000);
--- a/lab/src/main/java/peppergauge/lab/rig/Member.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Member.java
@@ -123,6 +123,7 @@
 
     /** SIGKILL. It is recorded before, so that nothing that the kill caused stands before it. */
     synchronized void kill() throws IOException, InterruptedException {
+        checkAlive();
         if (!wanted) {
             return;
         }
@@ -135,6 +136,7 @@
 
     /** SIGTERM, and SIGKILL if that takes too long. */
     synchronized void terminate() throws IOException, InterruptedException {
+        checkAlive();
         if (!wanted) {
             return;
         }
@@ -150,7 +152,7 @@
     }
 
     /** SIGSTOP or SIGCONT. */
-    synchronized void stand(boolean still) throws IOException, InterruptedException {
+    synchronized void stand(boolean still) throws IOException {
         if (!wanted) {
             return;
         }
@@ -172,7 +174,7 @@
         }
     }
 
-    /** Records it if it should live and does not. */
+    /** Records it if it should live and does not; before each end on purpose too, which would hide the other. */
     synchronized void checkAlive() {
         if (wanted && !program.isAlive()) {
             lost("ended by itself");
--- a/lab/src/main/java/peppergauge/lab/rig/Rig.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Rig.java
@@ -87,6 +87,8 @@
         sleepMs(Scenario.ms(scenario.run().length()));
         awaitUsualService();
         awaitLastAnswers();
+        // What servers wrote last may still be in their pipes.
+        sleepMs(5 * LOOK_MS);
         cast.members().values().forEach(Member::checkAlive);
         if (failure != null) {
             throw new IOException("the rig's thread failed", failure);
--- a/lab/src/test/java/peppergauge/lab/rig/RigTest.java
+++ b/lab/src/test/java/peppergauge/lab/rig/RigTest.java
@@ -83,8 +83,8 @@
 
     private static Commands commands() {
         String java = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
-                + "' -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx64m -cp '" + System.getProperty("java.class.path")
-                + "' peppergauge.Main serve";
+                + "' -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx64m -ea:peppergauge... -cp '"
+                + System.getProperty("java.class.path") + "' peppergauge.Main serve";
         return new Commands(Path.of("").toAbsolutePath(), java, Optional.empty());
     }
 
