--- a/lab/src/main/java/peppergauge/lab/process/Program.java
+++ b/lab/src/main/java/peppergauge/lab/process/Program.java
@@ -41,6 +41,7 @@
     /** What the last bytes of a torn file are overwritten with: no text and no length that a reader could believe. */
     private static final byte[] GARBLE = {(byte) 0xff, 0, (byte) 0xfe, 1, (byte) 0xfd, 2, (byte) 0xfc};
     private static final int TORN = 23;
+    private static final long LONGEST_END_S = 5;
     private static final String DIR = "{dir}";
 
     private final String name;
@@ -198,12 +199,18 @@
         }
     }
 
-    /** Kills what is left of it; its folder stays. */
+    /** Kills what is left of it, and waits until it is gone, so that nothing more is written; its folder stays. */
     @Override
     public void close() throws IOException {
-        if (process != null) {
-            process.descendants().forEach(ProcessHandle::destroyForcibly);
-            process.destroyForcibly();
+        if (process == null) {
+            return;
+        }
+        process.descendants().forEach(ProcessHandle::destroyForcibly);
+        process.destroyForcibly();
+        try {
+            process.waitFor(LONGEST_END_S, TimeUnit.SECONDS);
+        } catch (InterruptedException ending) {
+            Thread.currentThread().interrupt();
         }
     }
 }
--- a/lab/src/main/java/peppergauge/lab/rig/Member.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Member.java
@@ -84,8 +84,15 @@
         }
     }
 
-    /** Starts it and waits until it is ready. A life that does not come up is recorded as a process that was lost. */
+    /**
+     * Starts it and waits until it is ready, if it is not there: of two faults at one process, each of which brings it
+     * back, the second may come while the first one's start still takes its time. A life that does not come up is
+     * recorded as a process that was lost.
+     */
     synchronized void start() throws IOException, InterruptedException {
+        if (wanted) {
+            return;
+        }
         wanted = true;
         ports = new CompletableFuture<>();
         Program.Command command = start.command(Files.createDirectories(program.disk()));
--- a/lab/src/test/java/peppergauge/lab/process/ProgramTest.java
+++ b/lab/src/test/java/peppergauge/lab/process/ProgramTest.java
@@ -34,8 +34,9 @@
     }
 
     private void live() throws IOException {
-        program.start(new Program.Command(List.of("/bin/sh", "-c", "echo \"$WORD\"; while read x; do echo \"$x\"; done"),
-                Path.of("/"), Map.of("WORD", "from {dir}")));
+        String script = "echo \"$WORD\"; while read x; do echo \"$x\"; done";
+        program.start(new Program.Command(List.of("/bin/sh", "-c", script), Path.of("/"),
+                Map.of("WORD", "from {dir}")));
     }
 
     @AfterMethod
--- a/lab/src/test/java/peppergauge/lab/rig/MemberTest.java
+++ b/lab/src/test/java/peppergauge/lab/rig/MemberTest.java
@@ -30,6 +30,7 @@
             assertEquals(reached.get(0).stream().map(InetSocketAddress::getPort).toList(), List.of(7, 8));
             member.kill();
             member.start();
+            member.start();
             assertEquals(recorder.history().of(What.LOST).count(), 0L);
             member.say(() -> "end");
             while (member.rssKb() > 0) {
--- a/lab/src/test/java/peppergauge/lab/rig/RigTest.java
+++ b/lab/src/test/java/peppergauge/lab/rig/RigTest.java
@@ -174,7 +174,8 @@
         Hosts hosts = Hosts.fresh();
         for (int i = 1; i <= 2; i++) {
             InetSocketAddress listen = SidecarProcess.freeAddress(hosts.of(i));
-            Map<String, Object> config = SidecarConfig.of(scenario, 0, 0, listen, new ServerList(1, true, List.of()), 1);
+            Map<String, Object> config = SidecarConfig.of(scenario, 0, 0, listen,
+                    new ServerList(1, true, List.of()), 1);
             config.put("listen", Listener.text(listen));
             config.put("discovery", "{link:fleet-" + (3 - i) + "}");
             programs.add(new FurtherProgram("fleet-" + i, List.of("/bin/sh", "-c", "GW_CONFIG={dir}/c.json "
@@ -184,8 +185,8 @@
     }
 
     /**
-     * A relay that sends donations twice, between real processes: found by what the servers recorded. Beside that further
-     * programs run, are killed and come back.
+     * A relay that sends donations twice, between real processes: found by what the servers recorded. Beside that
+     * further programs run, are killed and come back.
      */
     @Test
     public void aDonationThatRanTwiceIsFound() throws Exception {
@@ -194,8 +195,8 @@
                 + fault("500 ms", "reset", "fleet-2>fleet-1", "200 ms", ""));
         RigPorts ports = new RigPorts();
         Rig.Plan plan = plan(file, tap -> doubling(tap, ports));
-        try (Rig rig = new Rig(new Rig.Plan(file, plan.commands(), plan.capacity(), instances(file.scenario()), plan.folder(),
-                plan.bounds(), plan.taps()))) {
+        try (Rig rig = new Rig(new Rig.Plan(file, plan.commands(), plan.capacity(), instances(file.scenario()),
+                plan.folder(), plan.bounds(), plan.taps()))) {
             Thread finds = new Thread(() -> {
                 while (ports.port == 0) {
                     rig.recorder().history().of(What.UP).filter(up -> up.who().equals("server-1")).findFirst()
