--- a/sidecar/src/test/java/peppergauge/invariant/RandomHost.java
+++ b/sidecar/src/test/java/peppergauge/invariant/RandomHost.java
@@ -28,6 +28,7 @@
 import peppergauge.decision.Balancer.ServersListed;
 import peppergauge.decision.Balancer.SetTimer;
 import peppergauge.decision.Balancer.Settings;
+import peppergauge.decision.Balancer.Steered;
 import peppergauge.decision.Balancer.TimerDue;
 import peppergauge.decision.Learned;
 
@@ -47,7 +48,6 @@
     private final PriorityQueue<SetTimer> timers = new PriorityQueue<>(Comparator.comparingDouble(SetTimer::atMs));
     private final Set<Long> cleared = new HashSet<>();
     private final Map<String, Integer> sends = new HashMap<>();
-    private final Set<String> listed = new HashSet<>();
     private final Set<String> open = new HashSet<>();
     private final List<Out> out = new ArrayList<>();
     /** The longest that a timer comes late, ms: drawn for the whole run. */
@@ -126,10 +126,20 @@
             }
             case 8 -> tell(new TimerDue(random.nextInt(1_000)));
             case 9 -> tell(new AttemptEnded("never", 0, "s0", Outcome.SUCCESS, 1, true, null));
+            case 10 -> tell(new Steered(steering()));
             default -> { }
         }
     }
 
+    /** By tenant and zone; none now and then, or fewer than there are. */
+    private double[][] steering() {
+        double[][] factors = new double[random.nextInt(4)][];
+        for (int tenant = 0; tenant < factors.length; tenant++) {
+            factors[tenant] = random.doubles(random.nextInt(4), 0.05, 1).toArray();
+        }
+        return factors;
+    }
+
     private void arrive() {
         String id = "r" + asked++;
         double budgetMs = random.nextInt(40) == 0 ? -random.nextInt(3) : 1 + random.nextInt(1_500);
@@ -193,10 +203,9 @@
         List<ServerEntry> entries = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
             if (random.nextDouble() < share) {
-                // A source tells of no server's end twice. Mostly ready; a new start now and then, and one that lies ahead by a clock that is wrong.
+                // Mostly ready; a new start now and then, and one that lies ahead by a clock that is wrong.
                 ServerState state = random.nextInt(3) > 0 ? ServerState.READY
-                        : listed.contains("s" + i) ? DrawnSettings.any(random, ServerState.values())
-                        : ServerState.DRAINING;
+                        : DrawnSettings.any(random, ServerState.values());
                 double startedMs = random.nextInt(4) > 0 ? 0 : nowMs + random.nextInt(-5_000, 500);
                 entries.add(new ServerEntry("s" + i, i % 3, i % 2, state, startedMs, i % 2));
             }
@@ -205,15 +214,6 @@
     }
 
     private void list(boolean whole, List<ServerEntry> entries) {
-        if (whole) {
-            listed.clear();
-        }
-        for (ServerEntry entry : entries) {
-            listed.remove(entry.server());
-            if (entry.state() != ServerState.GONE) {
-                listed.add(entry.server());
-            }
-        }
         tell(new ServersListed(whole, random.nextBoolean(), entries));
     }
 
