--- a/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
@@ -43,7 +43,7 @@
             System.err.println("FaultSweep [--file RIG.toml] [--sidecars N] [--servers M] [--rate R] [--seeds A..B]"
                     + " [--faults N] [--at-once N] [--first S] [--healed S] [--longest S] [--back S]"
                     + " [--clerks N] [--call-ms MS] [--daemon TABLES.toml] [--fleet N --fleet-command WORDS"
-                    + " --fleet-file FILE.toml --fleet-ready PATH] [--minutes M] [--shrink FOLDER] [--history FOLDER]");
+                    + " --fleet-file FILE.toml --fleet-ready PATH --fleet-peer TEXT] [--minutes M] [--shrink FOLDER] [--history FOLDER]");
             System.exit(2);
         }
         Map<String, String> options = new HashMap<>();
@@ -175,6 +175,11 @@
             InetSocketAddress listen = SidecarProcess.freeAddress(hosts.of(i));
             String file = Files.readString(Path.of(options.get("fleet-file")))
                     .replace("{listen}", Listener.text(listen)).replace("{number}", Integer.toString(i));
+            for (int other = 1; other <= (int) number("fleet", 0); other++) {
+                String name = "fleet-" + other;
+                file += other == i ? "" : text("fleet-peer", "").replace("{peer}", name)
+                        .replace("{link}", "{link:" + name + '}');
+            }
             programs.add(new FurtherProgram("fleet-" + i, List.of("/bin/sh", "-c", options.get("fleet-command")),
                     listen, text("fleet-ready", "/"), Map.of("fleet.toml", file)));
         }
--- a/lab/src/main/java/peppergauge/lab/rig/Member.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Member.java
@@ -77,6 +77,11 @@
         }
     }
 
+    /** What it wrote, over all its lives. */
+    Path disk() {
+        return program.disk();
+    }
+
     /** A line for it; it is made once a new life has had its first line, and never before that. */
     void say(Line line) {
         synchronized (talk) {
--- a/lab/src/main/java/peppergauge/lab/rig/Rig.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Rig.java
@@ -42,6 +42,7 @@
     private static final Generator.Shape CONNECTIONS = new Generator.Shape(2, 300, false, false);
     /** How often the end looks for sessions that are still open, ms, and for how long the loop may be away. */
     private static final double LOOK_MS = 50;
+    private static final double TABLES_MS = 300;
     private static final long LONGEST_STALL_S = 5;
     private static final long LONGEST_HEALING_NS = 90_000_000_000L;
 
@@ -84,6 +85,7 @@
         inParallel(cast.members().values().stream().filter(member -> !member.name().startsWith("sidecar-")).toList());
         inParallel(cast.members().values().stream().filter(member -> member.name().startsWith("sidecar-")).toList());
         loop.post(this::begin);
+        lookAtTables();
         sleepMs(Scenario.ms(scenario.run().length()));
         awaitUsualService();
         awaitLastAnswers();
@@ -146,6 +148,26 @@
         new Director(loop, hands, recorder, cast, scenario).play(plan.file().faults(), beginNs);
     }
 
+    /** Where sidecars are daemons with further programs beside them, such as the fleet service's instances. */
+    private void lookAtTables() {
+        if (plan.commands().daemons().isEmpty() || plan.programs().isEmpty()) {
+            return;
+        }
+        for (String sidecar : RigFile.sidecars(scenario)) {
+            Path socket = cast.members().get(sidecar).disk().resolve("admin.sock");
+            hands.execute(() -> {
+                try {
+                    while (!hands.isShutdown()) {
+                        TableLook.at(socket, sidecar, recorder);
+                        sleepMs(TABLES_MS);
+                    }
+                } catch (InterruptedException closing) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+        }
+    }
+
     private double rate(int sidecar) {
         double all = 0;
         for (int i = 0; i < scenario.sidecars().count(); i++) {
