--- a/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
@@ -43,7 +43,8 @@
             System.err.println("FaultSweep [--file RIG.toml] [--sidecars N] [--servers M] [--rate R] [--seeds A..B]"
                     + " [--faults N] [--at-once N] [--first S] [--healed S] [--longest S] [--back S]"
                     + " [--clerks N] [--call-ms MS] [--daemon TABLES.toml] [--fleet N --fleet-command WORDS"
-                    + " --fleet-file FILE.toml --fleet-ready PATH --fleet-peer TEXT] [--minutes M] [--shrink FOLDER] [--history FOLDER]");
+                    + " --fleet-file FILE.toml --fleet-ready PATH --fleet-peer TEXT]"
+                    + " [--minutes M] [--shrink FOLDER] [--history FOLDER]");
             System.exit(2);
         }
         Map<String, String> options = new HashMap<>();
