--- a/daemon/src/main/java/peppergauge/daemon/Daemon.java
+++ b/daemon/src/main/java/peppergauge/daemon/Daemon.java
@@ -10,12 +10,12 @@
 import peppergauge.fleet.decide.Planner;
 import peppergauge.fleet.file.FleetFile;
 import peppergauge.fleet.file.ServiceSection;
+import peppergauge.fleet.plan.KeyForecasts;
 import peppergauge.fleet.plan.PromisePlanner;
 import peppergauge.fleet.service.FleetService;
 import peppergauge.fleet.service.ServiceSettings;
 import peppergauge.operator.Reading;
 import peppergauge.operator.Values;
-import peppergauge.promises.MoveCost;
 import peppergauge.promises.file.PromiseSection;
 import peppergauge.promises.steer.Tuning;
 import peppergauge.snapshot.disk.RealDisk;
@@ -57,7 +57,7 @@
     private static void serveFleet(Values values) throws IOException, InterruptedException {
         ServiceSettings settings = ServiceSection.settings(values);
         Planner planner = new PromisePlanner(PromiseSection.contracts(values),
-                Tuning.every(settings.tables().everyMs()), MoveCost.NONE);
+                Tuning.every(settings.tables().everyMs()), new KeyForecasts());
         FleetService service = new FleetService(settings, planner, new RealDisk(), System::currentTimeMillis);
         Runtime.getRuntime().addShutdownHook(new Thread(service::close, "wind-down"));
         // Its own threads end with the program; this one is what keeps it.
--- a/daemon/src/main/java/peppergauge/daemon/part/Fleet.java
+++ b/daemon/src/main/java/peppergauge/daemon/part/Fleet.java
@@ -6,7 +6,6 @@
 import peppergauge.Additions;
 import peppergauge.fleet.file.FleetSection;
 import peppergauge.fleet.reader.FleetAddition;
-import peppergauge.fleet.reader.KeySource;
 import peppergauge.fleet.reader.ReaderSettings;
 import peppergauge.operator.Section;
 import peppergauge.operator.Values;
@@ -23,7 +22,7 @@
     public Part open(Values file) {
         Optional<ReaderSettings> settings = FleetSection.settings(file);
         return settings.isEmpty() ? new Fixed(Additions.NONE)
-                : new InService(new FleetAddition(settings.get(), KeySource.NONE));
+                : new InService(new FleetAddition(settings.get()));
     }
 
     /** Goes by the file of the start. */
--- a/fleet/src/main/java/peppergauge/fleet/decide/MergedView.java
+++ b/fleet/src/main/java/peppergauge/fleet/decide/MergedView.java
@@ -5,7 +5,9 @@
 import java.util.Map;
 import java.util.function.ToLongFunction;
 import peppergauge.fleet.state.Tally;
+import peppergauge.fleet.wire.DaemonReport;
 import peppergauge.forecast.KeyReport;
+import peppergauge.forecast.memory.ServiceTimes.Seen;
 import peppergauge.promises.Cell;
 import peppergauge.promises.Evidence;
 
@@ -13,14 +15,18 @@
  * What the whole fleet reported, at one moment.
  *
  * @param totals never fall while a process lives, nor over a restart with its disk
- * @param keys newest of each daemon that samples, by its name
+ * @param accounts what each daemon that samples keys told of them last, however long ago, by its name
  * @param daemons that reported lately
  */
-public record MergedView(long builtMs, Map<Cell, Tally.Total> totals, Map<String, KeyReport> keys, int daemons) {
+public record MergedView(long builtMs, Map<Cell, Tally.Total> totals, Map<String, Account> accounts, int daemons) {
+
+    /** @param servers null where the daemon told none; so are service times */
+    public record Account(long incarnation, long sentMs, KeyReport keys, List<DaemonReport.Server> servers,
+            Map<String, Seen> serviceTimes) { }
 
     public MergedView {
         totals = Map.copyOf(totals);
-        keys = Map.copyOf(keys);
+        accounts = Map.copyOf(accounts);
     }
 
     /** @param promisedMs by cell; what was answered later than that, denied or failed is missed */
--- a/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
+++ b/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
@@ -17,6 +17,11 @@
         return Map.of();
     }
 
+    /** What changes would do, by how they are asked about; a copy that does not change. Asked after each plan. */
+    default Map<String, ForecastAnswer> forecasts() {
+        return Map.of();
+    }
+
     /** What has to outlive the process; of a form of the planner's own. */
     default byte[] state() {
         return new byte[0];
--- a/fleet/src/main/java/peppergauge/fleet/file/FleetSection.java
+++ b/fleet/src/main/java/peppergauge/fleet/file/FleetSection.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import peppergauge.fleet.reader.ReaderSettings;
+import peppergauge.fleet.reader.SampledKeys;
 import peppergauge.fleet.table.TableReader;
 import peppergauge.operator.Key;
 import peppergauge.operator.Problems;
@@ -38,9 +39,13 @@
     private static final Key<Duration> LEASE = Key.preset("longest-lease", ms(1_000, 86_400_000), "\"1 h\"",
             "A table with a longer one is not taken.");
 
+    private static final Key<Long> SAMPLED = Key.preset("sampled-keys", Types.wholeNumber(0, SampledKeys.MOST), "0",
+            "Keys counted here for forecasts of hit rates, at most: a session's key is the last part of its path, if"
+                    + " that has two or more. 0 counts none, else 16 or more; each takes some 130 bytes of a report.");
+
     public static final Table TABLE = Table.optional("fleet", "Reports what clients saw to the fleet service, and takes"
             + " its tables. Left out: neither.", SITE, ADDRESSES, STEERS, FIRST, LONGEST, PATIENCE, SKEW, STEP,
-            STEP_EVERY, LEASE);
+            STEP_EVERY, LEASE, SAMPLED);
 
     private static Type<Duration> ms(long least, long most) {
         return Types.duration(Duration.ofMillis(least), Duration.ofMillis(most));
@@ -55,6 +60,9 @@
     public void check(Values file, Problems problems) {
         file.find(TABLE).filter(said -> said.get(FIRST).compareTo(said.get(LONGEST)) > 0).ifPresent(said ->
                 problems.add(said.place(FIRST), "fleet.first-interval", "must not be longer than longest-interval"));
+        file.find(TABLE).filter(said -> said.get(SAMPLED) > 0 && said.get(SAMPLED) < SampledKeys.LEAST)
+                .ifPresent(said -> problems.add(said.place(SAMPLED), "fleet.sampled-keys",
+                        "must be 0, or at least " + SampledKeys.LEAST));
     }
 
     /** Empty where the file has no such table. */
@@ -62,6 +70,7 @@
         return file.find(TABLE).map(said -> new ReaderSettings(said.get(SITE), said.get(ADDRESSES),
                 said.get(STEERS), said.get(FIRST).toMillis(), said.get(LONGEST).toMillis(),
                 said.get(PATIENCE).toMillis(), new TableReader.Bounds(said.get(SITE), said.get(SKEW).toMillis(),
-                        said.get(STEP), said.get(STEP_EVERY).toMillis(), said.get(LEASE).toMillis())));
+                        said.get(STEP), said.get(STEP_EVERY).toMillis(), said.get(LEASE).toMillis()),
+                said.get(SAMPLED).intValue()));
     }
 }
--- a/fleet/src/main/java/peppergauge/fleet/plan/PromisePlanner.java
+++ b/fleet/src/main/java/peppergauge/fleet/plan/PromisePlanner.java
@@ -4,20 +4,21 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import peppergauge.fleet.decide.ForecastAnswer;
 import peppergauge.fleet.decide.MergedView;
 import peppergauge.fleet.decide.Planner;
 import peppergauge.fleet.state.Latencies;
 import peppergauge.fleet.wire.Json;
 import peppergauge.promises.Cell;
 import peppergauge.promises.Contract;
-import peppergauge.promises.MoveCost;
 import peppergauge.promises.Steering;
 import peppergauge.promises.steer.State;
 import peppergauge.promises.steer.Steerer;
 import peppergauge.promises.steer.Tuning;
 
 /**
- * Steers stations by what they are promised. Without contracts it steers nothing. For one thread.
+ * Steers stations by what they are promised. Without contracts it steers nothing, and forecasts all the same. For one
+ * thread.
  *
  * <p>What is kept is as old as its last decision: the time that passed since then, by Unix time, decides how much of it
  * still counts, so that an old disk brings no old steering back.
@@ -26,15 +27,15 @@
 
     private final List<Contract> contracts;
     private final Steerer steerer;
-    private final MoveCost cost;
+    private final KeyForecasts forecasts;
     private final Map<Cell, Long> promisedMs = new HashMap<>();
     private State kept;
     private Steering told = Steering.NONE;
     private long decidedMs;
 
-    public PromisePlanner(List<Contract> contracts, Tuning tuning, MoveCost cost) {
+    public PromisePlanner(List<Contract> contracts, Tuning tuning, KeyForecasts forecasts) {
         this.contracts = List.copyOf(contracts);
-        this.cost = cost;
+        this.forecasts = forecasts;
         steerer = new Steerer(tuning);
         steerer.contracts(this.contracts);
         contracts.forEach(each -> promisedMs.put(new Cell(each.station(), each.requestClass(), Cell.NOWHERE),
@@ -43,6 +44,7 @@
 
     @Override
     public Steering plan(long nowMs, MergedView merged) {
+        forecasts.step(nowMs, merged, told);
         if (contracts.isEmpty()) {
             return Steering.NONE;
         }
@@ -50,7 +52,7 @@
             steerer.restore(kept, nowMs);
             kept = null;
         }
-        told = steerer.decide(nowMs, merged.evidence(this::promisedMs), cost);
+        told = steerer.decide(nowMs, merged.evidence(this::promisedMs), forecasts);
         decidedMs = nowMs;
         return told;
     }
@@ -68,9 +70,15 @@
         report.put("shares", steerer.shares());
         report.put("factors", told.factors());
         report.put("burn_rates", burnRates());
+        report.put("forecast", forecasts.report());
         return report;
     }
 
+    @Override
+    public Map<String, ForecastAnswer> forecasts() {
+        return forecasts.answers();
+    }
+
     /** By "station / class": for each window, how many times its error budget is being spent. */
     private Map<String, List<Double>> burnRates() {
         Map<String, List<Double>> rates = new LinkedHashMap<>();
--- a/fleet/src/main/java/peppergauge/fleet/reader/FleetAddition.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/FleetAddition.java
@@ -15,20 +15,20 @@
 public final class FleetAddition implements Additions.Before {
 
     private final ReaderSettings settings;
-    private final KeySource keys;
     private Witness witness;
+    private KeySource keys;
     private SteeredBalancer steered;
     private Reporting reporting;
 
-    public FleetAddition(ReaderSettings settings, KeySource keys) {
+    public FleetAddition(ReaderSettings settings) {
         this.settings = settings;
-        this.keys = keys;
     }
 
     @Override
     public Balancer balancer(Balancer module, Parts parts) {
         witness = new Witness(parts.names());
-        steered = new SteeredBalancer(module, witness);
+        keys = SampledKeys.of(settings.sampledKeys(), parts.names().zones());
+        steered = new SteeredBalancer(module, witness, keys);
         return steered;
     }
 
@@ -57,7 +57,7 @@
     }
 
     private void collect(CompletableFuture<Reporting.Counted> future) {
-        future.complete(new Reporting.Counted(witness.copy(), keys.report()));
+        future.complete(new Reporting.Counted(witness.copy(), keys.told()));
     }
 
     /** By index of tenant and of zone; empty for no steering. Names that this sidecar does not have are passed over. */
--- a/fleet/src/main/java/peppergauge/fleet/reader/KeySource.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/KeySource.java
@@ -1,25 +1,38 @@
 package peppergauge.fleet.reader;
 
+import java.util.List;
+import java.util.Map;
+import peppergauge.decision.Balancer.AttemptEnded;
+import peppergauge.decision.Balancer.ServerEntry;
+import peppergauge.fleet.wire.DaemonReport;
 import peppergauge.forecast.KeyReport;
+import peppergauge.forecast.memory.ServiceTimes.Seen;
 import peppergauge.session.Opening;
 
-/** Counts sessions' keys. Lives on the sidecar's loop. */
+/** Counts sessions' keys and what became of them. Lives on the sidecar's loop, and has to be quick. */
 public interface KeySource {
 
     /** Samples none. */
-    KeySource NONE = new KeySource() {
-        @Override
-        public void opened(Opening opening, String station, double nowMs) { }
+    KeySource NONE = new KeySource() { };
 
-        @Override
-        public KeyReport report() {
-            return null;
-        }
-    };
+    /** What is reported; null each for nothing. */
+    record Told(KeyReport keys, List<DaemonReport.Server> servers, Map<String, Seen> serviceTimes) { }
 
-    /** A session has come in; must be quick. */
-    void opened(Opening opening, String station, double nowMs);
+    /** A session has come in. */
+    default void opened(Opening opening, String station, double nowMs) { }
 
-    /** What was counted since the start, null for none. */
-    KeyReport report();
+    /** An attempt goes out. */
+    default void sent(String id, String server, double nowMs) { }
+
+    default void ended(AttemptEnded attempt) { }
+
+    /** A session has ended. */
+    default void over(String id) { }
+
+    default void listed(boolean whole, List<ServerEntry> entries) { }
+
+    /** A copy, as counted since the start. */
+    default Told told() {
+        return new Told(null, null, null);
+    }
 }
--- a/fleet/src/main/java/peppergauge/fleet/reader/Reporting.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/Reporting.java
@@ -22,7 +22,6 @@
 import peppergauge.fleet.wire.Json;
 import peppergauge.fleet.wire.ReportAnswer;
 import peppergauge.fleet.wire.TableAnswer;
-import peppergauge.forecast.KeyReport;
 import peppergauge.log.Log;
 import peppergauge.promises.Steering;
 
@@ -35,7 +34,7 @@
     private static final long COLLECT_MS = 2_000;
 
     /** What the loop counted, as of one moment. */
-    record Counted(List<Witness.Cells> cells, KeyReport keys) { }
+    record Counted(List<Witness.Cells> cells, KeySource.Told keys) { }
 
     private final ReaderSettings settings;
     private final String daemon;
@@ -125,7 +124,8 @@
         try {
             Counted counted = counted();
             DaemonReport report = new DaemonReport(settings.site(), daemon, incarnation, ++sequence, now,
-                    counted.cells().stream().map(Reporting::wire).toList(), counted.keys());
+                    counted.cells().stream().map(Reporting::wire).toList(), counted.keys().keys(),
+                    counted.keys().servers(), counted.keys().serviceTimes());
             Caller.Answer answer = caller.call(reportsTo.present(), "/fleet/v1/reports", Json.write(report));
             ReportAnswer read = Json.read(answer.body(), ReportAnswer.class);
             say(answer.status() == 200 ? "reports taken" : "reports " + read.verdict());
--- a/fleet/src/main/java/peppergauge/fleet/reader/SteeredBalancer.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/SteeredBalancer.java
@@ -15,11 +15,13 @@
 
     private final Balancer module;
     private final Witness witness;
+    private final KeySource keys;
     private final AtomicReference<Steered> told = new AtomicReference<>();
 
-    SteeredBalancer(Balancer module, Witness witness) {
+    SteeredBalancer(Balancer module, Witness witness, KeySource keys) {
         this.module = module;
         this.witness = witness;
+        this.keys = keys;
     }
 
     /** From any thread; of several before one event the last counts. */
@@ -33,6 +35,10 @@
             Map<String, Integer> zones = new HashMap<>();
             listed.entries().forEach(entry -> zones.put(entry.server(), entry.zone()));
             witness.listed(listed.whole(), zones);
+            keys.listed(listed.whole(), listed.entries());
+        }
+        if (event instanceof AttemptEnded ended) {
+            keys.ended(ended);
         }
         Steered steered = told.getPlain() == null ? null : told.getAndSet(null);
         if (steered != null) {
@@ -41,6 +47,7 @@
         module.on(nowMs, event, action -> {
             if (action instanceof Send send) {
                 witness.sent(send.id(), send.server());
+                keys.sent(send.id(), send.server(), nowMs);
             }
             actions.accept(action);
         });
--- a/fleet/src/main/java/peppergauge/fleet/reader/WitnessedIntake.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/WitnessedIntake.java
@@ -111,6 +111,7 @@
 
         void end(Witness.Ending ending) {
             open.remove(client);
+            keys.over(opening.id());
             witness.ended(opening.id(), opening.tenant(), opening.requestClass(), ending,
                     clock.nowMs() - opening.arrivedMs());
         }
--- a/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
@@ -2,12 +2,16 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
+import peppergauge.fleet.decide.Asked;
+import peppergauge.fleet.decide.ForecastAnswer;
 import peppergauge.fleet.decide.Planner;
 import peppergauge.fleet.disk.KeptFile;
 import peppergauge.fleet.disk.KeptState;
@@ -106,6 +110,7 @@
                 case "POST /fleet/v1/reports" -> reply.accept(report(body));
                 case "GET /fleet/v1/table" -> reply.accept(table(query < 0 ? "known=0" : path.substring(query + 1)));
                 case "POST /fleet/v1/gossip" -> gossip(body, reply);
+                case "GET /fleet/v1/forecast" -> reply.accept(forecast(query < 0 ? "" : path.substring(query + 1)));
                 case "GET /fleet/v1/status" -> reply.accept(Reply.json(200, status()));
                 default -> reply.accept(Reply.json(404, Map.of("error", "unknown")));
             }
@@ -152,6 +157,26 @@
         }
     }
 
+    /** The last that was reckoned: nothing is reckoned on this thread. */
+    private Reply forecast(String query) {
+        try {
+            if (!query.startsWith("change=") || query.indexOf('&') >= 0) {
+                throw new IllegalArgumentException("malformed");
+            }
+            String asked = Asked.read(URLDecoder.decode(query.substring("change=".length()), StandardCharsets.UTF_8))
+                    .text();
+            ForecastAnswer answer = deciding.forecasts().get(asked);
+            if (answer == null) {
+                return Reply.json(404, Map.of("error", "not-known", "change", asked));
+            }
+            return Reply.json(200, Map.of("age_ms", clock.getAsLong() - answer.atMs(), "forecast", answer));
+        } catch (IllegalArgumentException wrong) {
+            // Of the library's own complaint about %-codes nothing is told on.
+            return Reply.json(400, Map.of("error", wrong.getMessage().matches("[a-z-]+") ? wrong.getMessage()
+                    : "malformed"));
+        }
+    }
+
     private void gossip(byte[] body, Consumer<Reply> reply) {
         Gossip asked;
         try {
--- a/fleet/src/main/java/peppergauge/fleet/service/Merging.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/Merging.java
@@ -14,7 +14,6 @@
 import peppergauge.fleet.state.Intake.Newest;
 import peppergauge.fleet.state.Tally;
 import peppergauge.fleet.wire.DaemonReport;
-import peppergauge.forecast.KeyReport;
 
 /** The duty that owns what is merged: all else hands in and is handed out. */
 final class Merging {
@@ -126,10 +125,11 @@
     }
 
     private MergedView view(long nowMs) {
-        Map<String, KeyReport> keys = new HashMap<>();
+        Map<String, MergedView.Account> accounts = new HashMap<>();
         state.newest().stream().filter(report -> report.keys() != null)
-                .forEach(report -> keys.put(report.daemon(), report.keys()));
-        return new MergedView(nowMs, tally.totals(), keys, live);
+                .forEach(report -> accounts.put(report.daemon(), new MergedView.Account(report.incarnation(),
+                        report.sentMs(), report.keys(), report.servers(), report.serviceTimes())));
+        return new MergedView(nowMs, tally.totals(), accounts, live);
     }
 
     /** As of now; written out by whoever asks, for that takes time. */
--- a/fleet/src/main/java/peppergauge/fleet/state/FleetState.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/FleetState.java
@@ -149,7 +149,10 @@
         for (DaemonReport.CellCounts counts : report.cells()) {
             bytes += 130 + (counts.latency() == null ? 0 : counts.latency().length());
         }
-        return bytes + (report.keys() == null ? 0 : report.keys().keys().size() * 200L);
+        return bytes + (report.keys() == null ? 0 : report.keys().keys().size() * 200L)
+                + (report.servers() == null ? 0 : report.servers().size() * 60L)
+                + (report.serviceTimes() == null ? 0 : report.serviceTimes().values().stream()
+                        .mapToLong(seen -> 3_000 + 90L * seen.fresh().size()).sum());
     }
 
     /** @param through asked from there, what comes next follows */
--- a/fleet/src/main/java/peppergauge/fleet/state/Intake.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/Intake.java
@@ -57,6 +57,9 @@
                 || report.cells().size() > limits.cells()) {
             return false;
         }
+        if (!KeyChecks.usable(report)) {
+            return false;
+        }
         Set<Cell> met = new HashSet<>();
         return report.cells().stream().allMatch(counts -> counts != null && wellFormed(counts)
                 && (!closely || counts.latency() == null || Latencies.usable(counts.latency()))
--- /dev/null
+++ b/fleet/src/main/java/peppergauge/fleet/state/KeyChecks.java
@@ -0,0 +1,69 @@
+package peppergauge.fleet.state;
+
+import java.util.List;
+import java.util.Map;
+import peppergauge.fleet.wire.DaemonReport;
+import peppergauge.forecast.KeyReport;
+import peppergauge.forecast.memory.ServiceTimes;
+import peppergauge.forecast.memory.ServiceTimes.Seen;
+import peppergauge.forecast.memory.ServiceTimes.Sum;
+
+/** Whether what serves forecasts can be reckoned with: one broken daemon must not end all planning. */
+final class KeyChecks {
+
+    static final int MOST_KEYS = 8_192;
+    private static final int MOST_KINDS = 16;
+    private static final int MOST_GAPS = 64;
+    private static final int LONGEST_NAME = 200;
+    /** No daemon counts so far; sums of thousands of such counts still fit. */
+    private static final long MOST = 1L << 48;
+
+    private KeyChecks() { }
+
+    /** Also where nothing is told. */
+    static boolean usable(DaemonReport report) {
+        return (report.keys() == null || usable(report.keys()))
+                && (report.servers() == null || usable(report.servers()))
+                && (report.serviceTimes() == null || usable(report.serviceTimes()));
+    }
+
+    private static boolean usable(KeyReport keys) {
+        return counted(keys.sessions()) && keys.keys().size() <= MOST_KEYS
+                && keys.keys().stream().allMatch(KeyChecks::usable);
+    }
+
+    private static boolean usable(KeyReport.Key key) {
+        return key.station() != null && key.station().length() <= LONGEST_NAME && counted(key.count())
+                && key.gaps().size() <= MOST_GAPS && key.gaps().stream().allMatch(KeyChecks::counted);
+    }
+
+    private static boolean usable(List<DaemonReport.Server> servers) {
+        return servers.size() <= DaemonReport.MOST_SERVERS && servers.stream().allMatch(server -> server != null
+                && name(server.id()) && name(server.zone()));
+    }
+
+    private static boolean usable(Map<String, Seen> times) {
+        return times.size() <= MOST_KINDS && times.entrySet().stream().allMatch(each -> name(each.getKey())
+                && usable(each.getValue()));
+    }
+
+    private static boolean usable(Seen seen) {
+        return seen != null && seen.gaps() != null && seen.gaps().size() == ServiceTimes.BUCKETS
+                && seen.gaps().stream().allMatch(sum -> usable(sum, 0))
+                && seen.fresh() != null && seen.fresh().size() <= MOST_KEYS
+                && seen.fresh().values().stream().allMatch(sum -> usable(sum, 1));
+    }
+
+    private static boolean usable(Sum sum, long least) {
+        return sum != null && sum.count() >= least && sum.count() <= MOST && sum.sum() >= 0 && sum.sum() <= MOST
+                && sum.squares() >= 0 && sum.squares() <= MOST;
+    }
+
+    private static boolean counted(long count) {
+        return count >= 0 && count <= MOST;
+    }
+
+    private static boolean name(String name) {
+        return name != null && !name.isEmpty() && name.length() <= LONGEST_NAME;
+    }
+}
--- a/fleet/src/main/java/peppergauge/fleet/wire/DaemonReport.java
+++ b/fleet/src/main/java/peppergauge/fleet/wire/DaemonReport.java
@@ -1,7 +1,9 @@
 package peppergauge.fleet.wire;
 
 import java.util.List;
+import java.util.Map;
 import peppergauge.forecast.KeyReport;
+import peppergauge.forecast.memory.ServiceTimes;
 
 /**
  * One daemon's account of all that it saw since it started. Cumulative by incarnation: the newest by (incarnation,
@@ -14,9 +16,23 @@
  * @param sentMs Unix time by the daemon's clock, ms
  * @param cells one for each station, class and data centre that was met
  * @param keys what was sampled; null from a daemon that samples none
+ * @param servers that take sessions by its server table, at most {@value #MOST_SERVERS}; null from a daemon that
+ *     samples no keys, or of a release that did not tell
+ * @param serviceTimes of sampled keys, by the server's kind; null as with servers
  */
 public record DaemonReport(String site, String daemon, long incarnation, long sequence, long sentMs,
-        List<CellCounts> cells, KeyReport keys) {
+        List<CellCounts> cells, KeyReport keys, List<Server> servers, Map<String, ServiceTimes.Seen> serviceTimes) {
+
+    public static final int MOST_SERVERS = 2_000;
+
+    /** Without what serves forecasts alone. */
+    public DaemonReport(String site, String daemon, long incarnation, long sequence, long sentMs,
+            List<CellCounts> cells) {
+        this(site, daemon, incarnation, sequence, sentMs, cells, null, null, null);
+    }
+
+    /** @param kind any number that machines of one kind share, -1 where it is not told */
+    public record Server(String id, String zone, int kind) { }
 
     /**
      * What clients saw.
--- a/fleet/src/test/java/peppergauge/fleet/FleetLayoutTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/FleetLayoutTest.java
@@ -29,7 +29,8 @@
         classes().that().resideInAnyPackage(DECIDING).should().onlyDependOnClassesThat().resideInAnyPackage(
                 "java.lang..", "java.util", "java.util.function", "java.util.stream", "java.util.zip", "java.nio",
                 "org.HdrHistogram", "peppergauge.fleet.state", "peppergauge.fleet.member", "peppergauge.fleet.table",
-                "peppergauge.fleet.decide", "peppergauge.fleet.wire", "peppergauge.promises", "peppergauge.forecast")
+                "peppergauge.fleet.decide", "peppergauge.fleet.wire", "peppergauge.promises", "peppergauge.forecast",
+                "peppergauge.forecast.hits", "peppergauge.forecast.memory")
                 .check(all);
         noClasses().that().resideInAnyPackage(DECIDING).should().dependOnClassesThat()
                 .belongToAnyOf(Thread.class, System.class).check(all);
--- a/fleet/src/test/java/peppergauge/fleet/Measure.java
+++ b/fleet/src/test/java/peppergauge/fleet/Measure.java
@@ -165,7 +165,7 @@
                     daemon.latencies[i].getTotalCount(), 1, 0, Latencies.encode(daemon.latencies[i])));
         }
         byte[] body = Json.write(new DaemonReport("north", "daemon-" + daemon.number, daemon.incarnation,
-                ++daemon.sequence, System.currentTimeMillis(), counts, null));
+                ++daemon.sequence, System.currentTimeMillis(), counts));
         Caller.Answer answer = caller.call(addresses.get(daemon.number % 3), "/fleet/v1/reports", body);
         reports++;
         up += body.length;
--- a/fleet/src/test/java/peppergauge/fleet/Samples.java
+++ b/fleet/src/test/java/peppergauge/fleet/Samples.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
 import org.HdrHistogram.Histogram;
 import peppergauge.fleet.state.Latencies;
 import peppergauge.fleet.wire.DaemonReport;
 import peppergauge.fleet.wire.DaemonReport.CellCounts;
+import peppergauge.forecast.KeyReport;
 
 /** Reports whose counts follow from daemon, incarnation and sequence: what a truthful daemon would say. */
 public final class Samples {
@@ -19,6 +22,13 @@
         return sequence * (1 + daemon + incarnation % 7);
     }
 
+    /** The same with keys, of eight servers in two zones. */
+    public static DaemonReport sampled(int daemon, long incarnation, long sequence, long sentMs, KeyReport keys) {
+        return new DaemonReport(SITE, "d" + daemon, incarnation, sequence, sentMs,
+                report(daemon, incarnation, sequence, sentMs).cells(), keys, IntStream.range(0, 8)
+                        .mapToObj(i -> new DaemonReport.Server("s" + i, i < 4 ? "east" : "west", -1)).toList(), Map.of());
+    }
+
     public static DaemonReport report(int daemon, long incarnation, long sequence, long sentMs) {
         List<CellCounts> cells = new ArrayList<>();
         for (String zone : new String[] {"east", "west"}) {
@@ -27,6 +37,6 @@
             cells.add(new CellCounts("radio", "listen", zone, answered(daemon, incarnation, sequence), sequence, 0,
                     Latencies.encode(latency)));
         }
-        return new DaemonReport(SITE, "d" + daemon, incarnation, sequence, sentMs, cells, null);
+        return new DaemonReport(SITE, "d" + daemon, incarnation, sequence, sentMs, cells);
     }
 }
--- /dev/null
+++ b/fleet/src/test/java/peppergauge/fleet/plan/KeyForecastsTest.java
@@ -0,0 +1,157 @@
+package peppergauge.fleet.plan;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.fleet.decide.Asked;
+import peppergauge.fleet.decide.ForecastAnswer;
+import peppergauge.fleet.decide.MergedView;
+import peppergauge.fleet.wire.DaemonReport.Server;
+import peppergauge.forecast.KeyReport;
+import peppergauge.forecast.memory.ServiceTimes;
+import peppergauge.forecast.sample.KeySampler;
+import peppergauge.promises.Steering;
+
+public class KeyForecastsTest {
+
+    private static final long BEGAN_MS = 1_700_000_000_000L;
+    private static final long PERIOD_MS = 5_000;
+
+    private KeySampler sampler;
+    private ServiceTimes times;
+    private long seen;
+
+    @BeforeMethod
+    public void begin() {
+        sampler = new KeySampler(256);
+        times = new ServiceTimes(256);
+        seen = 0;
+    }
+
+    private static List<Server> servers(int zones) {
+        return IntStream.range(0, 12).mapToObj(i -> new Server("s" + i, "z" + i % zones, i % 2)).toList();
+    }
+
+    /** 50 sessions a second of 100 keys, and a memory of 5 s that saves a third. */
+    private KeyReport sampledUntil(long ms) {
+        for (; seen < ms / 20; seen++) {
+            String key = "k" + seen * 37 % 100;
+            sampler.seen(key, "a", seen * 20);
+            double gapMs = 250 * Math.pow(128, seen * 0.618 % 1);
+            times.answered(KeySampler.hash(key), gapMs, (gapMs < 5_000 ? 0.6 : 0.9) + 0.2 * (seen * 0.414 % 1));
+        }
+        return sampler.report();
+    }
+
+    private static MergedView view(long nowMs, Map<String, MergedView.Account> accounts) {
+        return new MergedView(nowMs, Map.of(), accounts, accounts.size());
+    }
+
+    /** So many plans, each with a new report. */
+    private long plans(KeyForecasts forecasts, int count, int zones, long fromMs) {
+        long nowMs = BEGAN_MS + fromMs;
+        for (int i = 0; i < count; i++, nowMs += PERIOD_MS) {
+            forecasts.step(nowMs, view(nowMs, Map.of("d", new MergedView.Account(1, nowMs,
+                    sampledUntil(nowMs - BEGAN_MS), servers(zones), Map.of("0", times.seen())))), Steering.NONE);
+        }
+        return nowMs;
+    }
+
+    @DataProvider
+    Object[][] zones() {
+        return new Object[][] {{1, 5}, {2, 9}, {3, 11}};
+    }
+
+    @Test(dataProvider = "zones")
+    public void allQuestionsAreAnsweredInTurnOneAStep(int zones, int questions) {
+        KeyForecasts forecasts = new KeyForecasts();
+        plans(forecasts, 2, zones, 0);
+        assertTrue(forecasts.answers().size() <= 1, "one a step");
+        long nowMs = plans(forecasts, questions, zones, 2 * PERIOD_MS);
+        assertEquals(forecasts.answers().size(), questions, forecasts.report().toString());
+        forecasts.answers().forEach((change, answer) -> {
+            assertEquals(Asked.read(change).text(), change);
+            assertTrue(nowMs - answer.atMs() <= questions * PERIOD_MS + PERIOD_MS);
+            assertTrue(answer.trusted() && answer.soon().high() - answer.soon().low() > 0, answer.toString());
+        });
+        if (zones > 1) {
+            // Fewer servers get each key's sessions, so they meet it more often.
+            ForecastAnswer lost = forecasts.answers().get("zone-lost:z0");
+            assertTrue(lost.steady().mean() > lost.now().mean(), lost.toString());
+        }
+        assertTrue(forecasts.answers().get("replaced:1.0").soon().mean()
+                < forecasts.answers().get("replaced:1.0").steady().mean());
+    }
+
+    @Test
+    public void movingCostsNothingUntilItIsKnownAndNothingWithoutTrustInIt() {
+        KeyForecasts forecasts = new KeyForecasts();
+        assertEquals(forecasts.extraWork("a", "z0", 0.3, 0.5), 0.0, "nothing is known");
+        long at = plans(forecasts, 20, 3, 0) - BEGAN_MS;
+        assertEquals(forecasts.extraWork("a", "z0", 0.3, 0.5), 0.0, "first it is asked for");
+        at = plans(forecasts, 1, 3, at) - BEGAN_MS;
+        double cost = forecasts.extraWork("a", "z0", 0.3, 0.5);
+        assertTrue(cost > 0 && cost < 1, cost + "");
+        assertEquals(forecasts.extraWork("a", "z0", 0.3, 0.45), cost * 0.75, 1e-9, "in proportion");
+        assertEquals(forecasts.extraWork("a", "z0", 0.5, 0.3), 0.0, "what shrinks has no cold keys");
+        assertEquals(forecasts.extraWork("a", "mars", 0.3, 0.5), 0.0);
+        // Of daemons that fell silent nothing is known after a while.
+        long later = BEGAN_MS + at + KeyForecasts.FORGET_MS + 1;
+        forecasts.step(later, view(later, Map.of()), Steering.NONE);
+        assertEquals(forecasts.extraWork("a", "z0", 0.3, 0.5), 0.0);
+        assertEquals(forecasts.answers(), Map.of());
+    }
+
+    /** A search for a share asks many times; a step reckons one of them. */
+    @Test
+    public void howeverManyCostsAreAskedForAStepReckonsOne() {
+        KeyForecasts forecasts = new KeyForecasts();
+        long at = plans(forecasts, 20, 3, 0) - BEGAN_MS;
+        for (int growth = 1; growth <= 5; growth++) {
+            forecasts.extraWork("a", "z1", 0.3, 0.3 + growth / 10.0);
+        }
+        for (int known = 1; known <= 3; known++) {
+            at = plans(forecasts, 1, 3, at) - BEGAN_MS;
+            int count = 0;
+            for (int growth = 1; growth <= 5; growth++) {
+                count += forecasts.extraWork("a", "z1", 0.3, 0.3 + growth / 10.0) > 0 ? 1 : 0;
+            }
+            assertEquals(count, known);
+        }
+    }
+
+    /** After a restart with its disk: what was kept is older than the window, and what comes next is no burst. */
+    @Test
+    public void anOldAccountIsNotTakenForOneOfNow() {
+        Map<String, MergedView.Account> old = new HashMap<>();
+        old.put("d", new MergedView.Account(1, BEGAN_MS, sampledUntil(60_000), servers(3), null));
+        long nowMs = BEGAN_MS + KeyForecasts.FORGET_MS + 1_000;
+        KeyForecasts forecasts = new KeyForecasts();
+        forecasts.step(nowMs, view(nowMs, old), Steering.NONE);
+        assertEquals(((Map<?, ?>) forecasts.report()).get("daemons"), 0);
+        assertEquals(((Map<?, ?>) forecasts.report()).get("servers"), 0);
+    }
+
+    @Test
+    public void whatCannotBeReckonedWithIsCountedAndStopsNothing() {
+        KeyForecasts forecasts = new KeyForecasts();
+        KeyReport broken = new KeyReport(-1, 10, List.of(new KeyReport.Key(1, null, 5, List.of()),
+                new KeyReport.Key(1, "a", 5, List.of())));
+        for (int i = 0; i < 3; i++) {
+            long nowMs = BEGAN_MS + i * PERIOD_MS;
+            KeyReport told = i == 0 ? new KeyReport(-1, 0, List.of()) : broken;
+            forecasts.step(nowMs, view(nowMs, Map.of("d", new MergedView.Account(1, nowMs, told, servers(2),
+                    null))), Steering.NONE);
+        }
+        assertTrue((Long) forecasts.report().get("failed") > 0);
+        assertFalse(forecasts.extraWork("a", "z0", 0.1, 0.2) > 0);
+    }
+}
--- a/fleet/src/test/java/peppergauge/fleet/plan/PromisePlannerTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/plan/PromisePlannerTest.java
@@ -14,7 +14,6 @@
 import peppergauge.fleet.table.Factors;
 import peppergauge.promises.Cell;
 import peppergauge.promises.Contract;
-import peppergauge.promises.MoveCost;
 import peppergauge.promises.Steering;
 import peppergauge.promises.steer.Tuning;
 
@@ -28,7 +27,7 @@
     private long nowMs = BEGAN_MS;
 
     private static PromisePlanner planner(Contract... contracts) {
-        return new PromisePlanner(List.of(contracts), Tuning.every(PERIOD_MS), MoveCost.NONE);
+        return new PromisePlanner(List.of(contracts), Tuning.every(PERIOD_MS), new KeyForecasts());
     }
 
     /** In each period 100 sessions in each of three zones, answered in 100 ms, in "slow" in so many. */
--- /dev/null
+++ b/fleet/src/test/java/peppergauge/fleet/reader/KeyTimesTest.java
@@ -0,0 +1,105 @@
+package peppergauge.fleet.reader;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.forecast.memory.ServiceTimes.Seen;
+import peppergauge.forecast.memory.ServiceTimes.Sum;
+
+public class KeyTimesTest {
+
+    private static final long HASH = 7;
+    private int session;
+
+    private void answered(KeyTimes times, long hash, String server, int requestClass, double sentMs, double tookMs) {
+        String id = "s" + session++;
+        times.opened(id, hash, requestClass);
+        times.sent(id, server, sentMs);
+        times.ended(id, server, true, tookMs);
+        times.over(id);
+    }
+
+    /** Answers of another key that take 100 ms, so that a usual time is known. */
+    private KeyTimes usual() {
+        KeyTimes times = new KeyTimes(server -> server.equals("a") ? 1 : 2);
+        for (int i = 0; i < 20; i++) {
+            answered(times, 99, "a", 0, i * 2, 100);
+            answered(times, 99, "a", 1, i * 2 + 1, 1_000);
+        }
+        return times;
+    }
+
+    /** Answers, the sum and the bucket; bucket -1 for no gap. */
+    private static List<Double> counted(KeyTimes times) {
+        Seen seen = times.seen().getOrDefault("1", new Seen(List.of(), Map.of()));
+        for (int i = 0; i < seen.gaps().size(); i++) {
+            if (seen.gaps().get(i).count() > 0) {
+                return List.of((double) seen.gaps().get(i).count(), seen.gaps().get(i).sum(), (double) i);
+            }
+        }
+        Sum fresh = seen.fresh().get(HASH);
+        return fresh == null ? List.of() : List.of((double) fresh.count(), fresh.sum(), -1.0);
+    }
+
+    @DataProvider
+    Object[][] gaps() {
+        return new Object[][] {
+            // Sent before at, then at; class; took; what is counted.
+            {50_000.0, 51_050.0, 0, 50.0, List.of(1.0, 0.5, 16.0)},
+            {50_000.0, 51_050.0, 1, 50.0, List.of(1.0, 0.05, 16.0)},
+            {50_000.0, 50_100.0, 0, 50.0, List.of()},
+            {null, 50_000.0, 0, 50.0, List.of(1.0, 0.5, -1.0)},
+            {null, 20_000.0, 0, 50.0, List.of()},
+            {50_000.0, 82_100.0, 0, 9_999.0, List.of(1.0, 5.0, -1.0)},
+        };
+    }
+
+    /** What was sent before the start is not known, so that for a while "never sent" is not known either. */
+    @Test(dataProvider = "gaps")
+    public void anAnswerCountsByTheGapSinceTheSameKeyWentThere(Double beforeMs, double atMs, int requestClass,
+            double tookMs, List<Double> counted) {
+        KeyTimes times = usual();
+        if (beforeMs != null) {
+            String id = "before";
+            times.opened(id, HASH, 0);
+            times.sent(id, "a", beforeMs);
+            times.ended(id, "a", false, 100);
+            times.over(id);
+        }
+        answered(times, HASH, "a", requestClass, atMs, tookMs);
+        List<Double> found = counted(times);
+        assertEquals(found.size(), counted.size(), found.toString());
+        for (int i = 0; i < found.size(); i++) {
+            assertEquals(found.get(i), counted.get(i), 1e-9);
+        }
+    }
+
+    @Test
+    public void whatIsNoAnswerOfThatServerOrHasNoUsualTimeTeachesNothing() {
+        KeyTimes times = usual();
+        times.opened("x", HASH, 0);
+        times.sent("x", "a", 50_000);
+        times.ended("x", "b", true, 50);
+        times.ended("x", "a", true, Double.NaN);
+        times.ended("x", "a", true, 50);
+        times.ended("unknown", "a", true, 50);
+        times.sent("unknown", "a", 50_000);
+        answered(times, HASH, "new", 0, 60_000, 50);
+        assertEquals(counted(times), List.of());
+    }
+
+    @Test
+    public void memoryIsBoundedAndWhatWasDroppedIsNotTakenForNeverSent() {
+        KeyTimes times = usual();
+        times.opened("x", HASH, 0);
+        times.sent("x", "a", 50_000);
+        for (int i = 0; i < 40_000; i++) {
+            answered(times, 1_000 + i, "a", 0, 50_001 + i * 0.1, 100);
+        }
+        answered(times, HASH, "a", 0, 54_100, 50);
+        assertEquals(counted(times), List.of(), "the first send is forgotten, and too young for that");
+    }
+}
--- a/fleet/src/test/java/peppergauge/fleet/reader/ReaderTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/reader/ReaderTest.java
@@ -85,6 +85,10 @@
         return actions;
     }
 
+    private static SteeredBalancer steered(long seed) {
+        return new SteeredBalancer(new Decide(settings(), seed), new Witness(NAMES), KeySource.NONE);
+    }
+
     private static long toFirstZone(List<Action> actions) {
         return actions.stream().filter(action -> action instanceof Balancer.Send send
                 && Integer.parseInt(send.server().substring(1)) % 3 == 0).count();
@@ -96,13 +100,15 @@
         for (long seed = 1; seed <= 3; seed++) {
             List<Action> plain = decided(new Decide(settings(), seed), seed);
             assertTrue(plain.stream().filter(Balancer.Send.class::isInstance).count() > 1_000);
-            assertEquals(decided(new SteeredBalancer(new Decide(settings(), seed), new Witness(NAMES)), seed), plain);
+            assertEquals(decided(steered(seed), seed), plain);
             assertNotEquals(decided(new Decide(settings(), seed + 100), seed), plain);
-            SteeredBalancer steered = new SteeredBalancer(new Decide(settings(), seed), new Witness(NAMES));
+            assertEquals(decided(new SteeredBalancer(new Decide(settings(), seed), new Witness(NAMES),
+                    SampledKeys.of(16, NAMES.zones())), seed), plain, "counting keys decides nothing");
+            SteeredBalancer steered = steered(seed);
             steered.steer(new double[][] {{0.05, 1, 1}});
             long leaning = toFirstZone(decided(steered, seed));
             assertTrue(leaning * 2 < toFirstZone(plain), leaning + " of " + toFirstZone(plain));
-            steered = new SteeredBalancer(new Decide(settings(), seed), new Witness(NAMES));
+            steered = steered(seed);
             steered.steer(FleetAddition.factors(Steering.NONE, NAMES));
             assertEquals(decided(steered, seed), plain, "a table that steers nothing is as none");
         }
@@ -111,7 +117,8 @@
     @Test
     public void whatIsInForceReachesTheModuleOnceAndBeforeItsNextEvent() {
         List<Event> seen = new ArrayList<>();
-        SteeredBalancer steered = new SteeredBalancer((now, event, actions) -> seen.add(event), new Witness(NAMES));
+        SteeredBalancer steered = new SteeredBalancer((now, event, actions) -> seen.add(event), new Witness(NAMES),
+                KeySource.NONE);
         steered.steer(new double[0][]);
         double[][] factors = FleetAddition.factors(new Steering(Map.of("press", Map.of("west", 0.5, "mars", 0.1),
                 "stranger", Map.of("east", 0.1))), NAMES);
--- a/fleet/src/test/java/peppergauge/fleet/reader/ReportingTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/reader/ReportingTest.java
@@ -63,10 +63,10 @@
     public void itReportsTakesTablesAndGoesBackToNoSteering() throws Exception {
         try (Servers servers = new Servers(server(), server())) {
             ReaderSettings settings = new ReaderSettings("north", servers.addresses(), true, 20, 100, 300,
-                    new TableReader.Bounds("north", 5_000, 0.5, 10, 60_000));
+                    new TableReader.Bounds("north", 5_000, 0.5, 10, 60_000), 0);
             table = () -> issued(versions.incrementAndGet(), "north", 0.5, 1_200);
             try (Reporting reporting = new Reporting(settings, "d", 1, System::currentTimeMillis,
-                    future -> future.complete(new Reporting.Counted(List.of(), null)), told::add)) {
+                    future -> future.complete(new Reporting.Counted(List.of(), KeySource.NONE.told())), told::add)) {
                 reporting.start();
                 until("reports come", () -> reports.size() > 3);
                 for (int i = 1; i < 3; i++) {
--- /dev/null
+++ b/fleet/src/test/java/peppergauge/fleet/reader/SampledKeysTest.java
@@ -0,0 +1,108 @@
+package peppergauge.fleet.reader;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import peppergauge.decision.Balancer.ServerEntry;
+import peppergauge.decision.Balancer.ServerState;
+import peppergauge.fleet.wire.DaemonReport;
+import peppergauge.fleet.wire.Json;
+import peppergauge.forecast.KeyReport;
+import peppergauge.forecast.memory.ServiceTimes;
+import peppergauge.forecast.sample.KeySampler;
+import peppergauge.session.Message;
+import peppergauge.session.Opening;
+
+public class SampledKeysTest {
+
+    @DataProvider
+    Object[][] targets() {
+        return new Object[][] {
+            {"/episode-list/listener-7", "listener-7"}, {"/a/b/c", "c"}, {"/a/b?x=/y/z", "b"}, {"/a/b?", "b"},
+            {"/a", null}, {"/a?x=/y", null}, {"/", null}, {"", null}, {null, null}, {"/a/", null}, {"/a/?x", null},
+            {"//b", null}, {"*", null}, {"http://host/a/b", null}, {"?/a/b", null},
+        };
+    }
+
+    @Test(dataProvider = "targets")
+    public void theKeyIsTheLastPartOfAPathOfTwo(String target, String key) {
+        assertEquals(SampledKeys.key(target), key);
+    }
+
+    private static Opening opening(Message message) {
+        return new Opening("id", 0, 0, 500, false, 0, message);
+    }
+
+    @Test
+    public void whatComesWithAKeyIsCountedByItsHashAndStation() {
+        KeySource keys = SampledKeys.of(16, List.of());
+        keys.opened(opening(null), "radio", 0);
+        keys.opened(opening(new Message("GET", "/alone", List.of(), new byte[0], null)), "radio", 0);
+        for (int i = 0; i < 3; i++) {
+            keys.opened(opening(new Message("GET", "/list/k?n=" + i, List.of(), new byte[0], null)), "radio", 1e3 * i);
+        }
+        KeyReport report = keys.told().keys();
+        assertEquals(report.sessions(), 3);
+        assertEquals(report.keys().size(), 1);
+        KeyReport.Key key = report.keys().get(0);
+        assertEquals(List.of(key.hash(), key.station(), key.count(), key.gaps().get(9)),
+                List.of(KeySampler.hash("k"), "radio", 3L, 2L));
+        assertNull(SampledKeys.of(0, List.of()).told().keys(), "off");
+    }
+
+    /** The service's report-size is 1 MiB unless its operator says otherwise. */
+    @Test
+    public void theLongestReportFitsTheServicesLargestBodyAndComesBackAsItWas() {
+        KeySource keys = SampledKeys.of(SampledKeys.MOST, List.of("east"));
+        for (int round = 0; round < 40; round++) {
+            for (int i = 0; i < SampledKeys.MOST; i++) {
+                keys.opened(opening(new Message("GET", "/list/" + i, List.of(), new byte[0], null)),
+                        "a-station-of-a-longer-name", round * (1_000.0 + i % 60_000));
+            }
+        }
+        keys.listed(true, IntStream.range(0, 3_000).mapToObj(i ->
+                entry("backend-server-" + i, 0, ServerState.READY)).toList());
+        ServiceTimes times = new ServiceTimes(KeyTimes.MOST_FRESH);
+        for (int i = 0; i < 100_000; i++) {
+            times.answered(KeySampler.hash("k" + i % 1_000), 1e9 / (1 + i), 1.0 / (3 + i % 7));
+        }
+        KeySource.Told told = keys.told();
+        DaemonReport report = new DaemonReport("site", "d", 1, 1, 1, List.of(), told.keys(), told.servers(),
+                Map.of("1", times.seen(), "2", times.seen(), "3", times.seen(), "4", times.seen()));
+        byte[] body = Json.write(report);
+        assertEquals(report.keys().keys().size(), SampledKeys.MOST);
+        assertTrue(body.length < (1 << 20) - 60_000, body.length + " bytes");
+        assertEquals(Json.read(body, DaemonReport.class), report);
+    }
+
+    @Test
+    public void aReportOfAReleaseThatToldNoServersIsRead() {
+        DaemonReport old = Json.read("{\"site\":\"s\",\"daemon\":\"d\",\"incarnation\":1,\"sequence\":1,\"sentMs\":1,"
+                .concat("\"cells\":[],\"keys\":null}").getBytes(), DaemonReport.class);
+        assertEquals(old, new DaemonReport("s", "d", 1, 1, 1, List.of()));
+    }
+
+    private static ServerEntry entry(String id, int zone, ServerState state) {
+        return new ServerEntry(id, zone, 0, state, 0, 3);
+    }
+
+    @Test
+    public void serversAreToldWhileTheyTakeSessionsAndSoManyAtMost() {
+        ServerRoll roll = new ServerRoll(List.of("east"));
+        roll.listed(true, List.of(entry("a", 0, ServerState.READY), entry("b", 9, ServerState.READY),
+                entry("c", 0, ServerState.DRAINING)));
+        assertEquals(roll.copy(), List.of(new DaemonReport.Server("a", "east", 3),
+                new DaemonReport.Server("b", "unknown", 3)));
+        roll.listed(false, List.of(entry("a", 0, ServerState.GONE)));
+        assertEquals(roll.copy().size(), 1);
+        roll.listed(true, IntStream.range(0, 3_000)
+                .mapToObj(i -> entry("s" + i, 0, ServerState.READY)).toList());
+        assertEquals(roll.copy().size(), DaemonReport.MOST_SERVERS);
+    }
+}
--- a/fleet/src/test/java/peppergauge/fleet/service/Bed.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/Bed.java
@@ -14,9 +14,12 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import peppergauge.fleet.Samples;
+import peppergauge.fleet.decide.ForecastAnswer;
+import peppergauge.fleet.decide.MergedView;
 import peppergauge.fleet.decide.Planner;
 import peppergauge.fleet.http.Caller;
 import peppergauge.fleet.member.Membership;
+import peppergauge.fleet.plan.KeyForecasts;
 import peppergauge.fleet.state.Limits;
 import peppergauge.fleet.state.Pace;
 import peppergauge.fleet.wire.DaemonReport;
@@ -71,9 +74,19 @@
             pass(i, Thread.currentThread().getName().replace("fleet-", ""));
             return System.currentTimeMillis() + clockShiftMs.get();
         };
-        Planner planner = (nowMs, merged) -> {
-            pass(i, "decide");
-            return wanted;
+        KeyForecasts forecasts = new KeyForecasts();
+        Planner planner = new Planner() {
+            @Override
+            public Steering plan(long nowMs, MergedView merged) {
+                pass(i, "decide");
+                forecasts.step(nowMs, merged, Steering.NONE);
+                return wanted;
+            }
+
+            @Override
+            public Map<String, ForecastAnswer> forecasts() {
+                return forecasts.answers();
+            }
         };
         services[i] = new FleetService(settings(i), planner, new RealDisk(), clock);
     }
--- a/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
@@ -15,6 +15,7 @@
 import peppergauge.fleet.http.Caller;
 import peppergauge.fleet.wire.FleetTable;
 import peppergauge.fleet.wire.Json;
+import peppergauge.forecast.sample.KeySampler;
 
 /** Real sockets, threads and files. What is waited for is a state, never a time. */
 public class ServiceTest {
@@ -63,6 +64,47 @@
         }
     }
 
+    /** By real sockets from two reports to an answer; what cannot be asked has its name. */
+    @Test
+    public void whatDaemonsSampledBecomesAnAnswer() throws Exception {
+        try (Bed bed = new Bed(1)) {
+            bed.start(0);
+            assertEquals(bed.get(0, "/fleet/v1/forecast?change=zone-lost:east").status(), 404);
+            long now = System.currentTimeMillis();
+            KeySampler sampler = new KeySampler(64);
+            assertEquals(bed.report(0, Samples.sampled(1, now, 1, now - 20_000, sampler.report())), "taken");
+            Bed.until("merged", () -> held(bed, 0) == 1);
+            for (int i = 0; i < 2_000; i++) {
+                sampler.seen("k" + i % 20, "radio", i * 10L);
+            }
+            // Fed by looks at what was merged: the first has to have been looked at.
+            Bed.until("looked at", () -> Bed.<Integer>of(bed.service(0).status(), "daemons_live") == 1);
+            Thread.sleep(300);
+            assertEquals(bed.report(0, Samples.sampled(1, now, 2, now, sampler.report())), "taken");
+            for (String change : new String[] {"zone-lost:east", "zone-shunned:w%65st", "replaced:0.6", "replaced:1"}) {
+                Bed.until(change, () -> status(bed, "?change=" + change).startsWith("200"));
+                assertTrue(status(bed, "?change=" + change).matches(".*\"soon\":\\{\"mean\":0[.].*"), change);
+            }
+            String[][] wrong = {{"", "malformed"}, {"?change", "malformed"}, {"?change=zone-lost", "malformed-change"},
+                {"?change=zone-lost:", "malformed-zone"}, {"?change=zone-lost:%zz", "malformed"},
+                {"?change=zone-found:east", "unknown-change"}, {"?change=replaced:NaN", "malformed-share"},
+                {"?change=replaced:0.55", "share-not-answered"}, {"?change=replaced:0.6&x=1", "malformed"}};
+            for (String[] each : wrong) {
+                assertEquals(status(bed, each[0]), "400{\"error\":\"" + each[1] + "\"}", each[0]);
+            }
+            assertTrue(status(bed, "?change=zone-lost:mars").startsWith("404{"), "a zone that nobody told of");
+        }
+    }
+
+    private static String status(Bed bed, String query) {
+        try {
+            Caller.Answer answer = bed.get(0, "/fleet/v1/forecast" + query);
+            return answer.status() + new String(answer.body());
+        } catch (IOException failed) {
+            throw new AssertionError(failed);
+        }
+    }
+
     @Test
     public void threeHoldWhatOneWasToldAndAnyOneOfThemGoesOn() throws Exception {
         try (Bed bed = new Bed(3)) {
--- a/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.zip.Deflater;
@@ -18,6 +19,9 @@
 import peppergauge.fleet.wire.DaemonReport;
 import peppergauge.fleet.wire.DaemonReport.CellCounts;
 import peppergauge.fleet.wire.Json;
+import peppergauge.forecast.KeyReport;
+import peppergauge.forecast.memory.ServiceTimes.Seen;
+import peppergauge.forecast.memory.ServiceTimes.Sum;
 
 public class IntakeTest {
 
@@ -30,7 +34,7 @@
 
     private static DaemonReport with(String site, String daemon, long incarnation, long sequence,
             List<CellCounts> cells) {
-        return new DaemonReport(site, daemon, incarnation, sequence, NOW, cells, null);
+        return new DaemonReport(site, daemon, incarnation, sequence, NOW, cells);
     }
 
     private static List<CellCounts> cell(long answered, String latency) {
@@ -69,6 +73,54 @@
         };
     }
 
+    private static Map<String, Seen> times(int buckets, Sum sum, Sum fresh) {
+        return Map.of("1", new Seen(Collections.nCopies(buckets, sum), Map.of(7L, fresh)));
+    }
+
+    @DataProvider
+    Object[][] timed() {
+        Sum fine = new Sum(1, 1, 1);
+        return new Object[][] {
+            {times(56, fine, fine), Verdict.TAKEN},
+            {times(55, fine, fine), Verdict.MALFORMED},
+            {times(56, null, fine), Verdict.MALFORMED},
+            {times(56, new Sum(0, 0, 0), fine), Verdict.TAKEN},
+            {times(56, fine, new Sum(0, 0, 0)), Verdict.MALFORMED},
+            {times(56, new Sum(1, Double.NaN, 1), fine), Verdict.MALFORMED},
+            {times(56, new Sum(1, -1, 1), fine), Verdict.MALFORMED},
+            {Map.of("1", new Seen(null, null)), Verdict.MALFORMED},
+        };
+    }
+
+    @Test(dataProvider = "timed")
+    public void serviceTimesThatNothingCanBeInferredFromAreMalformed(Map<String, Seen> times, Verdict verdict) {
+        DaemonReport report = new DaemonReport("north", "d", 1, 1, NOW, List.of(), null, null, times);
+        assertEquals(new Intake("north", LIMITS).judge(report, NOW, null, new Intake.Held(0, 0)), verdict);
+    }
+
+    @DataProvider
+    Object[][] sampled() {
+        List<Long> gaps = List.of(1L, 2L);
+        return new Object[][] {
+            {new KeyReport(-1, 5, List.of(new KeyReport.Key(1, "radio", 5, gaps))), "east", Verdict.TAKEN},
+            {new KeyReport(-1, 5, List.of(new KeyReport.Key(1, null, 5, gaps))), "east", Verdict.MALFORMED},
+            {new KeyReport(-1, 5, List.of(new KeyReport.Key(1, "radio", -5, gaps))), "east", Verdict.MALFORMED},
+            {new KeyReport(-1, 5, List.of(new KeyReport.Key(1, "radio", 5, List.of(-1L)))), "east", Verdict.MALFORMED},
+            {new KeyReport(-1, Long.MAX_VALUE, List.of()), "east", Verdict.MALFORMED},
+            {null, null, Verdict.MALFORMED},
+            {null, "", Verdict.MALFORMED},
+            {null, "east", Verdict.TAKEN},
+        };
+    }
+
+    /** One broken daemon must not end the forecasts for all. */
+    @Test(dataProvider = "sampled")
+    public void whatCannotBeForecastWithIsMalformed(KeyReport keys, String zone, Verdict verdict) {
+        DaemonReport report = new DaemonReport("north", "d", 1, 1, NOW, List.of(), keys,
+                List.of(new DaemonReport.Server("s", zone, -1)), null);
+        assertEquals(new Intake("north", LIMITS).judge(report, NOW, null, new Intake.Held(0, 0)), verdict);
+    }
+
     @Test(dataProvider = "reports")
     public void eachReportHasANamedAnswer(DaemonReport report, Newest held, int daemons, Verdict verdict) {
         Intake intake = new Intake(Samples.SITE, LIMITS);
--- a/fleet/src/test/java/peppergauge/fleet/state/MergePropertiesTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/state/MergePropertiesTest.java
@@ -35,7 +35,7 @@
             // A broken daemon may send two of one sequence.
             state.take(random.nextInt(4) > 0 ? report : new DaemonReport(report.site(), report.daemon(),
                     report.incarnation(), report.sequence(), report.sentMs(),
-                    report.cells().subList(0, random.nextInt(2)), null));
+                    report.cells().subList(0, random.nextInt(2))));
         }
         return state;
     }
--- a/forecast/src/main/java/peppergauge/forecast/sample/KeySampler.java
+++ b/forecast/src/main/java/peppergauge/forecast/sample/KeySampler.java
@@ -81,11 +81,16 @@
         }
         sessions++;
         long hash = hash(key);
-        if (Long.compareUnsigned(hash, threshold) < 0) {
+        if (samples(hash)) {
             count(hash, number(station), nowMs);
         }
     }
 
+    /** Whether sessions of a key with this hash are counted. */
+    public boolean samples(long hash) {
+        return Long.compareUnsigned(hash, threshold) < 0;
+    }
+
     private int number(String station) {
         int number = names.indexOf(station);
         if (number < 0 && names.size() < MOST_STATIONS && station != null) {
@@ -101,7 +106,7 @@
         if (entry < 0) {
             if (size == hashes.length) {
                 lower();
-                if (Long.compareUnsigned(hash, threshold) < 0) {
+                if (samples(hash)) {
                     count(hash, station, nowMs);
                 }
                 return;
