Forecast on a duty of its own, so that no table waits for it

A step took 0.4 s in the mean and 2.8 s at worst (100 daemons, 2,048 keys, 200 servers), on the thread that decides. Now it has its own thread and views; moves are charged by what was reckoned last. ServiceTest holds it up and sees tables go on.

--- a/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
+++ b/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
@@ -17,8 +17,11 @@
         return Map.of();
     }
 
-    /** What changes would do, by how they are asked about; a copy that does not change. Asked after each plan. */
-    default Map<String, ForecastAnswer> forecasts() {
+    /**
+     * What changes would do, by how they are asked about; a copy that does not change. It may take its time: a thread of
+     * its own calls it, beside the one that plans.
+     */
+    default Map<String, ForecastAnswer> forecasts(long nowMs, MergedView merged) {
         return Map.of();
     }
 
--- a/fleet/src/main/java/peppergauge/fleet/plan/KeyForecasts.java
+++ b/fleet/src/main/java/peppergauge/fleet/plan/KeyForecasts.java
@@ -1,15 +1,17 @@
 package peppergauge.fleet.plan;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
 import peppergauge.fleet.decide.ForecastAnswer;
 import peppergauge.fleet.decide.MergedView;
 import peppergauge.fleet.wire.DaemonReport;
@@ -23,10 +25,11 @@
 import peppergauge.promises.Steering;
 
 /**
- * What daemons sampled, as answers to a fixed set of questions and as a cost of moving. For one thread.
+ * What daemons sampled, as answers to a fixed set of questions and as a cost of moving. One thread steps it; others may
+ * ask meanwhile.
  *
- * <p>Reckoning one answer can take a second of a core, and the thread that asks has tables to decide: so a step reckons
- * one answer and one cost, and all else is handed out as it was last reckoned, with its age.
+ * <p>Reckoning can take seconds of a core, and tables must not wait for it: so a step reckons one answer and one cost,
+ * and all else is handed out as it was last reckoned, with its age.
  */
 public final class KeyForecasts implements MoveCost {
 
@@ -44,12 +47,14 @@
     private final Answers answers = new Answers(WINDOW_MS, FORGET_MS, FRESH_MS);
     private final Map<String, Long> fedMs = new HashMap<>();
     private final Map<String, ForecastAnswer> given = new LinkedHashMap<>();
-    private final Map<Move, Cost> costs = new HashMap<>();
-    private final LinkedHashSet<Move> wanted = new LinkedHashSet<>();
+    private final Map<Move, Cost> costs = new ConcurrentHashMap<>();
+    private final Set<Move> wanted = ConcurrentHashMap.newKeySet();
     private Placement placement;
     private Map<String, Double> parts = Map.of();
     private Set<String> zones = Set.of();
-    private long placedMs;
+    private volatile long placedMs;
+    private volatile boolean trusted = true;
+    private volatile Map<String, Object> report = Map.of();
     private int next;
     private long failures;
     private String lastFailure = "";
@@ -81,6 +86,8 @@
         // What can no longer be reckoned again is no longer known.
         given.values().removeIf(answer -> nowMs - answer.atMs() > FORGET_MS);
         costs.values().removeIf(cost -> nowMs - cost.atMs() > FORGET_MS);
+        trusted = answers.record().trusted();
+        report = account();
     }
 
     private void feed(long nowMs, MergedView merged) {
@@ -101,7 +108,7 @@
         Map<String, DaemonReport.Server> union = new TreeMap<>();
         merged.accounts().values().stream()
                 .filter(account -> account.servers() != null && nowMs - account.sentMs() <= FORGET_MS)
-                .sorted(java.util.Comparator.comparingLong(MergedView.Account::sentMs))
+                .sorted(Comparator.comparingLong(MergedView.Account::sentMs))
                 .forEach(account -> account.servers().forEach(server -> union.put(server.id(), server)));
         placedMs = nowMs;
         if (union.isEmpty()) {
@@ -117,7 +124,7 @@
             named.add(server.zone());
         });
         int sidecars = Math.max(1, fedMs.size());
-        placement = new Placement(servers, new Placement.Draws(), 0, java.util.Collections.nCopies(sidecars, 1.0 / sidecars),
+        placement = new Placement(servers, new Placement.Draws(), 0, Collections.nCopies(sidecars, 1.0 / sidecars),
                 steering.factors());
         parts = shares;
         zones = named;
@@ -166,22 +173,26 @@
         return ids;
     }
 
-    /** The last ones, by what was asked. */
+    /** The last ones, by what was asked; the stepping thread. */
     public Map<String, ForecastAnswer> answers() {
         return Map.copyOf(given);
     }
 
-    /** For people. */
+    /** For people, as of the last step; any thread. */
     public Map<String, Object> report() {
+        return report;
+    }
+
+    private Map<String, Object> account() {
         Map<String, Object> report = new LinkedHashMap<>();
         report.put("daemons", fedMs.size());
         report.put("servers", placement == null ? 0 : placement.servers().size());
         report.put("zones", List.copyOf(zones));
-        report.put("trusted", answers.record().trusted());
+        report.put("trusted", trusted);
         report.put("failed", failures);
         report.put("last_failure", lastFailure);
         report.put("answers", List.copyOf(given.values()));
-        return report;
+        return Collections.unmodifiableMap(report);
     }
 
     // ---- The cost of moving ----
@@ -198,11 +209,11 @@
         }
     }
 
-    /** As last reckoned for the growth up to the next tenth, and in proportion; 0 until then, or without trust. */
+    /** As last reckoned for the growth up to the next tenth, in proportion; 0 until then, or without trust. Any thread. */
     @Override
     public double extraWork(String station, String zone, double fromShare, double toShare) {
         double growth = toShare - fromShare;
-        if (placement == null || !answers.record().trusted() || !(growth > 0)) {
+        if (!trusted || !(growth > 0)) {
             return 0;
         }
         int steps = Math.max(1, (int) Math.ceil(growth * GRID - 1e-9));
--- a/fleet/src/main/java/peppergauge/fleet/plan/PromisePlanner.java
+++ b/fleet/src/main/java/peppergauge/fleet/plan/PromisePlanner.java
@@ -18,7 +18,7 @@
 
 /**
  * Steers stations by what they are promised. Without contracts it steers nothing, and forecasts all the same. For one
- * thread.
+ * thread, and {@link #forecasts} for one more.
  *
  * <p>What is kept is as old as its last decision: the time that passed since then, by Unix time, decides how much of it
  * still counts, so that an old disk brings no old steering back.
@@ -30,7 +30,7 @@
     private final KeyForecasts forecasts;
     private final Map<Cell, Long> promisedMs = new HashMap<>();
     private State kept;
-    private Steering told = Steering.NONE;
+    private volatile Steering told = Steering.NONE;
     private long decidedMs;
 
     public PromisePlanner(List<Contract> contracts, Tuning tuning, KeyForecasts forecasts) {
@@ -44,7 +44,6 @@
 
     @Override
     public Steering plan(long nowMs, MergedView merged) {
-        forecasts.step(nowMs, merged, told);
         if (contracts.isEmpty()) {
             return Steering.NONE;
         }
@@ -75,7 +74,8 @@
     }
 
     @Override
-    public Map<String, ForecastAnswer> forecasts() {
+    public Map<String, ForecastAnswer> forecasts(long nowMs, MergedView merged) {
+        forecasts.step(nowMs, merged, told);
         return forecasts.answers();
     }
 
--- a/fleet/src/main/java/peppergauge/fleet/service/Deciding.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/Deciding.java
@@ -1,7 +1,6 @@
 package peppergauge.fleet.service;
 
 import java.util.Map;
-import peppergauge.fleet.decide.ForecastAnswer;
 import peppergauge.fleet.decide.MergedView;
 import peppergauge.fleet.decide.Planner;
 import peppergauge.log.Log;
@@ -17,7 +16,6 @@
     private final Merging merging;
     private final Latest<Plan> plans = new Latest<>();
     private volatile Object report = Map.of();
-    private volatile Map<String, ForecastAnswer> forecasts = Map.of();
 
     Deciding(Planner planner, Merging merging) {
         this.planner = planner;
@@ -40,7 +38,6 @@
         Steering steering = planner.plan(view.builtMs(), view);
         merging.plannerState(planner.state());
         report = planner.report();
-        forecasts = planner.forecasts();
         plans.hand(new Plan(view.builtMs(), steering));
         return true;
     }
@@ -50,11 +47,6 @@
         return report;
     }
 
-    /** The planner's last ones; any thread. */
-    Map<String, ForecastAnswer> forecasts() {
-        return forecasts;
-    }
-
     Latest<Plan> plans() {
         return plans;
     }
--- a/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
@@ -37,6 +37,7 @@
     private final LongSupplier clock;
     private final Merging merging;
     private final Deciding deciding;
+    private final Forecasting forecasting;
     private final Publisher publisher;
     private final Keeping keeping;
     private final Gossiping gossiping;
@@ -63,6 +64,7 @@
         stateFile = new KeptFile<>(disk, settings.folder(), settings.name(), "state", KeptState.class);
         merging = new Merging(settings, clock, kept());
         deciding = new Deciding(planner, merging);
+        forecasting = new Forecasting(planner, merging.forecastFrom());
         keeping = new Keeping(stateFile, merging.kept(), clock);
         Membership membership = new Membership(settings.name(), started, settings.peers().stream()
                 .map(ServiceSettings.Peer::name).collect(Collectors.toSet()), settings.patience(), started);
@@ -71,7 +73,7 @@
         gossiping = new Gossiping(settings, clock, merging, publisher, intake, membership, started);
         duties = List.of(new Duty("merge", merging::step), new Duty("decide", deciding::step),
                 new Duty("publish", publisher::step), new Duty("gossip", gossiping::step),
-                new Duty("keep", keeping::step));
+                new Duty("keep", keeping::step), new Duty("forecast", forecasting::step));
         duties.forEach(Duty::start);
         server = new Server(settings.listen(), settings.sizes().reportBytes(), settings.sizes().connections(),
                 this::handle);
@@ -165,7 +167,7 @@
             }
             String asked = Asked.read(URLDecoder.decode(query.substring("change=".length()), StandardCharsets.UTF_8))
                     .text();
-            ForecastAnswer answer = deciding.forecasts().get(asked);
+            ForecastAnswer answer = forecasting.answers().get(asked);
             if (answer == null) {
                 return Reply.json(404, Map.of("error", "not-known", "change", asked));
             }
--- a/fleet/src/main/java/peppergauge/fleet/service/Merging.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/Merging.java
@@ -35,6 +35,7 @@
     private final LongSupplier clock;
     private final Ring<Item> ring;
     private final Latest<MergedView> views = new Latest<>();
+    private final Latest<MergedView> forecastFrom = new Latest<>();
     private final Latest<Supplier<KeptState>> kept = new Latest<>();
     private final FleetState state = new FleetState();
     private final Tally tally;
@@ -75,11 +76,14 @@
         long now = clock.getAsLong();
         bytes = state.bytes();
         views.retry();
+        forecastFrom.retry();
         kept.retry();
         if (now - viewedMs >= settings.tables().everyMs() || now < viewedMs) {
             viewedMs = now;
             live = state.sentSince(now - 3 * settings.reports().mostMs());
-            views.hand(view(now));
+            MergedView view = view(now);
+            views.hand(view);
+            forecastFrom.hand(view);
         }
         if (now - keptMs >= settings.times().keepMs() || now < keptMs) {
             keptMs = now;
@@ -148,6 +152,11 @@
         return views;
     }
 
+    /** The same, for another duty. */
+    Latest<MergedView> forecastFrom() {
+        return forecastFrom;
+    }
+
     Latest<Supplier<KeptState>> kept() {
         return kept;
     }
--- a/fleet/src/test/java/peppergauge/fleet/plan/KeyForecastsTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/plan/KeyForecastsTest.java
@@ -19,6 +19,7 @@
 import peppergauge.forecast.memory.ServiceTimes;
 import peppergauge.forecast.sample.KeySampler;
 import peppergauge.promises.Steering;
+import peppergauge.promises.steer.Tuning;
 
 public class KeyForecastsTest {
 
@@ -154,4 +155,20 @@
         assertTrue((Long) forecasts.report().get("failed") > 0);
         assertFalse(forecasts.extraWork("a", "z0", 0.1, 0.2) > 0);
     }
+
+    /** The planner asks for costs, and reckons them when it forecasts. */
+    @Test
+    public void thePlannerForecastsWithoutContracts() {
+        PromisePlanner planner = new PromisePlanner(List.of(), Tuning.every(PERIOD_MS), new KeyForecasts());
+        Map<String, ForecastAnswer> said = Map.of();
+        for (long ms = 0; ms < 10 * PERIOD_MS; ms += PERIOD_MS) {
+            long nowMs = BEGAN_MS + ms;
+            MergedView view = view(nowMs, Map.of("d", new MergedView.Account(1, nowMs, sampledUntil(ms), servers(1),
+                    Map.of("0", times.seen()))));
+            assertEquals(planner.plan(nowMs, view), Steering.NONE);
+            said = planner.forecasts(nowMs, view);
+        }
+        assertEquals(said.size(), 5);
+        assertEquals(((Map<?, ?>) ((Map<?, ?>) planner.report()).get("forecast")).get("servers"), 12);
+    }
 }
--- a/fleet/src/test/java/peppergauge/fleet/service/Bed.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/Bed.java
@@ -79,12 +79,13 @@
             @Override
             public Steering plan(long nowMs, MergedView merged) {
                 pass(i, "decide");
-                forecasts.step(nowMs, merged, Steering.NONE);
                 return wanted;
             }
 
             @Override
-            public Map<String, ForecastAnswer> forecasts() {
+            public Map<String, ForecastAnswer> forecasts(long nowMs, MergedView merged) {
+                pass(i, "forecast");
+                forecasts.step(nowMs, merged, Steering.NONE);
                 return forecasts.answers();
             }
         };
--- a/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
@@ -96,6 +96,21 @@
         }
     }
 
+    @Test
+    public void noTableWaitsForAForecast() throws Exception {
+        try (Bed bed = new Bed(1)) {
+            bed.start(0);
+            bed.hold(0, "forecast");
+            Bed.until("seen", () -> "stalled".equals(
+                    Bed.<Map<String, String>>of(bed.service(0).status(), "duties").get("forecast")));
+            long version = awaited(bed, 0, 0).version();
+            for (int i = 0; i < 3; i++) {
+                version = awaited(bed, 0, version).version();
+            }
+            assertEquals(Bed.<Map<String, String>>of(bed.service(0).status(), "duties").get("decide"), "fine");
+        }
+    }
+
     private static String status(Bed bed, String query) {
         try {
             Caller.Answer answer = bed.get(0, "/fleet/v1/forecast" + query);
