--- a/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
@@ -221,7 +221,8 @@
         status.put("duties", duties());
         status.put("reports", counts.report());
         status.put("rings", Map.of("merge_full", merging.refused(), "views_let_go", merging.views().letGo(),
-                "kept_let_go", merging.kept().letGo(), "told_full", publisher.refused()));
+                "kept_let_go", merging.kept().letGo(),
+                "forecasts_let_go", merging.forecastFrom().letGo(), "told_full", publisher.refused()));
         status.put("failed", Map.of("gossip", gossiping.failures(), "keep", keeping.failed(), "versions",
                 publisher.unwritten(), "unbelieved", publisher.unbelieved()));
         return status;
--- a/fleet/src/test/java/peppergauge/fleet/FleetLayoutTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/FleetLayoutTest.java
@@ -35,6 +35,8 @@
         noClasses().that().resideInAnyPackage(DECIDING).should().dependOnClassesThat()
                 .belongToAnyOf(Thread.class, System.class).check(all);
         noClasses().that().resideInAnyPackage(DECIDING).should().callMethod(Instant.class, "now").check(all);
+        noClasses().that().resideInAPackage("peppergauge.fleet.plan").should().dependOnClassesThat()
+                .belongToAnyOf(Thread.class, System.class, Instant.class).check(all);
     }
 
     @Test
--- a/fleet/src/test/java/peppergauge/fleet/reader/KeyTimesTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/reader/KeyTimesTest.java
@@ -24,7 +24,7 @@
 
     /** Answers of another key that take 100 ms, so that a usual time is known. */
     private KeyTimes usual() {
-        KeyTimes times = new KeyTimes(server -> server.equals("a") ? 1 : 2);
+        KeyTimes times = new KeyTimes(server -> server.equals("b") ? 2 : 1);
         for (int i = 0; i < 20; i++) {
             answered(times, 99, "a", 0, i * 2, 100);
             answered(times, 99, "a", 1, i * 2 + 1, 1_000);
@@ -97,7 +97,7 @@
         times.opened("x", HASH, 0);
         times.sent("x", "a", 50_000);
         for (int i = 0; i < 40_000; i++) {
-            answered(times, 1_000 + i, "a", 0, 50_001 + i * 0.1, 100);
+            answered(times, 1_000 + i, "b", 0, 50_001 + i * 0.1, 100);
         }
         answered(times, HASH, "a", 0, 54_100, 50);
         assertEquals(counted(times), List.of(), "the first send is forgotten, and too young for that");
--- a/fleet/src/test/java/peppergauge/fleet/reader/MeasureLoop.java
+++ b/fleet/src/test/java/peppergauge/fleet/reader/MeasureLoop.java
@@ -5,10 +5,15 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import peppergauge.decision.Balancer.AttemptEnded;
+import peppergauge.decision.Balancer.Outcome;
 import peppergauge.fleet.state.Latencies;
+import peppergauge.fleet.wire.Json;
+import peppergauge.session.Message;
+import peppergauge.session.Opening;
 import peppergauge.settings.SiteNames;
 
-/** By hand: what counting costs the loop, a session and a report; of 96 cells. */
+/** By hand: what counting costs the loop, a session and a report; of 96 cells, then of 2,048 sampled keys of 2,000. */
 public final class MeasureLoop {
 
     private MeasureLoop() { }
@@ -22,6 +27,7 @@
     }
 
     public static void main(String[] args) {
+        keys();
         Witness witness = new Witness(new SiteNames(names("class", 4), names("station", 8), names("zone", 3)));
         witness.listed(true, Map.of("s0", 0, "s1", 1, "s2", 2));
         Random random = new Random(1);
@@ -49,4 +55,33 @@
                     (copied - counted) / 1e8, (System.nanoTime() - copied) / 2e7, bytes / 1024);
         }
     }
+
+    /** Each session with one attempt at one of 60 servers. */
+    private static void keys() {
+        KeySource keys = SampledKeys.of(2_048, names("zone", 3));
+        Random random = new Random(1);
+        Message[] messages = names("/list/", 2_000).stream().map(target ->
+                new Message("GET", target, List.of(), new byte[0], null)).toArray(Message[]::new);
+        String[] servers = names("s", 60).toArray(String[]::new);
+        double nowMs = 0;
+        for (int round = 0; round < 5; round++) {
+            int sessions = 1_000_000;
+            long start = System.nanoTime();
+            for (int i = 0; i < sessions; i++, nowMs += 2) {
+                String id = "id-" + i;
+                String server = servers[random.nextInt(60)];
+                keys.opened(new Opening(id, 0, 0, 500, false, nowMs, messages[random.nextInt(2_000)]), "station",
+                        nowMs);
+                keys.sent(id, server, nowMs);
+                keys.ended(new AttemptEnded(id, 1, server, Outcome.SUCCESS, 20 + random.nextInt(20), true, null));
+                keys.over(id);
+            }
+            long counted = System.nanoTime();
+            KeySource.Told told = keys.told();
+            long copied = System.nanoTime();
+            System.out.printf(Locale.ROOT, "%d keys: %.0f ns a session on the loop, %.2f ms a report on the loop, "
+                    + "%d KiB%n", told.keys().keys().size(), (counted - start) / (double) sessions,
+                    (copied - counted) / 1e6, Json.write(told).length / 1024);
+        }
+    }
 }
