--- a/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
+++ b/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
@@ -18,8 +18,8 @@
     }
 
     /**
-     * What changes would do, by how they are asked about; a copy that does not change. It may take its time: a thread of
-     * its own calls it, beside the one that plans.
+     * What changes would do, by how they are asked about; a copy that does not change. It may take its time: a thread
+     * of its own calls it, beside the one that plans.
      */
     default Map<String, ForecastAnswer> forecasts(long nowMs, MergedView merged) {
         return Map.of();
--- a/fleet/src/main/java/peppergauge/fleet/plan/KeyForecasts.java
+++ b/fleet/src/main/java/peppergauge/fleet/plan/KeyForecasts.java
@@ -21,6 +21,7 @@
 import peppergauge.forecast.placement.Placement;
 import peppergauge.forecast.placement.Placement.Server;
 import peppergauge.forecast.placement.PlacementChange;
+import peppergauge.forecast.trust.TrackRecord;
 import peppergauge.promises.MoveCost;
 import peppergauge.promises.Steering;
 
@@ -173,6 +174,11 @@
         return ids;
     }
 
+    /** What followed one of the answers; the stepping thread. */
+    TrackRecord record() {
+        return answers.record();
+    }
+
     /** The last ones, by what was asked; the stepping thread. */
     public Map<String, ForecastAnswer> answers() {
         return Map.copyOf(given);
@@ -209,7 +215,7 @@
         }
     }
 
-    /** As last reckoned for the growth up to the next tenth, in proportion; 0 until then, or without trust. Any thread. */
+    /** As last reckoned up to the next tenth, in proportion; 0 until then, or without trust. Any thread. */
     @Override
     public double extraWork(String station, String zone, double fromShare, double toShare) {
         double growth = toShare - fromShare;
--- a/fleet/src/test/java/peppergauge/fleet/Samples.java
+++ b/fleet/src/test/java/peppergauge/fleet/Samples.java
@@ -23,10 +23,12 @@
     }
 
     /** The same with keys, of eight servers in two zones. */
-    public static DaemonReport sampled(int daemon, long incarnation, long sequence, long sentMs, KeyReport keys) {
+    public static DaemonReport sampled(int daemon, long incarnation, long sequence, long sentMs,
+            KeyReport keys) {
         return new DaemonReport(SITE, "d" + daemon, incarnation, sequence, sentMs,
                 report(daemon, incarnation, sequence, sentMs).cells(), keys, IntStream.range(0, 8)
-                        .mapToObj(i -> new DaemonReport.Server("s" + i, i < 4 ? "east" : "west", -1)).toList(), Map.of());
+                        .mapToObj(i -> new DaemonReport.Server("s" + i, i < 4 ? "east" : "west", -1)).toList(),
+                Map.of());
     }
 
     public static DaemonReport report(int daemon, long incarnation, long sequence, long sentMs) {
--- a/fleet/src/test/java/peppergauge/fleet/plan/KeyForecastsTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/plan/KeyForecastsTest.java
@@ -16,6 +16,7 @@
 import peppergauge.fleet.decide.MergedView;
 import peppergauge.fleet.wire.DaemonReport.Server;
 import peppergauge.forecast.KeyReport;
+import peppergauge.forecast.hits.HitRate;
 import peppergauge.forecast.memory.ServiceTimes;
 import peppergauge.forecast.sample.KeySampler;
 import peppergauge.promises.Steering;
@@ -111,6 +112,25 @@
         assertEquals(forecasts.answers(), Map.of());
     }
 
+    @Test
+    public void whatProvedWrongSaysNothingAndCostsNothing() {
+        KeyForecasts forecasts = new KeyForecasts();
+        long at = plans(forecasts, 20, 3, 0) - BEGAN_MS;
+        forecasts.extraWork("a", "z0", 0.3, 0.5);
+        at = plans(forecasts, 1, 3, at) - BEGAN_MS;
+        assertTrue(forecasts.extraWork("a", "z0", 0.3, 0.5) > 0);
+        for (int i = 0; i < 6; i++) {
+            forecasts.record().followed(new HitRate(0.2, 0.1, 0.3), 0.6, 0.6);
+        }
+        at = plans(forecasts, 1, 3, at) - BEGAN_MS;
+        assertEquals(forecasts.extraWork("a", "z0", 0.3, 0.5), 0.0, "also what was reckoned before");
+        long last = BEGAN_MS + at - PERIOD_MS;
+        ForecastAnswer answer = forecasts.answers().values().stream().filter(each -> each.atMs() == last).findFirst()
+                .orElseThrow();
+        assertEquals(answer, new ForecastAnswer(answer.change(), last, false, HitRate.UNKNOWN, HitRate.UNKNOWN,
+                HitRate.UNKNOWN));
+    }
+
     /** A search for a share asks many times; a step reckons one of them. */
     @Test
     public void howeverManyCostsAreAskedForAStepReckonsOne() {
--- a/fleet/src/test/java/peppergauge/fleet/reader/KeyTimesTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/reader/KeyTimesTest.java
@@ -80,6 +80,9 @@
     @Test
     public void whatIsNoAnswerOfThatServerOrHasNoUsualTimeTeachesNothing() {
         KeyTimes times = usual();
+        for (int i = 0; i < 20; i++) {
+            answered(times, 99, "b", 0, i, 100);
+        }
         times.opened("x", HASH, 0);
         times.sent("x", "a", 50_000);
         times.ended("x", "b", true, 50);
