--- a/fleet/src/test/java/peppergauge/fleet/service/Bed.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/Bed.java
@@ -40,6 +40,8 @@
     /** By instance and duty, {@code "0 merge"}. */
     private final Map<String, CountDownLatch> held = new ConcurrentHashMap<>();
     final AtomicLong clockShiftMs = new AtomicLong();
+    /** Of the instance started last. */
+    volatile KeyForecasts forecasts;
     volatile Steering wanted = new Steering(Map.of("radio", Map.of("east", 0.5)));
 
     Bed(int count) throws IOException {
@@ -74,7 +76,8 @@
             pass(i, Thread.currentThread().getName().replace("fleet-", ""));
             return System.currentTimeMillis() + clockShiftMs.get();
         };
-        KeyForecasts forecasts = new KeyForecasts();
+        forecasts = new KeyForecasts();
+        KeyForecasts own = forecasts;
         Planner planner = new Planner() {
             @Override
             public Steering plan(long nowMs, MergedView merged) {
@@ -85,8 +88,8 @@
             @Override
             public Map<String, ForecastAnswer> forecasts(long nowMs, MergedView merged) {
                 pass(i, "forecast");
-                forecasts.step(nowMs, merged, Steering.NONE);
-                return forecasts.answers();
+                own.step(nowMs, merged, Steering.NONE);
+                return own.answers();
             }
         };
         services[i] = new FleetService(settings(i), planner, new RealDisk(), clock);
--- a/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
@@ -77,9 +77,8 @@
             for (int i = 0; i < 2_000; i++) {
                 sampler.seen("k" + i % 20, "radio", i * 10L);
             }
-            // Fed by looks at what was merged: the first has to have been looked at.
-            Bed.until("looked at", () -> Bed.<Integer>of(bed.service(0).status(), "daemons_live") == 1);
-            Thread.sleep(300);
+            // Of two that come between two looks the second stands for both: the first has to have been looked at.
+            Bed.until("looked at", () -> Integer.valueOf(1).equals(bed.forecasts.report().get("daemons")));
             assertEquals(bed.report(0, Samples.sampled(1, now, 2, now, sampler.report())), "taken");
             for (String change : new String[] {"zone-lost:east", "zone-shunned:w%65st", "replaced:0.6", "replaced:1"}) {
                 Bed.until(change, () -> status(bed, "?change=" + change).startsWith("200"));
