--- a/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
+++ b/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
@@ -17,6 +17,14 @@
         return Map.of();
     }
 
+    /**
+     * What changes would do, by how they are asked about; a copy that does not change. It may take its time: a thread
+     * of its own calls it, beside the one that plans.
+     */
+    default Map<String, ForecastAnswer> forecasts(long nowMs, MergedView merged) {
+        return Map.of();
+    }
+
     /** What has to outlive the process; of a form of the planner's own. */
     default byte[] state() {
         return new byte[0];
--- a/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
@@ -2,12 +2,16 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
+import peppergauge.fleet.decide.Asked;
+import peppergauge.fleet.decide.ForecastAnswer;
 import peppergauge.fleet.decide.Planner;
 import peppergauge.fleet.disk.KeptFile;
 import peppergauge.fleet.disk.KeptState;
@@ -33,6 +37,7 @@
     private final LongSupplier clock;
     private final Merging merging;
     private final Deciding deciding;
+    private final Forecasting forecasting;
     private final Publisher publisher;
     private final Keeping keeping;
     private final Gossiping gossiping;
@@ -59,6 +64,7 @@
         stateFile = new KeptFile<>(disk, settings.folder(), settings.name(), "state", KeptState.class);
         merging = new Merging(settings, clock, kept());
         deciding = new Deciding(planner, merging);
+        forecasting = new Forecasting(planner, merging.forecastFrom());
         keeping = new Keeping(stateFile, merging.kept(), clock);
         Membership membership = new Membership(settings.name(), started, settings.peers().stream()
                 .map(ServiceSettings.Peer::name).collect(Collectors.toSet()), settings.patience(), started);
@@ -67,7 +73,7 @@
         gossiping = new Gossiping(settings, clock, merging, publisher, intake, membership, started);
         duties = List.of(new Duty("merge", merging::step), new Duty("decide", deciding::step),
                 new Duty("publish", publisher::step), new Duty("gossip", gossiping::step),
-                new Duty("keep", keeping::step));
+                new Duty("keep", keeping::step), new Duty("forecast", forecasting::step));
         duties.forEach(Duty::start);
         server = new Server(settings.listen(), settings.sizes().reportBytes(), settings.sizes().connections(),
                 this::handle);
@@ -106,6 +112,7 @@
                 case "POST /fleet/v1/reports" -> reply.accept(report(body));
                 case "GET /fleet/v1/table" -> reply.accept(table(query < 0 ? "known=0" : path.substring(query + 1)));
                 case "POST /fleet/v1/gossip" -> gossip(body, reply);
+                case "GET /fleet/v1/forecast" -> reply.accept(forecast(query < 0 ? "" : path.substring(query + 1)));
                 case "GET /fleet/v1/status" -> reply.accept(Reply.json(200, status()));
                 default -> reply.accept(Reply.json(404, Map.of("error", "unknown")));
             }
@@ -152,6 +159,26 @@
         }
     }
 
+    /** The last that was reckoned: nothing is reckoned on this thread. */
+    private Reply forecast(String query) {
+        try {
+            if (!query.startsWith("change=") || query.indexOf('&') >= 0) {
+                throw new IllegalArgumentException("malformed");
+            }
+            String asked = Asked.read(URLDecoder.decode(query.substring("change=".length()), StandardCharsets.UTF_8))
+                    .text();
+            ForecastAnswer answer = forecasting.answers().get(asked);
+            if (answer == null) {
+                return Reply.json(404, Map.of("error", "not-known", "change", asked));
+            }
+            return Reply.json(200, Map.of("age_ms", clock.getAsLong() - answer.atMs(), "forecast", answer));
+        } catch (IllegalArgumentException wrong) {
+            // Of the library's own complaint about %-codes nothing is told on.
+            return Reply.json(400, Map.of("error", wrong.getMessage().matches("[a-z-]+") ? wrong.getMessage()
+                    : "malformed"));
+        }
+    }
+
     private void gossip(byte[] body, Consumer<Reply> reply) {
         Gossip asked;
         try {
@@ -194,7 +221,8 @@
         status.put("duties", duties());
         status.put("reports", counts.report());
         status.put("rings", Map.of("merge_full", merging.refused(), "views_let_go", merging.views().letGo(),
-                "kept_let_go", merging.kept().letGo(), "told_full", publisher.refused()));
+                "kept_let_go", merging.kept().letGo(),
+                "forecasts_let_go", merging.forecastFrom().letGo(), "told_full", publisher.refused()));
         status.put("failed", Map.of("gossip", gossiping.failures(), "keep", keeping.failed(), "versions",
                 publisher.unwritten(), "unbelieved", publisher.unbelieved()));
         return status;
--- a/fleet/src/main/java/peppergauge/fleet/service/Merging.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/Merging.java
@@ -14,7 +14,6 @@
 import peppergauge.fleet.state.Intake.Newest;
 import peppergauge.fleet.state.Tally;
 import peppergauge.fleet.wire.DaemonReport;
-import peppergauge.forecast.KeyReport;
 
 /** The duty that owns what is merged: all else hands in and is handed out. */
 final class Merging {
@@ -36,6 +35,7 @@
     private final LongSupplier clock;
     private final Ring<Item> ring;
     private final Latest<MergedView> views = new Latest<>();
+    private final Latest<MergedView> forecastFrom = new Latest<>();
     private final Latest<Supplier<KeptState>> kept = new Latest<>();
     private final FleetState state = new FleetState();
     private final Tally tally;
@@ -76,11 +76,14 @@
         long now = clock.getAsLong();
         bytes = state.bytes();
         views.retry();
+        forecastFrom.retry();
         kept.retry();
         if (now - viewedMs >= settings.tables().everyMs() || now < viewedMs) {
             viewedMs = now;
             live = state.sentSince(now - 3 * settings.reports().mostMs());
-            views.hand(view(now));
+            MergedView view = view(now);
+            views.hand(view);
+            forecastFrom.hand(view);
         }
         if (now - keptMs >= settings.times().keepMs() || now < keptMs) {
             keptMs = now;
@@ -126,10 +129,11 @@
     }
 
     private MergedView view(long nowMs) {
-        Map<String, KeyReport> keys = new HashMap<>();
+        Map<String, MergedView.Account> accounts = new HashMap<>();
         state.newest().stream().filter(report -> report.keys() != null)
-                .forEach(report -> keys.put(report.daemon(), report.keys()));
-        return new MergedView(nowMs, tally.totals(), keys, live);
+                .forEach(report -> accounts.put(report.daemon(), new MergedView.Account(report.incarnation(),
+                        report.sentMs(), report.keys(), report.servers(), report.serviceTimes())));
+        return new MergedView(nowMs, tally.totals(), accounts, live);
     }
 
     /** As of now; written out by whoever asks, for that takes time. */
@@ -148,6 +152,11 @@
         return views;
     }
 
+    /** The same, for another duty. */
+    Latest<MergedView> forecastFrom() {
+        return forecastFrom;
+    }
+
     Latest<Supplier<KeptState>> kept() {
         return kept;
     }
--- a/fleet/src/test/java/peppergauge/fleet/service/Bed.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/Bed.java
@@ -14,9 +14,12 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import peppergauge.fleet.Samples;
+import peppergauge.fleet.decide.ForecastAnswer;
+import peppergauge.fleet.decide.MergedView;
 import peppergauge.fleet.decide.Planner;
 import peppergauge.fleet.http.Caller;
 import peppergauge.fleet.member.Membership;
+import peppergauge.fleet.plan.KeyForecasts;
 import peppergauge.fleet.state.Limits;
 import peppergauge.fleet.state.Pace;
 import peppergauge.fleet.wire.DaemonReport;
@@ -37,6 +40,8 @@
     /** By instance and duty, {@code "0 merge"}. */
     private final Map<String, CountDownLatch> held = new ConcurrentHashMap<>();
     final AtomicLong clockShiftMs = new AtomicLong();
+    /** Of the instance started last. */
+    volatile KeyForecasts forecasts;
     volatile Steering wanted = new Steering(Map.of("radio", Map.of("east", 0.5)));
 
     Bed(int count) throws IOException {
@@ -71,9 +76,21 @@
             pass(i, Thread.currentThread().getName().replace("fleet-", ""));
             return System.currentTimeMillis() + clockShiftMs.get();
         };
-        Planner planner = (nowMs, merged) -> {
-            pass(i, "decide");
-            return wanted;
+        forecasts = new KeyForecasts();
+        KeyForecasts own = forecasts;
+        Planner planner = new Planner() {
+            @Override
+            public Steering plan(long nowMs, MergedView merged) {
+                pass(i, "decide");
+                return wanted;
+            }
+
+            @Override
+            public Map<String, ForecastAnswer> forecasts(long nowMs, MergedView merged) {
+                pass(i, "forecast");
+                own.step(nowMs, merged, Steering.NONE);
+                return own.answers();
+            }
         };
         services[i] = new FleetService(settings(i), planner, new RealDisk(), clock);
     }
