Keep the planted faults' test out of the packages that it knows, which closed a circle

Cause: PlantedFaultsTest stood in peppergauge.invariant and knew the loads of sessions and sockets, which know the invariants; NomadLayoutTest, which reads the sidecar's test jar since the membership's load, found the circle and the whole build failed. Change: it stands in the top package.

--- a/sidecar/src/test/java/peppergauge/invariant/PlantedFaultsTest.java
+++ b/sidecar/src/test/java/peppergauge/PlantedFaultsTest.java
@@ -1,15 +1,17 @@
-package peppergauge.invariant;
+package peppergauge;
 
 import java.io.IOException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import peppergauge.invariant.PlantedSource;
 import peppergauge.overload.OverloadLoad;
 import peppergauge.session.SessionsLoad;
 import peppergauge.sockets.ClientsLoad;
 
 /**
  * Sessions, overload control and sockets' places under random load, as they are and with faults planted in their
- * sources. {@code -Dinvariant.seeds} is the long run by hand.
+ * sources. In no package of theirs, since it knows them all and they know the invariants. The long run by hand is made
+ * by {@code -Dinvariant.seeds}.
  */
 public class PlantedFaultsTest {
 
