Move the tests of leaning to TestNG, and say which learned fields are no longer fed

Need: SteeredTest was written against JUnit where the house has TestNG, and repeated LeaningTest. Measured: LeaningTest passes.

--- a/sidecar/src/main/java/peppergauge/decision/Learned.java
+++ b/sidecar/src/main/java/peppergauge/decision/Learned.java
@@ -37,8 +37,8 @@
      * @param flights own requests in flight that attempts met
      * @param crowd others' requests in flight by load reports
      * @param served service times by load reports, ms
-     * @param use of cores by load reports, 0 to 1
-     * @param rate of requests by load reports, per second
+     * @param use of cores by load reports, 0 to 1; the module learns none any more, and former snapshots have it
+     * @param rate of requests by load reports, per second; likewise
      * @param covariance of flights and latency, and {@code variance} of flights: what crowding is reckoned from
      * @param arrivals requests that came in
      * @param crowding what one more request in flight adds to a latency, in latencies when idle, 0 to 1
--- a/sidecar/src/test/java/peppergauge/decision/LeaningTest.java
+++ b/sidecar/src/test/java/peppergauge/decision/LeaningTest.java
@@ -6,6 +6,7 @@
 import org.testng.annotations.Test;
 import peppergauge.decision.Balancer.Action;
 import peppergauge.decision.Balancer.Event;
+import peppergauge.decision.Balancer.Outcome;
 import peppergauge.decision.Balancer.Send;
 import peppergauge.decision.Balancer.Steered;
 
@@ -22,6 +23,7 @@
             {new double[][] {{1, 0.5, 0.5}}, 0.50, 0.66},
             {new double[][] {{1}}, 0.27, 0.40},
             {new double[][] {{}}, 0.27, 0.40},
+            {new double[][] {{}, {0.05, 1, 1}}, 0.27, 0.40},
         };
     }
 
@@ -60,6 +62,30 @@
         }
     }
 
+    /** Those that it leans to turn everything away: each session is still answered, by the others. */
+    @Test
+    public void zonesThatFailAreLeftWhateverTheTableSays() {
+        Scripted s = Scripted.withServers(6);
+        s.give(new Steered(new double[][] {{0.05, 1, 1}}));
+        int served = 0;
+        int handled = 0;
+        for (int i = 0; i < 400; i++) {
+            s.request("r" + i, 0);
+            for (; handled < s.actions.size(); handled++) {
+                if (s.actions.get(handled) instanceof Send send) {
+                    boolean sound = send.server().equals("s0") || send.server().equals("s3");
+                    int attempt = (int) s.actions.subList(0, handled).stream().filter(before ->
+                            before instanceof Send other && other.id().equals(send.id())).count();
+                    s.pass(sound ? 20 : 1);
+                    s.end(send.id(), attempt, send.server(), sound ? Outcome.SUCCESS : Outcome.OVERLOADED, sound ? 20 : 1);
+                    served += sound ? 1 : 0;
+                }
+            }
+            s.pass(20);
+        }
+        Assert.assertTrue(served > 380, served + " of 400");
+    }
+
     private static List<Action> drive(List<Event> first) {
         Scripted scripted = Scripted.withServers(9);
         first.forEach(scripted::give);
