--- a/fleet/src/main/java/peppergauge/fleet/file/FleetFile.java
+++ b/fleet/src/main/java/peppergauge/fleet/file/FleetFile.java
@@ -8,8 +8,8 @@
 public final class FleetFile {
 
     public static final FileKind KIND = new FileKind("fleet",
-            "One instance of the fleet service: it merges what daemons report, and hands out tables by what stations are"
-                    + " promised.",
+            "One instance of the fleet service: it merges what daemons report, and hands out tables by what stations"
+                    + " are promised.",
             List.of(new ServiceSection(), new PromiseSection()));
 
     private FleetFile() { }
--- a/fleet/src/main/java/peppergauge/fleet/file/FleetSection.java
+++ b/fleet/src/main/java/peppergauge/fleet/file/FleetSection.java
@@ -10,7 +10,6 @@
 import peppergauge.operator.Problems;
 import peppergauge.operator.Section;
 import peppergauge.operator.Table;
-import peppergauge.operator.Type;
 import peppergauge.operator.Types;
 import peppergauge.operator.Values;
 
@@ -24,19 +23,19 @@
             "The service's instances; each daemon keeps to one, in an order of its own, until it fails.");
     private static final Key<Boolean> STEERS = Key.preset("steers", Types.flag(), "true",
             "Whether tables come into force here; if not, it only reports.");
-    private static final Key<Duration> FIRST = Key.preset("first-interval", ms(100, 600_000), "\"10 s\"",
+    private static final Key<Duration> FIRST = Key.preset("first-interval", Types.ms(100, 600_000), "\"10 s\"",
             "Between reports, and between asks for tables, until the service tells others.");
-    private static final Key<Duration> LONGEST = Key.preset("longest-interval", ms(100, 3_600_000), "\"5 min\"",
+    private static final Key<Duration> LONGEST = Key.preset("longest-interval", Types.ms(100, 3_600_000), "\"5 min\"",
             "No longer one is taken from the service, nor waited for after failures.");
-    private static final Key<Duration> PATIENCE = Key.preset("patience", ms(50, 60_000), "\"2 s\"",
+    private static final Key<Duration> PATIENCE = Key.preset("patience", Types.ms(50, 60_000), "\"2 s\"",
             "How long a connection or an answer is waited for; sessions never wait for either.");
-    private static final Key<Duration> SKEW = Key.preset("clock-skew", ms(0, 600_000), "\"5 s\"",
+    private static final Key<Duration> SKEW = Key.preset("clock-skew", Types.ms(0, 600_000), "\"5 s\"",
             "A table that was issued later than that from now is not taken.");
     private static final Key<Double> STEP = Key.preset("step", Types.number(0.01, 1), "0.1",
             "By how much any factor may move at once.");
-    private static final Key<Duration> STEP_EVERY = Key.preset("step-every", ms(100, 600_000), "\"5 s\"",
+    private static final Key<Duration> STEP_EVERY = Key.preset("step-every", Types.ms(100, 600_000), "\"5 s\"",
             "Time between two such steps.");
-    private static final Key<Duration> LEASE = Key.preset("longest-lease", ms(1_000, 86_400_000), "\"1 h\"",
+    private static final Key<Duration> LEASE = Key.preset("longest-lease", Types.ms(1_000, 86_400_000), "\"1 h\"",
             "A table with a longer one is not taken.");
 
     private static final Key<Long> SAMPLED = Key.preset("sampled-keys", Types.wholeNumber(0, SampledKeys.MOST), "0",
@@ -47,10 +46,6 @@
             + " its tables. Left out: neither.", SITE, ADDRESSES, STEERS, FIRST, LONGEST, PATIENCE, SKEW, STEP,
             STEP_EVERY, LEASE, SAMPLED);
 
-    private static Type<Duration> ms(long least, long most) {
-        return Types.duration(Duration.ofMillis(least), Duration.ofMillis(most));
-    }
-
     @Override
     public Table table() {
         return TABLE;
--- a/fleet/src/main/java/peppergauge/fleet/file/ServiceSection.java
+++ b/fleet/src/main/java/peppergauge/fleet/file/ServiceSection.java
@@ -13,7 +13,6 @@
 import peppergauge.operator.Problems;
 import peppergauge.operator.Section;
 import peppergauge.operator.Table;
-import peppergauge.operator.Type;
 import peppergauge.operator.Types;
 import peppergauge.operator.Values;
 
@@ -35,15 +34,15 @@
             "Reports of all daemons together: the interval that each is told follows from it.");
     private static final Key<Double> ASKS = Key.preset("asks-per-second", Types.number(0.1, 10_000), "300",
             "The same for their asks for tables.");
-    private static final Key<Duration> LEAST = Key.preset("least-interval", ms(100, 600_000), "\"2 s\"",
+    private static final Key<Duration> LEAST = Key.preset("least-interval", Types.ms(100, 600_000), "\"2 s\"",
             "Shortest interval of either that a daemon is told.");
-    private static final Key<Duration> MOST = Key.preset("longest-interval", ms(100, 3_600_000), "\"2 min\"",
+    private static final Key<Duration> MOST = Key.preset("longest-interval", Types.ms(100, 3_600_000), "\"2 min\"",
             "Longest of either; with more daemons than that allows for, the cost grows.");
-    private static final Key<Duration> LATE = Key.preset("late", ms(100, 3_600_000), "\"30 s\"",
+    private static final Key<Duration> LATE = Key.preset("late", Types.ms(100, 3_600_000), "\"30 s\"",
             "A report that was sent longer ago is late.");
-    private static final Key<Duration> SKEW = Key.preset("clock-skew", ms(0, 600_000), "\"5 s\"",
+    private static final Key<Duration> SKEW = Key.preset("clock-skew", Types.ms(0, 600_000), "\"5 s\"",
             "By how far clocks may differ; what was sent later than that from now is refused.");
-    private static final Key<Duration> FORGET = Key.preset("forget-after", ms(1_000, 604_800_000), "\"24 h\"",
+    private static final Key<Duration> FORGET = Key.preset("forget-after", Types.ms(1_000, 604_800_000), "\"24 h\"",
             "A daemon that has been silent for so long is forgotten; what it counted stays in the totals.");
     private static final Key<Long> DAEMONS = Key.preset("most-daemons", Types.wholeNumber(1, 100_000), "4000",
             "Daemons held at once; further ones are turned away.");
@@ -58,21 +57,21 @@
             "Connections open at once; further ones are closed.");
     private static final Key<Long> RING = Key.preset("ring", Types.wholeNumber(4, 1 << 20), "1024",
             "Reports that may wait for the merge; further ones are told to come again.");
-    private static final Key<Duration> EVERY = Key.preset("table-every", ms(100, 600_000), "\"5 s\"",
+    private static final Key<Duration> EVERY = Key.preset("table-every", Types.ms(100, 600_000), "\"5 s\"",
             "Time between two tables.");
-    private static final Key<Duration> LEASE = Key.preset("lease", ms(1_000, 3_600_000), "\"3 min\"",
+    private static final Key<Duration> LEASE = Key.preset("lease", Types.ms(1_000, 3_600_000), "\"3 min\"",
             "How long a table holds; in its second half readers fade it out.");
     private static final Key<Double> STEP = Key.preset("step", Types.number(0.01, 1), "0.1",
             "By how much any factor may move from one table to the next.");
-    private static final Key<Duration> GOSSIP = Key.preset("gossip-every", ms(50, 60_000), "\"1 s\"",
+    private static final Key<Duration> GOSSIP = Key.preset("gossip-every", Types.ms(50, 60_000), "\"1 s\"",
             "Time between two asks at each other instance.");
-    private static final Key<Duration> SUSPECT = Key.preset("suspect-after", ms(200, 600_000), "\"5 s\"",
+    private static final Key<Duration> SUSPECT = Key.preset("suspect-after", Types.ms(200, 600_000), "\"5 s\"",
             "Silence after which another instance is suspect.");
-    private static final Key<Duration> DEAD = Key.preset("dead-after", ms(200, 600_000), "\"5 s\"",
+    private static final Key<Duration> DEAD = Key.preset("dead-after", Types.ms(200, 600_000), "\"5 s\"",
             "Further silence after which it is dead.");
-    private static final Key<Duration> KEEP = Key.preset("keep-every", ms(100, 3_600_000), "\"30 s\"",
+    private static final Key<Duration> KEEP = Key.preset("keep-every", Types.ms(100, 3_600_000), "\"30 s\"",
             "Time between two writings of what was merged.");
-    private static final Key<Duration> STALL = Key.preset("stall-after", ms(100, 600_000), "\"5 s\"",
+    private static final Key<Duration> STALL = Key.preset("stall-after", Types.ms(100, 600_000), "\"5 s\"",
             "A duty that is at one thing for longer is told of as stalled.");
 
     private static final Key<String> PEER_NAME = Key.required("name", Types.name(), "\"fleet-2\"", "Its name.");
@@ -85,10 +84,6 @@
             NUMBER, LISTEN, FOLDER, REPORTS, ASKS, LEAST, MOST, LATE, SKEW, FORGET, DAEMONS, HELD, CELLS, REPORT_SIZE,
             CONNECTIONS, RING, EVERY, LEASE, STEP, GOSSIP, SUSPECT, DEAD, KEEP, STALL).with(PEER);
 
-    private static Type<Duration> ms(long least, long most) {
-        return Types.duration(Duration.ofMillis(least), Duration.ofMillis(most));
-    }
-
     @Override
     public Table table() {
         return TABLE;
--- a/nomad/src/main/java/peppergauge/nomad/MembershipSection.java
+++ b/nomad/src/main/java/peppergauge/nomad/MembershipSection.java
@@ -9,7 +9,6 @@
 import peppergauge.operator.Problems;
 import peppergauge.operator.Section;
 import peppergauge.operator.Table;
-import peppergauge.operator.Type;
 import peppergauge.operator.Types;
 import peppergauge.operator.Values;
 
@@ -30,23 +29,23 @@
             + "each, the loss must be confirmed; so must an empty list always.");
     static final Key<Long> CONFIRMATIONS = Key.preset("confirmations", Types.wholeNumber(1, 100), "3",
             "Lists in a row that must tell such a loss, or a version that went back, before it is believed.");
-    static final Key<Duration> CONFIRM = Key.preset("confirm_after", ms(0, 600_000), "\"10 s\"",
+    static final Key<Duration> CONFIRM = Key.preset("confirm_after", Types.ms(0, 600_000), "\"10 s\"",
             "Time that must lie between the first and the last of them.");
-    static final Key<Duration> FAILOVER = Key.preset("next_after", ms(1, 3_600_000), "\"30 s\"",
+    static final Key<Duration> FAILOVER = Key.preset("next_after", Types.ms(1, 3_600_000), "\"30 s\"",
             "Silence of a source after which the next one is believed in its place.");
-    static final Key<Duration> KEEP = Key.preset("keep", ms(1_000, 604_800_000), "\"1 h\"",
+    static final Key<Duration> KEEP = Key.preset("keep", Types.ms(1_000, 604_800_000), "\"1 h\"",
             "Silence of a source after which a server that answers nothing is no longer kept while others answer.");
-    static final Key<Duration> ANSWERED = Key.preset("answered_within", ms(100, 600_000), "\"5 s\"",
+    static final Key<Duration> ANSWERED = Key.preset("answered_within", Types.ms(100, 600_000), "\"5 s\"",
             "How long a served attempt counts as a sign of life of its server.");
     static final Key<Long> FLAPS = Key.preset("flaps", Types.wholeNumber(1, 16), "3",
             "Departures within flap_window from which on a return is held up.");
-    static final Key<Duration> FLAP_WINDOW = Key.preset("flap_window", ms(1, 3_600_000), "\"60 s\"",
+    static final Key<Duration> FLAP_WINDOW = Key.preset("flap_window", Types.ms(1, 3_600_000), "\"60 s\"",
             "How long a departure is remembered.");
-    static final Key<Duration> HOLD = Key.preset("hold", ms(0, 600_000), "\"2 s\"",
+    static final Key<Duration> HOLD = Key.preset("hold", Types.ms(0, 600_000), "\"2 s\"",
             "How long the first such return is held up; doubles with each further departure.");
-    static final Key<Duration> LONGEST_HOLD = Key.preset("longest_hold", ms(0, 600_000), "\"30 s\"",
+    static final Key<Duration> LONGEST_HOLD = Key.preset("longest_hold", Types.ms(0, 600_000), "\"30 s\"",
             "Bound of that.");
-    static final Key<Duration> LINGER = Key.preset("linger", ms(0, 600_000), "\"10 s\"",
+    static final Key<Duration> LINGER = Key.preset("linger", Types.ms(0, 600_000), "\"10 s\"",
             "How long a server that left stays in the table as leaving before it is gone.");
     static final Key<String> LAST_TABLE = Key.optional("last_table", Types.text(1, 4_000),
             "\"/var/lib/peppergauge/servers.json\"",
@@ -56,10 +55,6 @@
             LOSS, CONFIRMATIONS, CONFIRM, FAILOVER, KEEP, ANSWERED, FLAPS, FLAP_WINDOW, HOLD, LONGEST_HOLD, LINGER,
             LAST_TABLE);
 
-    private static Type<Duration> ms(long least, long most) {
-        return Types.duration(Duration.ofMillis(least), Duration.ofMillis(most));
-    }
-
     @Override
     public Table table() {
         return TABLE;
--- a/nomad/src/main/java/peppergauge/nomad/NomadSection.java
+++ b/nomad/src/main/java/peppergauge/nomad/NomadSection.java
@@ -44,29 +44,29 @@
             "File that holds the ACL token; read again every 5 s and when Nomad refuses it.");
     static final Key<Boolean> STALE = Key.preset("stale", Types.flag(), "true",
             "Whether a server that does not lead may answer; lists then survive the loss of the leader.");
-    static final Key<Duration> STALEST = Key.preset("stalest", ms(1, 600_000), "\"5 s\"",
+    static final Key<Duration> STALEST = Key.preset("stalest", Types.ms(1, 600_000), "\"5 s\"",
             "If the answering server has not heard from its leader for longer, what its list leaves out is not "
             + "believed to be gone.");
-    static final Key<Duration> WAIT = Key.preset("wait", ms(1_000, 600_000), "\"60 s\"",
+    static final Key<Duration> WAIT = Key.preset("wait", Types.ms(1_000, 600_000), "\"60 s\"",
             "How long a query for changes is held when there are none.");
-    static final Key<Duration> ANSWER = Key.preset("answer_within", ms(100, 60_000), "\"5 s\"",
+    static final Key<Duration> ANSWER = Key.preset("answer_within", Types.ms(100, 60_000), "\"5 s\"",
             "How long any answer may take, beyond what a query for changes is held.");
-    static final Key<Duration> GAP = Key.preset("least_gap", ms(50, 60_000), "\"250 ms\"",
+    static final Key<Duration> GAP = Key.preset("least_gap", Types.ms(50, 60_000), "\"250 ms\"",
             "Time between an answer to a query for changes and the next such query, at least.");
     static final Key<Long> CHECK = Key.preset("check_rate", Types.size(1, 1 << 30), "\"64 KiB\"",
             "Bytes a second that lists may cost while the stream tells the changes; the larger the list, the longer "
             + "the gap.");
     static final Key<Boolean> STREAM = Key.preset("stream", Types.flag(), "true",
             "Whether the event stream is used where it is allowed; the query for changes goes on beside it.");
-    static final Key<Duration> SILENCE = Key.preset("stream_silence", ms(1_000, 600_000), "\"25 s\"",
+    static final Key<Duration> SILENCE = Key.preset("stream_silence", Types.ms(1_000, 600_000), "\"25 s\"",
             "Silence after which the stream counts as lost; Nomad sends a heartbeat every 10 s.");
-    static final Key<Duration> LOOK = Key.preset("look_every", ms(0, 3_600_000), "\"5 s\"",
+    static final Key<Duration> LOOK = Key.preset("look_every", Types.ms(0, 3_600_000), "\"5 s\"",
             "Time between two looks at single allocations, their checks and nodes, one at a time; \"0 ms\" for none.");
-    static final Key<Duration> BACKOFF = Key.preset("back_off", ms(10, 60_000), "\"250 ms\"",
+    static final Key<Duration> BACKOFF = Key.preset("back_off", Types.ms(10, 60_000), "\"250 ms\"",
             "First wait after a failure; it doubles, and each is drawn between half and all of its length.");
-    static final Key<Duration> LONGEST = Key.preset("longest_back_off", ms(10, 600_000), "\"10 s\"",
+    static final Key<Duration> LONGEST = Key.preset("longest_back_off", Types.ms(10, 600_000), "\"10 s\"",
             "Bound of the waits after failures.");
-    static final Key<Duration> SPREAD = Key.preset("start_spread", ms(0, 60_000), "\"2 s\"",
+    static final Key<Duration> SPREAD = Key.preset("start_spread", Types.ms(0, 60_000), "\"2 s\"",
             "The first query is sent at a random time within this, so that sidecars that start together do not ask "
             + "together; without a known server it is sent within a tenth of it.");
     static final Key<Boolean> INELIGIBLE = Key.preset("ineligible_leaves", Types.flag(), "true",
@@ -90,10 +90,6 @@
             SERVICE, NAMESPACE, FILTER, AGENTS, TOKEN, STALE, STALEST, WAIT, ANSWER, GAP, CHECK, STREAM, SILENCE, LOOK,
             BACKOFF, LONGEST, SPREAD, INELIGIBLE, ZONE, CELL, KIND, WEIGHT, BYTES, DEPTH, ENTRIES);
 
-    private static Type<Duration> ms(long least, long most) {
-        return Types.duration(Duration.ofMillis(least), Duration.ofMillis(most));
-    }
-
     @Override
     public Table table() {
         return TABLE;
--- a/operator/src/main/java/peppergauge/operator/Types.java
+++ b/operator/src/main/java/peppergauge/operator/Types.java
@@ -70,6 +70,11 @@
         return quantity("a duration", Quantity.DURATION, least.toNanos(), most.toNanos(), Duration::ofNanos);
     }
 
+    /** The same, its bounds in ms. */
+    public static Type<Duration> ms(long least, long most) {
+        return duration(Duration.ofMillis(least), Duration.ofMillis(most));
+    }
+
     /** A number of bytes with a unit in a text, {@code "64 KiB"}: B, KiB, MiB or GiB; whole bytes only. */
     public static Type<Long> size(long least, long most) {
         return quantity("a size", Quantity.SIZE, least, most, bytes -> bytes);
