Read load reports of HTTP and Thrift servers by one class

The text name=value,name=value was read twice, by two copies of one class, for Thrift must not know HTTP's package. Missing texts and no fields to look for gave no load in both. The sidecar has as many classes as before.

--- a/sidecar/src/main/java/peppergauge/backend/HttpBackend.java
+++ b/sidecar/src/main/java/peppergauge/backend/HttpBackend.java
@@ -9,6 +9,7 @@
 import peppergauge.session.Bodies;
 import peppergauge.session.Clock;
 import peppergauge.session.Message;
+import peppergauge.settings.LoadReport;
 import peppergauge.sockets.Loop;
 import peppergauge.sockets.SocketRoom;
 
--- a/sidecar/src/main/java/peppergauge/backend/HttpExchange.java
+++ b/sidecar/src/main/java/peppergauge/backend/HttpExchange.java
@@ -32,6 +32,7 @@
 import peppergauge.session.Feed;
 import peppergauge.session.Flow;
 import peppergauge.session.Message;
+import peppergauge.settings.LoadReport;
 
 /**
  * One request to one backend server, from the lease of a connection to the last byte of the answer. Only the loop's
--- a/sidecar/src/main/java/peppergauge/backend/LoadReport.java
+++ b/sidecar/src/main/java/peppergauge/settings/LoadReport.java
@@ -1,11 +1,10 @@
-package peppergauge.backend;
+package peppergauge.settings;
 import java.util.Arrays;
 import java.util.List;
 import peppergauge.decision.Balancer.LoadField;
-import peppergauge.settings.SettingsReader;
 
-/** The load that a backend server reports: {@code name=value,name=value}. */
-final class LoadReport {
+/** The load that a backend server reports, in a header or in a field of its answer: {@code name=value,name=value}. */
+public final class LoadReport {
 
     /** No server holds so many requests, or takes so many ms. */
     private static final double LARGEST = 1e7;
@@ -13,7 +12,7 @@
     private LoadReport() { }
 
     /** The figures in the order of {@code fields}, NaN where one is missing; null if there is none to go by. */
-    static double[] parse(String text, List<LoadField> fields) {
+    public static double[] parse(String text, List<LoadField> fields) {
         if (text == null || fields.isEmpty()) {
             return null;
         }
--- a/sidecar/src/test/java/peppergauge/backend/LoadReportTest.java
+++ b/sidecar/src/test/java/peppergauge/settings/LoadReportTest.java
@@ -1,4 +1,4 @@
-package peppergauge.backend;
+package peppergauge.settings;
 import static org.testng.Assert.assertEquals;
 
 import java.util.List;
--- a/thrift/src/main/java/peppergauge/thrift/method/Reply.java
+++ b/thrift/src/main/java/peppergauge/thrift/method/Reply.java
@@ -5,6 +5,7 @@
 import org.apache.thrift.protocol.TMessageType;
 import peppergauge.decision.Balancer.LoadField;
 import peppergauge.decision.Balancer.Outcome;
+import peppergauge.settings.LoadReport;
 import peppergauge.thrift.wire.FieldPath;
 import peppergauge.thrift.wire.Fields;
 import peppergauge.thrift.wire.Head;
