--- a/lab/src/main/java/peppergauge/lab/command/Emulate.java
+++ b/lab/src/main/java/peppergauge/lab/command/Emulate.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
@@ -18,14 +17,12 @@
 import peppergauge.lab.emulator.Sweep;
 import peppergauge.lab.result.ResultJson;
 import peppergauge.lab.result.RunResult;
-import peppergauge.lab.scenario.Run;
 import peppergauge.lab.scenario.Scenario;
 import peppergauge.log.Log;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Parameters;
 
 /** {@code emulate FILE}: a scenario in virtual time. */
 @Command(name = "emulate", description = {"Plays a scenario in virtual time, with the sidecar's own code.",
@@ -36,8 +33,8 @@
     @CommandLine.Spec
     private CommandSpec spec;
 
-    @Parameters(paramLabel = "FILE", description = "A scenario, such as scenarios/calm.toml")
-    private Path file;
+    @CommandLine.Mixin
+    private PlayedScenario played;
 
     @CommandLine.ArgGroup
     private Seeds seeds;
@@ -59,26 +56,23 @@
     @Option(names = "--workers", paramLabel = "N", description = "Threads for --seeds; all cores if left out.")
     private Integer workers;
 
-    @Option(names = "--length", paramLabel = "S", description = "Only the first S seconds of the scenario.")
-    private Double lengthS;
-
     @Override
     public Integer call() throws InterruptedException {
-        Optional<Scenario> read = ScenarioFile.read(file, spec.commandLine().getErr());
+        Optional<Scenario> read = played.read();
         if (read.isEmpty()) {
             return ExitCode.UNUSABLE_INPUT;
         }
         // What sidecars say in virtual time belongs to no clock that a reader has.
         Log.Sink former = Log.to((kind, text, passedOver) -> { });
         try {
-            return run(lengthS == null ? read.get() : shortened(read.get()));
+            return run(read.get());
         } finally {
             Log.to(former);
         }
     }
 
     private int run(Scenario scenario) throws InterruptedException {
-        String name = ScenarioFile.name(file);
+        String name = played.name();
         if (seeds != null && seeds.range != null) {
             return sweep(name, scenario, seeds.range);
         }
@@ -89,16 +83,6 @@
         return result.broken().isEmpty() ? ExitCode.FINE : ExitCode.RULE_BROKEN;
     }
 
-    private Scenario shortened(Scenario whole) {
-        Duration length = Duration.ofMillis(Math.round(lengthS * 1e3));
-        if (length.isZero() || length.isNegative() || length.compareTo(whole.run().length()) > 0) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "--length must be over 0 and at most "
-                    + whole.run().length().toMillis() / 1e3 + ", the scenario's own");
-        }
-        return whole.with(new Run(length, whole.run().seed()), whole.servers(), whole.entries().stream()
-                .filter(entry -> entry.time().compareTo(length) <= 0).toList());
-    }
-
     private int sweep(String name, Scenario scenario, SeedRange range) throws InterruptedException {
         PrintWriter console = spec.commandLine().getOut();
         List<Long> failing = new ArrayList<>();
@@ -139,15 +123,8 @@
 
     private void report(RunResult result) {
         PrintWriter console = spec.commandLine().getOut();
-        RunResult.Totals totals = result.totals();
-        console.println(String.format(Locale.ROOT, "%s, seed %d: service %.4f; asked %d, in time %d, late %d, lost %d;"
-                + " attempts %d, denied %d, failed %d", result.scenario(), result.seed(), totals.service(),
-                totals.asked(), totals.inTime(), totals.late(), totals.lost(), totals.attempts(), totals.denied(),
-                totals.failed()));
-        result.classes().forEach(each -> console.println(String.format(Locale.ROOT,
-                "  %s: service %.4f, latency %.1f ms median, %.1f ms at 99%%", each.name(),
-                each.worthAsked() > 0 ? each.worth() / each.worthAsked() : 1, each.latency().p50Ms(),
-                each.latency().p99Ms())));
+        console.println(ResultLines.totals(result));
+        ResultLines.classes(result, console);
         write(result);
         PrintWriter errors = spec.commandLine().getErr();
         for (RunResult.Broken broken : result.broken()) {
--- a/lab/src/main/java/peppergauge/lab/command/PlayCommand.java
+++ b/lab/src/main/java/peppergauge/lab/command/PlayCommand.java
@@ -4,7 +4,6 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.Callable;
@@ -15,14 +14,12 @@
 import peppergauge.lab.process.SidecarProcess.Launch;
 import peppergauge.lab.result.ResultJson;
 import peppergauge.lab.result.RunResult;
-import peppergauge.lab.scenario.Run;
 import peppergauge.lab.scenario.Scenario;
 import peppergauge.lab.scenario.ServerKind;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Parameters;
 
 /** {@code play FILE}: a scenario in real time. */
 @Command(name = "play", description = {"Plays a scenario in real time, with real sidecars on loopback sockets.",
@@ -32,8 +29,8 @@
     @CommandLine.Spec
     private CommandSpec spec;
 
-    @Parameters(paramLabel = "FILE", description = "A scenario, such as scenarios/calm.toml")
-    private Path file;
+    @CommandLine.Mixin
+    private PlayedScenario given;
 
     @Option(names = "--seed", paramLabel = "N", description = "In place of the scenario's own seed.")
     private Long seed;
@@ -45,9 +42,6 @@
             description = "Share of a core's time that each sidecar may run, over 0 up to 1 (1: no limit).")
     private double cores;
 
-    @Option(names = "--length", paramLabel = "S", description = "Only the first S seconds of the scenario.")
-    private Double lengthS;
-
     @Option(names = "--dir", paramLabel = "DIR", description = "Play the build of another checkout.")
     private Path checkout;
 
@@ -57,15 +51,15 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        Optional<Scenario> read = ScenarioFile.read(file, spec.commandLine().getErr());
+        Optional<Scenario> read = given.read();
         if (read.isEmpty()) {
             return ExitCode.UNUSABLE_INPUT;
         }
         PrintWriter console = spec.commandLine().getOut();
-        Scenario scenario = shaped(read.get());
+        Scenario scenario = seed == null ? read.get() : read.get().seeded(seed);
         Launch launch = launch();
         Play.leftOut(scenario).forEach(what -> console.println("not played: " + what));
-        String name = ScenarioFile.name(file);
+        String name = given.name();
         console.println(String.format(Locale.ROOT, "%s: %.1f s, %d sidecars, %d backend servers", name,
                 Scenario.ms(scenario.run().length()) / 1e3, scenario.sidecars().count(),
                 scenario.servers().stream().mapToLong(ServerKind::count).sum()));
@@ -103,29 +97,12 @@
         }
     }
 
-    private Scenario shaped(Scenario whole) {
-        Duration length = lengthS == null ? whole.run().length() : Duration.ofMillis(Math.round(lengthS * 1e3));
-        if (length.isZero() || length.isNegative() || length.compareTo(whole.run().length()) > 0) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "--length must be over 0 and at most "
-                    + whole.run().length().toMillis() / 1e3 + ", the scenario's own");
-        }
-        return whole.with(new Run(length, seed == null ? whole.run().seed() : seed), whole.servers(),
-                whole.entries().stream().filter(entry -> entry.time().compareTo(length) <= 0).toList());
-    }
-
     private void report(Played played) throws IOException {
         PrintWriter console = spec.commandLine().getOut();
         RunResult result = played.result();
-        RunResult.Totals totals = result.totals();
-        console.println(String.format(Locale.ROOT, "%s, seed %d: service %.4f; asked %d, in time %d, late %d,"
-                + " lost %d; attempts %d, denied %d, failed %d; %.0f us of the sidecars' CPU a try, load late by %.2f ms"
-                + " at 99%%",
-                result.scenario(), result.seed(), totals.service(), totals.asked(), totals.inTime(), totals.late(),
-                totals.lost(), totals.attempts(), totals.denied(), totals.failed(), played.cpuUs(), played.lagMs()));
-        result.classes().forEach(each -> console.println(String.format(Locale.ROOT,
-                "  %s: service %.4f, latency %.1f ms median, %.1f ms at 99%%", each.name(),
-                each.worthAsked() > 0 ? each.worth() / each.worthAsked() : 1, each.latency().p50Ms(),
-                each.latency().p99Ms())));
+        console.println(ResultLines.totals(result) + String.format(Locale.ROOT,
+                "; %.0f us of the sidecars' CPU a try, load late by %.2f ms at 99%%", played.cpuUs(), played.lagMs()));
+        ResultLines.classes(result, console);
         if (played.excused() > 0) {
             console.println(played.excused() + " answers were missing while the lab was late itself");
         }
