Share the three servers of the tests over Nomad's stand-in

FaultsTest, HardCasesTest and SameServiceTest each started, awaited, listed and stopped the same three backend servers.

--- a/lab/src/test/java/peppergauge/lab/nomad/FaultsTest.java
+++ b/lab/src/test/java/peppergauge/lab/nomad/FaultsTest.java
@@ -5,43 +5,13 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.List;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import peppergauge.lab.nomad.NomadBed.Way;
 
 /** Each fault of the API, with the sidecar in between and clients that never pause. */
-public class FaultsTest {
-
-    private final List<BackendStandIn> servers = new ArrayList<>();
-
-    @BeforeMethod
-    public void start() throws Exception {
-        for (String id : List.of("a", "b", "c")) {
-            servers.add(new BackendStandIn(id));
-        }
-    }
-
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws Exception {
-        for (BackendStandIn each : servers) {
-            each.close();
-        }
-        servers.clear();
-    }
-
-    private NomadBed serving(Way way, String more) throws Exception {
-        NomadBed bed = NomadBed.of(way, servers, more).ask();
-        for (BackendStandIn each : servers) {
-            NomadBed.await(each.id + " is asked", 30, () -> each.all() > 0);
-        }
-        Thread.sleep(300);
-        return bed;
-    }
+public class FaultsTest extends ThreeServers {
 
     @DataProvider
     public Object[][] faults() {
@@ -137,10 +107,7 @@
     /** The agent asked dies, and the other is behind it: what the first said of a drain holds. */
     @Test
     public void ofTwoAgentsThatDisagreeTheOneBehindBringsNobodyBack() throws Exception {
-        Told.ByNomad told = new Told.ByNomad();
-        for (BackendStandIn each : servers) {
-            told.add(each);
-        }
+        Told.ByNomad told = listing(new Told.ByNomad());
         try (NomadStandIn behind = new NomadStandIn(told.cluster, 200);
                 NomadBed bed = new NomadBed(Way.QUERY_ONLY, new Both(told, behind), servers, "").ask()) {
             behind.fault(Fault.OLDER);
--- a/lab/src/test/java/peppergauge/lab/nomad/HardCasesTest.java
+++ b/lab/src/test/java/peppergauge/lab/nomad/HardCasesTest.java
@@ -6,10 +6,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import peppergauge.lab.files.Kinds;
@@ -18,33 +15,7 @@
 import peppergauge.nomad.NomadAddition;
 
 /** What is no fault of the API's, and hard all the same. */
-public class HardCasesTest {
-
-    private final List<BackendStandIn> servers = new ArrayList<>();
-
-    @BeforeMethod
-    public void start() throws Exception {
-        for (String id : List.of("a", "b", "c")) {
-            servers.add(new BackendStandIn(id));
-        }
-    }
-
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws Exception {
-        for (BackendStandIn each : servers) {
-            each.close();
-        }
-        servers.clear();
-    }
-
-    private NomadBed serving(Way way, String more) throws Exception {
-        NomadBed bed = NomadBed.of(way, servers, more).ask();
-        for (BackendStandIn each : servers) {
-            NomadBed.await(each.id + " is asked", 30, () -> each.all() > 0);
-        }
-        Thread.sleep(400);
-        return bed;
-    }
+public class HardCasesTest extends ThreeServers {
 
     private boolean quiet(BackendStandIn server) {
         return server.since(System.nanoTime() - 400_000_000L) == 0;
@@ -113,10 +84,7 @@
         Files.writeString(token, "very-secret-token\n");
         StringBuffer lines = new StringBuffer();
         Log.Sink before = Log.to((kind, text, passedOver) -> lines.append(text).append('\n'));
-        Told.ByNomad told = new Told.ByNomad();
-        for (BackendStandIn each : servers) {
-            told.add(each);
-        }
+        Told.ByNomad told = listing(new Told.ByNomad());
         told.api.token("very-secret-token");
         try (NomadBed bed = new NomadBed(Way.NOMAD, told, List.of(), "token_file = '" + token + "'").ask()) {
             NomadBed.await("a server is asked", 5, () -> servers.get(0).all() > 0);
@@ -135,10 +103,7 @@
     public void aRestartBeginsWithTheLastTable() throws Exception {
         Path last = Files.createTempDirectory("last").resolve("servers.json");
         String more = "[membership]\nlast_table = '" + last + "'\n";
-        Told.ByNomad told = new Told.ByNomad();
-        for (BackendStandIn each : servers) {
-            told.add(each);
-        }
+        Told.ByNomad told = listing(new Told.ByNomad());
         try (NomadBed bed = new NomadBed(Way.NOMAD, told, List.of(), more)) {
             NomadBed.await("the table is written", 8, () -> Files.exists(last) && bed.asked() == 0);
         }
--- a/lab/src/test/java/peppergauge/lab/nomad/SameServiceTest.java
+++ b/lab/src/test/java/peppergauge/lab/nomad/SameServiceTest.java
@@ -3,51 +3,21 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import peppergauge.lab.nomad.NomadBed.Way;
 
 /** The same failures over the platform's watch and over Nomad: the service is the same, and no client sees any. */
-public class SameServiceTest {
-
-    private final List<BackendStandIn> servers = new ArrayList<>();
-
-    @BeforeMethod
-    public void start() throws Exception {
-        for (String id : List.of("a", "b", "c")) {
-            servers.add(new BackendStandIn(id));
-        }
-    }
-
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws Exception {
-        for (BackendStandIn each : servers) {
-            each.close();
-        }
-        servers.clear();
-    }
+public class SameServiceTest extends ThreeServers {
 
     @DataProvider
     public Object[][] ways() {
         return new Object[][] {{Way.PLAIN}, {Way.PLATFORM}, {Way.NOMAD}, {Way.QUERY_ONLY}};
     }
 
-    private NomadBed serving(Way way) throws Exception {
-        NomadBed bed = NomadBed.of(way, servers, "").ask();
-        for (BackendStandIn each : servers) {
-            NomadBed.await(each.id + " is asked", 30, () -> each.all() > 0);
-        }
-        Thread.sleep(400);
-        return bed;
-    }
-
     @Test(dataProvider = "ways")
     public void aDrainedServerGetsNoNewWorkAfterASecond(Way way) throws Exception {
-        try (NomadBed bed = serving(way)) {
+        try (NomadBed bed = serving(way, "")) {
             BackendStandIn drained = servers.get(0);
             bed.told.drain(drained);
             long told = System.nanoTime();
@@ -60,7 +30,7 @@
 
     @Test(dataProvider = "ways")
     public void whileNobodyTellsServersDieAndDrainAndServiceHolds(Way way) throws Exception {
-        try (NomadBed bed = serving(way)) {
+        try (NomadBed bed = serving(way, "")) {
             bed.told.away(true);
             Thread.sleep(300);
             BackendStandIn dead = servers.get(0);
@@ -83,10 +53,7 @@
 
     @Test(dataProvider = "ways")
     public void aRestartHasTheLastTableOnly(Way way) throws Exception {
-        Told told = way == Way.PLAIN || way == Way.PLATFORM ? new Told.ByPlatform() : new Told.ByNomad();
-        for (BackendStandIn each : servers) {
-            told.add(each);
-        }
+        Told told = listing(way == Way.PLAIN || way == Way.PLATFORM ? new Told.ByPlatform() : new Told.ByNomad());
         told.away(true);
         try (NomadBed bed = new NomadBed(way, told, servers, "").ask()) {
             Thread.sleep(1_000);
@@ -104,7 +71,7 @@
     /** Membership says who may be asked; who refuses is found out by asking, and who serves well is asked. */
     @Test(dataProvider = "ways")
     public void aServerListedHealthyThatRefusesCostsNoClientAnything(Way way) throws Exception {
-        try (NomadBed bed = serving(way)) {
+        try (NomadBed bed = serving(way, "")) {
             servers.get(2).close();
             Thread.sleep(1_000);
             assertEquals(bed.unserved(), 0);
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/nomad/ThreeServers.java
@@ -0,0 +1,46 @@
+package peppergauge.lab.nomad;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import peppergauge.lab.nomad.NomadBed.Way;
+
+/** Three backend servers, fresh for each test, with the ids a, b and c. */
+public abstract class ThreeServers {
+
+    final List<BackendStandIn> servers = new ArrayList<>();
+
+    @BeforeMethod
+    public void start() throws Exception {
+        for (String id : List.of("a", "b", "c")) {
+            servers.add(new BackendStandIn(id));
+        }
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        for (BackendStandIn each : servers) {
+            each.close();
+        }
+        servers.clear();
+    }
+
+    /** A sidecar and clients that never pause, from a moment after each server was first asked. */
+    final NomadBed serving(Way way, String more) throws Exception {
+        NomadBed bed = NomadBed.of(way, servers, more).ask();
+        for (BackendStandIn each : servers) {
+            NomadBed.await(each.id + " is asked", 30, () -> each.all() > 0);
+        }
+        Thread.sleep(400);
+        return bed;
+    }
+
+    /** The same, with these servers on its list. */
+    final <T extends Told> T listing(T told) throws Exception {
+        for (BackendStandIn each : servers) {
+            told.add(each);
+        }
+        return told;
+    }
+}
