Start the threads of socket tests by Toy in all modules

Four stand-ins had the same daemon thread that ends silently with its test. Toy, which each module's tests have from the sidecar's test jar, offers its own.

--- a/bodies/src/test/java/peppergauge/bodies/BodiesOnSocketsTest.java
+++ b/bodies/src/test/java/peppergauge/bodies/BodiesOnSocketsTest.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import peppergauge.Toy;
 import peppergauge.bodies.Rig.Answer;
 import peppergauge.bodies.ledger.Bounds;
 
@@ -390,7 +391,7 @@
         try (Rig rig = Rig.hastyFiles(CHECKS); Socket client = rig.client()) {
             send(client, ask("save", "t", "Content-Length: " + length + "\r\n\r\n"));
             client.getOutputStream().write(new byte[70 * KIB]);
-            Thread drips = Rig.daemon(() -> {
+            Thread drips = Toy.daemon(() -> {
                 while (true) {
                     Thread.sleep(100);
                     client.getOutputStream().write(1);
@@ -583,7 +584,7 @@
             OutputStream out = up.getOutputStream();
             out.write(pattern(900_000, 7), 0, 100_000);
             Rig.await("it is taken", () -> rig.report("taken") == 1);
-            Thread ending = Rig.daemon(rig.sidecar::windDown);
+            Thread ending = Toy.daemon(rig.sidecar::windDown);
             for (int at = 100_000; at < 900_000; at += 50_000) {
                 Thread.sleep(120);
                 out.write(pattern(900_000, 7), at, 50_000);
@@ -638,7 +639,7 @@
                     String head = Rig.head(in);
                     return new Answer(Integer.parseInt(head.split(" ")[1]), head, null);
                 }).status(), 200);
-                Rig.daemon(() -> {
+                Toy.daemon(() -> {
                     while (in.readNBytes(8 * KIB).length > 0) {
                         Thread.sleep(20);
                     }
--- a/bodies/src/test/java/peppergauge/bodies/Rig.java
+++ b/bodies/src/test/java/peppergauge/bodies/Rig.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import peppergauge.Sidecar;
+import peppergauge.Toy;
 import peppergauge.bodies.ledger.Bounds;
 import peppergauge.bodies.spool.Disk;
 import peppergauge.config.Config;
@@ -107,13 +108,13 @@
         addition = new BodiesAddition(settings, disk);
         // Little of a body stands in the kernel's buffers: an end in its middle is then surely one.
         listener.setReceiveBufferSize(64 * KIB);
-        daemon(() -> {
+        Toy.daemon(() -> {
             while (true) {
                 Socket socket = listener.accept();
-                daemon(() -> serve(socket));
+                Toy.daemon(() -> serve(socket));
             }
         });
-        daemon(() -> {
+        Toy.daemon(() -> {
             Socket watch = discovery.accept();
             watch.getOutputStream().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n".getBytes());
             watch.getInputStream().transferTo(OutputStream.nullOutputStream());
@@ -304,23 +305,6 @@
 
     // ---- Waiting ----
 
-    interface Work {
-        void run() throws Exception;
-    }
-
-    static Thread daemon(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (Exception closed) {
-                // The test is over, or wanted this.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-        return thread;
-    }
-
     interface Condition {
         boolean holds() throws Exception;
     }
--- a/lab/src/test/java/peppergauge/lab/nomad/BackendStandIn.java
+++ b/lab/src/test/java/peppergauge/lab/nomad/BackendStandIn.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import peppergauge.Toy;
 
 /** A backend server that serves everything at once, and notes when each request's first byte came. */
 final class BackendStandIn implements Closeable {
@@ -24,12 +25,12 @@
         this.id = id;
         listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
         port = listener.getLocalPort();
-        daemon(() -> {
+        Toy.daemon(() -> {
             while (!listener.isClosed()) {
                 try {
                     Socket connection = listener.accept();
                     open.add(connection);
-                    daemon(() -> serve(connection));
+                    Toy.daemon(() -> serve(connection));
                 } catch (IOException oneConnection) {
                     // Whoever connected has gone again; the next one is to be served.
                     System.out.println(listener.isClosed() ? "" : "a stand-in did not accept: " + oneConnection);
@@ -69,23 +70,6 @@
         }
     }
 
-    interface Task {
-        void run() throws Exception;
-    }
-
-    static Thread daemon(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (Exception closed) {
-                // The test is over, or wanted this.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-        return thread;
-    }
-
     /** Dies: refuses and resets. */
     @Override
     public void close() throws IOException {
--- a/lab/src/test/java/peppergauge/lab/nomad/NomadBed.java
+++ b/lab/src/test/java/peppergauge/lab/nomad/NomadBed.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import peppergauge.Additions;
 import peppergauge.Sidecar;
+import peppergauge.Toy;
 import peppergauge.config.Config;
 import peppergauge.lab.files.Kinds;
 import peppergauge.nomad.NomadAddition;
@@ -105,7 +106,7 @@
     /** From now on clients ask, each one request after the other. */
     NomadBed ask() {
         for (int i = 0; i < CLIENTS; i++) {
-            clients.add(BackendStandIn.daemon(this::client));
+            clients.add(Toy.daemon(this::client));
         }
         return this;
     }
--- a/lab/src/test/java/peppergauge/lab/nomad/Told.java
+++ b/lab/src/test/java/peppergauge/lab/nomad/Told.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import peppergauge.Toy;
 
 /** Who tells the sidecar of its backend servers, whichever way: the same things happen over the platform and Nomad. */
 interface Told extends Closeable {
@@ -87,10 +88,10 @@
 
         private void accept() {
             ServerSocket on = listener;
-            BackendStandIn.daemon(() -> {
+            Toy.daemon(() -> {
                 while (true) {
                     Socket watch = on.accept();
-                    BackendStandIn.daemon(() -> {
+                    Toy.daemon(() -> {
                         while (watch.getInputStream().read() != '\n') {
                             // The request line says nothing that matters here.
                         }
--- a/sidecar/src/test/java/peppergauge/Toy.java
+++ b/sidecar/src/test/java/peppergauge/Toy.java
@@ -109,11 +109,13 @@
         }
     }
 
-    private interface Task {
+    /** What a thread of a test does until the test is over. */
+    public interface Task {
         void run() throws Exception;
     }
 
-    private static Thread daemon(Task task) {
+    /** Starts a thread that ends with the test, or silently when what it uses is closed. */
+    public static Thread daemon(Task task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
--- a/thrift/src/test/java/peppergauge/Stage.java
+++ b/thrift/src/test/java/peppergauge/Stage.java
@@ -78,11 +78,11 @@
             Toy.write(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             watch = connection;
         });
-        daemon(() -> {
+        Toy.daemon(() -> {
             while (true) {
                 Socket connection = listener.accept();
                 connections.add(connection);
-                daemon(() -> serve(connection, script));
+                Toy.daemon(() -> serve(connection, script));
             }
         });
         Path path = Files.createTempFile("stage", ".json");
@@ -147,22 +147,6 @@
         return pair.client().on(client.getInputStream()).answer();
     }
 
-    private interface Task {
-        void run() throws Exception;
-    }
-
-    private static void daemon(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (Exception closed) {
-                // The test is over, or wanted this.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     @Override
     public void close() throws IOException {
         listener.close();
