Lay cold servers' lots side by side, not by the hash that picks the members

Cause: coldMayTake placed lots by the affinity by which gather orders the members, so that these lay on one another.

Change: lots lie side by side in the order of the members. All of them are used now, so where sidecars work with a part of the servers, whose number is chance, the plan is 0.75 of what cold servers bear; 0.9 elsewhere, as before.

Ruled out, each alone: idle cold servers beyond the bound, crushes told by latencies cleared of age.

--- a/sidecar/src/main/java/peppergauge/decision/Decide.java
+++ b/sidecar/src/main/java/peppergauge/decision/Decide.java
@@ -77,6 +77,8 @@
     private static final double ERRORS_FOLLOW_REQUESTS = 0.15;
     /** Share of the cold-start budget that all balancers together may plan to use. */
     private static final double COLD_SAFETY = 0.9;
+    /** The same where each works with a part of the servers: how many work with one is chance, too. */
+    private static final double COLD_SAFETY_PARTIAL = 0.75;
     /** Longest first wait before a watch, and first back-off, ms: balancers that start in step spread out. */
     private static final double WATCH_SPREAD_MS = 500;
     /** The same for each balancer, ms: discovery answers few calls a second, and calls in step fail. */
@@ -119,6 +121,8 @@
     List<Server> ordered = List.of();
     private final List<Server> pool = new ArrayList<>();
     private double mostMembers;
+    /** Sum of the lots of all cold members, as shares of the requests. */
+    private double lots;
     /** Whether there are usable servers that it does not work with. */
     private boolean partial;
     private double[] scratch = new double[16];
@@ -502,8 +506,13 @@
         }
         readyServers = Math.max(1, ready);
         double share = perMs(fleetLatency, firstEventMs) / readyServers;
+        lots = 0;
         for (Server server : pool) {
             server.flightLimit = flightLimit(server, share, nearest);
+            server.lotFrom = lots;
+            server.lotShare = settings.rules().fallMultiple() * server.capacity
+                    * (partial ? COLD_SAFETY_PARTIAL / pool.size() : COLD_SAFETY / servers.size());
+            lots += server.capacity < 1 ? server.lotShare : 0;
         }
         if (ready == 0) {
             return false;
@@ -1020,17 +1029,16 @@
      * Whether a request may go to a server that may be cold. All requests, of whichever balancer, draw a lot,
      * and the share that may use a cold server is what its budget allows if each came to it: the sum holds at
      * any number of balancers and any rate, without memory. An instance that works with a part of the servers
-     * shares the lots out among these: those of the others would be nobody's. Own requests in flight there
-     * stay within its capacity, which spreads one busy balancer's bursts.
+     * shares the lots out among these: those of the others would be nobody's. They lie side by side: where
+     * they overlap, a request holds two and another none. Own requests in flight there stay within its
+     * capacity, which spreads one busy balancer's bursts.
      */
     private boolean coldMayTake(Request request, Server server) {
         if (server.capacity >= 1) {
             return true;
         }
-        double share = COLD_SAFETY * settings.rules().fallMultiple() * server.capacity
-                / Math.max(1, partial ? pool.size() : servers.size());
-        double lot = request.lot + (server.affinity >>> 11) * 0x1p-53;
-        return lot - Math.floor(lot) < share
+        double lot = request.lot - server.lotFrom / lots;
+        return lot - Math.floor(lot) < server.lotShare
                 && server.live < Math.max(1, server.capacity * server.flightLimit);
     }
 
--- a/sidecar/src/main/java/peppergauge/decision/Server.java
+++ b/sidecar/src/main/java/peppergauge/decision/Server.java
@@ -31,6 +31,8 @@
     /** As last weighed. */
     double unitMs = 1, capacity = 1, inFlight, expectedMs, condition, load, sound, flightLimit;
     boolean open;
+    /** Where its lots begin while it is cold, in shares of requests before it, and how many it has; as last weighed. */
+    double lotFrom, lotShare;
 
     Server(String id, int zone, int cell) {
         this.id = id;
