Rig: see for how long a sidecar itself got no CPU, and excuse no more than that

Followed by id in the history: 11-46 asked at 7,236 ms, sent at 7,697, answered by server-1 at 7,800, nothing to the client by 9,992; between 7,800 and 10,205 sidecar-11 sent nothing and answered one session, from 8,702 to 10,467 its admin socket was silent too, and no fault was at its links or at it. All other processes of the rig were 100 to 600 ms late then. Ruled out: a new fleet table (the version stayed), a full list, a fault. The process had no CPU; the rig could not see that, which stood in RIG.md under what falls short.

--- a/lab/src/main/java/peppergauge/lab/history/History.java
+++ b/lab/src/main/java/peppergauge/lab/history/History.java
@@ -25,6 +25,7 @@
     private final Map<String, List<Span>> down = new HashMap<>();
     private final Map<String, List<Span>> ending = new HashMap<>();
     private final Map<String, List<Event>> late = new HashMap<>();
+    private final Map<String, List<Event>> waited = new HashMap<>();
 
     /** @param recorded in any order, since many processes told them */
     public History(List<Event> recorded) {
@@ -34,6 +35,7 @@
         spans(down, What.DOWN, What.UP);
         spans(ending, What.TERMINATED, What.UP);
         of(What.LATE).forEach(event -> late.computeIfAbsent(event.who(), who -> new ArrayList<>()).add(event));
+        of(What.WAITED).forEach(event -> waited.computeIfAbsent(event.who(), who -> new ArrayList<>()).add(event));
     }
 
     /** What begins and does not end lasts to the end of time; the two of a fault have the same number. */
@@ -102,4 +104,16 @@
                 .filter(event -> event.atNs() >= fromNs && event.atNs() - event.number() * 1_000_000 <= toNs)
                 .mapToDouble(Event::number).sum()).max().orElse(0);
     }
+
+    /** By how much the machine let the lab, or this process itself, wait in a span, ms: the longer of the two. */
+    double lateMs(String process, long fromNs, long toNs) {
+        return Math.max(lateMs(fromNs, toNs), waitedMs(process, fromNs, toNs));
+    }
+
+    /** For how long a process was ready to run in a span and got no CPU, ms; looks that reach beyond it count whole. */
+    double waitedMs(String process, long fromNs, long toNs) {
+        return waited.getOrDefault(process, List.of()).stream()
+                .filter(event -> event.atNs() >= fromNs && Long.parseLong(event.text()) <= toNs)
+                .mapToDouble(Event::number).sum();
+    }
 }
--- a/lab/src/main/java/peppergauge/lab/history/What.java
+++ b/lab/src/main/java/peppergauge/lab/history/What.java
@@ -43,6 +43,8 @@
     HEALED,
     /** A thread of the lab's (who) was this much later than it meant to be: number, ms. */
     LATE,
+    /** A process (who) was let wait for a CPU so long since the last look: number, ms; text: when that was, ns. */
+    WAITED,
     /** A call was given up by discovery, since too many were before it. */
     CALL_GIVEN_UP
 }
--- a/lab/src/main/java/peppergauge/lab/process/Program.java
+++ b/lab/src/main/java/peppergauge/lab/process/Program.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -158,6 +159,11 @@
         return process;
     }
 
+    /** The number of the present life's process; empty if there is none. */
+    public OptionalLong pid() {
+        return isAlive() ? OptionalLong.of(process.pid()) : OptionalLong.empty();
+    }
+
     /** Resident memory of the process and all below it, KiB. */
     public long rssKb() {
         return isAlive() ? Usage.of(process.toHandle()).rssKb() : 0;
--- a/lab/src/main/java/peppergauge/lab/rig/Member.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Member.java
@@ -9,6 +9,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -193,6 +194,11 @@
         }
     }
 
+    /** The number of its present life's process, if there is one. */
+    OptionalLong pid() {
+        return program.pid();
+    }
+
     /** Resident memory, KiB. */
     long rssKb() {
         return program.rssKb();
--- a/lab/src/main/java/peppergauge/lab/rig/Rig.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Rig.java
@@ -20,6 +20,7 @@
 import peppergauge.lab.history.Rules;
 import peppergauge.lab.history.What;
 import peppergauge.lab.load.Generator;
+import peppergauge.lab.process.CpuWaits;
 import peppergauge.lab.relay.Tap;
 import peppergauge.lab.scenario.Scenario;
 import peppergauge.lab.wire.Loop;
@@ -53,6 +54,9 @@
     /** How often the end looks for sessions that are still open, ms, and for how long the loop may be away. */
     private static final double LOOK_MS = 50;
     private static final double TABLES_MS = 300;
+    private static final double WAITS_MS = 200;
+    /** Of two threads within a look: less is no news. */
+    private static final double LEAST_WAIT_MS = 10;
     private static final long LONGEST_STALL_S = 5;
     private static final long LONGEST_HEALING_NS = 90_000_000_000L;
 
@@ -98,6 +102,7 @@
         inParallel(cast.members().values().stream().filter(member -> member.name().startsWith("sidecar-")).toList());
         loop.post(this::begin);
         lookAtTables();
+        lookAtWaits();
         round(plan.file().faults());
         for (List<Fault> faults : plan.further()) {
             round(faults);
@@ -191,6 +196,31 @@
         }
     }
 
+    /** One that gets no CPU while its neighbours do would be taken for one that is late by itself. */
+    private void lookAtWaits() {
+        for (String sidecar : RigFile.sidecars(scenario)) {
+            Member member = cast.members().get(sidecar);
+            CpuWaits waits = new CpuWaits();
+            hands.execute(() -> {
+                long lastNs = System.nanoTime();
+                try {
+                    while (!hands.isShutdown()) {
+                        long nowNs = System.nanoTime();
+                        double ms = member.pid().isPresent() ? waits.sinceLastMs(member.pid().getAsLong()) : 0;
+                        if (ms >= LEAST_WAIT_MS) {
+                            recorder.add(new Event(nowNs, What.WAITED, sidecar, "", "", (long) ms,
+                                    Long.toString(lastNs)));
+                        }
+                        lastNs = nowNs;
+                        sleepMs(WAITS_MS);
+                    }
+                } catch (InterruptedException closing) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+        }
+    }
+
     private double rate(int sidecar) {
         double all = 0;
         for (int i = 0; i < scenario.sidecars().count(); i++) {
