Let a plug-in's job that nobody can take back say nothing of it

Four of the five kinds of Job answered withdrawn() with false, each by four lines. It is the default now; only a session's call can be withdrawn.

--- a/lab/src/main/java/peppergauge/lab/plugin/Trial.java
+++ b/lab/src/main/java/peppergauge/lab/plugin/Trial.java
@@ -106,11 +106,6 @@
             this.outcome = outcome;
         }
 
-        @Override
-        public boolean withdrawn() {
-            return false;
-        }
-
         @Override
         public void run(Box box) throws Fault {
             verdict = call.on(box);
--- a/plugin/src/main/java/peppergauge/plugin/AnswerCall.java
+++ b/plugin/src/main/java/peppergauge/plugin/AnswerCall.java
@@ -18,11 +18,6 @@
         this.outcome = outcome;
     }
 
-    @Override
-    public boolean withdrawn() {
-        return false;
-    }
-
     @Override
     public void run(Box box) throws Fault {
         if (answer == null) {
--- a/plugin/src/main/java/peppergauge/plugin/crew/Job.java
+++ b/plugin/src/main/java/peppergauge/plugin/crew/Job.java
@@ -7,7 +7,9 @@
 public interface Job {
 
     /** Whether nobody waits for it any more; it is passed over then, and nothing else is called. */
-    boolean withdrawn();
+    default boolean withdrawn() {
+        return false;
+    }
 
     void run(Box box) throws Fault;
 
--- a/plugin/src/test/java/peppergauge/PluginCosts.java
+++ b/plugin/src/test/java/peppergauge/PluginCosts.java
@@ -111,11 +111,6 @@
         for (int i = 0; i < late.length; i++) {
             CompletableFuture<Double> took = new CompletableFuture<>();
             crew.offer(new Job() {
-                @Override
-                public boolean withdrawn() {
-                    return false;
-                }
-
                 @Override
                 public void run(Box box) throws Fault {
                     box.onSession(new peppergauge.plugin.abi.SessionView("c", "t", "k", "GET", "/c/k", List.of(), 1, 0,
--- a/plugin/src/test/java/peppergauge/plugin/BoxTest.java
+++ b/plugin/src/test/java/peppergauge/plugin/BoxTest.java
@@ -136,11 +136,6 @@
             for (int i = 0; i < 3; i++) {
                 CompletableFuture<Double> ended = new CompletableFuture<>();
                 crew.offer(new Job() {
-                    @Override
-                    public boolean withdrawn() {
-                        return false;
-                    }
-
                     @Override
                     public void run(Box box) throws Fault {
                         box.onSession(session(MONDAY_7));
