Forecast: a sketch of the most frequent keys beside the sample, told in KeyReport

KeySampler feeds a LongsSketch of DataSketches (8,192 counters, 147 KB, fixed) with every key's hash and station. A report tells the 512 that came most often, the error and the floor in a further field, absent while all keys are sampled and in older reports. KeyMerge adds them over daemons like the sample: cumulative, newest less the one before the window; only keys above all daemons' floors together are known. The forecaster takes those as they are, and weighs the sample for what they leave of all sessions. MemoryEstimator sums the sampled sessions once, not in its inner loop.

--- a/fleet/src/main/java/peppergauge/fleet/file/FleetSection.java
+++ b/fleet/src/main/java/peppergauge/fleet/file/FleetSection.java
@@ -40,7 +40,8 @@
 
     private static final Key<Long> SAMPLED = Key.preset("sampled-keys", Types.wholeNumber(0, SampledKeys.MOST), "0",
             "Keys counted here for forecasts of hit rates, at most: a session's key is the last part of its path, if"
-                    + " that has two or more. 0 counts none, else 16 or more; each takes some 130 bytes of a report.");
+                    + " that has two or more. 0 counts none, else 16 or more; each takes some 130 bytes of a report."
+                    + " With more keys than that, those that came most often are counted, too.");
 
     public static final Table TABLE = Table.optional("fleet", "Reports what clients saw to the fleet service, and takes"
             + " its tables. Left out: neither.", SITE, ADDRESSES, STEERS, FIRST, LONGEST, PATIENCE, SKEW, STEP,
--- a/fleet/src/main/java/peppergauge/fleet/state/KeyChecks.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/KeyChecks.java
@@ -12,6 +12,8 @@
 final class KeyChecks {
 
     static final int MOST_KEYS = 8_192;
+    /** Four times what this release tells, so that a later one may tell more. */
+    private static final int MOST_HEAVY = 2_048;
     private static final int MOST_KINDS = 16;
     private static final int MOST_GAPS = 64;
     private static final int LONGEST_NAME = 200;
@@ -29,11 +31,17 @@
 
     private static boolean usable(KeyReport keys) {
         return counted(keys.sessions()) && keys.keys().size() <= MOST_KEYS
-                && keys.keys().stream().allMatch(KeyChecks::usable);
+                && keys.keys().stream().allMatch(KeyChecks::usable) && (keys.heavy() == null || usable(keys.heavy()));
+    }
+
+    private static boolean usable(KeyReport.Heavy heavy) {
+        return heavy.error() >= 0 && heavy.error() <= heavy.floor() && heavy.floor() <= MOST
+                && heavy.keys().size() <= MOST_HEAVY && heavy.keys().stream().allMatch(key ->
+                        station(key.station()) && counted(key.count()));
     }
 
     private static boolean usable(KeyReport.Key key) {
-        return key.station() != null && key.station().length() <= LONGEST_NAME && counted(key.count())
+        return station(key.station()) && counted(key.count())
                 && key.gaps().size() <= MOST_GAPS && key.gaps().stream().allMatch(KeyChecks::counted);
     }
 
@@ -59,6 +67,11 @@
                 && sum.squares() >= 0 && sum.squares() <= MOST;
     }
 
+    /** The empty one stands for those that a daemon no longer tells apart. */
+    private static boolean station(String station) {
+        return station != null && station.length() <= LONGEST_NAME;
+    }
+
     private static boolean counted(long count) {
         return count >= 0 && count <= MOST;
     }
--- a/fleet/src/test/java/peppergauge/fleet/reader/SampledKeysTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/reader/SampledKeysTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
@@ -15,6 +16,7 @@
 import peppergauge.fleet.wire.Json;
 import peppergauge.forecast.KeyReport;
 import peppergauge.forecast.memory.ServiceTimes;
+import peppergauge.forecast.sample.HeavyKeys;
 import peppergauge.forecast.sample.KeySampler;
 import peppergauge.session.Message;
 import peppergauge.session.Opening;
@@ -56,14 +58,28 @@
         assertNull(SampledKeys.of(0, List.of()).told().keys(), "off");
     }
 
+    private static void open(KeySource keys, int key, int round) {
+        keys.opened(opening(new Message("GET", "/list/" + key, List.of(), new byte[0], null)),
+                "a-station-of-a-longer-name", round * (1_000.0 + key % 60_000));
+    }
+
     /** The service's report-size is 1 MiB unless its operator says otherwise. */
     @Test
     public void theLongestReportFitsTheServicesLargestBodyAndComesBackAsItWas() {
         KeySource keys = SampledKeys.of(SampledKeys.MOST, List.of("east"));
-        for (int round = 0; round < 40; round++) {
-            for (int i = 0; i < SampledKeys.MOST; i++) {
-                keys.opened(opening(new Message("GET", "/list/" + i, List.of(), new byte[0], null)),
-                        "a-station-of-a-longer-name", round * (1_000.0 + i % 60_000));
+        int all = 0;
+        for (; all <= SampledKeys.MOST; all++) {
+            open(keys, all, 0);
+        }
+        // Not all are sampled any more; with so many further keys the table is full again.
+        KeyReport lowered = keys.told().keys();
+        for (int sampled = lowered.keys().size(); sampled < SampledKeys.MOST; all++) {
+            open(keys, all, 0);
+            sampled += Long.compareUnsigned(KeySampler.hash("" + all), lowered.threshold()) < 0 ? 1 : 0;
+        }
+        for (int round = 1; round < 40; round++) {
+            for (int i = 0; i < all; i++) {
+                open(keys, i, round);
             }
         }
         keys.listed(true, IntStream.range(0, 3_000).mapToObj(i ->
@@ -77,6 +93,7 @@
                 Map.of("1", times.seen(), "2", times.seen(), "3", times.seen(), "4", times.seen()));
         byte[] body = Json.write(report);
         assertEquals(report.keys().keys().size(), SampledKeys.MOST);
+        assertEquals(report.keys().heavy().keys().size(), HeavyKeys.MOST_TOLD);
         assertTrue(body.length < (1 << 20) - 60_000, body.length + " bytes");
         assertEquals(Json.read(body, DaemonReport.class), report);
     }
@@ -88,6 +105,22 @@
         assertEquals(old, new DaemonReport("s", "d", 1, 1, 1, List.of()));
     }
 
+    @DataProvider
+    Object[][] releases() {
+        KeyReport.Heavy told = new KeyReport.Heavy(1, 2, List.of(new KeyReport.Heavy.Count(512, "radio", 9)));
+        String heavy = "{\"error\":1,\"floor\":2,\"keys\":[{\"hash\":512,\"station\":\"radio\",\"count\":9}]}";
+        return new Object[][] {
+            {"", null}, {",\"heavy\":null", null}, {",\"heavy\":" + heavy, told},
+            {",\"heavy\":" + heavy.replace("9}", "9,\"later\":[1]}"), told}, {",\"later\":{}", null},
+        };
+    }
+
+    @Test(dataProvider = "releases")
+    public void reportsOfReleasesWithAndWithoutHeavyKeysAreRead(String field, KeyReport.Heavy heavy) {
+        byte[] body = ("{\"threshold\":8,\"sessions\":20,\"keys\":[]" + field + "}").getBytes(StandardCharsets.UTF_8);
+        assertEquals(Json.read(body, KeyReport.class), new KeyReport(8, 20, List.of(), heavy));
+    }
+
     private static ServerEntry entry(String id, int zone, ServerState state) {
         return new ServerEntry(id, zone, 0, state, 0, 3);
     }
--- a/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
@@ -107,12 +107,27 @@
             {new KeyReport(-1, 5, List.of(new KeyReport.Key(1, "radio", -5, gaps))), "east", Verdict.MALFORMED},
             {new KeyReport(-1, 5, List.of(new KeyReport.Key(1, "radio", 5, List.of(-1L)))), "east", Verdict.MALFORMED},
             {new KeyReport(-1, Long.MAX_VALUE, List.of()), "east", Verdict.MALFORMED},
+            {heavy(3, 3, 1, "radio", 5), "east", Verdict.TAKEN},
+            {heavy(0, 0, 2_048, "", 0), "east", Verdict.TAKEN},
+            {heavy(0, 0, 2_049, "radio", 5), "east", Verdict.MALFORMED},
+            {heavy(3, 2, 1, "radio", 5), "east", Verdict.MALFORMED},
+            {heavy(-1, 2, 1, "radio", 5), "east", Verdict.MALFORMED},
+            {heavy(0, Long.MAX_VALUE, 1, "radio", 5), "east", Verdict.MALFORMED},
+            {heavy(0, 0, 1, null, 5), "east", Verdict.MALFORMED},
+            {heavy(0, 0, 1, "r".repeat(201), 5), "east", Verdict.MALFORMED},
+            {heavy(0, 0, 1, "radio", -5), "east", Verdict.MALFORMED},
+            {heavy(0, 0, 1, "radio", Long.MAX_VALUE), "east", Verdict.MALFORMED},
             {null, null, Verdict.MALFORMED},
             {null, "", Verdict.MALFORMED},
             {null, "east", Verdict.TAKEN},
         };
     }
 
+    private static KeyReport heavy(long error, long floor, int keys, String station, long count) {
+        return new KeyReport(1L << 60, 5, List.of(), new KeyReport.Heavy(error, floor,
+                Collections.nCopies(keys, new KeyReport.Heavy.Count(512, station, count))));
+    }
+
     /** One broken daemon must not end the forecasts for all. */
     @Test(dataProvider = "sampled")
     public void whatCannotBeForecastWithIsMalformed(KeyReport keys, String zone, Verdict verdict) {
--- a/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.commons.statistics.distribution.NormalDistribution;
 import peppergauge.forecast.memory.MemoryEstimate;
 import peppergauge.forecast.memory.MemoryEstimate.Point;
@@ -52,12 +53,15 @@
         this.popularity = popularity;
         this.memory = memory;
         this.placement = placement;
-        stations = List.copyOf(new TreeSet<>(popularity.keys().stream().map(KeyCount::station).toList()));
+        stations = List.copyOf(new TreeSet<>(Stream.concat(popularity.keys().stream(),
+                popularity.heavy().stream()).map(KeyCount::station).toList()));
         if (stations.isEmpty()) {
             throw new IllegalArgumentException("no sampled key came");
         }
-        if (popularity.share() > MOST_SAMPLED) {
-            populations.add(KeyClass.of(popularity, stations));
+        List<KeyClass> only = popularity.share() > MOST_SAMPLED ? KeyClass.of(popularity, stations)
+                : KeyClass.withKnown(popularity, stations);
+        if (!only.isEmpty()) {
+            populations.add(only);
             points.addAll(memory.points());
         } else {
             double off = Math.min(0.6, Math.sqrt(0.75 / KeyClass.head(popularity)));
@@ -244,11 +248,13 @@
         for (int i = 0; i < spell.classes.size(); i++) {
             KeyClass each = spell.classes.get(i);
             if (which.test(each)) {
-                keys += each.keys();
                 sessions += each.keys() * each.count();
                 missed += each.keys() * spell.misses[i];
-                cross += each.keys() * spell.misses[i] * each.count();
-                squares += each.keys() * each.count() * each.count();
+                if (!each.known()) {
+                    keys += each.keys();
+                    cross += each.keys() * spell.misses[i] * each.count();
+                    squares += each.keys() * each.count() * each.count();
+                }
             }
         }
         if (sessions <= 0) {
@@ -256,7 +262,7 @@
             return new double[] {0.5, 1};
         }
         double all = total ? popularity.sessions() * popularity.share() : sessions;
-        double slope = total ? cross / squares : missed / sessions;
+        double slope = total && squares > 0 ? cross / squares : missed / sessions;
         double rate = Math.max(0, Math.min(1, (missed + slope * (all - sessions)) / all));
         double variance = 0;
         for (int i = 0; i < spell.classes.size(); i++) {
@@ -264,7 +270,8 @@
             if (which.test(each)) {
                 double off = spell.misses[i] - slope * each.count();
                 double counted = spell.slopes[i] - rate;
-                variance += each.keys() * ((1 - popularity.share()) * off * off + each.count() * counted * counted);
+                variance += each.keys() * (each.known() ? popularity.share() * each.count() * counted * counted
+                        : (1 - popularity.share()) * off * off + each.count() * counted * counted);
             }
         }
         // Few keys underrate their own variance, and the sessions to come are counted, too.
--- a/forecast/src/main/java/peppergauge/forecast/hits/KeyClass.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/KeyClass.java
@@ -4,9 +4,12 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import peppergauge.forecast.popularity.Popularity;
 import peppergauge.forecast.popularity.Popularity.KeyCount;
+import peppergauge.forecast.sample.HeavyKeys;
 
 /**
  * Sampled keys of one station that came about as often: told apart up to 16 times, then in steps of an eighth.
@@ -14,18 +17,30 @@
  * @param station its place among the stations
  * @param keys how many; a fraction where they stand for keys that were not sampled
  * @param count sessions with each, in the mean
+ * @param known whether the keys are told one by one, sampled or not, so that nothing hangs on which were sampled
  */
-record KeyClass(int station, double keys, double count) {
+record KeyClass(int station, double keys, double count, boolean known) {
 
     /** Of the most popular sampled keys so many, or a fourth of all, give way to a curve. */
     private static final int HEAD = 12;
     private static final double STEEPEST = 3;
+    /** Of all sessions: if heavy keys leave less, they stand for all. */
+    private static final double LEAST_LEFT = 0.02;
+    /** Sampled keys beside the heavy ones that stand for the rest. */
+    private static final int LEAST_REST = 8;
+    /** None of them counts for less than this of a key, however the sum is off. */
+    private static final double LEAST_WEIGHT = 0.05;
 
     static List<KeyClass> of(Popularity popularity, List<String> stations) {
         return grouped(popularity.keys(), stations);
     }
 
     private static List<KeyClass> grouped(List<KeyCount> keys, List<String> stations) {
+        return grouped(keys, stations, 1, false);
+    }
+
+    /** @param weight of one key */
+    private static List<KeyClass> grouped(List<KeyCount> keys, List<String> stations, double weight, boolean known) {
         Map<Long, long[]> sums = new TreeMap<>();
         for (KeyCount key : keys) {
             long step = key.count() <= 16 ? key.count()
@@ -35,7 +50,8 @@
             sum[1] += key.count();
         }
         List<KeyClass> classes = new ArrayList<>();
-        sums.forEach((at, sum) -> classes.add(new KeyClass((int) (at >> 32), sum[0], (double) sum[1] / sum[0])));
+        sums.forEach((at, sum) -> classes.add(new KeyClass((int) (at >> 32), weight * sum[0], (double) sum[1] / sum[0],
+                known)));
         return classes;
     }
 
@@ -44,6 +60,33 @@
         return Math.max(1, Math.min(HEAD, popularity.keys().size() / 4));
     }
 
+    /**
+     * Heavy keys as they are told, and the sampled ones among the rest for all sessions that the heavy ones leave: what
+     * the sample is off in that known sum is laid on the more popular of them, as in {@link Forecaster}'s estimate.
+     * Empty where too few are known to reach down to the ranks that the sample stands for, or too few are sampled below.
+     */
+    static List<KeyClass> withKnown(Popularity popularity, List<String> stations) {
+        Set<KeyCount> known = popularity.heavy().stream().map(KeyClass::name).collect(Collectors.toSet());
+        List<KeyCount> rest = popularity.keys().stream().filter(key -> !known.contains(name(key))).toList();
+        double left = popularity.sessions() - popularity.heavy().stream().mapToLong(KeyCount::count).sum();
+        boolean whole = left <= LEAST_LEFT * popularity.sessions();
+        if (known.isEmpty() || !whole && (known.size() < 1 / popularity.share() || rest.size() < LEAST_REST)) {
+            return List.of();
+        }
+        List<KeyClass> classes = new ArrayList<>(grouped(rest, stations));
+        double off = popularity.share() * left - rest.stream().mapToLong(KeyCount::count).sum();
+        double squares = rest.stream().mapToDouble(key -> (double) key.count() * key.count()).sum();
+        classes.replaceAll(each -> new KeyClass(each.station(),
+                each.keys() * Math.max(LEAST_WEIGHT, 1 + off * each.count() / squares), each.count(), false));
+        classes.addAll(grouped(popularity.heavy(), stations, popularity.share(), true));
+        return classes;
+    }
+
+    /** By which a key is known again, sampled or heavy. */
+    private static KeyCount name(KeyCount key) {
+        return new KeyCount(HeavyKeys.masked(key.hash()), key.station(), 1);
+    }
+
     /**
      * Where a small share of keys is sampled, the few that most sessions come with are hardly ever among them. So the
      * most popular sampled ones give way to a power law of the rank, which goes through the next one, and whose sum
@@ -66,7 +109,8 @@
             double[] parts = parts(popularity, stations);
             curve(ranks, sessions, edge).forEach(each -> {
                 for (int station = 0; station < parts.length; station++) {
-                    classes.add(new KeyClass(station, each.keys() * parts[station] * popularity.share(), each.count()));
+                    classes.add(new KeyClass(station, each.keys() * parts[station] * popularity.share(), each.count(),
+                            false));
                 }
             });
         }
@@ -112,7 +156,7 @@
         }
         List<KeyClass> found = power(ranks, low, edge);
         double scale = sessions / found.stream().mapToDouble(each -> each.keys() * each.count()).sum();
-        return found.stream().map(each -> new KeyClass(0, each.keys(), each.count() * scale)).toList();
+        return found.stream().map(each -> new KeyClass(0, each.keys(), each.count() * scale, false)).toList();
     }
 
     private static List<KeyClass> power(double ranks, double steep, double edge) {
@@ -120,7 +164,7 @@
         double from = 0;
         while (from < ranks) {
             double to = Math.min(ranks, from < 8 ? from + 1 : from * 1.25);
-            classes.add(new KeyClass(0, to - from, edge * Math.pow((from + to + 1) / 2 / ranks, -steep)));
+            classes.add(new KeyClass(0, to - from, edge * Math.pow((from + to + 1) / 2 / ranks, -steep), false));
             from = to;
         }
         return classes;
--- a/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimator.java
+++ b/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimator.java
@@ -60,6 +60,7 @@
     private final double[] luck;
     private final List<Kind> kinds;
     private final Popularity popularity;
+    private final long sampled;
     private final double alone;
     private final double variance;
     private final List<List<Popular>> classes = new ArrayList<>();
@@ -71,6 +72,7 @@
         luck = placement.luck();
         this.kinds = kinds;
         this.popularity = popularity;
+        sampled = popularity.sampled();
         alone = placement.sidecars().stream().mapToDouble(share -> share * share).sum();
         variance = within();
         met = new double[kinds.size()][ServiceTimes.BUCKETS + 1];
@@ -97,7 +99,7 @@
     /** Part of a key's sessions that one of its servers gets. */
     private double keyPart(int kind, double count) {
         double part = kinds.get(kind).part();
-        return part / homes.chance(part, count / popularity.sampled());
+        return part / homes.chance(part, count / sampled);
     }
 
     /** Keys that one server meets in the time up to this edge, and how much that differs from time to time. */
--- a/forecast/src/main/java/peppergauge/forecast/popularity/KeyMerge.java
+++ b/forecast/src/main/java/peppergauge/forecast/popularity/KeyMerge.java
@@ -95,11 +95,13 @@
         }
         double spanMs = telling.stream().mapToDouble(KeyMerge::spanMs).average().orElse(0);
         Map<Named, Double> counts = new HashMap<>();
+        HeavyMerge heavy = new HeavyMerge();
         double sessions = 0;
         for (Source source : telling) {
             // Daemons report at moments of their own: each counts as over the mean span.
             double scale = spanMs / spanMs(source);
             sessions += scale * add(source, lowest, scale, counts);
+            heavy.add(source.kept.getFirst().report(), source.kept.getLast().report(), scale);
         }
         List<KeyCount> keys = new ArrayList<>();
         counts.forEach((named, count) -> {
@@ -110,7 +112,8 @@
         keys.sort((a, b) -> a.hash() != b.hash() ? Long.compareUnsigned(a.hash(), b.hash())
                 : a.station().compareTo(b.station()));
         return sessions < 1 ? Optional.empty()
-                : Optional.of(new Popularity(KeySampler.share(lowest), Math.round(sessions), spanMs, keys));
+                : Optional.of(new Popularity(KeySampler.share(lowest), Math.round(sessions), spanMs, keys,
+                        lowest == KeySampler.ALL ? List.of() : heavy.heavy()));
     }
 
     /** Those whose reports count. */
--- a/forecast/src/main/java/peppergauge/forecast/sample/KeySampler.java
+++ b/forecast/src/main/java/peppergauge/forecast/sample/KeySampler.java
@@ -30,6 +30,7 @@
     private final int[] gaps;
     /** Open addressing: one more than the entry's place, 0 for free. */
     private final int[] index;
+    private final HeavyKeys heavy = new HeavyKeys();
     private final List<String> names = new ArrayList<>(List.of(""));
     private long threshold;
     private long sessions;
@@ -69,9 +70,9 @@
         return HASH.hashChars(key);
     }
 
-    /** Bytes that so many keys take at most, names of stations not counted. */
+    /** Bytes that so many keys take at most, the heavy ones beside them counted, names of stations not. */
     public static long bytes(int mostKeys) {
-        return mostKeys * (8L + 8 + 4 + 4 + 4 * GAPS) + 4L * 4 * Integer.highestOneBit(mostKeys);
+        return mostKeys * (8L + 8 + 4 + 4 + 4 * GAPS) + 4L * 4 * Integer.highestOneBit(mostKeys) + HeavyKeys.bytes();
     }
 
     /** A session came; null and the empty key are none. */
@@ -81,8 +82,10 @@
         }
         sessions++;
         long hash = hash(key);
+        int number = number(station);
+        heavy.seen(hash, number);
         if (samples(hash)) {
-            count(hash, number(station), nowMs);
+            count(hash, number, nowMs);
         }
     }
 
@@ -172,6 +175,7 @@
             }
             keys.add(new KeyReport.Key(hashes[i], names.get(stations[i]), counts[i], told));
         }
-        return new KeyReport(threshold, sessions, keys);
+        // Where all are sampled, their counts are told already, and exactly.
+        return new KeyReport(threshold, sessions, keys, threshold == ALL ? null : heavy.report(names));
     }
 }
--- a/forecast/src/test/java/peppergauge/forecast/ForecastLayoutTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/ForecastLayoutTest.java
@@ -24,6 +24,7 @@
     public void itDecidesOnlyWithoutInputOutputClockOrThreads() {
         classes().should().onlyDependOnClassesThat(resideInAnyPackage("java.lang..", "java.util",
                 "java.util.function", "java.util.stream", "net.openhft.hashing",
+                "org.apache.datasketches.frequencies",
                 "org.apache.commons.statistics.distribution", "peppergauge.forecast..")).check(all);
         noClasses().should().callMethod(System.class, "currentTimeMillis").orShould()
                 .callMethod(System.class, "nanoTime").orShould().dependOnClassesThat()
--- a/forecast/src/test/java/peppergauge/forecast/ForecasterTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/ForecasterTest.java
@@ -138,6 +138,28 @@
         assertTrue(sampled.holds(whole.mean()), sampled + " " + whole);
     }
 
+    /** 300 keys alike with six of ten sessions, of which none is sampled: no power law is like that. */
+    @Test
+    public void knownHeavyKeysStandForThemselvesAndNoCurveForThem() {
+        List<KeyCount> all = IntStream.rangeClosed(1, 20_300).mapToObj(i -> new KeyCount((long) i << 20,
+                i % 3 == 0 ? "a" : "b", i <= 300 ? 2_000 : 20)).toList();
+        List<KeyCount> some = all.stream().skip(300).filter(key -> (key.hash() >> 20) % 100 == 50).toList();
+        List<KeyCount> heavy = all.subList(0, 300);
+        MemoryEstimate memory = MemoryEstimate.told(5_000, 1e9, 0.4);
+        Placement placement = placement(10, new Draws());
+        HitRate whole = new Forecaster(new Popularity(1, 1_000_000, SPAN_MS, all), memory, placement).now().fleet();
+        Forecaster known = new Forecaster(new Popularity(0.01, 1_000_000, SPAN_MS, some, heavy), memory, placement);
+        HitRate plain = new Forecaster(new Popularity(0.01, 1_000_000, SPAN_MS, some), memory, placement).now()
+                .fleet();
+        assertEquals(known.now().fleet().mean(), whole.mean(), 0.01);
+        assertTrue(known.now().fleet().holds(whole.mean()), known.now().fleet() + " " + whole);
+        assertTrue(Math.abs(plain.mean() - whole.mean()) > 0.1, plain + " " + whole);
+        assertEquals(known.now().stations().get("a").mean(), whole.mean(), 0.01);
+        // Where all keys are sampled the heavy ones are told already.
+        assertEquals(new Forecaster(new Popularity(1, 1_000_000, SPAN_MS, all, heavy.subList(0, 9)), memory,
+                placement).now().fleet(), whole);
+    }
+
     @Test
     public void nothingIsSaidOfAStationWhoseSampledKeysAllGaveWay() {
         // The sampled ones happen to be the popular ones: what they stand for is more than all sessions.
--- a/lab/src/test/java/peppergauge/lab/emulator/ForecastTrial.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/ForecastTrial.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
@@ -28,6 +29,9 @@
     private final Forecast said;
     private final Forecast alike;
     private final Forecast sure;
+    /** Without heavy keys, and with the popularity of all keys told. */
+    private final Forecast plain;
+    private final Forecast whole;
 
     ForecastTrial(KeyWorld world) {
         this.world = world;
@@ -36,6 +40,11 @@
         alike = forecast(alike(truth.popularity), truth.estimate);
         sure = forecast(truth.popularity, MemoryEstimate.told(world.memory().memoryTime().toMillis(),
                 world.memory().memoryKeys(), world.memory().memorySaving()));
+        Popularity told = truth.popularity;
+        boolean all = world.keySampling() == 1;
+        plain = all ? said : forecast(new Popularity(told.share(), told.sessions(), told.spanMs(), told.keys()),
+                truth.estimate);
+        whole = all ? said : forecast(truth.whole, truth.estimate);
     }
 
     private Forecast forecast(Popularity popularity, MemoryEstimate memory) {
@@ -175,10 +184,21 @@
                 mean(trials, t -> (t.said.steady().fleet().high() - t.said.steady().fleet().low()) / 2),
                 mean(trials, t -> (t.said.soon().fleet().high() - t.said.soon().fleet().low()) / 2),
                 trials.stream().map(t -> t.truth.popularity.keys().size()).sorted().toList().get(trials.size() / 2));
+        heavy("without heavy keys", trials, trial -> trial.plain);
+        heavy("with all keys' popularity told", trials, trial -> trial.whole);
         System.out.printf("saving off %.4f%n", mean(trials, t -> Math.abs(t.truth.estimate.saving()
                 - t.world.memory().memorySaving())));
     }
 
+    private static void heavy(String name, List<ForecastTrial> trials, Function<ForecastTrial, Forecast> said) {
+        System.out.printf("%s: steady off %.4f held %.3f half width %.4f; soon off %.4f held %.3f%n", name,
+                mean(trials, t -> Math.abs(said.apply(t).steady().fleet().mean() - t.steady())),
+                mean(trials, t -> said.apply(t).steady().fleet().holds(t.steady()) ? 1 : 0),
+                mean(trials, t -> (said.apply(t).steady().fleet().high() - said.apply(t).steady().fleet().low()) / 2),
+                mean(trials, t -> Math.abs(said.apply(t).soon().fleet().mean() - t.soon())),
+                mean(trials, t -> said.apply(t).soon().fleet().holds(t.soon()) ? 1 : 0));
+    }
+
     private static void line(String name, List<ForecastTrial> trials) {
         System.out.printf("| %s | %d | %.4f | %.4f | %.3f | %.3f | %.4f, %.4f | %.4f, %.4f | %.4f, %.4f |%n", name,
                 trials.size(), mean(trials, t -> Math.abs(t.said.steady().fleet().mean() - t.steady())),
--- a/lab/src/test/java/peppergauge/lab/emulator/KeyTruth.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/KeyTruth.java
@@ -58,6 +58,8 @@
     final Tally soon = new Tally();
     final Tally steady = new Tally();
     Popularity popularity;
+    /** What came in the same span, with all keys sampled. */
+    Popularity whole;
     MemoryEstimate estimate;
     final List<Map<String, Double>> mixes = new ArrayList<>();
 
@@ -71,12 +73,14 @@
     private KeyMerge merge = new KeyMerge(240_000, 900_000);
     private final long threshold;
     private final int[] stations;
+    private final long[] counts;
 
     KeyTruth(KeyWorld world) {
         this.world = world;
         luck = new Streams(world.seed()).of("sessions");
         noise = new Streams(world.seed()).of("noise");
         threshold = KeySampler.threshold(world.keySampling());
+        counts = new long[world.keys()];
         stations = IntStream.rangeClosed(1, world.keys()).map(KeyTruth::station).toArray();
         for (int i = 0; i < world.placement().sidecars().size(); i++) {
             samplers.add(new KeySampler(TABLE, world.keySampling()));
@@ -130,6 +134,7 @@
             String told = name(key);
             samplers.get(sidecar).seen(told, name, (long) ms);
             mixes.get(sidecar).merge(name, 1.0, Double::sum);
+            counts[key - 1] += ms >= FIRST_REPORT_MS ? 1 : 0;
             if (Long.compareUnsigned(KeySampler.hash(told), threshold) < 0) {
                 answered(sidecar, key, server, hit, ms);
             }
@@ -168,6 +173,9 @@
     private void learn() {
         report((long) CHANGE_MS);
         popularity = merge.popularity((long) CHANGE_MS).orElseThrow();
+        whole = new Popularity(1, popularity.sessions(), popularity.spanMs(), IntStream.range(0, counts.length)
+                .filter(i -> counts[i] > 0).mapToObj(i -> new Popularity.KeyCount(KeySampler.hash(name(i + 1)),
+                        KeyWorld.STATIONS.get(stations[i]), counts[i])).toList());
         double weights = world.placement().servers().stream().mapToDouble(Server::weight).sum();
         estimate = MemoryEstimator.estimate(world.placement(), times.entrySet().stream().map(each ->
                 new MemoryEstimator.Kind(each.getKey() / weights, each.getValue().seen())).toList(), popularity);
