Forecast: tell 1,024 heavy keys, and merge only those above the floors' chance

Near the floors' sum a key was told where it was lucky: counts were 5% too high in the mean (worlds 1 to 16 many).

--- a/forecast/src/main/java/peppergauge/forecast/popularity/HeavyMerge.java
+++ b/forecast/src/main/java/peppergauge/forecast/popularity/HeavyMerge.java
@@ -14,7 +14,8 @@
 /**
  * The keys that came most often over all daemons, each of which tells its own. Where one does not tell a key, it came
  * there as often as elsewhere, but no oftener than the least of those told. Only keys that came more often in all than
- * those leasts together are told of: of the others some may be missing.
+ * those leasts together, each with its chance, are told of: of the others some are missing, and those told are the
+ * lucky ones.
  */
 final class HeavyMerge {
 
@@ -34,6 +35,7 @@
     private double sessions;
     private double telling;
     private double floors;
+    private double least;
 
     /** @param scale by which a count of this daemon's span counts */
     void add(KeyReport first, KeyReport last, double scale) {
@@ -48,6 +50,7 @@
         // Of a key left out both times it is the steady growth; errors count from the start, too.
         double floor = scale * Math.max(0, after.floor() - before.floor());
         floors += floor;
+        least += floor + Math.sqrt(scale * floor);
         Map<Named, Long> known = new HashMap<>();
         before.keys().forEach(key -> known.put(new Named(key.hash(), key.station()), key.count()));
         double past = (double) first.sessions() / last.sessions();
@@ -79,7 +82,7 @@
         sums.forEach((named, sum) -> {
             double untold = Math.min(floors - sum.floors, sum.told / sum.sessions * (telling - sum.sessions));
             long count = Math.round((sum.told + untold) * sessions / telling);
-            if (sum.told + untold >= floors && sum.told >= untold && count > 0) {
+            if (sum.told + untold >= least && sum.told >= untold && count > 0) {
                 found.add(new KeyCount(named.hash(), named.station(), count));
             }
         });
--- a/forecast/src/main/java/peppergauge/forecast/sample/HeavyKeys.java
+++ b/forecast/src/main/java/peppergauge/forecast/sample/HeavyKeys.java
@@ -15,7 +15,7 @@
 public final class HeavyKeys {
 
     /** Keys in a report, at most. */
-    public static final int MOST_TOLD = 512;
+    public static final int MOST_TOLD = 1_024;
 
     /** Three fourths of them hold a key at most, at 18 bytes each. */
     private static final int COUNTERS = 8_192;
