--- a/lab/src/main/java/peppergauge/lab/history/Recovery.java
+++ b/lab/src/main/java/peppergauge/lab/history/Recovery.java
@@ -16,7 +16,7 @@
     /** Under so many sessions a share says nothing. */
     private static final int FEWEST = 20;
 
-    private record Session(double atMs, boolean served) { }
+    record Session(double atMs, boolean served) { }
 
     /**
      * What service was and is again.
@@ -88,7 +88,7 @@
         return event.what() == What.HEALED || event.what() == What.UP || event.what() == What.CONTINUED;
     }
 
-    private static List<Session> sessions(History history, long beginNs) {
+    static List<Session> sessions(History history, long beginNs) {
         Map<String, Event> ends = new HashMap<>();
         history.of(What.ENDED).forEach(end -> ends.put(end.id(), end));
         return history.of(What.ASKED).map(asked -> {
@@ -98,7 +98,7 @@
         }).toList();
     }
 
-    private static double share(List<Session> sessions, double fromMs, double toMs) {
+    static double share(List<Session> sessions, double fromMs, double toMs) {
         List<Session> some = sessions.stream().filter(one -> one.atMs() >= fromMs && one.atMs() < toMs).toList();
         return some.size() < FEWEST ? Double.NaN
                 : some.stream().filter(Session::served).count() / (double) some.size();
--- a/lab/src/main/java/peppergauge/lab/history/What.java
+++ b/lab/src/main/java/peppergauge/lab/history/What.java
@@ -23,6 +23,18 @@
     TOLD,
     /** A reader (who) takes a fleet table; number: its version. */
     TABLE,
+    /** A sidecar (who) opens a connection to a backend server (whom). */
+    CONNECTED,
+    /** A sidecar (who) calls discovery (whom), whatever becomes of the call; number: which connection. */
+    CALLED,
+    /** That call waits no longer; text: answered, closed (by the sidecar) or broken. */
+    CALL_ENDED,
+    /** What a daemon (who) heard of the fleet service in this life of its process; text: what; number: how often. */
+    HEARD,
+    /** An instance of the fleet service (who) knows so many daemons: number; text: whose table it hands out. */
+    VIEW,
+    /** A process is being started. */
+    STARTED,
     /** A process is ready; text: how it can be reached. */
     UP,
     /** A process was ended, by SIGKILL or otherwise, on purpose. */
--- a/lab/src/main/java/peppergauge/lab/rig/AttemptTap.java
+++ b/lab/src/main/java/peppergauge/lab/rig/AttemptTap.java
@@ -26,6 +26,7 @@
         this.recorder = recorder;
         this.sidecar = sidecar;
         this.server = server;
+        recorder.add(new Event(System.nanoTime(), What.CONNECTED, sidecar, server, "", number, ""));
     }
 
     @Override
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/rig/ByHand.java
@@ -0,0 +1,133 @@
+package peppergauge.lab.rig;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import peppergauge.lab.history.Event;
+import peppergauge.lab.history.History;
+import peppergauge.lab.play.Daemons;
+import peppergauge.lab.process.SidecarProcess;
+import peppergauge.lab.scenario.Scenario;
+import peppergauge.lab.wire.Listener;
+
+/** Options of the tools of this package that are run by hand, and the cast that they make of them. */
+record ByHand(Map<String, String> options) {
+
+    /** Of the options that both have. */
+    static final String CAST = " [--sidecars N] [--servers M] [--rate R] [--slack-ms MS] [--fleet N"
+            + " --fleet-command WORDS --fleet-file FILE.toml --fleet-ready PATH --fleet-peer TEXT]";
+
+    /** @param args {@code --name value}; anything else prints the usage and ends the program */
+    static ByHand read(String[] args, String usage) {
+        Map<String, String> options = new HashMap<>();
+        for (int i = 0; i + 1 < args.length; i += 2) {
+            options.put(args[i].replaceFirst("^--", ""), args[i + 1]);
+        }
+        if (args.length % 2 != 0 || options.containsKey("help")) {
+            System.err.println(usage);
+            System.exit(2);
+        }
+        return new ByHand(options);
+    }
+
+    boolean has(String name) {
+        return options.containsKey(name);
+    }
+
+    String text(String name, String preset) {
+        return options.getOrDefault(name, preset);
+    }
+
+    double number(String name, double preset) {
+        return Double.parseDouble(text(name, Double.toString(preset)));
+    }
+
+    /** Of seconds. */
+    Duration time(String name, double presetS) {
+        return Duration.ofMillis((long) (1e3 * number(name, presetS)));
+    }
+
+    Path path(String name) {
+        return Path.of(options.get(name));
+    }
+
+    /** Daemons with the tables of a file, if one is named. */
+    Optional<Daemons> daemons() throws IOException {
+        return has("daemon") ? Optional.of(Daemons.launched(Optional.of(Files.readString(path("daemon")))))
+                : Optional.empty();
+    }
+
+    static void write(Path file, List<String> lines) throws IOException {
+        Files.createDirectories(file.toAbsolutePath().getParent());
+        Files.write(file, lines, StandardCharsets.UTF_8);
+    }
+
+    static void write(Path file, History history) throws IOException {
+        write(file, history.events().stream().map(Event::json).toList());
+    }
+
+    // ---- The cast ----
+
+    Scenario usual() {
+        return RigFile.read(RigFile.FILES.read("usual", """
+                kind = "rig"
+                [run]
+                length = "20 s"
+                [network]
+                zones = ["a", "b", "c"]
+                [[servers]]
+                name = "server"
+                count = %d
+                [[class]]
+                name = "list"
+                share = 0.6
+                work = "20 ms"
+                aim = "400 ms"
+                deadline = "1 s"
+                [[class]]
+                name = "donation"
+                share = 0.4
+                work = "20 ms"
+                aim = "400 ms"
+                deadline = "2 s"
+                effect = "unsafe"
+                [clients]
+                rate = %s
+                [sidecars]
+                count = %d
+                [discovery]
+                notice = "300 ms"
+                silent-notice = "2 s"
+                [rules]
+                answer-slack = "%s ms"
+                """.formatted((int) number("servers", 13), number("rate", 120), (int) number("sidecars", 12),
+                (int) number("slack-ms", 200))).values().orElseThrow()).scenario();
+    }
+
+    /** Instances know each other, and sidecars know them, by the addresses of links. */
+    List<FurtherProgram> fleet() throws IOException {
+        List<FurtherProgram> programs = new ArrayList<>();
+        Hosts hosts = Hosts.fresh();
+        for (int i = 1; i <= (int) number("fleet", 0); i++) {
+            InetSocketAddress listen = SidecarProcess.freeAddress(hosts.of(i));
+            String file = Files.readString(path("fleet-file"))
+                    .replace("{listen}", Listener.text(listen)).replace("{number}", Integer.toString(i));
+            for (int other = 1; other <= (int) number("fleet", 0); other++) {
+                String name = "fleet-" + other;
+                file += other == i ? "" : text("fleet-peer", "").replace("{peer}", name)
+                        .replace("{link}", "{link:" + name + '}');
+            }
+            programs.add(new FurtherProgram("fleet-" + i, List.of("/bin/sh", "-c", options.get("fleet-command")),
+                    listen, text("fleet-ready", "/"), Map.of("fleet.toml", file)));
+        }
+        return programs;
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/rig/Cast.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Cast.java
@@ -153,7 +153,7 @@
         add(new Member(name, recorder, plan.folder(), disk -> {
             Path config = disk.resolve("config.json");
             Map<String, Object> all = SidecarConfig.of(scenario, index, index % scenario.network().zones().size(),
-                    link(name, Names.DISCOVERY).address(), roster.known(index), seed(name));
+                    link(name, Names.DISCOVERY).address(), roster.known(index, plan.commands().knowing()), seed(name));
             all.put("listen", Listener.text(listen));
             Files.writeString(config, Roster.json(all));
             if (plan.commands().daemons().isPresent()) {
--- a/lab/src/main/java/peppergauge/lab/rig/ChildMain.java
+++ b/lab/src/main/java/peppergauge/lab/rig/ChildMain.java
@@ -41,10 +41,12 @@
      * @param clerks calls in work at once
      * @param callMs what a call takes; 0: nothing, and none waits
      * @param patienceMs after which a call that waits is given up
+     * @param answered share of the calls that are answered
      * @param version of its first list
      * @param rows what each sidecar is told, since addresses differ from one to the next
      */
-    record DiscoveryTask(int clerks, double callMs, double patienceMs, long version, List<List<ServerRow>> rows) { }
+    record DiscoveryTask(int clerks, double callMs, double patienceMs, double answered, long version,
+            List<List<ServerRow>> rows) { }
 
     private static final JsonMapper JSON = new JsonMapper();
 
@@ -97,7 +99,7 @@
 
     private void discovery(DiscoveryTask task, BufferedReader in) throws IOException {
         Turns turns = task.callMs() == 0 ? Turns.FREE : new Turns(loop, task.clerks(), (long) (1e6 * task.callMs()),
-                (long) (1e6 * task.patienceMs()));
+                (long) (1e6 * task.patienceMs()), task.answered());
         turns.onGivenUp(() -> tell(Event.of(System.nanoTime(), What.CALL_GIVEN_UP, "discovery")));
         List<Discovery> agents = new ArrayList<>();
         for (List<ServerRow> rows : task.rows()) {
--- a/lab/src/main/java/peppergauge/lab/rig/Commands.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Commands.java
@@ -12,8 +12,9 @@
  * @param workplace where their commands are run
  * @param serve a shell command for a sidecar as the platform runs it
  * @param daemons how sidecars are run instead, if they are to be daemons
+ * @param knowing whether a sidecar that starts knows the servers that are there; else it knows none until it is told
  */
-public record Commands(Path workplace, String serve, Optional<Daemons> daemons) {
+public record Commands(Path workplace, String serve, Optional<Daemons> daemons, boolean knowing) {
 
     /** Of a stand-in's Java machine: small, and quick to start. */
     private static final List<String> SMALL = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
--- a/lab/src/main/java/peppergauge/lab/rig/ListTap.java
+++ b/lab/src/main/java/peppergauge/lab/rig/ListTap.java
@@ -1,19 +1,26 @@
 package peppergauge.lab.rig;
 
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import peppergauge.lab.fault.Names;
 import peppergauge.lab.history.Event;
 import peppergauge.lab.history.What;
 import peppergauge.lab.relay.Tap;
 
-/** Sees on a link to discovery what that sidecar was told, once the last byte of a row is written to it. */
+/** Sees on a link to discovery each call, and what that sidecar was told once the last byte of a row is written to it. */
 final class ListTap implements Tap {
 
     private static final Pattern ROW = Pattern.compile("\\{\"id\":\"([^\"]+)\"[^{}]*\"state\":\"([a-z]+)\"[^{}]*\\}");
 
+    private static final AtomicLong COUNT = new AtomicLong();
+
     private final Recorder recorder;
     private final String sidecar;
+    private final long number = COUNT.incrementAndGet();
+    private boolean called;
+    private boolean ended;
     private final StringBuilder text = new StringBuilder();
 
     ListTap(Recorder recorder, String sidecar) {
@@ -21,8 +28,34 @@
         this.sidecar = sidecar;
     }
 
+    /** A connection on which nothing is asked is no call. */
+    @Override
+    public void sent(byte[] bytes, int count) {
+        if (!called) {
+            called = true;
+            record(What.CALLED, "");
+        }
+    }
+
+    @Override
+    public void over(boolean byCaller) {
+        ended(byCaller ? "closed" : "broken");
+    }
+
+    private void ended(String how) {
+        if (called && !ended) {
+            ended = true;
+            record(What.CALL_ENDED, how);
+        }
+    }
+
+    private void record(What what, String how) {
+        recorder.add(new Event(System.nanoTime(), what, sidecar, Names.DISCOVERY, "", number, how));
+    }
+
     @Override
     public void told(byte[] bytes, int count) {
+        ended("answered");
         text.append(new String(bytes, 0, count, StandardCharsets.ISO_8859_1));
         Matcher row = ROW.matcher(text);
         int end = 0;
--- a/lab/src/main/java/peppergauge/lab/rig/Member.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Member.java
@@ -101,6 +101,7 @@
         wanted = true;
         ports = new CompletableFuture<>();
         Program.Command command = start.command(Files.createDirectories(program.disk()));
+        recorder.now(What.STARTED, name, "");
         synchronized (talk) {
             program.start(command);
             task.ifPresent(line -> program.say(line.line()));
--- a/lab/src/main/java/peppergauge/lab/rig/Rig.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Rig.java
@@ -5,6 +5,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -12,6 +14,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
 import peppergauge.lab.fault.Names;
 import peppergauge.lab.history.Bounds;
 import peppergauge.lab.history.Event;
@@ -43,6 +46,7 @@
     /** How often the end looks for sessions that are still open, ms, and for how long the loop may be away. */
     private static final double LOOK_MS = 50;
     private static final double TABLES_MS = 300;
+    private static final double LOOK_EACH_MS = 10;
     private static final long LONGEST_STALL_S = 5;
     private static final long LONGEST_HEALING_NS = 90_000_000_000L;
 
@@ -92,6 +96,9 @@
         // What servers wrote last may still be in their pipes.
         sleepMs(5 * LOOK_MS);
         cast.members().values().forEach(Member::checkAlive);
+        if (looksAtTables()) {
+            RigFile.sidecars(scenario).forEach(name -> TableLook.counts(socket(name), name, recorder));
+        }
         if (failure != null) {
             throw new IOException("the rig's thread failed", failure);
         }
@@ -149,23 +156,39 @@
     }
 
     /** Where sidecars are daemons with further programs beside them, such as the fleet service's instances. */
+    private boolean looksAtTables() {
+        return plan.commands().daemons().isPresent() && !plan.programs().isEmpty();
+    }
+
+    private Path socket(String sidecar) {
+        return cast.members().get(sidecar).disk().resolve("admin.sock");
+    }
+
     private void lookAtTables() {
-        if (plan.commands().daemons().isEmpty() || plan.programs().isEmpty()) {
+        if (!looksAtTables()) {
             return;
         }
         for (String sidecar : RigFile.sidecars(scenario)) {
-            Path socket = cast.members().get(sidecar).disk().resolve("admin.sock");
-            hands.execute(() -> {
-                try {
-                    while (!hands.isShutdown()) {
-                        TableLook.at(socket, sidecar, recorder);
-                        sleepMs(TABLES_MS);
-                    }
-                } catch (InterruptedException closing) {
-                    Thread.currentThread().interrupt();
-                }
-            });
+            again(() -> TableLook.at(socket(sidecar), sidecar, recorder));
         }
+        for (FurtherProgram program : plan.programs()) {
+            again(() -> TableLook.status(program, recorder));
+        }
+    }
+
+    /** Until the rig is closed; the more there are the less often, for a look costs who is looked at. */
+    private void again(Runnable look) {
+        double pauseMs = Math.max(TABLES_MS, LOOK_EACH_MS * scenario.sidecars().count());
+        hands.execute(() -> {
+            try {
+                while (!hands.isShutdown()) {
+                    look.run();
+                    sleepMs(pauseMs);
+                }
+            } catch (InterruptedException closing) {
+                Thread.currentThread().interrupt();
+            }
+        });
     }
 
     private double rate(int sidecar) {
@@ -203,10 +226,10 @@
                 backMs, windowMs);
     }
 
-    /** Resident memory of all processes of this name's beginning, KiB. */
-    public long rssKb(String prefix) {
-        return cast.members().values().stream().filter(member -> member.name().startsWith(prefix))
-                .mapToLong(Member::rssKb).sum();
+    /** Resident memory of all processes, by what their names begin with, KiB. */
+    public Map<String, Long> rssKb() {
+        return cast.members().values().stream().collect(Collectors.groupingBy(
+                member -> member.name().replaceFirst("-.*", ""), TreeMap::new, Collectors.summingLong(Member::rssKb)));
     }
 
     /** For programs that tell what they do, such as a reader of a fleet table. */
--- a/lab/src/main/java/peppergauge/lab/rig/Roster.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Roster.java
@@ -51,9 +51,9 @@
                 .map(entry -> row(sidecar, entry.getKey())).toList();
     }
 
-    /** What a sidecar that starts knows. */
-    ServerList known(int sidecar) {
-        return new ServerList(1, true, rows(sidecar));
+    /** What a sidecar that starts knows: what holds now, or nothing. */
+    ServerList known(int sidecar, boolean knowing) {
+        return knowing ? new ServerList(1, true, rows(sidecar)) : new ServerList(0, true, List.of());
     }
 
     private ServerRow row(int sidecar, String server) {
@@ -65,13 +65,14 @@
     }
 
     /** The first line of a life of discovery's. */
-    synchronized String task(Capacity capacity) {
+    synchronized String task(Capacity later) {
+        Capacity capacity = lives == 0 && !later.always() ? Capacity.FREE : later;
         List<List<ServerRow>> rows = new ArrayList<>();
         for (int i = 0; i < scenario.sidecars().count(); i++) {
             rows.add(rows(i));
         }
         return json(new ChildMain.DiscoveryTask(capacity.clerks(), capacity.callMs(), capacity.patienceMs(),
-                1 + VERSIONS_A_LIFE * lives++, rows));
+                capacity.answered(), 1 + VERSIONS_A_LIFE * lives++, rows));
     }
 
     static String json(Object value) {
--- a/lab/src/main/java/peppergauge/lab/rig/Sweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Sweep.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Stream;
 import peppergauge.lab.fault.Budget;
 import peppergauge.lab.fault.Fault;
@@ -25,34 +26,38 @@
     /**
      * One run.
      *
-     * @param memoryKb of all processes, just before they were ended, KiB
+     * @param memoryKb of all processes just before they were ended, by what their names begin with, KiB
      */
-    public record Outcome(RigFile file, History history, Verdict verdict, long memoryKb) { }
+    public record Outcome(RigFile file, History history, Verdict verdict, Map<String, Long> memoryKb) {
+
+        /** Of all processes together, MiB. */
+        public long memoryMib() {
+            return memoryKb.values().stream().mapToLong(kib -> kib).sum() / 1024;
+        }
+    }
 
     private final Commands commands;
     private final Capacity capacity;
     private final List<FurtherProgram> programs;
-    private final Budget budget;
     private final double backMs;
     private final double windowMs;
 
     /**
-     * For runs under one budget.
+     * For runs of one sort of cast.
      *
      * @param backMs see {@link Bounds}, as for the next
      */
-    public Sweep(Commands commands, Capacity capacity, List<FurtherProgram> programs, Budget budget, double backMs,
+    public Sweep(Commands commands, Capacity capacity, List<FurtherProgram> programs, double backMs,
             double windowMs) {
         this.commands = commands;
         this.capacity = capacity;
         this.programs = programs;
-        this.budget = budget;
         this.backMs = backMs;
         this.windowMs = windowMs;
     }
 
     /** The scenario with the faults that this seed draws; it lasts until all is healed, and until service is back. */
-    public RigFile drawn(Scenario scenario, long seed) {
+    public RigFile drawn(Scenario scenario, long seed, Budget budget) {
         List<String> servers = RigFile.servers(scenario);
         List<String> further = programs.stream().map(FurtherProgram::name).toList();
         List<String> processes = Stream.concat(RigFile.processes(scenario).stream(), further.stream()).toList();
@@ -70,7 +75,7 @@
         Runtime.getRuntime().addShutdownHook(broken);
         try (rig) {
             History history = rig.run();
-            return new Outcome(file, history, Rules.check(history, bounds(file)), rig.rssKb(""));
+            return new Outcome(file, history, Rules.check(history, bounds(file)), rig.rssKb());
         } finally {
             Runtime.getRuntime().removeShutdownHook(broken);
             delete(folder);
--- a/lab/src/main/java/peppergauge/lab/rig/TableLook.java
+++ b/lab/src/main/java/peppergauge/lab/rig/TableLook.java
@@ -1,36 +1,67 @@
 package peppergauge.lab.rig;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
+import java.net.URL;
+import java.net.URLConnection;
 import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.Channels;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import peppergauge.lab.history.Event;
 import peppergauge.lab.history.What;
+import peppergauge.lab.wire.Listener;
 
-/** Asks a daemon at its admin socket which fleet table it holds. */
+/** Asks daemons and instances of the fleet service what they have of each other; who is down is passed over. */
 final class TableLook {
 
-    private static final Pattern VERSION = Pattern.compile("\"version\":(\\d+)");
+    private static final JsonMapper JSON = new JsonMapper();
+    private static final int PATIENCE_MS = 1_000;
 
     private TableLook() { }
 
-    /** Records what it holds, if it holds one. The time is that of the asking: whoever answered was there then. */
+    /** Records which table a daemon holds, if it holds one. The time is that of the asking: who answered was there. */
     static void at(Path socket, String reader, Recorder recorder) {
         long atNs = System.nanoTime();
+        long version = said(socket).path("version").asLong();
+        if (version > 0) {
+            recorder.add(Event.of(atNs, What.TABLE, reader).counting(version));
+        }
+    }
+
+    /** Records what became of a daemon's reports and asks since it started. */
+    static void counts(Path socket, String reader, Recorder recorder) {
+        long atNs = System.nanoTime();
+        said(socket).path("counts").properties().forEach(count -> recorder.add(
+                Event.of(atNs, What.HEARD, reader).saying(count.getKey()).counting(count.getValue().asLong())));
+    }
+
+    private static JsonNode said(Path socket) {
         try (SocketChannel channel = SocketChannel.open(UnixDomainSocketAddress.of(socket))) {
             channel.write(ByteBuffer.wrap("fleet\n".getBytes(StandardCharsets.US_ASCII)));
-            Matcher version = VERSION.matcher(new String(Channels.newInputStream(channel).readAllBytes(),
-                    StandardCharsets.UTF_8));
-            if (version.find() && Long.parseLong(version.group(1)) > 0) {
-                recorder.add(Event.of(atNs, What.TABLE, reader).counting(Long.parseLong(version.group(1))));
-            }
+            return JSON.readTree(Channels.newInputStream(channel).readAllBytes()).path("fleet");
         } catch (IOException gone) {
             // It is down, or was killed meanwhile.
+            return JSON.missingNode();
+        }
+    }
+
+    /** Records how many daemons an instance knows, and whose table it hands out. */
+    static void status(FurtherProgram program, Recorder recorder) {
+        long atNs = System.nanoTime();
+        try {
+            URLConnection asked = new URL("http://" + Listener.text(program.listen()) + program.ready())
+                    .openConnection();
+            asked.setConnectTimeout(PATIENCE_MS);
+            asked.setReadTimeout(PATIENCE_MS);
+            JsonNode status = JSON.readTree(asked.getInputStream().readAllBytes());
+            recorder.add(Event.of(atNs, What.VIEW, program.name()).counting(status.path("daemons").asLong())
+                    .saying(status.path("table").path("issuer").asText()));
+        } catch (IOException gone) {
+            // As above.
         }
     }
 }
--- a/lab/src/main/java/peppergauge/lab/standin/Turns.java
+++ b/lab/src/main/java/peppergauge/lab/standin/Turns.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import peppergauge.lab.wire.Loop;
 
 /**
@@ -11,13 +13,16 @@
 public final class Turns {
 
     /** Without a bound: whoever calls is answered at once. */
-    public static final Turns FREE = new Turns(null, Integer.MAX_VALUE, 0, 0);
+    public static final Turns FREE = new Turns(null, Integer.MAX_VALUE, 0, 0, 1);
 
     private final Deque<Call> waiting = new ArrayDeque<>();
     private final Loop loop;
     private final int most;
     private final long eachNs;
     private final long patienceNs;
+    private final double answered;
+    /** Drawn and not counted off: callers that come in turns would else have the same one answered each time. */
+    private final UniformRandomProvider luck = RandomSource.XO_SHI_RO_256_PP.create(1);
     private int inWork;
     private Runnable givenUpCalls = () -> { };
 
@@ -37,12 +42,14 @@
      * @param most calls in work at once, at least 1
      * @param eachNs what each takes
      * @param patienceNs after which a call that still waits is given up
+     * @param answered share of the calls that are answered, over 0 up to 1; the others have their turn for nothing
      */
-    public Turns(Loop loop, int most, long eachNs, long patienceNs) {
+    public Turns(Loop loop, int most, long eachNs, long patienceNs, double answered) {
         this.loop = loop;
         this.most = most;
         this.eachNs = eachNs;
         this.patienceNs = patienceNs;
+        this.answered = answered;
     }
 
     /** Who is told of each call that is given up. */
@@ -50,7 +57,7 @@
         givenUpCalls = told;
     }
 
-    /** Has a call wait for its turn; exactly one of the two is run in the end. */
+    /** Has a call wait for its turn; one of the two is run in the end, or none where it is not answered. */
     void wait(Runnable answer, Runnable givenUp) {
         if (eachNs == 0) {
             answer.run();
@@ -76,7 +83,9 @@
             inWork++;
             loop.at(System.nanoTime() + eachNs, () -> {
                 inWork--;
-                call.answer.run();
+                if (answered == 1 || luck.nextDouble() < answered) {
+                    call.answer.run();
+                }
                 next();
             });
         }
--- a/lab/src/test/java/peppergauge/lab/history/RulesTest.java
+++ b/lab/src/test/java/peppergauge/lab/history/RulesTest.java
@@ -20,7 +20,7 @@
     private static final Bounds BOUNDS = Bounds.of(20, 1_000, 3_000, 1_000);
 
     /** A line is: ms, what, who, whom, id, number, text; a dash stands for nothing. */
-    private static History history(String lines) {
+    static History history(String lines) {
         return new History(Arrays.stream(("0 BEGIN rig - - 0 -;60000 END rig - - 0 -;" + lines).split(";"))
                 .map(String::trim).filter(line -> !line.isEmpty()).map(RulesTest::event).toList());
     }
@@ -114,7 +114,7 @@
     }
 
     /** Fifty sessions a second; those from a time on fail, until another. */
-    private static String load(double fromMs, double toMs, int every) {
+    static String load(double fromMs, double toMs, int every) {
         return IntStream.range(0, 500).mapToObj(i -> {
             double at = 20.0 * i;
             String how = at >= fromMs && at < toMs && i % every == 0 ? "503" : "200";
--- a/lab/src/test/java/peppergauge/lab/rig/MemberTest.java
+++ b/lab/src/test/java/peppergauge/lab/rig/MemberTest.java
@@ -39,6 +39,7 @@
             member.kill();
         }
         List<Event> events = recorder.history().events();
-        assertEquals(events.stream().map(Event::what).toList(), List.of(What.UP, What.UP, What.DOWN, What.LOST));
+        assertEquals(events.stream().map(Event::what).toList(), List.of(What.UP, What.UP, What.STARTED, What.DOWN,
+                What.STARTED, What.LOST));
     }
 }
--- a/lab/src/test/java/peppergauge/lab/rig/RigTest.java
+++ b/lab/src/test/java/peppergauge/lab/rig/RigTest.java
@@ -25,6 +25,7 @@
 import peppergauge.lab.history.Rules;
 import peppergauge.lab.history.Verdict;
 import peppergauge.lab.history.What;
+import peppergauge.lab.play.Daemons;
 import peppergauge.lab.play.SidecarConfig;
 import peppergauge.lab.process.SidecarProcess;
 import peppergauge.lab.relay.Tap;
@@ -81,15 +82,23 @@
                 + length + "\"\n" + more + "\n";
     }
 
-    private static Commands commands() {
-        String java = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
+    private static String java() {
+        return "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
                 + "' -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx64m -ea:peppergauge... -cp '"
-                + System.getProperty("java.class.path") + "' peppergauge.Main serve";
-        return new Commands(Path.of("").toAbsolutePath(), java, Optional.empty());
+                + System.getProperty("java.class.path") + "' ";
+    }
+
+    private static Commands commands() {
+        return new Commands(Path.of("").toAbsolutePath(), java() + "peppergauge.Main serve", Optional.empty(), true);
     }
 
     private static Rig.Plan plan(RigFile file, UnaryOperator<Tap> taps) throws IOException {
-        return new Rig.Plan(file, commands(), new Capacity(1, 5, 1_000), List.of(), Files.createTempDirectory(
+        return plan(file, commands(), Capacity.usual(1, 5, 1_000), taps);
+    }
+
+    private static Rig.Plan plan(RigFile file, Commands commands, Capacity capacity, UnaryOperator<Tap> taps)
+            throws IOException {
+        return new Rig.Plan(file, commands, capacity, List.of(), Files.createTempDirectory(
                 Path.of("target").toAbsolutePath(), "rig"), Rig.bounds(file.scenario(), BACK_MS, WINDOW_MS), taps);
     }
 
@@ -212,6 +221,36 @@
         }
     }
 
+    @DataProvider
+    public static Object[][] starts() {
+        return new Object[][] {{"", "2 s"}, {"[start]\ndiscovery-calls = 0.75", "5 s"}};
+    }
+
+    /**
+     * Three daemons start before a discovery that is over its capacity and gives up each call after 100 ms. A turn is
+     * 4 s long, so that a sidecar with {@code [start]} calls once in 2 s at most, and within its first 6 s at least
+     * once; one without calls again within 1.1 s. What lies between the two is for a machine that lets all wait.
+     */
+    @Test(dataProvider = "starts")
+    public void onlyWithStartTheCallsAtDiscoveryAreBounded(String table, String length) throws Exception {
+        RigFile file = file(CAST.formatted(length, 1, 3));
+        Commands commands = new Commands(Path.of("").toAbsolutePath(), commands().serve(), Optional.of(new Daemons(
+                java() + "peppergauge.daemon.Daemon daemon --config {dir}/daemon.toml", Optional.of(table))), true);
+        try (Rig rig = new Rig(plan(file, commands, Capacity.usual(1, 60_000, 100), tap -> tap))) {
+            History history = rig.run();
+            assertEquals(history.of(What.LOST).toList().toString(), "[]");
+            int most = 0;
+            for (String sidecar : RigFile.sidecars(file.scenario())) {
+                List<Long> calls = history.of(What.CALLED).filter(call -> call.who().equals(sidecar)).map(Event::atNs)
+                        .toList();
+                assertTrue(calls.size() > 0, sidecar + " called");
+                most = Math.max(most, calls.stream().mapToInt(from -> (int) calls.stream()
+                        .filter(at -> at >= from && at - from < 1_600_000_000L).count()).max().orElse(0));
+            }
+            assertEquals(most == 1, !table.isEmpty(), most + " calls of one sidecar in 1.6 s");
+        }
+    }
+
     @DataProvider
     public static Object[][] files() {
         return new Object[][] {
--- a/lab/src/test/java/peppergauge/lab/standin/TurnsTest.java
+++ b/lab/src/test/java/peppergauge/lab/standin/TurnsTest.java
@@ -71,7 +71,7 @@
     @Test
     public void callsWaitInTurnAndAreAllAnswered() throws IOException {
         long startNs = System.nanoTime();
-        assertEquals(called(new Turns(loop, 2, 20 * MS, 20_000 * MS), 10, 10), Collections.nCopies(10,
+        assertEquals(called(new Turns(loop, 2, 20 * MS, 20_000 * MS, 1), 10, 10), Collections.nCopies(10,
                 (int) 'H'));
         assertTrue(System.nanoTime() - startNs >= 5 * 20 * MS, "ten calls, two at once, 20 ms each");
         assertEquals(givenUp.get(), 0);
@@ -80,7 +80,7 @@
     /** Timers run in their order, however late: the second is given up before the first is done. */
     @Test
     public void whoIsGivenUpIsNotAnsweredLater() throws InterruptedException {
-        Turns turns = new Turns(loop, 1, 200 * MS, 50 * MS);
+        Turns turns = new Turns(loop, 1, 200 * MS, 50 * MS, 1);
         List<String> told = Collections.synchronizedList(new ArrayList<>());
         loop.post(() -> {
             for (String name : List.of("a", "b")) {
@@ -91,9 +91,25 @@
         assertEquals(told, List.of("b given up", "a answered"));
     }
 
+    /** The share is of calls that had their turn, and drawn alike each time. */
+    @Test
+    public void someOfThoseThatHadTheirTurnAreNotAnswered() {
+        Turns turns = new Turns(loop, 10, MS / 100, 20_000 * MS, 0.25);
+        AtomicInteger answered = new AtomicInteger();
+        CompletableFuture<Integer> all = new CompletableFuture<>();
+        loop.post(() -> {
+            for (int i = 0; i < 400; i++) {
+                turns.wait(answered::incrementAndGet, () -> all.complete(-1));
+            }
+            // Timers run in their order: each turn is shorter than this wait, however late they all are.
+            loop.at(System.nanoTime() + 10_000 * MS, () -> all.complete(answered.get()));
+        });
+        assertEquals(all.join(), 100, 25);
+    }
+
     @Test
     public void whoWaitsTooLongIsGivenUp() throws IOException {
-        assertEquals(called(new Turns(loop, 1, 60_000 * MS, 100 * MS), 4, 3), List.of(-1, -1, -1));
+        assertEquals(called(new Turns(loop, 1, 60_000 * MS, 100 * MS, 1), 4, 3), List.of(-1, -1, -1));
         assertEquals(givenUp.get(), 3);
     }
 }
