--- a/lab/src/main/java/peppergauge/lab/rig/ListTap.java
+++ b/lab/src/main/java/peppergauge/lab/rig/ListTap.java
@@ -9,7 +9,7 @@
 import peppergauge.lab.history.What;
 import peppergauge.lab.relay.Tap;
 
-/** Sees on a link to discovery each call, and what that sidecar was told once the last byte of a row is written to it. */
+/** Sees on a link to discovery each call, and what its sidecar was told once a row's last byte is written to it. */
 final class ListTap implements Tap {
 
     private static final Pattern ROW = Pattern.compile("\\{\"id\":\"([^\"]+)\"[^{}]*\"state\":\"([a-z]+)\"[^{}]*\\}");
--- a/lab/src/test/java/peppergauge/lab/history/ColdStartTest.java
+++ b/lab/src/test/java/peppergauge/lab/history/ColdStartTest.java
@@ -45,15 +45,16 @@
     /** A service that is not usual again by the end is not said to be. */
     @Test
     public void serviceThatIsNotBackIsNever() {
-        assertEquals(ColdStart.of(new History(RulesTest.history(CUT + RulesTest.load(2_000, 90_000, 1)).events().stream()
-                .filter(event -> event.atNs() < 10_000_000_000L).toList())).usualS(), NEVER);
+        History whole = RulesTest.history(CUT + RulesTest.load(2_000, 90_000, 1));
+        History cut = new History(whole.events().stream().filter(event -> event.atNs() < 10_000_000_000L).toList());
+        assertEquals(ColdStart.of(cut).usualS(), NEVER);
     }
 
     @Test
     public void whatTheFleetServiceWasIsTold() {
-        String lines = "100 TABLE s1 - - 7 -;150 VIEW f1 - - 1 f1;150 VIEW f2 - - 1 f1;" + CUT + "3000 STARTED s1 - - 0 -;"
-                + "3100 TABLE s1 - - 7 -;4000 TABLE s1 - - 9 -;3500 VIEW f1 - - 1 f1;3600 VIEW f2 - - 0 f1;"
-                + "3700 VIEW f2 - - 1 f2;4200 VIEW f2 - - 1 f1;50000 HEARD s1 - - 3 reports taken;"
+        String lines = "100 TABLE s1 - - 7 -;150 VIEW f1 - - 1 f1;150 VIEW f2 - - 1 f1;" + CUT
+                + "3000 STARTED s1 - - 0 -;3100 TABLE s1 - - 7 -;4000 TABLE s1 - - 9 -;3500 VIEW f1 - - 1 f1;"
+                + "3600 VIEW f2 - - 0 f1;3700 VIEW f2 - - 1 f2;4200 VIEW f2 - - 1 f1;50000 HEARD s1 - - 3 reports taken;"
                 + "50000 HEARD s2 - - 2 reports taken;50000 HEARD s2 - - 1 reports busy;" + RulesTest.load(0, 0, 1);
         assertEquals(ColdStart.fleet(RulesTest.history(lines)), new ColdStart.Fleet(
                 Map.of("reports taken", 5L, "reports busy", 1L), 1.2, 1));
