--- a/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.LongStream;
 import peppergauge.lab.fault.Budget;
 import peppergauge.lab.history.Verdict;
 import peppergauge.lab.history.What;
@@ -29,7 +30,7 @@
     public static void main(String[] args) throws IOException, InterruptedException {
         System.exit(new FaultSweep(ByHand.read(args, "FaultSweep [--file RIG.toml]" + ByHand.CAST + " [--seeds A..B]"
                 + " [--faults N] [--at-once N] [--first S] [--healed S] [--longest S] [--back S]"
-                + " [--clerks N] [--call-ms MS] [--daemon TABLES.toml]"
+                + " [--rounds N] [--clerks N] [--call-ms MS] [--daemon TABLES.toml]"
                 + " [--minutes M] [--shrink FOLDER] [--history FOLDER]")).run());
     }
 
@@ -44,34 +45,37 @@
         String[] seeds = options.text("seeds", "1..10").split("\\.\\.");
         long untilNs = System.nanoTime() + (long) (60e9 * options.number("minutes", 1e6));
         int runs = 0;
-        for (long seed = Long.parseLong(seeds[0]); seed <= Long.parseLong(seeds[seeds.length - 1])
-                && System.nanoTime() < untilNs; seed++) {
-            RigFile file = script.isPresent() && !script.get().faults().isEmpty() ? script.get()
-                    : sweep.drawn(script.map(RigFile::scenario).orElseGet(options::usual), seed, budget);
-            print(seed, sweep.run(file), sweep);
-            runs++;
+        long last = Long.parseLong(seeds[seeds.length - 1]);
+        int rounds = (int) options.number("rounds", 1);
+        for (long seed = Long.parseLong(seeds[0]); seed <= last && System.nanoTime() < untilNs; seed += rounds) {
+            List<RigFile> files = LongStream.rangeClosed(seed, Math.min(last, seed + rounds - 1)).mapToObj(each ->
+                    script.isPresent() && !script.get().faults().isEmpty() ? script.get()
+                    : sweep.drawn(script.map(RigFile::scenario).orElseGet(options::usual), each, budget)).toList();
+            print(seed, files, sweep.run(files.get(0), files.stream().skip(1).map(RigFile::faults).toList()), sweep);
+            runs += files.size();
         }
         System.out.println("\n" + runs + " schedules; broken: " + broken + "; excused: " + excused);
         return broken.isEmpty() ? 0 : 3;
     }
 
-    private void print(long seed, Sweep.Outcome outcome, Sweep sweep) throws IOException {
+    private void print(long seed, List<RigFile> files, Sweep.Outcome outcome, Sweep sweep) throws IOException {
         Verdict verdict = outcome.verdict();
         long asked = outcome.history().of(What.ASKED).count();
         long served = outcome.history().of(What.ENDED).filter(end -> end.text().equals("200")).count();
         verdict.excused().forEach((why, count) -> excused.merge(why, count, Integer::sum));
         verdict.rules().forEach(rule -> broken.merge(rule, 1, Integer::sum));
-        System.out.printf("seed %d: %d faults, asked %d, served %.3f, %d MiB, checked %s, excused %s: %s%n", seed,
-                outcome.file().faults().size(), asked, served / (double) Math.max(1, asked),
-                outcome.memoryMib(), verdict.checked(), verdict.excused(),
+        System.out.printf("seed %s: %d faults, asked %d, served %.3f, %d MiB, checked %s, excused %s: %s%n",
+                files.size() == 1 ? seed : seed + ".." + (seed + files.size() - 1),
+                files.stream().mapToInt(file -> file.faults().size()).sum(), asked,
+                served / (double) Math.max(1, asked), outcome.memoryMib(), verdict.checked(), verdict.excused(),
                 verdict.rules().isEmpty() ? "fine" : "BROKEN " + verdict.rules());
         verdict.broken().stream().limit(5).forEach(one -> System.out.println("    " + one));
         if (!verdict.rules().isEmpty()) {
-            outcome.file().faults().forEach(fault -> System.out.println("    " + fault.line()));
+            files.forEach(file -> file.faults().forEach(fault -> System.out.println("    " + fault.line())));
             if (options.has("history")) {
                 ByHand.write(options.path("history").resolve("seed-" + seed + ".jsonl"), outcome.history());
             }
-            if (options.has("shrink")) {
+            if (options.has("shrink") && files.size() == 1) {
                 RigFile least = sweep.shrunk(outcome);
                 ByHand.write(options.path("shrink").resolve("seed-" + seed + ".toml"), List.of(least.toToml()));
                 System.out.println("    shrunk to " + least.faults().size() + " faults");
