End a lease in time at a daemon whose call to the fleet service is not answered

One thread of a daemon reported, asked for tables and moved what is in force. A service that takes calls and says nothing held all three up for up to patience by call, so that a station leaned on after its table's lease was over. What is in force now moves on a thread of its own, which also looks right when the lease ends; fleet at the admin socket says how much is left of it (lease_left_ms). ReportingTest: a call may wait a minute, the lease is 1.2 s.

--- a/fleet/src/main/java/peppergauge/fleet/reader/Reporting.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/Reporting.java
@@ -25,11 +25,14 @@
 import peppergauge.log.Log;
 import peppergauge.promises.Steering;
 
-/** Reports and asks, one thing at a time, on a thread of its own. */
+/**
+ * Reports and asks, one thing at a time, on a thread of its own. What is in force moves on another: a service that
+ * takes calls and says nothing must not hold up the end of a lease.
+ */
 final class Reporting implements AutoCloseable {
 
     private static final int TABLE_BYTES = 1 << 20;
-    /** Steering moves by itself, so it is looked at again. */
+    /** Steering moves by itself, so it is looked at again; between calls the other thread looks as often. */
     private static final long LOOK_MS = 500;
     private static final long COLLECT_MS = 2_000;
 
@@ -43,9 +46,11 @@
     private final Consumer<Steering> steer;
     private final Caller caller;
     private final Addresses reportsTo;
+    /** For whoever holds its lock: both threads. */
     private final TableReader reader;
     private final Random random;
     private final Thread thread = new Thread(this::run, "fleet");
+    private final Thread leaning = new Thread(this::lean, "fleet-leaning");
     private final Map<String, Long> said = new TreeMap<>();
     private long incarnation;
     private long sequence;
@@ -53,7 +58,6 @@
     private long askAtMs;
     private volatile long reportMs;
     private volatile long askMs;
-    private volatile long version;
     private volatile Steering told = Steering.NONE;
     private boolean failing;
     private volatile boolean closed;
@@ -77,6 +81,7 @@
         reportMs = settings.firstMs();
         askMs = settings.firstMs();
         thread.setDaemon(true);
+        leaning.setDaemon(true);
     }
 
     /** Well mixed: names that differ by one digit, and one seed for all, must not draw nearly the same. */
@@ -89,6 +94,9 @@
         reportAtMs = incarnation + (long) (reportMs * random.nextDouble());
         askAtMs = incarnation + (long) (askMs * random.nextDouble());
         thread.start();
+        if (settings.steers()) {
+            leaning.start();
+        }
     }
 
     private void run() {
@@ -113,11 +121,34 @@
         if (settings.steers() && now >= askAtMs) {
             askAtMs = now + ask();
         }
-        Steering inForce = reader.steering(clock.getAsLong());
+    }
+
+    private void lean() {
+        while (!closed) {
+            try {
+                Thread.sleep(leanMs());
+            } catch (InterruptedException ended) {
+                return;
+            } catch (RuntimeException | StackOverflowError | OutOfMemoryError bug) {
+                Log.bug("fleet", bug);
+            }
+        }
+    }
+
+    /** @return until it is to be looked at again: not beyond the lease's end */
+    private long leanMs() {
+        long leftMs;
+        Steering inForce;
+        synchronized (reader) {
+            long now = clock.getAsLong();
+            inForce = reader.steering(now);
+            leftMs = reader.leftMs(now);
+        }
         if (!inForce.equals(told)) {
             told = inForce;
             steer.accept(inForce);
         }
+        return leftMs > 0 ? Math.min(LOOK_MS, leftMs) : LOOK_MS;
     }
 
     private long report(long now) throws InterruptedException {
@@ -156,14 +187,16 @@
 
     private long ask() {
         try {
-            Caller.Answer answer = caller.call(reportsTo.present(), "/fleet/v1/table?known=" + reader.version(), null);
+            Caller.Answer answer = caller.call(reportsTo.present(), "/fleet/v1/table?known=" + version(), null);
             TableAnswer read = Json.read(answer.body(), TableAnswer.class);
             if (answer.status() != 200) {
                 throw new IOException("it answers " + answer.status());
             }
             if (read.table() != null) {
-                Acceptance acceptance = reader.offer(read.table(), clock.getAsLong());
-                version = reader.version();
+                Acceptance acceptance;
+                synchronized (reader) {
+                    acceptance = reader.offer(read.table(), clock.getAsLong());
+                }
                 say("tables " + acceptance.name().toLowerCase(Locale.ROOT).replace('_', '-'));
             }
             worked();
@@ -175,6 +208,12 @@
         }
     }
 
+    private long version() {
+        synchronized (reader) {
+            return reader.version();
+        }
+    }
+
     private void worked() {
         if (failing) {
             failing = false;
@@ -200,7 +239,10 @@
     Map<String, Object> report() {
         Map<String, Object> report = new LinkedHashMap<>();
         report.put("site", settings.site());
-        report.put("version", version);
+        synchronized (reader) {
+            report.put("version", reader.version());
+            report.put("lease_left_ms", reader.leftMs(clock.getAsLong()));
+        }
         report.put("report_ms", reportMs);
         report.put("ask_ms", askMs);
         report.put("in_force", told.factors());
@@ -214,6 +256,7 @@
     public void close() {
         closed = true;
         thread.interrupt();
+        leaning.interrupt();
         caller.close();
     }
 }
--- a/fleet/src/main/java/peppergauge/fleet/table/TableReader.java
+++ b/fleet/src/main/java/peppergauge/fleet/table/TableReader.java
@@ -98,6 +98,11 @@
         return newest;
     }
 
+    /** Until the lease of the last one taken is over, ms; 0 or less since then, 0 if none was taken. */
+    public long leftMs(long nowMs) {
+        return table == null ? 0 : table.issuedMs() + table.leaseMs() - nowMs;
+    }
+
     /** The last one taken, null for none. */
     public FleetTable table() {
         return table;
--- a/fleet/src/test/java/peppergauge/fleet/reader/ReportingTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/reader/ReportingTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import peppergauge.fleet.http.Reply;
 import peppergauge.fleet.http.Server;
@@ -33,6 +34,13 @@
     private final AtomicLong versions = new AtomicLong(10);
     private volatile boolean silent;
 
+    @BeforeMethod
+    public void nothingYet() {
+        reports.clear();
+        told.clear();
+        silent = false;
+    }
+
     private Server server() throws Exception {
         return new Server(new InetSocketAddress("127.0.0.1", 0), 1 << 20, 10, (method, path, body, reply) -> {
             if (silent) {
@@ -94,6 +102,25 @@
         }
     }
 
+    /** It says nothing to a call that may wait a minute; the lease ends meanwhile. */
+    @Test
+    public void aCallThatIsNotAnsweredDoesNotHoldUpTheEndOfALease() throws Exception {
+        try (Servers servers = new Servers(server(), server())) {
+            ReaderSettings settings = new ReaderSettings("north", servers.addresses(), true, 20, 100, 60_000,
+                    new TableReader.Bounds("north", 5_000, 0.5, 10, 60_000), 0);
+            table = () -> issued(versions.incrementAndGet(), "north", 0.5, 1_200);
+            try (Reporting reporting = new Reporting(settings, "d", 1, System::currentTimeMillis,
+                    future -> future.complete(new Reporting.Counted(List.of(), KeySource.NONE.told())), told::add)) {
+                reporting.start();
+                until("steered", () -> told.stream().anyMatch(each -> Factors.of(each, "radio", "east") == 0.5));
+                assertTrue((long) reporting.report().get("lease_left_ms") <= 1_200);
+                silent = true;
+                until("no steering", () -> told.get(told.size() - 1).equals(Steering.NONE));
+                assertTrue((long) reporting.report().get("lease_left_ms") <= 0);
+            }
+        }
+    }
+
     private record Servers(Server first, Server second) implements AutoCloseable {
 
         List<String> addresses() {
