Hold what is in force at each daemon to bounded steps, and play promises over processes

Not shown so far: that steps and leases hold at real daemons, and stations with promises while instances of the fleet service are killed and cut off. The rig's clients draw stations by share; PromiseSweep plays contracts with a slow data centre without steering, with it, and with faults at instances.

--- a/lab/src/main/java/peppergauge/lab/history/Donations.java
+++ b/lab/src/main/java/peppergauge/lab/history/Donations.java
@@ -17,7 +17,7 @@
 
     @Override
     public void check(History history, Bounds bounds, Verdict verdict) {
-        Set<String> unsafe = history.of(What.ASKED).filter(asked -> asked.text().equals("unsafe")).map(Event::id)
+        Set<String> unsafe = history.of(What.ASKED).filter(asked -> asked.text().startsWith("unsafe")).map(Event::id)
                 .collect(Collectors.toSet());
         Map<String, List<Event>> begun = history.of(What.BEGUN).filter(event -> unsafe.contains(event.id()))
                 .collect(Collectors.groupingBy(Event::wish));
--- a/lab/src/main/java/peppergauge/lab/history/Rules.java
+++ b/lab/src/main/java/peppergauge/lab/history/Rules.java
@@ -12,7 +12,7 @@
     }
 
     private static final List<Rule> ALL = List.of(new Answers(), new Donations(), new OneAttempt(), new Leaving(),
-            new Versions(), new Alive(), new Recovery());
+            new Versions(), new Steps(), new Alive(), new Recovery());
 
     private Rules() { }
 
--- a/lab/src/main/java/peppergauge/lab/history/What.java
+++ b/lab/src/main/java/peppergauge/lab/history/What.java
@@ -7,7 +7,10 @@
     BEGIN,
     /** The load ends: nothing is asked after it. */
     END,
-    /** A client asks a sidecar (whom) with a session's id; number: its deadline in ms; text: safe or unsafe. */
+    /**
+     * A client asks a sidecar (whom) with a session's id; number: its deadline in ms; text: safe or unsafe, its class
+     * and, if there are stations, its station.
+     */
     ASKED,
     /** A client has what it gets (who: the sidecar); text: the status or a word of {@code load.Ending}. */
     ENDED,
@@ -23,6 +26,8 @@
     TOLD,
     /** A reader (who) takes a fleet table; number: its version. */
     TABLE,
+    /** A reader (who) tells what is in force; number: the version that it holds, 0 for none; text: {@link Leaning}. */
+    STEERED,
     /** A process is ready; text: how it can be reached. */
     UP,
     /** A process was ended, by SIGKILL or otherwise, on purpose. */
--- a/lab/src/main/java/peppergauge/lab/rig/Applications.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Applications.java
@@ -1,6 +1,7 @@
 package peppergauge.lab.rig;
 
 import java.util.List;
+import java.util.function.ToDoubleFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import peppergauge.lab.history.Event;
@@ -11,6 +12,7 @@
 import peppergauge.lab.load.Source;
 import peppergauge.lab.scenario.RequestKind;
 import peppergauge.lab.scenario.Scenario;
+import peppergauge.lab.scenario.Tenant;
 
 /**
  * The application beside one sidecar: a Poisson process, and one further try of what was denied. It waits longer than
@@ -22,6 +24,8 @@
     /** After the deadline and its slack, ms. */
     private static final double LONGER_MS = 1_500;
     private static final double SLACK_MS = 50;
+    /** What sessions say where the scenario has no stations. */
+    private static final String NO_STATION = "all";
 
     private final Scenario scenario;
     private final Recorder recorder;
@@ -72,33 +76,33 @@
 
     @Override
     public Request next() {
-        return request(kind(), run + '-' + sidecar.substring(sidecar.indexOf('-') + 1) + '-' + count++ + ".0",
-                System.nanoTime());
+        String station = scenario.tenants().isEmpty() ? "" : drawn(scenario.tenants(), Tenant::share).name();
+        return request(drawn(scenario.classes(), RequestKind::share), station,
+                run + '-' + sidecar.substring(sidecar.indexOf('-') + 1) + '-' + count++ + ".0", System.nanoTime());
     }
 
-    private RequestKind kind() {
-        List<RequestKind> all = scenario.classes();
-        double left = random.nextDouble() * all.stream().mapToDouble(RequestKind::share).sum();
-        for (RequestKind kind : all) {
-            left -= kind.share();
+    private <T> T drawn(List<T> all, ToDoubleFunction<T> share) {
+        double left = random.nextDouble() * all.stream().mapToDouble(share).sum();
+        for (T each : all) {
+            left -= share.applyAsDouble(each);
             if (left < 0) {
-                return kind;
+                return each;
             }
         }
         return all.get(all.size() - 1);
     }
 
-    private Request request(RequestKind kind, String id, long atNs) {
+    private Request request(RequestKind kind, String station, String id, long atNs) {
         open++;
         boolean unsafe = kind.effect() == RequestKind.Effect.UNSAFE;
         double deadlineMs = Scenario.ms(kind.deadline());
         recorder.add(new Event(atNs, What.ASKED, "clients", sidecar, id, (long) deadlineMs,
-                unsafe ? "unsafe" : "safe"));
+                (unsafe ? "unsafe " : "safe ") + (kind.name() + ' ' + station).trim()));
         double patienceMs = deadlineMs + Scenario.ms(scenario.rules().answerSlack()) + LONGER_MS;
         long keys = Math.max(1, scenario.clients().keys());
-        String tenant = scenario.tenants().isEmpty() ? "all" : scenario.tenants().get(0).name();
-        return new Request(id, '/' + kind.name() + "/k" + random.nextLong(keys), tenant, unsafe ? BODY : "",
-                (long) (patienceMs * 1e6), (long) (deadlineMs * 1e6), false);
+        return new Request(id, '/' + kind.name() + "/k" + random.nextLong(keys),
+                station.isEmpty() ? NO_STATION : station, unsafe ? BODY : "", (long) (patienceMs * 1e6),
+                (long) (deadlineMs * 1e6), false);
     }
 
     @Override
@@ -111,7 +115,8 @@
             String name = request.path().split("/")[1];
             RequestKind kind = scenario.classes().stream().filter(one -> one.name().equals(name)).findFirst()
                     .orElseThrow();
-            generator.ask(request(kind, request.id().substring(0, dot) + ".1", atNs), atNs);
+            String station = scenario.tenants().isEmpty() ? "" : request.tenant();
+            generator.ask(request(kind, station, request.id().substring(0, dot) + ".1", atNs), atNs);
         }
     }
 }
--- a/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
@@ -1,12 +1,10 @@
 package peppergauge.lab.rig;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
@@ -19,9 +17,7 @@
 import peppergauge.lab.history.What;
 import peppergauge.lab.play.Daemons;
 import peppergauge.lab.process.Deploy;
-import peppergauge.lab.process.SidecarProcess;
 import peppergauge.lab.scenario.Scenario;
-import peppergauge.lab.wire.Listener;
 import peppergauge.operator.Reading;
 
 /**
@@ -168,22 +164,9 @@
                 (int) number("slack-ms", 200))).values().orElseThrow()).scenario();
     }
 
-    /** Instances know each other, and sidecars know them, by the addresses of links. */
     private List<FurtherProgram> fleet() throws IOException {
-        List<FurtherProgram> programs = new ArrayList<>();
-        Hosts hosts = Hosts.fresh();
-        for (int i = 1; i <= (int) number("fleet", 0); i++) {
-            InetSocketAddress listen = SidecarProcess.freeAddress(hosts.of(i));
-            String file = Files.readString(Path.of(options.get("fleet-file")))
-                    .replace("{listen}", Listener.text(listen)).replace("{number}", Integer.toString(i));
-            for (int other = 1; other <= (int) number("fleet", 0); other++) {
-                String name = "fleet-" + other;
-                file += other == i ? "" : text("fleet-peer", "").replace("{peer}", name)
-                        .replace("{link}", "{link:" + name + '}');
-            }
-            programs.add(new FurtherProgram("fleet-" + i, List.of("/bin/sh", "-c", options.get("fleet-command")),
-                    listen, text("fleet-ready", "/"), Map.of("fleet.toml", file)));
-        }
-        return programs;
+        return options.containsKey("fleet") ? new Instances(options.get("fleet-command"),
+                Files.readString(Path.of(options.get("fleet-file"))), text("fleet-peer", ""), text("fleet-ready", "/"))
+                .programs((int) number("fleet", 0)) : List.of();
     }
 }
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/rig/InstanceFaults.java
@@ -0,0 +1,84 @@
+package peppergauge.lab.rig;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import peppergauge.lab.fault.Fault;
+import peppergauge.lab.fault.FaultKind;
+
+/**
+ * Draws what a seed plays: a data centre that is slow for a long while, and meanwhile instances of the fleet service
+ * that are ended, stopped, and cut off from daemons and from each other. At each instance one thing at a time.
+ */
+final class InstanceFaults {
+
+    private static final List<FaultKind> OF_PROCESSES = List.of(FaultKind.KILL, FaultKind.KILL_WIPED,
+            FaultKind.KILL_TORN, FaultKind.TERMINATE, FaultKind.STOP);
+    private static final int CUTS = 4;
+    /** Seeds of which one has all daemons cut off from all instances, until leases are over. */
+    private static final int CUT_OFF_EACH = 3;
+
+    private final UniformRandomProvider random;
+    private final double lengthS;
+
+    /** @param lengthS of the run: trouble takes half of it, and begins after a fifth */
+    InstanceFaults(long seed, double lengthS) {
+        random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+        this.lengthS = lengthS;
+    }
+
+    /** All links to servers of one data centre are late; the same for all that a seed is played with. */
+    List<Fault> slow(List<String> servers, int zones) {
+        int zone = random.nextInt(zones);
+        double size = 150 + random.nextInt(150);
+        List<Fault> faults = new ArrayList<>();
+        for (int i = zone; i < servers.size(); i += zones) {
+            faults.add(new Fault(time(0.2 * lengthS), FaultKind.DELAY, "*>" + servers.get(i), time(0.5 * lengthS),
+                    Optional.of(size)));
+        }
+        return faults;
+    }
+
+    /** @param leaseS of a table */
+    List<Fault> faults(long seed, int instances, double leaseS) {
+        List<Fault> faults = new ArrayList<>();
+        double[] busyUntil = new double[instances];
+        double cutOffS = seed % CUT_OFF_EACH == 0 ? 0.4 * lengthS : Double.POSITIVE_INFINITY;
+        for (double atS = 5; atS < 0.8 * lengthS; atS += 2 + 4 * random.nextDouble()) {
+            int instance = random.nextInt(instances);
+            double forS = 4 + 10 * random.nextDouble();
+            int what = random.nextInt(OF_PROCESSES.size() + CUTS);
+            if (busyUntil[instance] < atS && (atS + forS + 1 < cutOffS || atS > cutOffS + leaseS + 6)) {
+                busyUntil[instance] = atS + forS + 3;
+                add(faults, what, atS, forS, "fleet-" + (instance + 1));
+            }
+        }
+        if (cutOffS < lengthS) {
+            faults.add(new Fault(time(cutOffS), FaultKind.DROP, "sidecar-*>fleet-*", time(leaseS + 5),
+                    Optional.empty()));
+        }
+        return faults;
+    }
+
+    private static void add(List<Fault> faults, int what, double atS, double forS, String instance) {
+        if (what < OF_PROCESSES.size()) {
+            faults.add(new Fault(time(atS), OF_PROCESSES.get(what), instance, time(forS), Optional.empty()));
+            return;
+        }
+        List<String> links = switch (what - OF_PROCESSES.size()) {
+            // From all; from daemons; from the others, so that two sides issue; from some daemons.
+            case 0 -> List.of("*>" + instance);
+            case 1 -> List.of("sidecar-*>" + instance);
+            case 2 -> List.of("fleet-*>" + instance, instance + ">fleet-*");
+            default -> List.of("sidecar-1*>" + instance);
+        };
+        links.forEach(link -> faults.add(new Fault(time(atS), FaultKind.DROP, link, time(forS), Optional.empty())));
+    }
+
+    private static Duration time(double seconds) {
+        return Duration.ofMillis((long) (1e3 * seconds));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/rig/PromiseSweep.java
@@ -0,0 +1,233 @@
+package peppergauge.lab.rig;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import peppergauge.lab.fault.Budget;
+import peppergauge.lab.fault.Fault;
+import peppergauge.lab.history.Event;
+import peppergauge.lab.history.Leaning;
+import peppergauge.lab.history.Verdict;
+import peppergauge.lab.history.What;
+import peppergauge.lab.play.Daemons;
+import peppergauge.lab.process.Deploy;
+import peppergauge.lab.scenario.Run;
+import peppergauge.lab.scenario.Scenario;
+import peppergauge.promises.file.PromiseSection;
+
+/**
+ * By hand: promises to stations over real processes, one data centre of which is slow for a while. Each seed is played
+ * without steering, with it, and with it while instances of the fleet service are ended and cut off. See
+ * docs/PROMISES.md; options are {@code --name value}.
+ */
+public final class PromiseSweep {
+
+    /** How a seed is played. */
+    private enum Mode { UNSTEERED, STEERING, FAULTS }
+
+    private static final int INSTANCES = 3;
+    private static final int ZONES = 3;
+
+    private final Map<String, String> options;
+    private final Map<Mode, List<StationFigures>> all = new EnumMap<>(Mode.class);
+
+    private PromiseSweep(Map<String, String> options) {
+        this.options = options;
+    }
+
+    /** @param args options and their values */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        if (args.length % 2 != 0 || Arrays.asList(args).contains("--help")) {
+            System.err.println("PromiseSweep [--seeds A..B] [--modes unsteered,steering,faults] [--sidecars N]"
+                    + " [--servers M] [--rate R] [--length S] [--windows S,S] [--share X] [--lease S] [--every MS]"
+                    + " [--back S] [--slack-ms MS] [--history FOLDER]");
+            System.exit(2);
+        }
+        Map<String, String> options = new HashMap<>();
+        for (int i = 0; i < args.length; i += 2) {
+            options.put(args[i].replaceFirst("^--", ""), args[i + 1]);
+        }
+        System.exit(new PromiseSweep(options).run());
+    }
+
+    private double number(String name, double preset) {
+        return Double.parseDouble(options.getOrDefault(name, Double.toString(preset)));
+    }
+
+    private int run() throws IOException, InterruptedException {
+        Path home = Path.of("").toAbsolutePath();
+        String[] seeds = options.getOrDefault("seeds", "1..3").split("\\.\\.");
+        List<Mode> modes = Arrays.stream(options.getOrDefault("modes", "unsteered,steering,faults").split(","))
+                .map(name -> Mode.valueOf(name.toUpperCase(Locale.ROOT))).toList();
+        boolean broken = false;
+        for (long seed = Long.parseLong(seeds[0]); seed <= Long.parseLong(seeds[seeds.length - 1]); seed++) {
+            for (Mode mode : modes) {
+                broken |= !play(home, mode, seed);
+            }
+        }
+        all.forEach(PromiseSweep::total);
+        return broken ? 3 : 0;
+    }
+
+    private boolean play(Path home, Mode mode, long seed) throws IOException, InterruptedException {
+        Scenario scenario = scenario(seed);
+        InstanceFaults drawn = new InstanceFaults(seed, number("length", 180));
+        List<Fault> faults = new ArrayList<>(drawn.slow(RigFile.servers(scenario), ZONES));
+        if (mode == Mode.FAULTS) {
+            faults.addAll(drawn.faults(seed, INSTANCES, number("lease", 20)));
+        }
+        Commands commands = new Commands(home, Deploy.checked(Deploy.run(home)),
+                Optional.of(Daemons.launched(Optional.of(reader(mode != Mode.UNSTEERED)))));
+        Instances instances = Instances.ofFleetService("exec bin/peppergauge daemon --config {dir}/fleet.toml",
+                figures() + scenario.contracts().stream().map(PromiseSection::toToml).collect(Collectors.joining()));
+        Sweep sweep = new Sweep(commands, new Capacity(2, 2, 1_000), instances.programs(INSTANCES),
+                new Budget(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(2), Duration.ofSeconds(1)),
+                1e3 * number("back", 20), 2_000);
+        Sweep.Outcome outcome = sweep.run(new RigFile(scenario, faults));
+        if (options.containsKey("history")) {
+            Path folder = Files.createDirectories(Path.of(options.get("history")));
+            Files.write(folder.resolve("seed-" + seed + '-' + mode + ".jsonl"), outcome.history().events().stream()
+                    .map(Event::json).toList(), StandardCharsets.UTF_8);
+        }
+        StationFigures figures = StationFigures.of(outcome.history(), scenario);
+        all.computeIfAbsent(mode, each -> new ArrayList<>()).add(figures);
+        print(seed, mode, faults.size(), outcome, figures);
+        return outcome.verdict().broken().isEmpty();
+    }
+
+    private static void print(long seed, Mode mode, int faults, Sweep.Outcome outcome, StationFigures figures) {
+        Verdict verdict = outcome.verdict();
+        List<Leaning> leanings = outcome.history().of(What.STEERED).map(Event::text).map(Leaning::read).toList();
+        long issuers = outcome.history().of(What.TABLE).map(event -> event.number() & 255).distinct().count();
+        System.out.printf("seed %d %s: %d faults, windows kept %d of %d (%s), penalty %.3f, worth %.4f,"
+                + " largest rise %.1f/s, least factor %.2f, issuers %d, %d MiB,"
+                + " checked %s, excused %s: %s%n", seed, mode, faults,
+                figures.kept(), figures.windows(), figures.stations().stream().map(one -> one.contract().station() + ' '
+                + one.kept()).collect(Collectors.joining(", ")), figures.penalty(), figures.worth(),
+                figures.largestRise(), leanings.stream().mapToDouble(Leaning::least).min().orElse(1), issuers,
+                outcome.memoryKb() >> 10, verdict.checked(), verdict.excused(),
+                verdict.broken().isEmpty() ? "no rule broken" : "BROKEN");
+        verdict.broken().stream().limit(8).forEach(one -> System.out.println("  " + one));
+    }
+
+    private static void total(Mode mode, List<StationFigures> all) {
+        System.out.printf("| %s | %.3f | %.3f | %.4f | %.1f |%n", mode,
+                (double) all.stream().mapToLong(StationFigures::kept).sum()
+                        / all.stream().mapToLong(StationFigures::windows).sum(),
+                all.stream().mapToDouble(StationFigures::penalty).average().orElse(0),
+                all.stream().mapToDouble(StationFigures::worth).average().orElse(0),
+                all.stream().mapToDouble(StationFigures::largestRise).average().orElse(0));
+        for (int i = 0; i < all.get(0).stations().size(); i++) {
+            int index = i;
+            System.out.printf("|   %s | %.3f |%n", all.get(0).stations().get(i).contract().station(),
+                    (double) all.stream().mapToLong(one -> one.stations().get(index).kept()).sum()
+                            / all.stream().mapToLong(one -> one.stations().get(index).windows()).sum());
+        }
+    }
+
+    // ---- Its files ----
+
+    private String reader(boolean steers) {
+        return """
+                [fleet]
+                site = "rig"
+                addresses = ["{link:fleet-1}", "{link:fleet-2}", "{link:fleet-3}"]
+                steers = %s
+                first-interval = "1 s"
+                longest-interval = "5 s"
+                patience = "1 s"
+                step = 0.1
+                step-every = "%d ms"
+                """.formatted(steers, (int) number("every", 1_000));
+    }
+
+    private String figures() {
+        return """
+                least-interval = "%1$d ms"
+                longest-interval = "5 s"
+                table-every = "%1$d ms"
+                lease = "%2$d s"
+                gossip-every = "500 ms"
+                suspect-after = "2 s"
+                dead-after = "2 s"
+                keep-every = "2 s"
+                """.formatted((int) number("every", 1_000), (int) number("lease", 20));
+    }
+
+    private Scenario scenario(long seed) {
+        String windows = Arrays.stream(options.getOrDefault("windows", "30,180").split(","))
+                .map(each -> '"' + each + " s\"").collect(Collectors.joining(", "));
+        StringBuilder promises = new StringBuilder();
+        List.of("city-fm/save/10", "harbour/list/3", "hill-radio/donation/1").forEach(each -> {
+            String[] words = each.split("/");
+            promises.append("[[promise]]\nstation = \"%s\"\nclass = \"%s\"\npenalty = %s\nshare = %s%n"
+                    .formatted(words[0], words[1], words[2], number("share", 0.95)))
+                    .append("within = \"250 ms\"\nwindows = [").append(windows).append("]\n");
+        });
+        Scenario scenario = RigFile.read(RigFile.FILES.read("stations", """
+                kind = "rig"
+                [run]
+                length = "20 s"
+                [network]
+                zones = ["north", "bay", "hill"]
+                [[servers]]
+                name = "server"
+                count = %d
+                [[class]]
+                name = "save"
+                share = 0.35
+                work = "50 ms"
+                aim = "500 ms"
+                deadline = "2500 ms"
+                worth = 5
+                [[class]]
+                name = "list"
+                share = 0.34
+                work = "50 ms"
+                aim = "400 ms"
+                deadline = "1 s"
+                late-worth = 0.3
+                [[class]]
+                name = "donation"
+                share = 0.31
+                work = "40 ms"
+                aim = "400 ms"
+                deadline = "2 s"
+                worth = 10
+                effect = "unsafe"
+                [[tenant]]
+                name = "city-fm"
+                share = 0.45
+                [[tenant]]
+                name = "harbour"
+                share = 0.3
+                [[tenant]]
+                name = "hill-radio"
+                share = 0.25
+                [clients]
+                rate = %s
+                [sidecars]
+                count = %d
+                skew = 0.2
+                [discovery]
+                notice = "300 ms"
+                silent-notice = "2 s"
+                [rules]
+                answer-slack = "%s ms"
+                """.formatted((int) number("servers", 9), number("rate", 150), (int) number("sidecars", 12),
+                (int) number("slack-ms", 200)) + promises).values().orElseThrow()).scenario();
+        return scenario.with(new Run(Duration.ofMillis((long) (1e3 * number("length", 180))), seed),
+                scenario.servers(), List.of());
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/rig/Rig.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Rig.java
@@ -12,6 +12,9 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import peppergauge.daemon.file.DaemonFile;
+import peppergauge.fleet.file.FleetSection;
+import peppergauge.fleet.reader.ReaderSettings;
 import peppergauge.lab.fault.Names;
 import peppergauge.lab.history.Bounds;
 import peppergauge.lab.history.Event;
@@ -19,9 +22,11 @@
 import peppergauge.lab.history.Rules;
 import peppergauge.lab.history.What;
 import peppergauge.lab.load.Generator;
+import peppergauge.lab.play.Daemons;
 import peppergauge.lab.relay.Tap;
 import peppergauge.lab.scenario.Scenario;
 import peppergauge.lab.wire.Loop;
+import peppergauge.operator.OperatorFiles;
 
 /**
  * Puts processes together and lets faults happen between them: one thread has all links and all clients, a pool starts
@@ -203,6 +208,15 @@
                 backMs, windowMs);
     }
 
+    /** The same, with the steps that the daemons' own tables say. */
+    static Bounds stepping(Bounds bounds, Commands commands) {
+        String file = "kind = \"daemon\"\n[sidecar]\nconfig = \"c\"\n[admin]\nsocket = \"s\"\n"
+                + commands.daemons().flatMap(Daemons::tables).orElse("").replaceAll("\\{link:[^}]*}", "127.0.0.1:1");
+        return new OperatorFiles(List.of(DaemonFile.KIND)).read("daemon.toml", file).values()
+                .flatMap(FleetSection::settings).map(ReaderSettings::bounds)
+                .map(reader -> bounds.stepping(reader.step(), reader.stepMs())).orElse(bounds);
+    }
+
     /** Resident memory of all processes of this name's beginning, KiB. */
     public long rssKb(String prefix) {
         return cast.members().values().stream().filter(member -> member.name().startsWith(prefix))
--- a/lab/src/main/java/peppergauge/lab/rig/Sweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Sweep.java
@@ -86,7 +86,7 @@
     }
 
     private Bounds bounds(RigFile file) {
-        return Rig.bounds(file.scenario(), backMs, windowMs);
+        return Rig.stepping(Rig.bounds(file.scenario(), backMs, windowMs), commands);
     }
 
     /** The fewest faults that break a rule that this outcome broke. */
--- a/lab/src/test/java/peppergauge/lab/history/RulesTest.java
+++ b/lab/src/test/java/peppergauge/lab/history/RulesTest.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -38,6 +39,70 @@
     private static final String ASKED = "100 ASKED clients s1 a.0 500 safe;";
     private static final String GIFT = "100 ASKED clients s1 a.0 500 unsafe;150 ENDED s1 - a.0 0 ";
 
+    /** What s1 says is in force, 1 ms after it was asked. */
+    private static String leans(double atMs, long version, long leftMs, double factor) {
+        return atMs + " STEERED s1 - - " + version + ' ' + new Leaning(1, leftMs, factor == 1 ? Map.of()
+                : Map.of("radio", Map.of("east", factor))).json() + ';';
+    }
+
+    @DataProvider
+    public static Object[][] leanings() {
+        String down = "20000 DOWN s1 - - 0 -;20300 UP s1 - - 0 -;";
+        String ended = "20000 TERMINATED s1 - - 0 -;20300 UP s1 - - 0 -;";
+        return new Object[][] {
+            // A step each second, in either direction; one may come right after the first look.
+            {leans(100, 5, 9_000, 1) + leans(400, 5, 8_700, 0.9) + leans(1_500, 5, 7_600, 0.8), "", ""},
+            {leans(100, 5, 9_000, 0.5) + leans(400, 5, 8_700, 0.6), "", ""},
+            {leans(100, 5, 9_000, 0.5) + leans(3_300, 5, 5_800, 0.9), "", ""},
+            {leans(100, 5, 9_000, 1) + leans(400, 5, 8_700, 0.89), "step", ""},
+            {leans(100, 5, 9_000, 0.5) + leans(400, 5, 8_700, 0.61), "step", ""},
+            {leans(100, 5, 9_000, 0.5) + leans(3_000, 5, 6_100, 0.9), "step", ""},
+            // No two looks are far apart, and all of them are.
+            {leans(100, 5, 9_000, 1) + leans(400, 5, 8_700, 0.9) + leans(700, 5, 8_400, 0.8), "step", ""},
+            {leans(100, 5, 9_000, 1) + leans(400, 6, 9_000, 0.95) + leans(700, 6, 8_700, 0.89), "step", ""},
+            {leans(100, 5, 9_000, 1) + leans(400, 5, 8_700, 0.9) + leans(800, 5, 8_300, 0.8)
+                + "600 LATE rig - - 400 -", "", "step: the machine let all wait"},
+            // Range.
+            {leans(100, 5, 9_000, 0.05) + leans(400, 5, 9_000, 0.05), "", ""},
+            {leans(100, 5, 9_000, 0.04), "step", ""}, {leans(100, 5, 9_000, 1.01), "step", ""},
+            // Without a table, or with one whose lease is over, all are 1; how far that is does not matter.
+            {leans(100, 0, 0, 1) + leans(400, 0, 0, 1), "", ""}, {leans(100, 0, 0, 0.95), "step", ""},
+            {leans(100, 5, 200, 0.3) + leans(400, 5, -100, 1), "", ""},
+            {leans(100, 5, 400, 0.3) + leans(400, 5, 100, 1), "step", ""},
+            {leans(100, 5, 200, 0.3) + leans(330, 5, -30, 0.3), "", ""},
+            {leans(100, 5, 200, 0.3) + leans(400, 5, -100, 0.3), "step", ""},
+            {leans(100, 5, 200, 0.3) + leans(400, 5, -100, 0.3) + "420 LATE rig - - 200 -", "",
+                "step: the machine let all wait"},
+            {leans(100, 5, 200, 0.3) + "200 STOPPED s1 - - 0 -;390 CONTINUED s1 - - 0 -;" + leans(400, 5, -100, 0.3),
+                "", "step: its sidecar stood still"},
+            // Between two looks it was over, and another table came: from no steering at all.
+            {leans(100, 5, 200, 0.3) + leans(400, 6, 9_000, 0.9), "", ""},
+            {leans(100, 5, 200, 0.3) + leans(400, 6, 9_000, 0.8), "step", ""},
+            {leans(100, 5, 200, 0.95) + leans(400, 6, 9_000, 0.85), "", ""},
+            {leans(100, 5, 400, 0.3) + leans(400, 6, 9_000, 0.9), "step", ""},
+            // A new process begins with none. What answers while it starts may be either one.
+            {leans(19_900, 5, 9_000, 0.3) + down + leans(20_100, 5, 8_000, 0.3) + leans(20_200, 0, 0, 1)
+                + leans(20_400, 6, 9_000, 0.9) + leans(21_500, 6, 9_000, 0.8), "", ""},
+            {leans(19_900, 5, 9_000, 0.3) + ended + leans(20_100, 5, 8_000, 0.3) + leans(20_200, 0, 0, 1)
+                + leans(20_400, 6, 9_000, 0.9) + leans(21_500, 6, 9_000, 0.8), "", ""},
+            {leans(19_900, 5, 9_000, 0.3) + down + leans(20_400, 6, 9_000, 0.3), "step", ""},
+            {leans(19_900, 5, 9_000, 0.8) + ended + leans(20_400, 6, 9_000, 0.8), "step", ""},
+            {leans(19_900, 5, 9_000, 0.3) + down + leans(20_400, 6, 9_000, 0.9) + leans(20_700, 6, 9_000, 0.8), "step",
+                ""},
+            {leans(19_900, 5, 9_000, 0.3) + down + leans(20_200, 0, 0, 0.9), "step", ""},
+            // Another reader's are its own.
+            {leans(100, 5, 9_000, 1) + leans(400, 5, 9_000, 0.3).replace("s1", "s2"), "", ""},
+        };
+    }
+
+    @Test(dataProvider = "leanings")
+    public void whatIsInForceMovesByBoundedSteps(String lines, String broken, String excuse) {
+        Verdict verdict = Rules.check(history(lines), BOUNDS.stepping(0.1, 1_000));
+        assertEquals(verdict.rules(), broken.isEmpty() ? Set.of() : Set.of(broken), verdict.broken().toString());
+        assertEquals(verdict.excused().keySet(), excuse.isEmpty() ? Set.of() : Set.of(excuse));
+        assertEquals(verdict.checked().get("step"), Integer.valueOf(lines.split("STEERED").length - 1));
+    }
+
     @DataProvider
     public static Object[][] histories() {
         return new Object[][] {
--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/rig/PromiseRigTest.java
@@ -0,0 +1,126 @@
+package peppergauge.lab.rig;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.testng.annotations.Test;
+import peppergauge.lab.fault.Budget;
+import peppergauge.lab.history.Event;
+import peppergauge.lab.history.History;
+import peppergauge.lab.history.Leaning;
+import peppergauge.lab.history.What;
+import peppergauge.lab.play.Daemons;
+import peppergauge.promises.file.PromiseSection;
+
+/** Three daemons, a server in each of three data centres, and two instances of the fleet service, as compiled. */
+public class PromiseRigTest {
+
+    private static final String CAST = """
+            kind = "rig"
+            [run]
+            length = "15 s"
+            seed = 5
+            [network]
+            zones = ["a", "b", "c"]
+            [[servers]]
+            name = "server"
+            count = 3
+            [[class]]
+            name = "list"
+            work = "10 ms"
+            aim = "600 ms"
+            deadline = "2 s"
+            [[tenant]]
+            name = "radio"
+            [clients]
+            rate = 60
+            [sidecars]
+            count = 3
+            skew = 0
+            [discovery]
+            notice = "100 ms"
+            [rules]
+            answer-slack = "1 s"
+            drain-grace = "1 s"
+            [[promise]]
+            station = "radio"
+            class = "list"
+            share = 0.95
+            within = "300 ms"
+            windows = ["20 s"]
+            [[fault]]
+            time = "1 s"
+            what = "delay"
+            target = "*>server-3"
+            length = "14 s"
+            size = 250
+            [[fault]]
+            time = "8 s"
+            what = "kill"
+            target = "fleet-1"
+            length = "5 s"
+            """;
+    private static final String TABLES = """
+            [fleet]
+            site = "rig"
+            addresses = ["{link:fleet-1}", "{link:fleet-2}"]
+            first-interval = "500 ms"
+            longest-interval = "2 s"
+            patience = "1 s"
+            step-every = "500 ms"
+            """;
+    private static final String FIGURES = """
+            least-interval = "500 ms"
+            longest-interval = "2 s"
+            table-every = "500 ms"
+            lease = "20 s"
+            gossip-every = "200 ms"
+            suspect-after = "1 s"
+            dead-after = "500 ms"
+            """;
+
+    private static String java(String file) {
+        return "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
+                + "' -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx64m -ea:peppergauge... -cp '"
+                + System.getProperty("java.class.path") + "' peppergauge.daemon.Daemon daemon --config " + file;
+    }
+
+    private static Set<Long> issuers(History history, String reader) {
+        return history.of(What.TABLE).filter(look -> look.who().equals(reader)).map(look -> look.number() & 255)
+                .collect(Collectors.toSet());
+    }
+
+    /** That it was killed while tables leaned, and what came of it, is told by the history alone. */
+    @Test
+    public void anotherInstanceTakesOverWhileStationsLean() throws Exception {
+        RigFile file = RigFile.read(RigFile.FILES.read("rig.toml", CAST).values().orElseThrow());
+        Commands commands = new Commands(Path.of("").toAbsolutePath(), "", Optional.of(
+                new Daemons(java("{dir}/" + Daemons.FILE), Optional.of(TABLES))));
+        List<FurtherProgram> programs = Instances.ofFleetService(java("{dir}/fleet.toml"), FIGURES
+                + file.scenario().contracts().stream().map(PromiseSection::toToml).collect(Collectors.joining()))
+                .programs(2);
+        Sweep sweep = new Sweep(commands, new Capacity(1, 5, 1_000), programs, new Budget(1, 1, Duration.ofSeconds(1),
+                Duration.ofSeconds(2), Duration.ofSeconds(1)), 8_000, 1_500);
+        Sweep.Outcome outcome = sweep.run(file);
+        assertEquals(outcome.verdict().broken().toString(), "[]", outcome.verdict().excused().toString());
+        assertTrue(outcome.verdict().checked().keySet().containsAll(Set.of("answer", "version", "step", "back")),
+                outcome.verdict().checked().toString());
+        History history = outcome.history();
+        for (String reader : RigFile.sidecars(file.scenario())) {
+            assertTrue(issuers(history, reader).containsAll(Set.of(1L, 2L)), reader + " " + issuers(history, reader));
+            assertTrue(history.of(What.STEERED).filter(look -> look.who().equals(reader)
+                    && (look.number() & 255) == 2).map(Event::text).map(Leaning::read).anyMatch(leaning ->
+                    leaning.factors().getOrDefault("radio", Map.of()).getOrDefault("c", 1.0) < 0.6),
+                    reader + " leans away from what is slow, by the second one's table");
+        }
+        StationFigures figures = StationFigures.of(history, file.scenario());
+        assertTrue(figures.worth() > 0.5, "service goes on: " + figures);
+    }
+}
