--- a/lab/src/main/java/peppergauge/lab/history/What.java
+++ b/lab/src/main/java/peppergauge/lab/history/What.java
@@ -5,6 +5,8 @@
 
     /** The load begins. */
     BEGIN,
+    /** A schedule of faults begins; others may have been played over the same processes before it. */
+    ROUND,
     /** The load ends: nothing is asked after it. */
     END,
     /**
@@ -46,6 +48,8 @@
     HEALED,
     /** A thread of the lab's (who) was this much later than it meant to be: number, ms. */
     LATE,
+    /** A process (who) was let wait for a CPU so long since the last look: number, ms; text: when that was, ns. */
+    WAITED,
     /** A call was given up by discovery, since too many were before it. */
     CALL_GIVEN_UP
 }
