--- a/lab/src/main/java/peppergauge/lab/history/What.java
+++ b/lab/src/main/java/peppergauge/lab/history/What.java
@@ -9,7 +9,10 @@
     ROUND,
     /** The load ends: nothing is asked after it. */
     END,
-    /** A client asks a sidecar (whom) with a session's id; number: its deadline in ms; text: safe or unsafe. */
+    /**
+     * A client asks a sidecar (whom) with a session's id; number: its deadline in ms; text: safe or unsafe, its class
+     * and, if there are stations, its station.
+     */
     ASKED,
     /** A client has what it gets (who: the sidecar); text: the status or a word of {@code load.Ending}. */
     ENDED,
@@ -37,6 +40,8 @@
     VIEW,
     /** A process is being started. */
     STARTED,
+    /** A reader (who) tells what is in force; number: the version that it holds, 0 for none; text: {@link Leaning}. */
+    STEERED,
     /** A process is ready; text: how it can be reached. */
     UP,
     /** A process was ended, by SIGKILL or otherwise, on purpose. */
