--- a/lab/src/main/java/peppergauge/lab/history/What.java
+++ b/lab/src/main/java/peppergauge/lab/history/What.java
@@ -9,7 +9,10 @@
     ROUND,
     /** The load ends: nothing is asked after it. */
     END,
-    /** A client asks a sidecar (whom) with a session's id; number: its deadline in ms; text: safe or unsafe. */
+    /**
+     * A client asks a sidecar (whom) with a session's id; number: its deadline in ms; text: safe or unsafe, its class
+     * and, if there are stations, its station.
+     */
     ASKED,
     /** A client has what it gets (who: the sidecar); text: the status or a word of {@code load.Ending}. */
     ENDED,
@@ -25,6 +28,20 @@
     TOLD,
     /** A reader (who) takes a fleet table; number: its version. */
     TABLE,
+    /** A sidecar (who) opens a connection to a backend server (whom). */
+    CONNECTED,
+    /** A sidecar (who) calls discovery (whom), whatever becomes of the call; number: which connection. */
+    CALLED,
+    /** That call waits no longer; text: answered, closed (by the sidecar) or broken. */
+    CALL_ENDED,
+    /** What a daemon (who) heard of the fleet service in this life of its process; text: what; number: how often. */
+    HEARD,
+    /** An instance of the fleet service (who) knows so many daemons: number; text: whose table it hands out. */
+    VIEW,
+    /** A process is being started. */
+    STARTED,
+    /** A reader (who) tells what is in force; number: the version that it holds, 0 for none; text: {@link Leaning}. */
+    STEERED,
     /** A process is ready; text: how it can be reached. */
     UP,
     /** A process was ended, by SIGKILL or otherwise, on purpose. */
--- a/lab/src/main/java/peppergauge/lab/rig/Rig.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Rig.java
@@ -5,13 +5,20 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
+import peppergauge.daemon.file.DaemonFile;
+import peppergauge.fleet.file.FleetSection;
+import peppergauge.fleet.reader.ReaderSettings;
 import peppergauge.lab.fault.Fault;
 import peppergauge.lab.fault.Names;
 import peppergauge.lab.history.Bounds;
@@ -20,10 +27,12 @@
 import peppergauge.lab.history.Rules;
 import peppergauge.lab.history.What;
 import peppergauge.lab.load.Generator;
+import peppergauge.lab.play.Daemons;
 import peppergauge.lab.process.CpuWaits;
 import peppergauge.lab.relay.Tap;
 import peppergauge.lab.scenario.Scenario;
 import peppergauge.lab.wire.Loop;
+import peppergauge.operator.OperatorFiles;
 
 /**
  * Puts processes together and lets faults happen between them: one thread has all links and all clients, a pool starts
@@ -54,7 +63,7 @@
     /** How often the end looks for sessions that are still open, ms, and for how long the loop may be away. */
     private static final double LOOK_MS = 50;
     private static final double TABLES_MS = 300;
-    private static final double WAITS_MS = 200;
+    private static final double LOOK_EACH_MS = 10;
     /** Of two threads within a look: less is no news. */
     private static final double LEAST_WAIT_MS = 10;
     private static final long LONGEST_STALL_S = 5;
@@ -113,6 +122,9 @@
         // What servers wrote last may still be in their pipes.
         sleepMs(5 * LOOK_MS);
         cast.members().values().forEach(Member::checkAlive);
+        if (looksAtTables()) {
+            RigFile.sidecars(scenario).forEach(name -> TableLook.counts(socket(name), name, recorder));
+        }
         if (failure != null) {
             throw new IOException("the rig's thread failed", failure);
         }
@@ -177,46 +189,54 @@
     }
 
     /** Where sidecars are daemons with further programs beside them, such as the fleet service's instances. */
+    private boolean looksAtTables() {
+        return plan.commands().daemons().isPresent() && !plan.programs().isEmpty();
+    }
+
+    private Path socket(String sidecar) {
+        return cast.members().get(sidecar).disk().resolve("admin.sock");
+    }
+
     private void lookAtTables() {
-        if (plan.commands().daemons().isEmpty() || plan.programs().isEmpty()) {
+        if (!looksAtTables()) {
             return;
         }
         for (String sidecar : RigFile.sidecars(scenario)) {
-            Path socket = cast.members().get(sidecar).disk().resolve("admin.sock");
-            hands.execute(() -> {
-                try {
-                    while (!hands.isShutdown()) {
-                        TableLook.at(socket, sidecar, recorder);
-                        sleepMs(TABLES_MS);
-                    }
-                } catch (InterruptedException closing) {
-                    Thread.currentThread().interrupt();
-                }
-            });
+            again(() -> TableLook.at(socket(sidecar), sidecar, recorder));
+        }
+        for (FurtherProgram program : plan.programs()) {
+            again(() -> TableLook.status(program, recorder));
         }
     }
 
+    /** Until the rig is closed; the more there are the less often, for a look costs who is looked at. */
+    private void again(Runnable look) {
+        double pauseMs = Math.max(TABLES_MS, LOOK_EACH_MS * scenario.sidecars().count());
+        hands.execute(() -> {
+            try {
+                while (!hands.isShutdown()) {
+                    look.run();
+                    sleepMs(pauseMs);
+                }
+            } catch (InterruptedException closing) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
     /** One that gets no CPU while its neighbours do would be taken for one that is late by itself. */
     private void lookAtWaits() {
         for (String sidecar : RigFile.sidecars(scenario)) {
             Member member = cast.members().get(sidecar);
             CpuWaits waits = new CpuWaits();
-            hands.execute(() -> {
-                long lastNs = System.nanoTime();
-                try {
-                    while (!hands.isShutdown()) {
-                        long nowNs = System.nanoTime();
-                        double ms = member.pid().isPresent() ? waits.sinceLastMs(member.pid().getAsLong()) : 0;
-                        if (ms >= LEAST_WAIT_MS) {
-                            recorder.add(new Event(nowNs, What.WAITED, sidecar, "", "", (long) ms,
-                                    Long.toString(lastNs)));
-                        }
-                        lastNs = nowNs;
-                        sleepMs(WAITS_MS);
-                    }
-                } catch (InterruptedException closing) {
-                    Thread.currentThread().interrupt();
+            AtomicLong lastNs = new AtomicLong(System.nanoTime());
+            again(() -> {
+                long nowNs = System.nanoTime();
+                double ms = member.pid().isPresent() ? waits.sinceLastMs(member.pid().getAsLong()) : 0;
+                if (ms >= LEAST_WAIT_MS) {
+                    recorder.add(new Event(nowNs, What.WAITED, sidecar, "", "", (long) ms, lastNs.toString()));
                 }
+                lastNs.set(nowNs);
             });
         }
     }
@@ -256,10 +276,19 @@
                 backMs, windowMs);
     }
 
-    /** Resident memory of all processes of this name's beginning, KiB. */
-    public long rssKb(String prefix) {
-        return cast.members().values().stream().filter(member -> member.name().startsWith(prefix))
-                .mapToLong(Member::rssKb).sum();
+    /** The same, with the steps that the daemons' own tables say. */
+    static Bounds stepping(Bounds bounds, Commands commands) {
+        String file = "kind = \"daemon\"\n[sidecar]\nconfig = \"c\"\n[admin]\nsocket = \"s\"\n"
+                + commands.daemons().flatMap(Daemons::tables).orElse("").replaceAll("\\{link:[^}]*}", "127.0.0.1:1");
+        return new OperatorFiles(List.of(DaemonFile.KIND)).read("daemon.toml", file).values()
+                .flatMap(FleetSection::settings).map(ReaderSettings::bounds)
+                .map(reader -> bounds.stepping(reader.step(), reader.stepMs())).orElse(bounds);
+    }
+
+    /** Resident memory of all processes, by what their names begin with, KiB. */
+    public Map<String, Long> rssKb() {
+        return cast.members().values().stream().collect(Collectors.groupingBy(
+                member -> member.name().replaceFirst("-.*", ""), TreeMap::new, Collectors.summingLong(Member::rssKb)));
     }
 
     /** For programs that tell what they do, such as a reader of a fleet table. */
