--- a/forecast/src/main/java/peppergauge/forecast/hits/KeyClass.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/KeyClass.java
@@ -26,6 +26,8 @@
     private static final double STEEPEST = 3;
     /** Of all sessions: if heavy keys leave less, they stand for all. */
     private static final double LEAST_LEFT = 0.02;
+    /** From fewer the memory is inferred too surely; the wide interval of the curve makes up for that. */
+    private static final int LEAST_SAMPLED = 50;
     /** Sampled keys beside the heavy ones that stand for the rest. */
     private static final int LEAST_REST = 8;
     /** None of them counts for less than this of a key, however the sum is off. */
@@ -63,14 +65,15 @@
     /**
      * Heavy keys as they are told, and the sampled ones among the rest for all sessions that the heavy ones leave: what
      * the sample is off in that known sum is laid on the more popular of them, as in {@link Forecaster}'s estimate.
-     * Empty where too few are known to reach down to the ranks that the sample stands for, or too few are sampled below.
+     * Empty where too few are known to reach down to the ranks that the sample stands for, or too few are sampled.
      */
     static List<KeyClass> withKnown(Popularity popularity, List<String> stations) {
         Set<KeyCount> known = popularity.heavy().stream().map(KeyClass::name).collect(Collectors.toSet());
         List<KeyCount> rest = popularity.keys().stream().filter(key -> !known.contains(name(key))).toList();
         double left = popularity.sessions() - popularity.heavy().stream().mapToLong(KeyCount::count).sum();
         boolean whole = left <= LEAST_LEFT * popularity.sessions();
-        if (known.isEmpty() || !whole && (known.size() < 1 / popularity.share() || rest.size() < LEAST_REST)) {
+        boolean deep = known.size() >= 1 / popularity.share() && rest.size() >= LEAST_REST;
+        if (known.isEmpty() || popularity.keys().size() < LEAST_SAMPLED || !whole && !deep) {
             return List.of();
         }
         List<KeyClass> classes = new ArrayList<>(grouped(rest, stations));
