--- a/lab/src/main/java/peppergauge/lab/rig/Rig.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Rig.java
@@ -13,8 +13,12 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
+import peppergauge.daemon.file.DaemonFile;
+import peppergauge.fleet.file.FleetSection;
+import peppergauge.fleet.reader.ReaderSettings;
 import peppergauge.lab.fault.Fault;
 import peppergauge.lab.fault.Names;
 import peppergauge.lab.history.Bounds;
@@ -23,9 +27,12 @@
 import peppergauge.lab.history.Rules;
 import peppergauge.lab.history.What;
 import peppergauge.lab.load.Generator;
+import peppergauge.lab.play.Daemons;
+import peppergauge.lab.process.CpuWaits;
 import peppergauge.lab.relay.Tap;
 import peppergauge.lab.scenario.Scenario;
 import peppergauge.lab.wire.Loop;
+import peppergauge.operator.OperatorFiles;
 
 /**
  * Puts processes together and lets faults happen between them: one thread has all links and all clients, a pool starts
@@ -57,6 +64,8 @@
     private static final double LOOK_MS = 50;
     private static final double TABLES_MS = 300;
     private static final double LOOK_EACH_MS = 10;
+    /** Of two threads within a look: less is no news. */
+    private static final double LEAST_WAIT_MS = 10;
     private static final long LONGEST_STALL_S = 5;
     private static final long LONGEST_HEALING_NS = 90_000_000_000L;
 
@@ -102,6 +111,7 @@
         inParallel(cast.members().values().stream().filter(member -> member.name().startsWith("sidecar-")).toList());
         loop.post(this::begin);
         lookAtTables();
+        lookAtWaits();
         round(plan.file().faults());
         for (List<Fault> faults : plan.further()) {
             round(faults);
@@ -214,6 +224,23 @@
         });
     }
 
+    /** One that gets no CPU while its neighbours do would be taken for one that is late by itself. */
+    private void lookAtWaits() {
+        for (String sidecar : RigFile.sidecars(scenario)) {
+            Member member = cast.members().get(sidecar);
+            CpuWaits waits = new CpuWaits();
+            AtomicLong lastNs = new AtomicLong(System.nanoTime());
+            again(() -> {
+                long nowNs = System.nanoTime();
+                double ms = member.pid().isPresent() ? waits.sinceLastMs(member.pid().getAsLong()) : 0;
+                if (ms >= LEAST_WAIT_MS) {
+                    recorder.add(new Event(nowNs, What.WAITED, sidecar, "", "", (long) ms, lastNs.toString()));
+                }
+                lastNs.set(nowNs);
+            });
+        }
+    }
+
     private double rate(int sidecar) {
         double all = 0;
         for (int i = 0; i < scenario.sidecars().count(); i++) {
@@ -249,6 +276,15 @@
                 backMs, windowMs);
     }
 
+    /** The same, with the steps that the daemons' own tables say. */
+    static Bounds stepping(Bounds bounds, Commands commands) {
+        String file = "kind = \"daemon\"\n[sidecar]\nconfig = \"c\"\n[admin]\nsocket = \"s\"\n"
+                + commands.daemons().flatMap(Daemons::tables).orElse("").replaceAll("\\{link:[^}]*}", "127.0.0.1:1");
+        return new OperatorFiles(List.of(DaemonFile.KIND)).read("daemon.toml", file).values()
+                .flatMap(FleetSection::settings).map(ReaderSettings::bounds)
+                .map(reader -> bounds.stepping(reader.step(), reader.stepMs())).orElse(bounds);
+    }
+
     /** Resident memory of all processes, by what their names begin with, KiB. */
     public Map<String, Long> rssKb() {
         return cast.members().values().stream().collect(Collectors.groupingBy(
--- a/lab/src/main/java/peppergauge/lab/rig/TableLook.java
+++ b/lab/src/main/java/peppergauge/lab/rig/TableLook.java
@@ -1,5 +1,6 @@
 package peppergauge.lab.rig;
 
+import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
@@ -11,7 +12,9 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Map;
 import peppergauge.lab.history.Event;
+import peppergauge.lab.history.Leaning;
 import peppergauge.lab.history.What;
 import peppergauge.lab.wire.Listener;
 
@@ -19,17 +22,28 @@
 final class TableLook {
 
     private static final JsonMapper JSON = new JsonMapper();
+    private static final TypeReference<Map<String, Map<String, Double>>> FACTORS = new TypeReference<>() { };
     private static final int PATIENCE_MS = 1_000;
 
     private TableLook() { }
 
-    /** Records which table a daemon holds, if it holds one. The time is that of the asking: who answered was there. */
+    /**
+     * Records which table a daemon holds, if it holds one, and what of it is in force. The time is that of the asking:
+     * who answered was there.
+     */
     static void at(Path socket, String reader, Recorder recorder) {
         long atNs = System.nanoTime();
-        long version = said(socket).path("version").asLong();
+        JsonNode told = said(socket);
+        if (!told.path("version").isIntegralNumber()) {
+            return;
+        }
+        long version = told.path("version").longValue();
         if (version > 0) {
             recorder.add(Event.of(atNs, What.TABLE, reader).counting(version));
         }
+        Leaning leaning = new Leaning((System.nanoTime() - atNs) / 1e6, told.path("lease_left_ms").longValue(),
+                JSON.convertValue(told.path("in_force"), FACTORS));
+        recorder.add(Event.of(atNs, What.STEERED, reader).counting(version).saying(leaning.json()));
     }
 
     /** Records what became of a daemon's reports and asks since it started. */
