--- a/fleet/src/main/java/peppergauge/fleet/state/KeyChecks.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/KeyChecks.java
@@ -7,11 +7,14 @@
 import peppergauge.forecast.memory.ServiceTimes;
 import peppergauge.forecast.memory.ServiceTimes.Seen;
 import peppergauge.forecast.memory.ServiceTimes.Sum;
+import peppergauge.forecast.seen.AnswerLevels;
 
 /** Whether what serves forecasts can be reckoned with: one broken daemon must not end all planning. */
 final class KeyChecks {
 
     static final int MOST_KEYS = 8_192;
+    /** Four times what this release tells, so that a later one may tell more. */
+    private static final int MOST_HEAVY = 2_048;
     private static final int MOST_KINDS = 16;
     private static final int MOST_GAPS = 64;
     private static final int LONGEST_NAME = 200;
@@ -24,16 +27,29 @@
     static boolean usable(DaemonReport report) {
         return (report.keys() == null || usable(report.keys()))
                 && (report.servers() == null || usable(report.servers()))
-                && (report.serviceTimes() == null || usable(report.serviceTimes()));
+                && (report.serviceTimes() == null || usable(report.serviceTimes()))
+                && (report.levels() == null || usable(report.levels()));
+    }
+
+    private static boolean usable(AnswerLevels levels) {
+        return usable(levels.all(), 0) && usable(levels.near(), 0) && levels.near().count() <= levels.all().count()
+                && levels.keys().size() <= MOST_KEYS
+                && levels.keys().values().stream().allMatch(sum -> usable(sum, 1));
     }
 
     private static boolean usable(KeyReport keys) {
         return counted(keys.sessions()) && keys.keys().size() <= MOST_KEYS
-                && keys.keys().stream().allMatch(KeyChecks::usable);
+                && keys.keys().stream().allMatch(KeyChecks::usable) && (keys.heavy() == null || usable(keys.heavy()));
+    }
+
+    private static boolean usable(KeyReport.Heavy heavy) {
+        return heavy.error() >= 0 && heavy.error() <= heavy.floor() && heavy.floor() <= MOST
+                && heavy.keys().size() <= MOST_HEAVY && heavy.keys().stream().allMatch(key ->
+                        station(key.station()) && counted(key.count()));
     }
 
     private static boolean usable(KeyReport.Key key) {
-        return key.station() != null && key.station().length() <= LONGEST_NAME && counted(key.count())
+        return station(key.station()) && counted(key.count())
                 && key.gaps().size() <= MOST_GAPS && key.gaps().stream().allMatch(KeyChecks::counted);
     }
 
@@ -59,6 +75,11 @@
                 && sum.squares() >= 0 && sum.squares() <= MOST;
     }
 
+    /** The empty one stands for those that a daemon no longer tells apart. */
+    private static boolean station(String station) {
+        return station != null && station.length() <= LONGEST_NAME;
+    }
+
     private static boolean counted(long count) {
         return count >= 0 && count <= MOST;
     }
--- a/lab/src/main/java/peppergauge/lab/rig/PromiseSweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/PromiseSweep.java
@@ -14,7 +14,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
-import peppergauge.lab.fault.Budget;
 import peppergauge.lab.fault.Fault;
 import peppergauge.lab.history.Event;
 import peppergauge.lab.history.Leaning;
@@ -88,11 +87,10 @@
             faults.addAll(drawn.faults(seed, INSTANCES, number("lease", 20)));
         }
         Commands commands = new Commands(home, Deploy.checked(Deploy.run(home)),
-                Optional.of(Daemons.launched(Optional.of(reader(mode != Mode.UNSTEERED)))));
+                Optional.of(Daemons.launched(Optional.of(reader(mode != Mode.UNSTEERED)))), true);
         Instances instances = Instances.ofFleetService("exec bin/peppergauge daemon --config {dir}/fleet.toml",
                 figures() + scenario.contracts().stream().map(PromiseSection::toToml).collect(Collectors.joining()));
-        Sweep sweep = new Sweep(commands, new Capacity(2, 2, 1_000), instances.programs(INSTANCES),
-                new Budget(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(2), Duration.ofSeconds(1)),
+        Sweep sweep = new Sweep(commands, Capacity.usual(2, 2, 1_000), instances.programs(INSTANCES),
                 1e3 * number("back", 20), 2_000);
         Sweep.Outcome outcome = sweep.run(new RigFile(scenario, faults));
         if (options.containsKey("history")) {
@@ -116,7 +114,8 @@
                 figures.kept(), figures.windows(), figures.stations().stream().map(one -> one.contract().station() + ' '
                 + one.kept()).collect(Collectors.joining(", ")), figures.penalty(), figures.worth(),
                 figures.largestRise(), leanings.stream().mapToDouble(Leaning::least).min().orElse(1), issuers,
-                outcome.memoryKb() >> 10, verdict.checked(), verdict.excused(),
+                outcome.memoryKb().values().stream()
+                .mapToLong(kb -> kb).sum() >> 10, verdict.checked(), verdict.excused(),
                 verdict.broken().isEmpty() ? "no rule broken" : "BROKEN");
         verdict.broken().stream().limit(8).forEach(one -> System.out.println("  " + one));
     }
--- a/lab/src/test/java/peppergauge/lab/rig/PromiseRigTest.java
+++ b/lab/src/test/java/peppergauge/lab/rig/PromiseRigTest.java
@@ -4,14 +4,12 @@
 import static org.testng.Assert.assertTrue;
 
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.testng.annotations.Test;
-import peppergauge.lab.fault.Budget;
 import peppergauge.lab.history.Event;
 import peppergauge.lab.history.History;
 import peppergauge.lab.history.Leaning;
@@ -104,12 +102,11 @@
     public void anotherInstanceTakesOverWhileStationsLean() throws Exception {
         RigFile file = RigFile.read(RigFile.FILES.read("rig.toml", CAST).values().orElseThrow());
         Commands commands = new Commands(Path.of("").toAbsolutePath(), "", Optional.of(
-                new Daemons(java("{dir}/" + Daemons.FILE), Optional.of(TABLES))));
+                new Daemons(java("{dir}/" + Daemons.FILE), Optional.of(TABLES))), true);
         List<FurtherProgram> programs = Instances.ofFleetService(java("{dir}/fleet.toml"), FIGURES
                 + file.scenario().contracts().stream().map(PromiseSection::toToml).collect(Collectors.joining()))
                 .programs(2);
-        Sweep sweep = new Sweep(commands, new Capacity(1, 5, 1_000), programs, new Budget(1, 1, Duration.ofSeconds(1),
-                Duration.ofSeconds(2), Duration.ofSeconds(1)), 8_000, 1_500);
+        Sweep sweep = new Sweep(commands, Capacity.usual(1, 5, 1_000), programs, 8_000, 1_500);
         Sweep.Outcome outcome = sweep.run(file);
         assertEquals(outcome.verdict().broken().toString(), "[]", outcome.verdict().excused().toString());
         assertTrue(outcome.verdict().checked().keySet().containsAll(Set.of("answer", "version", "step", "back")),
