--- a/bodies/src/test/java/peppergauge/bodies/ledger/LedgerInvariantsTest.java
+++ b/bodies/src/test/java/peppergauge/bodies/ledger/LedgerInvariantsTest.java
@@ -3,20 +3,17 @@
 import java.io.IOException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import peppergauge.invariant.Loads;
 import peppergauge.invariant.PlantedSource;
 
 /** The ledger of bodies and the limits of flows under random load, with faults planted in their sources. */
 public class LedgerInvariantsTest {
 
-    private static final int SEEDS = Integer.getInteger("invariant.seeds", 20);
+    private static final int SEEDS = 20;
 
     @Test
     public void allHoldsWhateverComes() {
-        long startedNs = System.nanoTime();
-        for (long seed = 1; seed <= SEEDS; seed++) {
-            LedgerLoad.run(seed);
-        }
-        System.out.printf("bodies: %d seeds, %.1f s%n", SEEDS, (System.nanoTime() - startedNs) / 1e9);
+        Loads.each("bodies", SEEDS, LedgerLoad::run);
     }
 
     @DataProvider
--- a/nomad/src/test/java/peppergauge/membership/MembershipInvariantsTest.java
+++ b/nomad/src/test/java/peppergauge/membership/MembershipInvariantsTest.java
@@ -3,24 +3,17 @@
 import java.io.IOException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import peppergauge.invariant.Loads;
 import peppergauge.invariant.PlantedSource;
 
 /** Membership under random load, with assertions on, and with faults planted in its sources. */
 public class MembershipInvariantsTest {
 
-    private static final int SEEDS = Integer.getInteger("invariant.seeds", 100);
+    private static final int SEEDS = 100;
 
     @Test
     public void allHoldsWhateverIsTold() {
-        long startedNs = System.nanoTime();
-        for (long seed = 1; seed <= SEEDS; seed++) {
-            try {
-                MembershipLoad.run(seed);
-            } catch (AssertionError | RuntimeException broken) {
-                throw new AssertionError("seed " + seed + ": " + broken, broken);
-            }
-        }
-        System.out.printf("membership: %d seeds, %.1f s%n", SEEDS, (System.nanoTime() - startedNs) / 1e9);
+        Loads.each("membership", SEEDS, MembershipLoad::run);
     }
 
     @DataProvider
--- a/nomad/src/test/java/peppergauge/membership/MembershipLoad.java
+++ b/nomad/src/test/java/peppergauge/membership/MembershipLoad.java
@@ -5,12 +5,13 @@
 import java.util.SplittableRandom;
 import peppergauge.decision.Balancer.ServerEntry;
 import peppergauge.decision.Balancer.ServerState;
+import peppergauge.invariant.Loads;
 import peppergauge.session.ServerTable;
 
 /** Sources that tell anything: ids that move, places that change hands, whole lists, parts, old lists and silence. */
 public final class MembershipLoad {
 
-    private static final int STEPS = 800;
+    private static final int STEPS = Loads.steps(800);
 
     private final SplittableRandom random;
     private final List<String> sources;
--- a/sidecar/src/main/java/peppergauge/coldstart/PromptPace.java
+++ b/sidecar/src/main/java/peppergauge/coldstart/PromptPace.java
@@ -45,12 +45,16 @@
     public synchronized double answerMs() {
         double wait = answerMs * between(1 - ANSWER_SPREAD, 1 + ANSWER_SPREAD);
         answerMs = Math.min(LONGEST_SILENCE_MS, answerMs * 2);
-        return Math.min(wait, LONGEST_SILENCE_MS);
+        wait = Math.min(wait, LONGEST_SILENCE_MS);
+        assert wait > 0 : "to wait " + wait + " ms for an answer";
+        return wait;
     }
 
     @Override
     public synchronized double silenceMs() {
-        return between(LEAST_SILENCE_MS, LONGEST_SILENCE_MS);
+        double silence = between(LEAST_SILENCE_MS, LONGEST_SILENCE_MS);
+        assert silence >= LEAST_SILENCE_MS && silence <= LONGEST_SILENCE_MS : "a silence of " + silence + " ms";
+        return silence;
     }
 
     @Override
@@ -61,7 +65,9 @@
 
     @Override
     public synchronized double afterSilenceMs() {
-        return random.nextDouble() * LONGEST_PAUSE_MS;
+        double pause = random.nextDouble() * LONGEST_PAUSE_MS;
+        assert pause >= 0 && pause <= LONGEST_PAUSE_MS : "a pause of " + pause + " ms after a silence";
+        return pause;
     }
 
     /** Each drawn between the least and a multiple of the one before. */
@@ -69,6 +75,7 @@
     public synchronized double afterEndMs() {
         answerMs = FIRST_ANSWER_MS;
         backoffMs = Math.min(LONGEST_BACKOFF_MS, between(LEAST_BACKOFF_MS, BACKOFF_TIMES * backoffMs));
+        assert backoffMs >= LEAST_BACKOFF_MS && backoffMs <= LONGEST_BACKOFF_MS : "a pause of " + backoffMs + " ms";
         return backoffMs;
     }
 
--- a/sidecar/src/main/java/peppergauge/coldstart/Readiness.java
+++ b/sidecar/src/main/java/peppergauge/coldstart/Readiness.java
@@ -11,14 +11,16 @@
 public record Readiness(double patienceMs, double longestMs) {
 
     public Readiness {
-        if (patienceMs < 0 || longestMs < patienceMs) {
+        if (!(patienceMs >= 0 && longestMs >= patienceMs)) {
             throw new IllegalArgumentException("patience " + patienceMs + " ms and longest " + longestMs + " ms");
         }
     }
 
     /** The longest wait, ms. */
     public double waitMs(int serversKnown) {
-        return serversKnown > 0 ? patienceMs : longestMs;
+        double wait = serversKnown > 0 ? patienceMs : longestMs;
+        assert wait <= longestMs : "ready only after " + wait + " ms";
+        return wait;
     }
 
     /**
@@ -29,6 +31,8 @@
      */
     public boolean isNews(boolean whole, int servers, int serversKnown) {
         // An empty list is what a service tells that has itself just begun: what is known goes before it.
-        return servers > 0 || !whole && serversKnown > 0;
+        boolean news = servers > 0 || !whole && serversKnown > 0;
+        assert !news || servers > 0 || serversKnown > 0 : "ready by news of no server, knowing none";
+        return news;
     }
 }
--- a/sidecar/src/main/java/peppergauge/coldstart/SpreadPace.java
+++ b/sidecar/src/main/java/peppergauge/coldstart/SpreadPace.java
@@ -40,8 +40,8 @@
             double longestPauseMs, double silenceMs) {
 
         public Settings {
-            if (!(callsPerS > 0) || spreadMs < 0 || !(answerMs > 0) || longestAnswerMs < answerMs
-                    || longestPauseMs < LEAST_PAUSE_MS || !(silenceMs > 0)) {
+            if (!(callsPerS > 0 && spreadMs >= 0 && answerMs > 0 && longestAnswerMs >= answerMs
+                    && longestPauseMs >= LEAST_PAUSE_MS && silenceMs > 0)) {
                 throw new IllegalArgumentException("not a pace: calls a second " + callsPerS + ", spread " + spreadMs
                         + ", answer " + answerMs + " to " + longestAnswerMs + ", longest pause " + longestPauseMs
                         + ", silence " + silenceMs);
@@ -76,18 +76,24 @@
 
     @Override
     public synchronized double firstMs() {
-        return random.nextDouble() * firstMs;
+        double pause = random.nextDouble() * firstMs;
+        assert pause >= 0 && pause <= firstMs : "a first pause of " + pause + " ms";
+        return pause;
     }
 
     @Override
     public synchronized double answerMs() {
         waitedMs = answerMs * (1 + SPREAD * random.nextDouble());
+        assert waitedMs > 0 && waitedMs <= settings.longestAnswerMs() * (1 + SPREAD) : "to wait " + waitedMs + " ms";
         return waitedMs;
     }
 
+    /** An answer's head may have come at once: if it falls silent now, no more than this has surely passed. */
     @Override
     public synchronized double silenceMs() {
-        return settings.silenceMs() * (1 + SPREAD * random.nextDouble());
+        double silence = settings.silenceMs() * (1 + SPREAD * random.nextDouble());
+        waitedMs = Math.min(waitedMs, silence);
+        return silence;
     }
 
     @Override
@@ -111,11 +117,15 @@
     private double pauseMs(double passedMs) {
         if (turnMs > 0) {
             // The whole is bounded by turns, so waiting longer for each would only keep all from being told.
-            return Math.max(LEAST_PAUSE_MS, turnMs * (0.5 + random.nextDouble()) - passedMs);
+            double pause = Math.max(LEAST_PAUSE_MS, turnMs * (0.5 + random.nextDouble()) - passedMs);
+            assert passedMs + pause >= turnMs / 2 && pause <= Math.max(LEAST_PAUSE_MS, 1.5 * turnMs) : "a pause of "
+                    + pause + " ms after " + passedMs + " of turns of " + turnMs;
+            return pause;
         }
         // Drawn between the least and a multiple of the one before: pauses grow, and never line up.
         double most = Math.min(settings.longestPauseMs(), PAUSE_TIMES * pauseMs);
         pauseMs = LEAST_PAUSE_MS + random.nextDouble() * (most - LEAST_PAUSE_MS);
+        assert pauseMs >= LEAST_PAUSE_MS && pauseMs <= settings.longestPauseMs() : "a pause of " + pauseMs + " ms";
         return pauseMs;
     }
 }
--- a/sidecar/src/test/java/peppergauge/PlantedFaultsTest.java
+++ b/sidecar/src/test/java/peppergauge/PlantedFaultsTest.java
@@ -3,32 +3,40 @@
 import java.io.IOException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import peppergauge.coldstart.PacesLoad;
+import peppergauge.invariant.Loads;
 import peppergauge.invariant.PlantedSource;
 import peppergauge.overload.OverloadLoad;
 import peppergauge.session.SessionsLoad;
 import peppergauge.sockets.ClientsLoad;
 
 /**
- * Sessions, overload control and sockets' places under random load, as they are and with faults planted in their
- * sources. In no package of theirs, since it knows them all and they know the invariants. The long run by hand is made
- * by {@code -Dinvariant.seeds}.
+ * Sessions, overload control, sockets' places and the paces of a start under random load, as they are and with faults
+ * planted in their sources. In no package of theirs, since it knows them all and they know the invariants.
  */
 public class PlantedFaultsTest {
 
-    private static final int SEEDS = Integer.getInteger("invariant.seeds", 15);
+    private static final int SEEDS = 15;
     private static final int SEEDS_FOR_A_FAULT = 25;
 
     private static final String SESSIONS = "peppergauge.session.SessionsLoad";
     private static final String OVERLOAD = "peppergauge.overload.OverloadLoad";
     private static final String CLIENTS = "peppergauge.sockets.ClientsLoad";
+    private static final String PACES = "peppergauge.coldstart.PacesLoad";
 
-    @Test
-    public void allHoldsWhateverHappens() throws InterruptedException, ReflectiveOperationException {
-        for (long seed = 1; seed <= SEEDS; seed++) {
-            SessionsLoad.run(seed);
-            OverloadLoad.run(seed);
-            ClientsLoad.run(seed);
-        }
+    @DataProvider
+    public Object[][] loads() {
+        return new Object[][] {
+            {"sessions", (Loads.Load) SessionsLoad::run},
+            {"overload", (Loads.Load) OverloadLoad::run},
+            {"clients", (Loads.Load) ClientsLoad::run},
+            {"paces", (Loads.Load) PacesLoad::run},
+        };
+    }
+
+    @Test(dataProvider = "loads")
+    public void allHoldsWhateverHappens(String name, Loads.Load load) {
+        Loads.each(name, SEEDS, load);
     }
 
     @DataProvider
@@ -38,11 +46,13 @@
                 "if (session != null) {\n                end(session);", "a second answer"},
             {SESSIONS, "session/Sessions.java", " && session.out == 0 && !session.answered", " && session.out == 0",
                 "a second answer"},
-            {SESSIONS, "session/Sessions.java", "            fail(session, false);\n            forgetIfOver(session);\n",
+            {SESSIONS, "session/Sessions.java",
+                "            fail(session, false);\n            forgetIfOver(session);\n",
                 "            fail(session, false);\n", "sessions are held that are over"},
             {SESSIONS, "session/Sessions.java", "if (attempt.ended || attempt.begun) {", "if (attempt.begun) {",
                 "more ends than attempts"},
-            {SESSIONS, "session/Sessions.java", "        out.remove(attempt);\n", "", "attempts of sessions that are over"},
+            {SESSIONS, "session/Sessions.java", "        out.remove(attempt);\n", "",
+                "attempts of sessions that are over"},
             {SESSIONS, "session/Sessions.java", "open.containsKey(id) || ended.contains(id) || ", "",
                 "one id for two open sessions"},
             {SESSIONS, "session/Sessions.java", "session.answered && session.out == 0 && open.remove",
@@ -61,15 +71,46 @@
                 + " return sessions.remove(id);", "wait"},
             {OVERLOAD, "overload/Claims.java", "state.served > 0 || state.sessions > 0 ? null : Kind.BROKEN_OFF",
                 "state.served > 0 ? null : Kind.BROKEN_OFF", "do not add up"},
-            {OVERLOAD, "overload/Claims.java", "            list(connection, state, null, 0);\n        }\n    }\n\n    /**\n"
+            {OVERLOAD, "overload/Claims.java",
+                "            list(connection, state, null, 0);\n        }\n    }\n\n    /**\n"
                 + "     * The connection to close now", "        }\n    }\n\n    /**\n     * The connection to close now",
                 "\"listed\""},
             {CLIENTS, "sockets/SocketRoom.java", "closedThisRound.getAndSet(0)", "closedThisRound.get()",
                 "more places than there are"},
-            {CLIENTS, "sockets/Clients.java", "        room.closed();\n", "        room.closed();\n        room.closed();\n",
+            {CLIENTS, "sockets/Clients.java", "        room.closed();\n",
+                "        room.closed();\n        room.closed();\n",
                 "closed twice"},
             {CLIENTS, "sockets/Clients.java", "for (Claimant spare = claims.surplus",
                 "closed(connection); for (Claimant spare = claims.surplus", "over twice"},
+            {SESSIONS, "session/Sessions.java", "if (ended.size() > IDS_KEPT) {", "if (ended.isEmpty()) {",
+                "without bound"},
+            {PACES, "coldstart/PromptPace.java", "Math.min(LONGEST_SILENCE_MS, answerMs * 2)",
+                "Math.min(LONGEST_SILENCE_MS, answerMs * 4)", "of 5700.0"},
+            {PACES, "coldstart/PromptPace.java", "LONGEST_SILENCE_MS = 3_000", "LONGEST_SILENCE_MS = 3_200",
+                "of 3300.0"},
+            {PACES, "coldstart/PromptPace.java",
+                "        answerMs = FIRST_ANSWER_MS;\n        backoffMs = LEAST_BACKOFF_MS;\n",
+                "        backoffMs = LEAST_BACKOFF_MS;\n", "asked for anew only after"},
+            {PACES, "coldstart/PromptPace.java", "between(LEAST_SILENCE_MS, LONG", "between(LEAST_BACKOFF_MS, LONG",
+                "a silence of"},
+            {PACES, "coldstart/PromptPace.java", "Math.min(LONGEST_BACKOFF_MS, between",
+                "Math.max(LEAST_BACKOFF_MS, between",
+                "a pause of"},
+            {PACES, "coldstart/SpreadPace.java", "        waitedMs = Math.min(waitedMs, silence);\n", "",
+                "after the last"},
+            {PACES, "coldstart/SpreadPace.java", "return pauseMs(0);", "return pauseMs(waitedMs);", "after the last"},
+            {PACES, "coldstart/SpreadPace.java", "(0.5 + random", "(0.3 + random", "of turns of"},
+            {PACES, "coldstart/SpreadPace.java", "Math.min(settings.longestAnswerMs(), ANSWER_TIMES * answerMs)",
+                "ANSWER_TIMES * answerMs", "to wait"},
+            {PACES, "coldstart/SpreadPace.java", "Math.min(settings.longestPauseMs(), PAUSE_TIMES * pauseMs)",
+                "PAUSE_TIMES * pauseMs", "a pause of"},
+            {PACES, "coldstart/SpreadPace.java", "        pauseMs = LEAST_PAUSE_MS;\n",
+                "        pauseMs = 4 * LEAST_PAUSE_MS;\n",
+                "a long pause"},
+            {PACES, "coldstart/Readiness.java", "servers > 0 || !whole &&", "servers > 0 ||", "an empty list"},
+            {PACES, "coldstart/Readiness.java", "!whole && serversKnown > 0;", "!whole;", "ready by news of no server"},
+            {PACES, "coldstart/Readiness.java", "serversKnown > 0 ? patienceMs : longestMs;",
+                "serversKnown > 0 ? 2 * longestMs : longestMs;", "ready only after"},
         };
     }
 
--- a/sidecar/src/test/java/peppergauge/overload/OverloadLoad.java
+++ b/sidecar/src/test/java/peppergauge/overload/OverloadLoad.java
@@ -1,5 +1,7 @@
 package peppergauge.overload;
 
+import static peppergauge.invariant.Loads.require;
+
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -81,10 +83,4 @@
             }
         }
     }
-
-    private static void require(boolean holds, String about) {
-        if (!holds) {
-            throw new AssertionError(about);
-        }
-    }
 }
--- a/sidecar/src/test/java/peppergauge/session/SessionsLoad.java
+++ b/sidecar/src/test/java/peppergauge/session/SessionsLoad.java
@@ -1,5 +1,7 @@
 package peppergauge.session;
 
+import static peppergauge.invariant.Loads.require;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -19,6 +21,7 @@
 import peppergauge.decision.Balancer;
 import peppergauge.decision.Decide;
 import peppergauge.invariant.CheckedBalancer;
+import peppergauge.invariant.Loads;
 import peppergauge.log.Log;
 import peppergauge.overload.Overload;
 import peppergauge.overload.OverloadSettings;
@@ -26,7 +29,7 @@
 /** The real sessions over the real module, checked, between clients and servers that do anything, in virtual time. */
 public final class SessionsLoad {
 
-    private static final int STEPS = 1_500;
+    private static final int STEPS = Loads.steps(1_500);
     private static final int SERVERS = 6;
 
     private final SplittableRandom random;
@@ -82,6 +85,9 @@
         for (int i = 0; i < STEPS; i++) {
             step();
         }
+        if (random.nextInt(8) == 0) {
+            crowd();
+        }
         bugs = false;
         boolean[] idle = {false};
         sessions.whenIdle(() -> idle[0] = true);
@@ -107,6 +113,15 @@
         rounds();
     }
 
+    /** More sessions in a row than ids are remembered of. */
+    private void crowd() {
+        for (int i = 0; i < 2_500; i++) {
+            open();
+            pass(random.nextInt(2));
+            List.copyOf(out).forEach(each -> each.end(Outcome.SUCCESS));
+        }
+    }
+
     private void rarely() {
         switch (random.nextInt(6)) {
             case 0 -> table(true);
@@ -339,10 +354,4 @@
         @Override
         public void drop() { }
     }
-
-    private static void require(boolean holds, String about) {
-        if (!holds) {
-            throw new AssertionError(about);
-        }
-    }
 }
--- a/sidecar/src/test/java/peppergauge/sockets/ClientsLoad.java
+++ b/sidecar/src/test/java/peppergauge/sockets/ClientsLoad.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import peppergauge.invariant.Loads;
 import peppergauge.overload.Overload;
 import peppergauge.overload.OverloadSettings;
 import peppergauge.session.Clock;
@@ -11,7 +12,7 @@
 /** Connections that come and go in any way; places are taken and given back, and never more than there are. */
 public final class ClientsLoad {
 
-    private static final int STEPS = 1_500;
+    private static final int STEPS = Loads.steps(1_500);
     private static final int PLACES = 8;
 
     private final SplittableRandom random;
--- a/snapshot/src/test/java/peppergauge/snapshot/donations/LedgerInvariantsTest.java
+++ b/snapshot/src/test/java/peppergauge/snapshot/donations/LedgerInvariantsTest.java
@@ -3,20 +3,18 @@
 import java.io.IOException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import peppergauge.invariant.Loads;
 import peppergauge.invariant.PlantedSource;
 
 /** The ledger of donations under random load, with assertions on, and with faults planted in its sources. */
 public class LedgerInvariantsTest {
 
-    private static final int SEEDS = Integer.getInteger("invariant.seeds", 10);
+    private static final int SEEDS = 10;
 
     @Test
-    public void allHoldsWhateverIsTold() throws IOException {
-        long startedNs = System.nanoTime();
-        for (long seed = 1; seed <= SEEDS; seed++) {
-            LedgerLoad.run(seed);
-        }
-        System.out.printf("donations: %d seeds, %.1f s%n", SEEDS, (System.nanoTime() - startedNs) / 1e9);
+    public void allHoldsWhateverIsTold() {
+        Loads.each("donations", SEEDS, LedgerLoad::run);
+        Loads.each("donations' journal", SEEDS, JournalLoad::run);
     }
 
     @DataProvider
@@ -28,12 +26,18 @@
             {"snapshot/donations/Ledger.java", "all.get(i).kind() == kind && ", "", "an id is kept twice"},
             {"snapshot/donations/JournalFile.java", "length + bytes > most", "length > most", "past its bound"},
             {"snapshot/donations/JournalFile.java", "        length += bytes;\n", "", "torn"},
+            {"snapshot/donations/DonationJournal.java", "queue.add(new Waiting(new Entry(Entry.Kind.SENT, id, "
+                + "wallMs.getAsLong()), written));", "write(List.of(new Waiting(new Entry(Entry.Kind.SENT, id, "
+                + "wallMs.getAsLong()), written)));", "the writer's alone"},
+            {"snapshot/donations/DonationJournal.java", "waiting != END", "waiting.written() == null",
+                "may be sent"},
         };
     }
 
     @Test(dataProvider = "faults")
     public void aPlantedFaultIsFound(String file, String sound, String faulty, String says)
             throws IOException, ReflectiveOperationException {
-        new PlantedSource(file, sound, faulty).mustBeFound("peppergauge.snapshot.donations.LedgerLoad", SEEDS, says);
+        String load = file.endsWith("DonationJournal.java") ? "JournalLoad" : "LedgerLoad";
+        new PlantedSource(file, sound, faulty).mustBeFound("peppergauge.snapshot.donations." + load, SEEDS, says);
     }
 }
--- a/snapshot/src/test/java/peppergauge/snapshot/donations/LedgerLoad.java
+++ b/snapshot/src/test/java/peppergauge/snapshot/donations/LedgerLoad.java
@@ -1,5 +1,7 @@
 package peppergauge.snapshot.donations;
 
+import static peppergauge.invariant.Loads.require;
+
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -10,13 +12,14 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
+import peppergauge.invariant.Loads;
 import peppergauge.snapshot.disk.FaultyDisk;
 import peppergauge.snapshot.disk.Shelf;
 
 /** Donations sent and ended in any order, on a disk that fails now and then, read again after each few. */
 public final class LedgerLoad {
 
-    private static final int STEPS = 300;
+    private static final int STEPS = Loads.steps(300);
     private static final long MOST = 2_000;
 
     private final SplittableRandom random;
@@ -82,10 +85,4 @@
         told.values().forEach(entry -> require(entry.kind() == Entry.Kind.ENDED
                 || again.holds(entry.id()) == (entry.kind() == Entry.Kind.SENT), entry + " is known otherwise"));
     }
-
-    private static void require(boolean holds, String about) {
-        if (!holds) {
-            throw new AssertionError(about);
-        }
-    }
 }
