--- a/lab/src/test/java/peppergauge/lab/history/RulesTest.java
+++ b/lab/src/test/java/peppergauge/lab/history/RulesTest.java
@@ -57,6 +57,14 @@
                 "answer: its sidecar was down"},
             {ASKED + "700 DOWN s1 - - 0 -;690 ENDED s1 - a.0 0 504", "answer", ""},
             {ASKED + "300 DOWN s2 - - 0 -;900 ENDED s1 - a.0 0 504", "answer", ""},
+            // It had no CPU for as long as its client waited beyond the limit; a neighbour's wait excuses nobody else.
+            {ASKED + "2000 ENDED s1 - a.0 0 gave-up;1500 WAITED s1 - - 1400 200000000", "",
+                "answer: its sidecar got no CPU"},
+            {ASKED + "2000 ENDED s1 - a.0 0 gave-up;1500 WAITED s1 - - 1300 200000000", "answer", ""},
+            {ASKED + "2000 ENDED s1 - a.0 0 gave-up;1500 WAITED s2 - - 1400 200000000", "answer", ""},
+            {ASKED + "2000 ENDED s1 - a.0 0 gave-up;5000 WAITED s1 - - 1400 2100000000", "answer", ""},
+            {ASKED + "200 ENDED s1 - a.0 0 closed;110 SENT s1 b a.0 1 GET;150 WAITED s1 - - 1400 0", "answer", ""},
+            {ASKED + "9000 WAITED s1 - - 8000 200000000", "answer", ""},
             {ASKED + "300 STOPPED s1 - - 0 -;800 CONTINUED s1 - - 0 -;810 ENDED s1 - a.0 0 504", "",
                 "answer: its sidecar stood still"},
             {ASKED + "10 STOPPED s1 - - 0 -;90 CONTINUED s1 - - 0 -;810 ENDED s1 - a.0 0 504", "answer", ""},
@@ -139,6 +147,25 @@
         assertEquals(verdict.checked().get("back"), Integer.valueOf(1));
     }
 
+    @DataProvider
+    public static Object[][] rounds() {
+        return new Object[][] {
+            {load(2_000, 4_000, 1), 6_000, ""}, {load(2_000, 5_500, 1), 6_000, "back"},
+            // The next round's faults are no excuse for the one before, nor the other way round.
+            {load(7_000, 60_000, 1), 6_000, "back"}, {load(2_000, 4_900, 1), 5_100, "back"},
+            {load(2_000, 4_900, 1), 6_000, ""},
+        };
+    }
+
+    @Test(dataProvider = "rounds")
+    public void serviceMustBeBackInEachRound(String load, int secondMs, String broken) {
+        Verdict verdict = Rules.check(history(load + ";0 ROUND rig - - 0 -;2000 FAULT s1>b - 1 0 drop;"
+                + "4000 HEALED s1>b - 1 0 drop;" + secondMs + " ROUND rig - - 0 -;7000 FAULT s1>b - 2 0 drop;"
+                + "7100 HEALED s1>b - 2 0 drop"), BOUNDS);
+        assertEquals(verdict.rules(), broken.isEmpty() ? Set.of() : Set.of(broken), verdict.broken().toString());
+        assertEquals(verdict.checked().get("back"), Integer.valueOf(2));
+    }
+
     /** One rule that is broken all the time hides no other. */
     @Test
     public void everyBrokenRuleIsNamed() {
