Invariants of fleet, promises and forecast under random load, with planted faults; breaches there are seen

They had few asserts, no load and no planted fault. A breach ends its duty in the fleet service (ended in status, a line in the log, nothing of it written), and steering or the count of keys in a daemon, never a session. A daemon's log says whether invariants are checked (JDK_JAVA_OPTIONS=-ea:peppergauge...).

Found and mended: counts beyond belief brought totals under 0; a reader's clock that went back kept a table after its lease, and so did a bug in a call; kept shares of unknown zones were not whole; merged states depended on order; two reports of one moment made a span of none; the greatest incarnation could not be refuted.

--- a/daemon/src/main/java/peppergauge/daemon/Daemon.java
+++ b/daemon/src/main/java/peppergauge/daemon/Daemon.java
@@ -14,6 +14,7 @@
 import peppergauge.fleet.plan.PromisePlanner;
 import peppergauge.fleet.service.FleetService;
 import peppergauge.fleet.service.ServiceSettings;
+import peppergauge.log.Log;
 import peppergauge.operator.Reading;
 import peppergauge.operator.Values;
 import peppergauge.promises.file.PromiseSection;
@@ -42,6 +43,7 @@
                     == LogSection.Format.JSON) {
                 JsonLines.install();
             }
+            sayWhetherChecked();
             Running running = new Running(file, values, () -> System.exit(0));
             Runtime.getRuntime().addShutdownHook(new Thread(running::windDown, "wind-down"));
             HangUp.handle(running::reload);
@@ -53,11 +55,21 @@
         }
     }
 
+    /** So that who reads the log knows that a breach would be told, and may end what it is in. */
+    private static void sayWhetherChecked() {
+        boolean checked = false;
+        assert checked = true;
+        if (checked) {
+            Log.line("start", "invariants are checked");
+        }
+    }
+
     /** An instance of the fleet service: no sidecar, and no decision module. */
     private static void serveFleet(Values values) throws IOException, InterruptedException {
         ServiceSettings settings = ServiceSection.settings(values);
         Planner planner = new PromisePlanner(PromiseSection.contracts(values),
                 Tuning.every(settings.tables().everyMs()), new KeyForecasts());
+        sayWhetherChecked();
         FleetService service = new FleetService(settings, planner, new RealDisk(), System::currentTimeMillis);
         Runtime.getRuntime().addShutdownHook(new Thread(service::close, "wind-down"));
         // Its own threads end with the program; this one is what keeps it.
--- a/fleet/src/main/java/peppergauge/fleet/member/Membership.java
+++ b/fleet/src/main/java/peppergauge/fleet/member/Membership.java
@@ -18,6 +18,9 @@
      */
     public record Patience(long suspectMs, long deadMs) { }
 
+    /** Further than any clock tells: of a greater one nothing could be refuted any more. */
+    private static final long MOST_INCARNATION = 1L << 60;
+
     private final String self;
     private final Patience patience;
     private final Map<String, Member> members = new TreeMap<>();
@@ -35,14 +38,15 @@
     }
 
     private void put(Member member, long nowMs) {
-        members.put(member.name(), member);
+        Member before = members.put(member.name(), member);
+        assert before == null || member.overrides(before) : member + " after " + before;
         sinceMs.put(member.name(), nowMs);
     }
 
     /** It spoke, by itself. */
     public void heard(String name, long incarnation, long nowMs) {
         Member known = members.get(name);
-        if (known != null && !name.equals(self)) {
+        if (known != null && !name.equals(self) && incarnation <= MOST_INCARNATION) {
             Member said = new Member(name, incarnation, Member.Standing.ALIVE);
             if (said.overrides(known)) {
                 put(said, nowMs);
@@ -56,7 +60,7 @@
     public void merge(List<Member> told, long nowMs) {
         for (Member member : told) {
             Member known = members.get(member.name());
-            if (known == null || !member.overrides(known)) {
+            if (known == null || !member.overrides(known) || member.incarnation() > MOST_INCARNATION) {
                 continue;
             }
             if (!member.name().equals(self)) {
--- a/fleet/src/main/java/peppergauge/fleet/reader/Reporting.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/Reporting.java
@@ -92,28 +92,50 @@
     }
 
     private void run() {
-        while (!closed) {
-            try {
-                step(clock.getAsLong());
+        try {
+            while (!closed) {
+                guarded(this::call);
+                // Whatever became of the calls: what is in force fades by itself.
+                guarded(this::lean);
                 long rest = Math.min(LOOK_MS, Math.min(reportAtMs, askAtMs) - clock.getAsLong());
                 Thread.sleep(Math.max(1, Math.min(LOOK_MS, rest)));
-            } catch (InterruptedException ended) {
-                return;
-            } catch (RuntimeException | StackOverflowError | OutOfMemoryError bug) {
-                Log.bug("fleet", bug);
-                reportAtMs = clock.getAsLong() + settings.longestMs();
             }
+        } catch (InterruptedException ended) {
+            // It is closed.
+        } catch (AssertionError broken) {
+            // Under -ea alone. Nothing here is believed any more; sessions go on, and lean no more.
+            Log.bug("invariant", broken);
+            say("ended by an invariant");
+            told = Steering.NONE;
+            steer.accept(Steering.NONE);
         }
     }
 
-    private void step(long now) throws InterruptedException {
+    private interface Step {
+        void run(long now) throws InterruptedException;
+    }
+
+    private void guarded(Step step) throws InterruptedException {
+        try {
+            step.run(clock.getAsLong());
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError bug) {
+            Log.bug("fleet", bug);
+            reportAtMs = clock.getAsLong() + settings.longestMs();
+            askAtMs = reportAtMs;
+        }
+    }
+
+    private void call(long now) throws InterruptedException {
         if (now >= reportAtMs) {
             reportAtMs = now + report(now);
         }
         if (settings.steers() && now >= askAtMs) {
             askAtMs = now + ask();
         }
-        Steering inForce = reader.steering(clock.getAsLong());
+    }
+
+    private void lean(long now) {
+        Steering inForce = reader.steering(now);
         if (!inForce.equals(told)) {
             told = inForce;
             steer.accept(inForce);
--- a/fleet/src/main/java/peppergauge/fleet/reader/SampledKeys.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/SampledKeys.java
@@ -30,7 +30,13 @@
      * @param zones names, by their index
      */
     public static KeySource of(int mostKeys, List<String> zones) {
-        return mostKeys == 0 ? NONE : new SampledKeys(mostKeys, zones);
+        if (mostKeys == 0) {
+            return NONE;
+        }
+        KeySource keys = new SampledKeys(mostKeys, zones);
+        boolean checked = false;
+        assert checked = true;
+        return checked ? new GuardedKeys(keys) : keys;
     }
 
     @Override
--- a/fleet/src/main/java/peppergauge/fleet/service/Duty.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/Duty.java
@@ -17,6 +17,7 @@
     private volatile long busySinceNs;
     private volatile boolean closed;
     private volatile long failures;
+    private volatile boolean ended;
 
     /** @param step whether there was something to do; if not, it is called again after a short rest */
     Duty(String name, BooleanSupplier step) {
@@ -40,6 +41,11 @@
                 // One thing that cannot be done must not end all that come after it.
                 failures++;
                 Log.bug("fleet", bug);
+            } catch (Error broken) {
+                // An invariant, under -ea alone, or a class that is missing: all after it would only follow from it.
+                Log.bug(broken instanceof AssertionError ? "invariant" : "fleet", broken);
+                ended = true;
+                return;
             }
             busySinceNs = 0;
             if (!worked) {
@@ -52,15 +58,19 @@
         return name;
     }
 
-    /** Whether its present step takes too long, or its thread has ended. */
-    boolean stalled(long longestMs) {
-        long since = busySinceNs;
-        return since != 0 && System.nanoTime() - since > TimeUnit.MILLISECONDS.toNanos(longestMs)
-                || thread.getState() == Thread.State.TERMINATED && !closed;
+    /** Whether it gave up, and what it holds is not to be believed. */
+    boolean ended() {
+        return ended;
     }
 
-    long failures() {
-        return failures;
+    /** For people: {@code fine}, or how it is not; {@code stalled} if its present step takes longer than that. */
+    String state(long longestMs) {
+        long since = busySinceNs;
+        if (ended()) {
+            return "ended";
+        }
+        return since != 0 && System.nanoTime() - since > TimeUnit.MILLISECONDS.toNanos(longestMs) ? "stalled"
+                : failures > 0 ? "failed " + failures + " times" : "fine";
     }
 
     /** Ends after its present step, or is left behind. */
--- a/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
@@ -43,11 +43,13 @@
     private final Gossiping gossiping;
     private final Intake intake;
     private final Counts counts = new Counts();
+    /** The merge first. */
     private final List<Duty> duties;
     private final Server server;
     private final KeptFile<KeptState> stateFile;
     /** Set while the intake's thread is in a request. */
     private volatile long intakeSinceNs;
+    private volatile long intakeFailures;
 
     /**
      * Starts it.
@@ -116,8 +118,10 @@
                 case "GET /fleet/v1/status" -> reply.accept(Reply.json(200, status()));
                 default -> reply.accept(Reply.json(404, Map.of("error", "unknown")));
             }
-        } catch (RuntimeException bug) {
-            Log.bug("fleet", bug);
+        } catch (RuntimeException | AssertionError bug) {
+            // Each request is judged by itself: the next is, too. Thrown on, it would end the thread unseen.
+            intakeFailures++;
+            Log.bug(bug instanceof AssertionError ? "invariant" : "fleet", bug);
             reply.accept(Reply.json(500, Map.of("error", "failed")));
         } finally {
             intakeSinceNs = 0;
@@ -232,9 +236,8 @@
         Map<String, String> states = new LinkedHashMap<>();
         long since = intakeSinceNs;
         states.put("intake", since != 0 && (System.nanoTime() - since) / 1_000_000 > settings.times().stallMs()
-                ? "stalled" : "fine");
-        duties.forEach(duty -> states.put(duty.name(), duty.stalled(settings.times().stallMs()) ? "stalled"
-                : duty.failures() > 0 ? "failed " + duty.failures() + " times" : "fine"));
+                ? "stalled" : intakeFailures > 0 ? "failed " + intakeFailures + " times" : "fine");
+        duties.forEach(duty -> states.put(duty.name(), duty.state(settings.times().stallMs())));
         return states;
     }
 
@@ -244,7 +247,9 @@
         server.close();
         duties.forEach(Duty::close);
         gossiping.leave();
-        keeping.write(merging.lastAccount());
+        if (!duties.get(0).ended()) {
+            keeping.write(merging.lastAccount());
+        }
         try {
             stateFile.close();
             publisher.close();
--- a/fleet/src/main/java/peppergauge/fleet/state/FleetState.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/FleetState.java
@@ -55,6 +55,8 @@
         if (incarnations.size() > INCARNATIONS) {
             drop(incarnations.pollFirstEntry().getValue());
         }
+        assert incarnations.size() <= INCARNATIONS && changes.size() <= INCARNATIONS * daemons.size() : "more accounts"
+                + " than are kept: " + incarnations.keySet() + ", " + changes.size() + " of " + daemons.size();
         return new Change(held == null ? null : held.report(), report);
     }
 
@@ -76,6 +78,7 @@
     /** The least state that holds both. */
     public void join(FleetState other) {
         other.reports().forEach(this::take);
+        assert sound() : "what is held does not add up to " + bytes + " bytes in " + changes.size() + " accounts";
     }
 
     /** Drops each account that was sent longer ago. A rule of account and time alone: all instances drop the same. */
@@ -88,6 +91,25 @@
             return old;
         }));
         daemons.values().removeIf(Map::isEmpty);
+        assert sound() : "what is held does not add up to " + bytes + " bytes in " + changes.size() + " accounts";
+    }
+
+    /** Stamps and bytes are those of the accounts, of each incarnation one. */
+    private boolean sound() {
+        long sum = 0;
+        int accounts = 0;
+        for (Map.Entry<String, TreeMap<Long, Held>> each : daemons.entrySet()) {
+            for (Map.Entry<Long, Held> held : each.getValue().entrySet()) {
+                DaemonReport report = held.getValue().report();
+                if (changes.get(held.getValue().stamp()) != held.getValue() || !report.daemon().equals(each.getKey())
+                        || report.incarnation() != held.getKey()) {
+                    return false;
+                }
+                sum += bytes(report);
+                accounts++;
+            }
+        }
+        return sum == bytes && accounts == changes.size() && (changes.isEmpty() || changes.lastKey() <= stamp);
     }
 
     /** Null where none is held. */
--- a/fleet/src/main/java/peppergauge/fleet/state/Intake.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/Intake.java
@@ -68,8 +68,8 @@
 
     private static boolean wellFormed(DaemonReport.CellCounts counts) {
         return name(counts.station()) && name(counts.requestClass()) && counts.zone() != null
-                && counts.zone().length() <= LONGEST_NAME && counts.answered() >= 0 && counts.denied() >= 0
-                && counts.failed() >= 0;
+                && counts.zone().length() <= LONGEST_NAME && KeyChecks.counted(counts.answered())
+                && KeyChecks.counted(counts.denied()) && KeyChecks.counted(counts.failed());
     }
 
     private static boolean name(String name) {
--- a/fleet/src/main/java/peppergauge/fleet/state/KeyChecks.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/KeyChecks.java
@@ -16,7 +16,7 @@
     private static final int MOST_GAPS = 64;
     private static final int LONGEST_NAME = 200;
     /** No daemon counts so far; sums of thousands of such counts still fit. */
-    private static final long MOST = 1L << 48;
+    static final long MOST = 1L << 48;
 
     private KeyChecks() { }
 
@@ -28,7 +28,8 @@
     }
 
     private static boolean usable(KeyReport keys) {
-        return counted(keys.sessions()) && keys.keys().size() <= MOST_KEYS
+        // Under such a threshold there is no key: merged, it would leave none of any other daemon.
+        return keys.threshold() >>> 1 > 0 && counted(keys.sessions()) && keys.keys().size() <= MOST_KEYS
                 && keys.keys().stream().allMatch(KeyChecks::usable);
     }
 
@@ -59,7 +60,7 @@
                 && sum.squares() >= 0 && sum.squares() <= MOST;
     }
 
-    private static boolean counted(long count) {
+    static boolean counted(long count) {
         return count >= 0 && count <= MOST;
     }
 
--- a/fleet/src/main/java/peppergauge/fleet/state/Latencies.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/Latencies.java
@@ -73,10 +73,18 @@
 
     static boolean usable(String text) {
         try {
-            decode(text);
-            return true;
+            return counted(decode(text));
         } catch (IllegalArgumentException garbage) {
             return false;
         }
     }
+
+    /** Counts beyond all belief would make sums of them fall under 0. */
+    private static boolean counted(Histogram histogram) {
+        boolean counted = true;
+        for (long ms = 0; ms <= histogram.getMaxValue() && counted; ms = histogram.nextNonEquivalentValue(ms)) {
+            counted = KeyChecks.counted(histogram.getCountAtValue(ms));
+        }
+        return counted && KeyChecks.counted(histogram.getTotalCount());
+    }
 }
--- a/fleet/src/main/java/peppergauge/fleet/state/Tally.java
+++ b/fleet/src/main/java/peppergauge/fleet/state/Tally.java
@@ -25,6 +25,9 @@
     /** One that grows. */
     private static final class Sum {
 
+        /** Broken daemons may bring it there, but no further: sums of a few of them still fit. */
+        private static final long MOST = 1L << 60;
+
         private long answered;
         private long denied;
         private long failed;
@@ -38,9 +41,12 @@
         }
 
         void add(CellCounts before, CellCounts now) {
-            answered += grown(before == null ? 0 : before.answered(), now.answered());
-            denied += grown(before == null ? 0 : before.denied(), now.denied());
-            failed += grown(before == null ? 0 : before.failed(), now.failed());
+            long formerly = answered + denied + failed;
+            answered = Math.min(MOST, answered + grown(before == null ? 0 : before.answered(), now.answered()));
+            denied = Math.min(MOST, denied + grown(before == null ? 0 : before.denied(), now.denied()));
+            failed = Math.min(MOST, failed + grown(before == null ? 0 : before.failed(), now.failed()));
+            assert formerly >= 0 && formerly <= answered + denied + failed : "totals fall from " + formerly + " to "
+                    + answered + ", " + denied + ", " + failed;
             if (now.latency() == null || before != null && now.latency().equals(before.latency())) {
                 return;
             }
@@ -49,7 +55,11 @@
                 if (before != null && before.latency() != null) {
                     grown.subtract(Latencies.decode(before.latency()));
                 }
-                latency.add(grown);
+                long counted = latency.getTotalCount();
+                if (grown.getTotalCount() <= MOST - counted) {
+                    latency.add(grown);
+                }
+                assert latency.getTotalCount() >= counted : "totals of answers fall from " + counted;
             } catch (RuntimeException fell) {
                 // It is none, or not cumulative, so a broken daemon's: nothing of it is counted twice.
             }
@@ -108,6 +118,7 @@
         } else {
             passedOver++;
         }
+        assert totals.containsKey(cell) || totals.size() >= mostCells : "passed over where there is room: " + cell;
     }
 
     /** As it is now; later counting does not change it. */
--- a/fleet/src/main/java/peppergauge/fleet/table/Publishing.java
+++ b/fleet/src/main/java/peppergauge/fleet/table/Publishing.java
@@ -12,7 +12,10 @@
      */
     public FleetTable issue(long version, long nowMs, FleetTable before, Steering wanted) {
         Steering from = handsOut(before, nowMs) ? before.steering() : Steering.NONE;
-        return new FleetTable(site, version, nowMs, leaseMs, issuer, Factors.towards(from, wanted, step));
+        Steering next = Factors.towards(from, wanted, step);
+        assert Factors.distance(from, next) <= step + 1e-9 : "a step of " + Factors.distance(from, next);
+        assert Factors.distance(next, wanted) <= Factors.distance(from, wanted) + 1e-9 : "away from what is wanted";
+        return new FleetTable(site, version, nowMs, leaseMs, issuer, next);
     }
 
     /** Whether it is still worth handing out. */
--- a/fleet/src/main/java/peppergauge/fleet/table/TableReader.java
+++ b/fleet/src/main/java/peppergauge/fleet/table/TableReader.java
@@ -35,6 +35,7 @@
     public Acceptance offer(FleetTable offered, long nowMs) {
         Acceptance answer = judge(offered, nowMs);
         if (answer == Acceptance.TAKEN) {
+            assert offered.version() > newest : "back from version " + newest + " to " + offered.version();
             table = offered;
             newest = offered.version();
         }
@@ -71,7 +72,8 @@
     }
 
     private boolean valid(long nowMs) {
-        return table != null && !expired(table, nowMs);
+        // Issued far ahead, it is this clock that went back: the lease would last for as long again.
+        return table != null && !expired(table, nowMs) && table.issuedMs() - nowMs <= bounds.futureMs();
     }
 
     /** What is in force now; to be asked every second or so, for it moves by itself. */
@@ -81,10 +83,13 @@
             inForce = Steering.NONE;
             return inForce;
         }
-        if (nowMs - movedMs >= bounds.stepMs()) {
+        if (nowMs - movedMs >= bounds.stepMs() || nowMs < movedMs) {
             movedMs = nowMs;
-            inForce = Factors.towards(inForce, Factors.faded(table.steering(), weight(nowMs)), bounds.step());
+            Steering before = inForce;
+            inForce = Factors.towards(before, Factors.faded(table.steering(), weight(nowMs)), bounds.step());
+            assert Factors.distance(before, inForce) <= bounds.step() + ROUNDING : before + " to " + inForce;
         }
+        assert nowMs - table.issuedMs() < table.leaseMs() : "in force after its lease: " + table;
         return inForce;
     }
 
--- a/fleet/src/main/java/peppergauge/fleet/table/Versions.java
+++ b/fleet/src/main/java/peppergauge/fleet/table/Versions.java
@@ -44,7 +44,10 @@
     /** What comes next; nothing changes yet. */
     public long next(long nowMs) {
         long byClock = nowMs << TIME_SHIFT | issuer;
-        return byClock > highest ? byClock : (highest >> COUNT_SHIFT) + 1 << COUNT_SHIFT | issuer;
+        long next = byClock > highest ? byClock : (highest >> COUNT_SHIFT) + 1 << COUNT_SHIFT | issuer;
+        assert next > highest && (next & (1 << COUNT_SHIFT) - 1) == issuer : next + " after " + highest + " of "
+                + issuer;
+        return next;
     }
 
     /**
@@ -52,8 +55,10 @@
      * leads, only little more is reserved: a process that ends again and again must not run away from the clock.
      */
     public long toReserve(long version, long nowMs) {
-        return version <= reserved ? 0
+        long reserve = version <= reserved ? 0
                 : Math.max(version + (AHEAD_MS << TIME_SHIFT), nowMs + RESERVED_MS << TIME_SHIFT);
+        assert Math.max(reserve, reserved) >= version : version + " is handed out under " + reserve + ", " + reserved;
+        return reserve;
     }
 
     /** It is on disk. */
--- a/fleet/src/test/java/peppergauge/fleet/reader/ReportingTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/reader/ReportingTest.java
@@ -9,9 +9,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import peppergauge.fleet.http.Reply;
 import peppergauge.fleet.http.Server;
@@ -22,17 +24,26 @@
 import peppergauge.fleet.wire.Json;
 import peppergauge.fleet.wire.ReportAnswer;
 import peppergauge.fleet.wire.TableAnswer;
+import peppergauge.forecast.KeyReport;
+import peppergauge.log.Log;
 import peppergauge.promises.Steering;
 
 /** The daemon's thread against servers that answer as this says. */
 public class ReportingTest {
 
-    private final List<DaemonReport> reports = new CopyOnWriteArrayList<>();
-    private final List<Steering> told = Collections.synchronizedList(new ArrayList<>());
+    private volatile List<DaemonReport> reports;
+    private volatile List<Steering> told;
     private volatile Supplier<FleetTable> table;
     private final AtomicLong versions = new AtomicLong(10);
     private volatile boolean silent;
 
+    /** Lists of its own for each test: a thread of the one before may still end. */
+    @BeforeMethod
+    public void begin() {
+        reports = new CopyOnWriteArrayList<>();
+        told = Collections.synchronizedList(new ArrayList<>());
+    }
+
     private Server server() throws Exception {
         return new Server(new InetSocketAddress("127.0.0.1", 0), 1 << 20, 10, (method, path, body, reply) -> {
             if (silent) {
@@ -62,10 +73,8 @@
     @Test
     public void itReportsTakesTablesAndGoesBackToNoSteering() throws Exception {
         try (Servers servers = new Servers(server(), server())) {
-            ReaderSettings settings = new ReaderSettings("north", servers.addresses(), true, 20, 100, 300,
-                    new TableReader.Bounds("north", 5_000, 0.5, 10, 60_000), 0);
             table = () -> issued(versions.incrementAndGet(), "north", 0.5, 1_200);
-            try (Reporting reporting = new Reporting(settings, "d", 1, System::currentTimeMillis,
+            try (Reporting reporting = new Reporting(settings(servers), "d", 1, System::currentTimeMillis,
                     future -> future.complete(new Reporting.Counted(List.of(), KeySource.NONE.told())), told::add)) {
                 reporting.start();
                 until("reports come", () -> reports.size() > 3);
@@ -94,6 +103,87 @@
         }
     }
 
+    /** Under -ea: it is in the log and the report, and no session leans any more. */
+    @Test
+    public void aBreachOfAnInvariantEndsSteeringAndIsSeen() throws Exception {
+        List<String> lines = new CopyOnWriteArrayList<>();
+        AtomicBoolean breaks = new AtomicBoolean();
+        Log.Sink former = Log.to((kind, text, passedOver) -> lines.add(kind + ": " + text));
+        try (Servers servers = new Servers(server(), server())) {
+            table = () -> issued(versions.incrementAndGet(), "north", 0.5, 60_000);
+            try (Reporting reporting = new Reporting(settings(servers), "d", 1, () -> {
+                if (breaks.get()) {
+                    throw new AssertionError("planted");
+                }
+                return System.currentTimeMillis();
+            }, future -> future.complete(new Reporting.Counted(List.of(), KeySource.NONE.told())), told::add)) {
+                reporting.start();
+                until("steered", () -> told.stream().anyMatch(each -> Factors.of(each, "radio", "east") == 0.5));
+                breaks.set(true);
+                until("it is told", () -> reporting.report().toString().contains("ended by an invariant"));
+                until("no steering", () -> told.get(told.size() - 1).equals(Steering.NONE));
+                assertEquals(reporting.report().get("in_force"), Map.of());
+                assertTrue(lines.stream().anyMatch(line -> line.startsWith("invariant: ")), lines.toString());
+            }
+        } finally {
+            Log.to(former);
+        }
+    }
+
+    /** A call that cannot be made for a bug keeps nothing in force beyond its lease. */
+    @Test
+    public void aBugInACallDoesNotKeepAnOldTableInForce() throws Exception {
+        try (Servers servers = new Servers(server(), server())) {
+            table = () -> issued(versions.incrementAndGet(), "north", 0.5, 1_200);
+            AtomicBoolean fails = new AtomicBoolean();
+            try (Reporting reporting = new Reporting(settings(servers), "d", 1, System::currentTimeMillis, future -> {
+                if (fails.get()) {
+                    throw new IllegalStateException("a bug");
+                }
+                future.complete(new Reporting.Counted(List.of(), KeySource.NONE.told()));
+            }, told::add)) {
+                reporting.start();
+                until("steered", () -> told.stream().anyMatch(each -> Factors.of(each, "radio", "east") == 0.5));
+                fails.set(true);
+                table = () -> issued(1, "north", 1, 60_000);
+                until("no steering", () -> told.get(told.size() - 1).equals(Steering.NONE));
+            }
+        }
+    }
+
+    /** Sessions go on where a count of their keys breaks an invariant: it ends, and nothing is thrown on. */
+    @Test
+    public void aBreachInCountingKeysEndsTheCountAlone() {
+        List<String> lines = new ArrayList<>();
+        Log.Sink former = Log.to((kind, text, passedOver) -> lines.add(kind + ": " + text));
+        try {
+            KeySource guarded = new GuardedKeys(new KeySource() {
+                @Override
+                public void over(String id) {
+                    throw new AssertionError("planted");
+                }
+
+                @Override
+                public Told told() {
+                    return new Told(new KeyReport(-1, 1, List.of()), null, null);
+                }
+            });
+            assertEquals(guarded.told().keys().sessions(), 1);
+            guarded.over("a");
+            assertEquals(guarded.told(), KeySource.NONE.told());
+            guarded.over("b");
+            assertEquals(lines.size(), 1, lines.toString());
+        } finally {
+            Log.to(former);
+        }
+        assertTrue(SampledKeys.of(16, List.of()) instanceof GuardedKeys, "not guarded where invariants are checked");
+    }
+
+    private static ReaderSettings settings(Servers servers) {
+        return new ReaderSettings("north", servers.addresses(), true, 20, 100, 300,
+                new TableReader.Bounds("north", 5_000, 0.5, 10, 60_000), 0);
+    }
+
     private record Servers(Server first, Server second) implements AutoCloseable {
 
         List<String> addresses() {
--- a/fleet/src/test/java/peppergauge/fleet/service/Bed.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/Bed.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
@@ -39,6 +40,8 @@
     private final Caller caller = new Caller(2_000, 1 << 24);
     /** By instance and duty, {@code "0 merge"}. */
     private final Map<String, CountDownLatch> held = new ConcurrentHashMap<>();
+    /** Likewise: the next time that it looks at the clock, an invariant is broken there. */
+    final Set<String> broken = ConcurrentHashMap.newKeySet();
     final AtomicLong clockShiftMs = new AtomicLong();
     /** Of the instance started last. */
     volatile KeyForecasts forecasts;
@@ -73,7 +76,8 @@
 
     void start(int i) throws IOException, InterruptedException {
         LongSupplier clock = () -> {
-            pass(i, Thread.currentThread().getName().replace("fleet-", ""));
+            String thread = Thread.currentThread().getName();
+            pass(i, thread.startsWith("fleet-") ? thread.substring("fleet-".length()) : "intake");
             return System.currentTimeMillis() + clockShiftMs.get();
         };
         forecasts = new KeyForecasts();
@@ -96,6 +100,9 @@
     }
 
     private void pass(int i, String duty) {
+        if (broken.remove(i + " " + duty)) {
+            throw new AssertionError("planted in " + duty);
+        }
         CountDownLatch latch = held.get(i + " " + duty);
         if (latch != null) {
             try {
--- a/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
@@ -9,13 +9,17 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import peppergauge.fleet.Samples;
 import peppergauge.fleet.http.Caller;
 import peppergauge.fleet.wire.FleetTable;
 import peppergauge.fleet.wire.Json;
 import peppergauge.forecast.sample.KeySampler;
+import peppergauge.log.Log;
 
 /** Real sockets, threads and files. What is waited for is a state, never a time. */
 public class ServiceTest {
@@ -257,4 +261,50 @@
             assertTrue(awaited(bed, 0, 0).version() > last.version());
         }
     }
+
+    @DataProvider
+    public Object[][] duties() {
+        return new Object[][] {{"merge"}, {"decide"}, {"publish"}, {"gossip"}, {"forecast"}};
+    }
+
+    /** Under -ea: what broke is in the log and in the status for good, and nothing of what it held is kept. */
+    @Test(dataProvider = "duties")
+    public void aBreachOfAnInvariantEndsItsDutyAndIsSeen(String duty) throws Exception {
+        List<String> lines = new CopyOnWriteArrayList<>();
+        Log.Sink former = Log.to((kind, text, passedOver) -> lines.add(kind + ": " + text));
+        try (Bed bed = new Bed(1)) {
+            bed.start(0);
+            long version = awaited(bed, 0, 0).version();
+            bed.broken.add("0 " + duty);
+            Bed.until(duty + " ended", () -> "ended".equals(Bed.<Map<String, String>>of(bed.service(0).status(),
+                    "duties").get(duty)));
+            assertTrue(lines.stream().anyMatch(line -> line.startsWith("invariant: ")
+                    && line.contains("planted in " + duty)), lines.toString());
+            assertEquals(bed.get(0, "/fleet/v1/status").status(), 200);
+            if (!List.of("gossip", "forecast").contains(duty)) {
+                Bed.until("tables run out", () -> {
+                    try {
+                        return bed.table(0, version).table() == null;
+                    } catch (IOException gone) {
+                        return false;
+                    }
+                });
+            }
+        } finally {
+            Log.to(former);
+        }
+    }
+
+    @Test
+    public void aBreachInTheIntakeIsAnsweredAndSeen() throws Exception {
+        try (Bed bed = new Bed(1)) {
+            bed.start(0);
+            long now = System.currentTimeMillis();
+            bed.broken.add("0 intake");
+            assertEquals(bed.post(0, Json.write(Samples.report(1, now, 1, now))).status(), 500);
+            assertEquals(bed.report(0, Samples.report(1, now, 1, now)), "taken");
+            assertEquals(Bed.<Map<String, String>>of(bed.service(0).status(), "duties").get("intake"),
+                    "failed 1 times");
+        }
+    }
 }
--- a/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
@@ -68,11 +68,24 @@
             {with("north", "d", 1, 1, twice), null, 0, Verdict.MALFORMED},
             {with("north", "d", 1, 1, cell(-1, null)), null, 0, Verdict.MALFORMED},
             {with("north", "d", 1, 1, cell(1, "no histogram")), null, 0, Verdict.MALFORMED},
+            {with("north", "d", 1, 1, cell(1L << 48, null)), null, 0, Verdict.TAKEN},
+            {with("north", "d", 1, 1, cell((1L << 48) + 1, null)), null, 0, Verdict.MALFORMED},
+            {with("north", "d", 1, 1, cell(1, counted(1L << 62, 4))), null, 0, Verdict.MALFORMED},
+            {with("north", "d", 1, 1, cell(1, counted(1L << 40, 4))), null, 0, Verdict.TAKEN},
             {with("north", "d", 1, 1, cell(1, Latencies.encode(new Histogram(1, 1_000, 5)))), null, 0,
                 Verdict.MALFORMED},
         };
     }
 
+    /** So many values each counted so often; 4 times 2^62 is 0 in a sum of 64 bits. */
+    private static String counted(long times, int values) {
+        Histogram histogram = Latencies.empty();
+        for (int i = 0; i < values; i++) {
+            histogram.recordValueWithCount(10 + i, times);
+        }
+        return Latencies.encode(histogram);
+    }
+
     private static Map<String, Seen> times(int buckets, Sum sum, Sum fresh) {
         return Map.of("1", new Seen(Collections.nCopies(buckets, sum), Map.of(7L, fresh)));
     }
@@ -107,6 +120,8 @@
             {new KeyReport(-1, 5, List.of(new KeyReport.Key(1, "radio", -5, gaps))), "east", Verdict.MALFORMED},
             {new KeyReport(-1, 5, List.of(new KeyReport.Key(1, "radio", 5, List.of(-1L)))), "east", Verdict.MALFORMED},
             {new KeyReport(-1, Long.MAX_VALUE, List.of()), "east", Verdict.MALFORMED},
+            {new KeyReport(2, 5, List.of()), "east", Verdict.TAKEN},
+            {new KeyReport(1, 5, List.of()), "east", Verdict.MALFORMED},
             {null, null, Verdict.MALFORMED},
             {null, "", Verdict.MALFORMED},
             {null, "east", Verdict.TAKEN},
--- a/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
@@ -98,7 +98,9 @@
         List<Step> steps = List.of(new Step(0, to));
         double steady = usual.inZone(steps, STEADY_MS, 1, station, zone);
         double cold = Math.max(0, steady - usual.inZone(steps, 0, MOMENTS, station, zone));
-        return memory.saving() * cold / (1 - memory.saving() * steady);
+        double work = memory.saving() * cold / (1 - memory.saving() * steady);
+        assert work >= 0 && work < Double.POSITIVE_INFINITY : "moving " + station + " to " + zone + " makes " + work;
+        return work;
     }
 
     /** Hit rate of one station's sessions in one zone. */
--- a/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimate.java
+++ b/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimate.java
@@ -22,6 +22,8 @@
         if (points.isEmpty()) {
             throw new IllegalArgumentException("no point");
         }
+        assert Math.abs(points.stream().mapToDouble(Point::weight).sum() - 1) < 1e-9 : "weights of " + points;
+        assert saving >= 0 && saving <= 1 && savingError >= 0 : "saving " + saving + ", off by " + savingError;
     }
 
     /** Known for sure, as where an operator tells it. */
--- a/forecast/src/main/java/peppergauge/forecast/memory/ServiceTimes.java
+++ b/forecast/src/main/java/peppergauge/forecast/memory/ServiceTimes.java
@@ -62,6 +62,7 @@
             if (fresh.size() < mostKeys || fresh.containsKey(hash)) {
                 fresh.merge(hash, new Sum(1, relative, relative * relative), Sum::plus);
             }
+            assert fresh.size() <= mostKeys : fresh.size() + " keys are told apart";
             return;
         }
         int bucket = (int) Math.floor(Math.log(gapMs / FROM_MS) / Math.log(2) * OF_OCTAVE);
--- a/forecast/src/main/java/peppergauge/forecast/placement/Placement.java
+++ b/forecast/src/main/java/peppergauge/forecast/placement/Placement.java
@@ -65,6 +65,7 @@
         for (int i = 0; i < shares.length; i++) {
             shares[i] /= sum;
         }
+        assert Math.abs(Arrays.stream(shares).sum() - 1) < 1e-6 : "shares of " + Arrays.toString(shares);
         return shares;
     }
 
@@ -91,6 +92,7 @@
         for (int i = 0; i < drawn.length; i++) {
             luck[i / DRAWS] += drawn[i] / sum * LUCK;
         }
+        assert Math.abs(Arrays.stream(luck).sum() - LUCK) < 1e-6 : "luck of " + Arrays.toString(luck);
         return luck;
     }
 
--- a/forecast/src/main/java/peppergauge/forecast/popularity/KeyMerge.java
+++ b/forecast/src/main/java/peppergauge/forecast/popularity/KeyMerge.java
@@ -19,7 +19,7 @@
  */
 public final class KeyMerge {
 
-    /** Reports kept of one daemon, so that one which reports too often takes no more memory. */
+    /** Parts of the window and two; of each two reports of a daemon are kept at most, however often it reports. */
     private static final int MOST_KEPT = 8;
 
     private final long windowMs;
@@ -60,6 +60,10 @@
                 || report.sessions() < source.kept.getLast().report().sessions()) {
             return false;
         }
+        while (!source.kept.isEmpty() && source.kept.getLast().atMs() >= nowMs) {
+            // Of one moment the newest counts: a span between two of them would be none.
+            source.kept.removeLast();
+        }
         if (source.kept.size() > 1 && nowMs - before(source.kept).atMs() < windowMs / (MOST_KEPT - 2)) {
             // The last but one is too young to be a beginning: the newest takes the place of the last.
             source.kept.removeLast();
@@ -68,6 +72,7 @@
         while (source.kept.size() > 2 && second(source.kept).atMs() <= nowMs - windowMs) {
             source.kept.removeFirst();
         }
+        assert source.kept.size() <= 2 * MOST_KEPT - 2 : source.kept.size() + " reports of " + daemon + " are kept";
         return true;
     }
 
--- a/forecast/src/main/java/peppergauge/forecast/sample/KeySampler.java
+++ b/forecast/src/main/java/peppergauge/forecast/sample/KeySampler.java
@@ -135,6 +135,7 @@
 
     /** Drops the eighth with the greatest hashes, and at least one key. */
     private void lower() {
+        long before = threshold;
         long[] sorted = new long[size];
         for (int i = 0; i < size; i++) {
             sorted[i] = hashes[i] ^ Long.MIN_VALUE;
@@ -151,6 +152,8 @@
         Arrays.fill(counts, kept, size, 0);
         Arrays.fill(gaps, kept * GAPS, size * GAPS, 0);
         size = kept;
+        assert Long.compareUnsigned(threshold, before) < 0 && size < hashes.length : "the threshold did not fall from "
+                + Long.toUnsignedString(before) + ", " + size + " keys are left";
     }
 
     private void move(int from, int to) {
--- a/forecast/src/main/java/peppergauge/forecast/trust/TrackRecord.java
+++ b/forecast/src/main/java/peppergauge/forecast/trust/TrackRecord.java
@@ -44,6 +44,7 @@
                 last.removeFirst();
             }
         }
+        assert last.size() <= (trusted ? LAST : AGAIN - 1) : last.size() + " outcomes are kept";
     }
 
     /** Whether the next forecast counts. */
--- a/promises/src/main/java/peppergauge/promises/evidence/Ledger.java
+++ b/promises/src/main/java/peppergauge/promises/evidence/Ledger.java
@@ -124,6 +124,7 @@
         List<Double> rates = new ArrayList<>();
         for (int i = 0; i < contract.windowsMs().size(); i++) {
             rates.add(over(contract, i, nowMs, false).missShare() / contract.allowed());
+            assert rates.get(i) >= 0 && rates.get(i) < Double.POSITIVE_INFINITY : contract + " burns " + rates;
         }
         return rates;
     }
--- a/promises/src/main/java/peppergauge/promises/evidence/Ring.java
+++ b/promises/src/main/java/peppergauge/promises/evidence/Ring.java
@@ -39,6 +39,8 @@
         }
         kept[at] = most ? Math.max(kept[at], keptNow) : kept[at] + keptNow;
         missed[at] = most ? Math.max(missed[at], missedNow) : missed[at] + missedNow;
+        assert kept[at] >= keptNow && missed[at] >= missedNow : "slot " + slot + " lost what came";
+        assert Math.floorMod(number[at], (long) SLOTS) == at : "slot " + number[at] + " stands at " + at;
     }
 
     Tally window(long nowMs) {
--- a/promises/src/main/java/peppergauge/promises/evidence/Tally.java
+++ b/promises/src/main/java/peppergauge/promises/evidence/Tally.java
@@ -11,6 +11,10 @@
  */
 public record Tally(long kept, long missed) {
 
+    public Tally {
+        assert kept >= 0 && missed >= 0 : "a tally under 0: " + kept + ", " + missed;
+    }
+
     public static final Tally NONE = new Tally(0, 0);
 
     /** Chance that the share is under the lower, or over the upper bound. */
--- a/promises/src/main/java/peppergauge/promises/plan/Holds.java
+++ b/promises/src/main/java/peppergauge/promises/plan/Holds.java
@@ -49,6 +49,8 @@
         double fallen = Math.min(faded, mean);
         seen.put(zone, best.surelyOver(FAILS) ? fallen
                 : best.surelyOver(STRAINED) ? Math.max(fallen, faded * (1 - LESS)) : Math.max(faded, mean));
+        assert seen.get(zone) >= 0 && seen.get(zone) <= Math.max(faded, mean) : zone + " is seen to hold "
+                + seen.get(zone) + " where " + mean + " came and " + faded + " were held";
     }
 
     private Tally lately(Cell cell, Tally fresh) {
--- a/promises/src/main/java/peppergauge/promises/plan/Solver.java
+++ b/promises/src/main/java/peppergauge/promises/plan/Solver.java
@@ -74,6 +74,7 @@
         }
         double each = leaving / sum;
         double part = part(wish, room, each);
+        assert part >= 0 && part <= 1 : "a part of " + part + " moves of " + wish;
         shares.replaceAll((zone, share) -> room.containsKey(zone) ? share + each * part * room.get(zone)
                 : share - part * leaves(share));
         shares.forEach((zone, share) -> load.merge(zone, work(wish, zone, share - wish.natural().get(zone)),
--- a/promises/src/main/java/peppergauge/promises/steer/Flag.java
+++ b/promises/src/main/java/peppergauge/promises/steer/Flag.java
@@ -16,6 +16,7 @@
     Flag turnBad(long nowMs, long windowMs) {
         boolean again = nowMs - changedMs < windowMs;
         int times = again && changedMs > 0 ? Math.min(MOST_FLAPS, flaps + 1) : 0;
+        assert times >= 0 && times <= MOST_FLAPS : times + " flaps";
         return new Flag(true, nowMs + (windowMs / 10 << times), nowMs, times);
     }
 
@@ -26,6 +27,7 @@
     /** Of two sides the one that turned last; of two that turned at once, the bad. */
     static Flag later(Flag one, Flag other) {
         return one.changedMs != other.changedMs ? one.changedMs > other.changedMs ? one : other
-                : one.bad != other.bad ? one.bad ? one : other : one.untilMs >= other.untilMs ? one : other;
+                : one.bad != other.bad ? one.bad ? one : other : one.untilMs != other.untilMs
+                ? one.untilMs > other.untilMs ? one : other : one.flaps >= other.flaps ? one : other;
     }
 }
--- a/promises/src/main/java/peppergauge/promises/steer/State.java
+++ b/promises/src/main/java/peppergauge/promises/steer/State.java
@@ -1,6 +1,7 @@
 package peppergauge.promises.steer;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,11 @@
 public record State(long atMs, List<Ledger.Kept> windows, Map<String, Map<String, Double>> shares,
         Map<String, Map<String, Double>> factors, Map<String, Map<String, Turn>> flags, Map<String, Double> holds) {
 
+    /** As a ledger keeps them; where contracts were changed on one side, a cell has windows of two kinds. */
+    private static final Comparator<Ledger.Kept> ORDER = Comparator.<Ledger.Kept, String>comparing(
+            kept -> kept.cell().station()).thenComparing(kept -> kept.cell().requestClass())
+            .thenComparing(kept -> kept.cell().zone()).thenComparing(kept -> kept.windowsMs().toString());
+
     /** A data centre that turned bad or good for a station. */
     public record Turn(boolean bad, long untilMs, long changedMs, int flaps) {
 
@@ -70,7 +76,7 @@
         both.addAll(other);
         both.forEach(kept -> all.merge(new Which(kept.cell(), kept.windowsMs()), kept.windows(), State::greater));
         return all.entrySet().stream().map(each -> new Ledger.Kept(each.getKey().cell(), each.getKey().windowsMs(),
-                each.getValue())).sorted(java.util.Comparator.comparing(kept -> kept.cell().toString())).toList();
+                each.getValue())).sorted(ORDER).toList();
     }
 
     private static List<Map<Long, Tally>> greater(List<Map<Long, Tally>> one, List<Map<Long, Tally>> other) {
--- a/promises/src/main/java/peppergauge/promises/steer/Steerer.java
+++ b/promises/src/main/java/peppergauge/promises/steer/Steerer.java
@@ -93,6 +93,7 @@
         shares = stepped(plan.shares());
         assert stepsWithin(before) : before + " to " + shares;
         factors = factors(zones);
+        assert contracts.keySet().containsAll(factors.keySet()) : "steered without a promise: " + factors.keySet();
         return told();
     }
 
@@ -151,6 +152,8 @@
         }
         double sum = natural.values().stream().mapToDouble(share -> share).sum();
         natural.replaceAll((zone, share) -> share / Math.max(sum, 1e-9));
+        assert natural.keySet().containsAll(zones) && natural.values().stream().allMatch(share -> share >= 0
+                && share <= 1 + 1e-9) : "natural shares are " + natural;
     }
 
     /**
@@ -173,6 +176,7 @@
             if (stood >= 1) {
                 double seen = Math.max(natural.get(zone), Math.min(1, went / stood));
                 pull.merge(zone, seen, (mean, fresh) -> mean + NEWEST * (fresh - mean));
+                assert pull.get(zone) >= 0 && pull.get(zone) <= 1 + 1e-9 : zone + " pulls " + pull.get(zone);
             }
         }
     }
@@ -268,11 +272,12 @@
         target.forEach((station, wanted) -> {
             Map<String, Double> start = new TreeMap<>(shares.getOrDefault(station, natural));
             wanted.keySet().forEach(zone -> start.putIfAbsent(zone, 0.0));
-            double most = wanted.keySet().stream().mapToDouble(zone -> Math.abs(wanted.get(zone) - start.get(zone)))
-                    .max().orElse(0);
+            // What was kept may name data centres that nothing was heard of since: they are left step by step, too.
+            double most = start.keySet().stream().mapToDouble(zone -> Math.abs(wanted.getOrDefault(zone, 0.0)
+                    - start.get(zone))).max().orElse(0);
             double part = most <= tuning.step() ? 1 : tuning.step() / most;
             Map<String, Double> moved = new TreeMap<>();
-            wanted.forEach((zone, share) -> moved.put(zone, start.get(zone) + part * (share - start.get(zone))));
+            start.forEach((zone, share) -> moved.put(zone, share + part * (wanted.getOrDefault(zone, 0.0) - share)));
             next.put(station, moved);
         });
         return next;
--- a/snapshot/src/test/java/peppergauge/snapshot/donations/LedgerInvariantsTest.java
+++ b/snapshot/src/test/java/peppergauge/snapshot/donations/LedgerInvariantsTest.java
@@ -29,7 +29,8 @@
             {"snapshot/donations/DonationJournal.java", "queue.add(new Waiting(new Entry(Entry.Kind.SENT, id, "
                 + "wallMs.getAsLong()), written));", "write(List.of(new Waiting(new Entry(Entry.Kind.SENT, id, "
                 + "wallMs.getAsLong()), written)));", "the writer's alone"},
-            {"snapshot/donations/DonationJournal.java", "waiting != END", "waiting.written() == null",
+            {"snapshot/donations/DonationJournal.java", "map(Waiting::written).filter",
+                "map(Waiting::written).limit(0).filter",
                 "may be sent"},
         };
     }
