--- a/fleet/src/main/java/peppergauge/fleet/reader/Reporting.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/Reporting.java
@@ -25,11 +25,14 @@
 import peppergauge.log.Log;
 import peppergauge.promises.Steering;
 
-/** Reports and asks, one thing at a time, on a thread of its own. */
+/**
+ * Reports and asks, one thing at a time, on a thread of its own. What is in force moves on another: a service that
+ * takes calls and says nothing must not hold up the end of a lease.
+ */
 final class Reporting implements AutoCloseable {
 
     private static final int TABLE_BYTES = 1 << 20;
-    /** Steering moves by itself, so it is looked at again. */
+    /** Steering moves by itself, so it is looked at again; between calls the other thread looks as often. */
     private static final long LOOK_MS = 500;
     private static final long COLLECT_MS = 2_000;
 
@@ -43,9 +46,11 @@
     private final Consumer<Steering> steer;
     private final Caller caller;
     private final Addresses reportsTo;
+    /** For whoever holds its lock: both threads. */
     private final TableReader reader;
     private final Random random;
     private final Thread thread = new Thread(this::run, "fleet");
+    private final Thread leaning = new Thread(this::lean, "fleet-leaning");
     private final Map<String, Long> said = new TreeMap<>();
     private long incarnation;
     private long sequence;
@@ -53,7 +58,6 @@
     private long askAtMs;
     private volatile long reportMs;
     private volatile long askMs;
-    private volatile long version;
     private volatile Steering told = Steering.NONE;
     private boolean failing;
     private volatile boolean closed;
@@ -77,6 +81,7 @@
         reportMs = settings.firstMs();
         askMs = settings.firstMs();
         thread.setDaemon(true);
+        leaning.setDaemon(true);
     }
 
     /** Well mixed: names that differ by one digit, and one seed for all, must not draw nearly the same. */
@@ -89,43 +94,30 @@
         reportAtMs = incarnation + (long) (reportMs * random.nextDouble());
         askAtMs = incarnation + (long) (askMs * random.nextDouble());
         thread.start();
+        if (settings.steers()) {
+            leaning.start();
+        }
     }
 
     private void run() {
-        try {
-            while (!closed) {
-                guarded(this::call);
-                // Whatever became of the calls: what is in force fades by itself.
-                guarded(this::lean);
+        while (!closed) {
+            try {
+                step(clock.getAsLong());
                 long rest = Math.min(LOOK_MS, Math.min(reportAtMs, askAtMs) - clock.getAsLong());
                 Thread.sleep(Math.max(1, Math.min(LOOK_MS, rest)));
+            } catch (InterruptedException ended) {
+                return;
+            } catch (RuntimeException | StackOverflowError | OutOfMemoryError bug) {
+                Log.bug("fleet", bug);
+                reportAtMs = clock.getAsLong() + settings.longestMs();
+                askAtMs = reportAtMs;
+            } catch (AssertionError broken) {
+                broken(broken);
             }
-        } catch (InterruptedException ended) {
-            // It is closed.
-        } catch (AssertionError broken) {
-            // Under -ea alone. Nothing here is believed any more; sessions go on, and lean no more.
-            Log.bug("invariant", broken);
-            say("ended by an invariant");
-            told = Steering.NONE;
-            steer.accept(Steering.NONE);
         }
     }
 
-    private interface Step {
-        void run(long now) throws InterruptedException;
-    }
-
-    private void guarded(Step step) throws InterruptedException {
-        try {
-            step.run(clock.getAsLong());
-        } catch (RuntimeException | StackOverflowError | OutOfMemoryError bug) {
-            Log.bug("fleet", bug);
-            reportAtMs = clock.getAsLong() + settings.longestMs();
-            askAtMs = reportAtMs;
-        }
-    }
-
-    private void call(long now) throws InterruptedException {
+    private void step(long now) throws InterruptedException {
         if (now >= reportAtMs) {
             reportAtMs = now + report(now);
         }
@@ -134,20 +126,55 @@
         }
     }
 
-    private void lean(long now) {
-        Steering inForce = reader.steering(now);
-        if (!inForce.equals(told)) {
+    private void lean() {
+        while (!closed) {
+            try {
+                Thread.sleep(leanMs());
+            } catch (InterruptedException ended) {
+                return;
+            } catch (RuntimeException | StackOverflowError | OutOfMemoryError bug) {
+                Log.bug("fleet", bug);
+            } catch (AssertionError broken) {
+                broken(broken);
+            }
+        }
+    }
+
+    private synchronized void told(Steering inForce) {
+        if (!closed && !inForce.equals(told)) {
             told = inForce;
             steer.accept(inForce);
         }
     }
 
+    /** Under -ea alone. Both threads end, for nothing here is believed any more; sessions go on, and lean no more. */
+    private synchronized void broken(AssertionError invariant) {
+        closed = true;
+        Log.bug("invariant", invariant);
+        say("ended by an invariant");
+        told = Steering.NONE;
+        steer.accept(Steering.NONE);
+    }
+
+    /** @return until it is to be looked at again: not beyond the lease's end */
+    private long leanMs() {
+        long leftMs;
+        Steering inForce;
+        synchronized (reader) {
+            long now = clock.getAsLong();
+            inForce = reader.steering(now);
+            leftMs = reader.leftMs(now);
+        }
+        told(inForce);
+        return leftMs > 0 ? Math.min(LOOK_MS, leftMs) : LOOK_MS;
+    }
+
     private long report(long now) throws InterruptedException {
         try {
             Counted counted = counted();
             DaemonReport report = new DaemonReport(settings.site(), daemon, incarnation, ++sequence, now,
                     counted.cells().stream().map(Reporting::wire).toList(), counted.keys().keys(),
-                    counted.keys().servers(), counted.keys().serviceTimes());
+                    counted.keys().servers(), counted.keys().serviceTimes(), counted.keys().levels());
             Caller.Answer answer = caller.call(reportsTo.present(), "/fleet/v1/reports", Json.write(report));
             ReportAnswer read = Json.read(answer.body(), ReportAnswer.class);
             say(answer.status() == 200 ? "reports taken" : "reports " + read.verdict());
@@ -178,14 +205,16 @@
 
     private long ask() {
         try {
-            Caller.Answer answer = caller.call(reportsTo.present(), "/fleet/v1/table?known=" + reader.version(), null);
+            Caller.Answer answer = caller.call(reportsTo.present(), "/fleet/v1/table?known=" + version(), null);
             TableAnswer read = Json.read(answer.body(), TableAnswer.class);
             if (answer.status() != 200) {
                 throw new IOException("it answers " + answer.status());
             }
             if (read.table() != null) {
-                Acceptance acceptance = reader.offer(read.table(), clock.getAsLong());
-                version = reader.version();
+                Acceptance acceptance;
+                synchronized (reader) {
+                    acceptance = reader.offer(read.table(), clock.getAsLong());
+                }
                 say("tables " + acceptance.name().toLowerCase(Locale.ROOT).replace('_', '-'));
             }
             worked();
@@ -197,6 +226,12 @@
         }
     }
 
+    private long version() {
+        synchronized (reader) {
+            return reader.version();
+        }
+    }
+
     private void worked() {
         if (failing) {
             failing = false;
@@ -222,7 +257,10 @@
     Map<String, Object> report() {
         Map<String, Object> report = new LinkedHashMap<>();
         report.put("site", settings.site());
-        report.put("version", version);
+        synchronized (reader) {
+            report.put("version", reader.version());
+            report.put("lease_left_ms", reader.leftMs(clock.getAsLong()));
+        }
         report.put("report_ms", reportMs);
         report.put("ask_ms", askMs);
         report.put("in_force", told.factors());
@@ -236,6 +274,7 @@
     public void close() {
         closed = true;
         thread.interrupt();
+        leaning.interrupt();
         caller.close();
     }
 }
--- a/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/state/IntakeTest.java
@@ -22,6 +22,7 @@
 import peppergauge.forecast.KeyReport;
 import peppergauge.forecast.memory.ServiceTimes.Seen;
 import peppergauge.forecast.memory.ServiceTimes.Sum;
+import peppergauge.forecast.seen.AnswerLevels;
 
 public class IntakeTest {
 
@@ -111,6 +112,30 @@
         assertEquals(new Intake("north", LIMITS).judge(report, NOW, null, new Intake.Held(0, 0)), verdict);
     }
 
+    private static AnswerLevels levels(long all, long near, long key) {
+        return new AnswerLevels(-1, new Sum(all, 1, 1), new Sum(near, 1, 1), Map.of(7L, new Sum(key, 1, 1)));
+    }
+
+    @DataProvider
+    Object[][] levelled() {
+        return new Object[][] {
+            {levels(5, 5, 1), Verdict.TAKEN},
+            {null, Verdict.TAKEN},
+            {levels(5, 6, 1), Verdict.MALFORMED},
+            {levels(-1, -1, 1), Verdict.MALFORMED},
+            {levels(5, 5, 0), Verdict.MALFORMED},
+            {levels(Long.MAX_VALUE, 5, 1), Verdict.MALFORMED},
+            {new AnswerLevels(-1, null, new Sum(0, 0, 0), Map.of()), Verdict.MALFORMED},
+            {new AnswerLevels(-1, new Sum(5, Double.NaN, 1), new Sum(0, 0, 0), Map.of()), Verdict.MALFORMED},
+        };
+    }
+
+    @Test(dataProvider = "levelled")
+    public void levelsThatNothingCanBeScoredByAreMalformed(AnswerLevels levels, Verdict verdict) {
+        DaemonReport report = new DaemonReport("north", "d", 1, 1, NOW, List.of(), null, null, null, levels);
+        assertEquals(new Intake("north", LIMITS).judge(report, NOW, null, new Intake.Held(0, 0)), verdict);
+    }
+
     @DataProvider
     Object[][] sampled() {
         List<Long> gaps = List.of(1L, 2L);
@@ -122,12 +147,27 @@
             {new KeyReport(-1, Long.MAX_VALUE, List.of()), "east", Verdict.MALFORMED},
             {new KeyReport(2, 5, List.of()), "east", Verdict.TAKEN},
             {new KeyReport(1, 5, List.of()), "east", Verdict.MALFORMED},
+            {heavy(3, 3, 1, "radio", 5), "east", Verdict.TAKEN},
+            {heavy(0, 0, 2_048, "", 0), "east", Verdict.TAKEN},
+            {heavy(0, 0, 2_049, "radio", 5), "east", Verdict.MALFORMED},
+            {heavy(3, 2, 1, "radio", 5), "east", Verdict.MALFORMED},
+            {heavy(-1, 2, 1, "radio", 5), "east", Verdict.MALFORMED},
+            {heavy(0, Long.MAX_VALUE, 1, "radio", 5), "east", Verdict.MALFORMED},
+            {heavy(0, 0, 1, null, 5), "east", Verdict.MALFORMED},
+            {heavy(0, 0, 1, "r".repeat(201), 5), "east", Verdict.MALFORMED},
+            {heavy(0, 0, 1, "radio", -5), "east", Verdict.MALFORMED},
+            {heavy(0, 0, 1, "radio", Long.MAX_VALUE), "east", Verdict.MALFORMED},
             {null, null, Verdict.MALFORMED},
             {null, "", Verdict.MALFORMED},
             {null, "east", Verdict.TAKEN},
         };
     }
 
+    private static KeyReport heavy(long error, long floor, int keys, String station, long count) {
+        return new KeyReport(1L << 60, 5, List.of(), new KeyReport.Heavy(error, floor,
+                Collections.nCopies(keys, new KeyReport.Heavy.Count(512, station, count))));
+    }
+
     /** One broken daemon must not end the forecasts for all. */
     @Test(dataProvider = "sampled")
     public void whatCannotBeForecastWithIsMalformed(KeyReport keys, String zone, Verdict verdict) {
