Fleet's real processes are tested with invariants on

The documented switch (JDK_JAVA_OPTIONS=-ea:peppergauge...) had no test: each process must say in its log that invariants are checked, and a breach anywhere would end what the test waits for.

--- a/daemon/src/test/java/peppergauge/daemon/FleetProcessesTest.java
+++ b/daemon/src/test/java/peppergauge/daemon/FleetProcessesTest.java
@@ -97,21 +97,26 @@
     }
 
     private void launch(String name) throws IOException {
-        processes.put(name, new ProcessBuilder(System.getProperty("java.home") + File.separator + "bin"
+        ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + File.separator + "bin"
                 + File.separator + "java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
                 System.getProperty("java.class.path"), "peppergauge.daemon.Daemon", "daemon", "--config",
-                directory.resolve(name + ".toml").toString()).directory(ROOT.toFile()).redirectErrorStream(true)
-                .start());
+                directory.resolve(name + ".toml").toString()).directory(ROOT.toFile()).redirectErrorStream(true);
+        // As docs/INVARIANTS.md says: a breach anywhere ends what these tests wait for.
+        builder.environment().put("JDK_JAVA_OPTIONS", "-ea:peppergauge...");
+        processes.put(name, builder.start());
     }
 
     /** Then goes on reading, so that no process waits for its lines to be read. */
     private String awaitLine(String name, String part) throws IOException {
         var reader = processes.get(name).inputReader();
+        boolean checked = false;
         String line = reader.readLine();
         while (line != null && !line.contains(part)) {
+            checked |= line.contains("invariants are checked");
             line = reader.readLine();
         }
         assertTrue(line != null, name + " ended");
+        assertTrue(checked, name + " does not say that invariants are checked");
         Thread rest = new Thread(() -> reader.lines().forEach(each -> { }));
         rest.setDaemon(true);
         rest.start();
