--- a/forecast/src/main/java/peppergauge/forecast/trust/TrackRecord.java
+++ b/forecast/src/main/java/peppergauge/forecast/trust/TrackRecord.java
@@ -55,6 +55,7 @@
                 last.removeFirst();
             }
         }
+        assert last.size() <= (trusted ? LAST : AGAIN - 1) : last.size() + " outcomes are kept";
         return held;
     }
 
