--- a/fleet/src/main/java/peppergauge/fleet/reader/Reporting.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/Reporting.java
@@ -110,6 +110,9 @@
             } catch (RuntimeException | StackOverflowError | OutOfMemoryError bug) {
                 Log.bug("fleet", bug);
                 reportAtMs = clock.getAsLong() + settings.longestMs();
+                askAtMs = reportAtMs;
+            } catch (AssertionError broken) {
+                broken(broken);
             }
         }
     }
@@ -131,10 +134,28 @@
                 return;
             } catch (RuntimeException | StackOverflowError | OutOfMemoryError bug) {
                 Log.bug("fleet", bug);
+            } catch (AssertionError broken) {
+                broken(broken);
             }
         }
     }
 
+    private synchronized void told(Steering inForce) {
+        if (!closed && !inForce.equals(told)) {
+            told = inForce;
+            steer.accept(inForce);
+        }
+    }
+
+    /** Under -ea alone. Both threads end, for nothing here is believed any more; sessions go on, and lean no more. */
+    private synchronized void broken(AssertionError invariant) {
+        closed = true;
+        Log.bug("invariant", invariant);
+        say("ended by an invariant");
+        told = Steering.NONE;
+        steer.accept(Steering.NONE);
+    }
+
     /** @return until it is to be looked at again: not beyond the lease's end */
     private long leanMs() {
         long leftMs;
@@ -144,10 +165,7 @@
             inForce = reader.steering(now);
             leftMs = reader.leftMs(now);
         }
-        if (!inForce.equals(told)) {
-            told = inForce;
-            steer.accept(inForce);
-        }
+        told(inForce);
         return leftMs > 0 ? Math.min(LOOK_MS, leftMs) : LOOK_MS;
     }
 
