--- a/fleet/src/main/java/peppergauge/fleet/reader/SampledKeys.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/SampledKeys.java
@@ -30,7 +30,13 @@
      * @param zones names, by their index
      */
     public static KeySource of(int mostKeys, List<String> zones) {
-        return mostKeys == 0 ? NONE : new SampledKeys(mostKeys, zones);
+        if (mostKeys == 0) {
+            return NONE;
+        }
+        KeySource keys = new SampledKeys(mostKeys, zones);
+        boolean checked = false;
+        assert checked = true;
+        return checked ? new GuardedKeys(keys) : keys;
     }
 
     @Override
@@ -41,9 +47,7 @@
         }
         sampler.seen(key, station, (long) nowMs);
         long hash = KeySampler.hash(key);
-        if (sampler.samples(hash)) {
-            times.opened(opening.id(), hash, opening.requestClass());
-        }
+        times.opened(opening.id(), hash, opening.requestClass(), sampler.samples(hash));
     }
 
     @Override
@@ -68,7 +72,7 @@
 
     @Override
     public Told told() {
-        return new Told(sampler.report(), roll.copy(), times.seen());
+        return new Told(sampler.report(), roll.copy(), times.seen(), times.levels());
     }
 
     /** The last part of a path of two parts or more, without its query; null for none. */
