--- a/fleet/src/test/java/peppergauge/fleet/FleetInvariantsTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/FleetInvariantsTest.java
@@ -1,17 +1,15 @@
 package peppergauge.fleet;
 
-import java.io.IOException;
 import org.testng.annotations.DataProvider;
-import org.testng.annotations.Test;
 import peppergauge.fleet.member.MembersLoad;
 import peppergauge.fleet.service.MergingLoad;
 import peppergauge.fleet.state.StateLoad;
 import peppergauge.fleet.table.TablesLoad;
 import peppergauge.invariant.Loads;
-import peppergauge.invariant.PlantedSource;
+import peppergauge.invariant.UnderRandomLoad;
 
 /** What the fleet service decides under random load, with assertions on, and with faults planted in its sources. */
-public class FleetInvariantsTest {
+public class FleetInvariantsTest extends UnderRandomLoad {
 
     private static final int SEEDS = 25;
     private static final String STATE = "state.StateLoad";
@@ -19,19 +17,20 @@
     private static final String TABLES = "table.TablesLoad";
     private static final String MERGING = "service.MergingLoad";
 
+    public FleetInvariantsTest() {
+        super("fleet/", "peppergauge.fleet.", SEEDS);
+    }
+
+    @Override
     @DataProvider
     public Object[][] loads() {
         return new Object[][] {
-            {"fleet's state", (Loads.Load) StateLoad::run}, {"members", (Loads.Load) MembersLoad::run},
-            {"tables", (Loads.Load) TablesLoad::run}, {"merge", (Loads.Load) MergingLoad::run},
+            {"fleet's state", (Loads.Load) StateLoad::run, SEEDS}, {"members", (Loads.Load) MembersLoad::run, SEEDS},
+            {"tables", (Loads.Load) TablesLoad::run, SEEDS}, {"merge", (Loads.Load) MergingLoad::run, SEEDS},
         };
     }
 
-    @Test(dataProvider = "loads")
-    public void allHoldsWhateverHappens(String name, Loads.Load load) {
-        Loads.each(name, SEEDS, load);
-    }
-
+    @Override
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
@@ -79,10 +78,4 @@
                 "new Tally(settings.sizes().cells())", "Total.answered()"},
         };
     }
-
-    @Test(dataProvider = "faults")
-    public void aPlantedFaultIsFound(String load, String file, String sound, String faulty, String says)
-            throws IOException, ReflectiveOperationException {
-        new PlantedSource("fleet/" + file, sound, faulty).mustBeFound("peppergauge.fleet." + load, SEEDS, says);
-    }
 }
--- a/forecast/src/test/java/peppergauge/forecast/ForecastInvariantsTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/ForecastInvariantsTest.java
@@ -1,34 +1,33 @@
 package peppergauge.forecast;
 
-import java.io.IOException;
 import org.testng.annotations.DataProvider;
-import org.testng.annotations.Test;
 import peppergauge.forecast.sample.SamplerLoad;
 import peppergauge.forecast.trust.TrustLoad;
 import peppergauge.invariant.Loads;
-import peppergauge.invariant.PlantedSource;
+import peppergauge.invariant.UnderRandomLoad;
 
 /** Samples, merges, forecasts and the trust in them under random load, and with faults planted in their sources. */
-public class ForecastInvariantsTest {
+public class ForecastInvariantsTest extends UnderRandomLoad {
 
     private static final int SEEDS = 15;
     private static final String SAMPLER = "sample.SamplerLoad";
     private static final String TRUST = "trust.TrustLoad";
     private static final String FORECAST = "ForecastLoad";
 
+    public ForecastInvariantsTest() {
+        super("forecast/", "peppergauge.forecast.", SEEDS);
+    }
+
+    @Override
     @DataProvider
     public Object[][] loads() {
         return new Object[][] {
-            {"samples", (Loads.Load) SamplerLoad::run}, {"trust", (Loads.Load) TrustLoad::run},
-            {"forecasts", (Loads.Load) ForecastLoad::run},
+            {"samples", (Loads.Load) SamplerLoad::run, SEEDS}, {"trust", (Loads.Load) TrustLoad::run, SEEDS},
+            {"forecasts", (Loads.Load) ForecastLoad::run, 4},
         };
     }
 
-    @Test(dataProvider = "loads")
-    public void allHoldsWhateverComes(String name, Loads.Load load) {
-        Loads.each(name, name.equals("forecasts") ? 4 : SEEDS, load);
-    }
-
+    @Override
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
@@ -52,10 +51,4 @@
                 "cold / (0 * memory.saving())", "moving"},
         };
     }
-
-    @Test(dataProvider = "faults")
-    public void aPlantedFaultIsFound(String load, String file, String sound, String faulty, String says)
-            throws IOException, ReflectiveOperationException {
-        new PlantedSource("forecast/" + file, sound, faulty).mustBeFound("peppergauge.forecast." + load, SEEDS, says);
-    }
 }
--- a/promises/src/test/java/peppergauge/promises/PromisesInvariantsTest.java
+++ b/promises/src/test/java/peppergauge/promises/PromisesInvariantsTest.java
@@ -1,25 +1,30 @@
 package peppergauge.promises;
 
-import java.io.IOException;
 import org.testng.annotations.DataProvider;
-import org.testng.annotations.Test;
 import peppergauge.invariant.Loads;
-import peppergauge.invariant.PlantedSource;
+import peppergauge.invariant.UnderRandomLoad;
 import peppergauge.promises.evidence.WindowsLoad;
 
 /** Promises under random load, with assertions on, and with faults planted in their sources. */
-public class PromisesInvariantsTest {
+public class PromisesInvariantsTest extends UnderRandomLoad {
 
     private static final int SEEDS = 25;
     private static final String WINDOWS = "evidence.WindowsLoad";
     private static final String PROMISES = "PromisesLoad";
 
-    @Test
-    public void allHoldsWhateverIsTold() {
-        Loads.each("promises' windows", SEEDS, WindowsLoad::run);
-        Loads.each("promises", 12, PromisesLoad::run);
+    public PromisesInvariantsTest() {
+        super("promises/", "peppergauge.promises.", SEEDS);
     }
 
+    @Override
+    @DataProvider
+    public Object[][] loads() {
+        return new Object[][] {
+            {"promises' windows", (Loads.Load) WindowsLoad::run, SEEDS}, {"promises", (Loads.Load) PromisesLoad::run, 12},
+        };
+    }
+
+    @Override
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
@@ -51,10 +56,4 @@
             {PROMISES, "steer/State.java", "all.merge(zone, held, Math::min)", "all.put(zone, held)", "another order"},
         };
     }
-
-    @Test(dataProvider = "faults")
-    public void aPlantedFaultIsFound(String load, String file, String sound, String faulty, String says)
-            throws IOException, ReflectiveOperationException {
-        new PlantedSource("promises/" + file, sound, faulty).mustBeFound("peppergauge.promises." + load, SEEDS, says);
-    }
 }
--- a/sidecar/src/test/java/peppergauge/PlantedFaultsTest.java
+++ b/sidecar/src/test/java/peppergauge/PlantedFaultsTest.java
@@ -1,11 +1,9 @@
 package peppergauge;
 
-import java.io.IOException;
 import org.testng.annotations.DataProvider;
-import org.testng.annotations.Test;
 import peppergauge.coldstart.PacesLoad;
 import peppergauge.invariant.Loads;
-import peppergauge.invariant.PlantedSource;
+import peppergauge.invariant.UnderRandomLoad;
 import peppergauge.overload.OverloadLoad;
 import peppergauge.session.SessionsLoad;
 import peppergauge.sockets.ClientsLoad;
@@ -14,7 +12,7 @@
  * Sessions, overload control, sockets' places and the paces of a start under random load, as they are and with faults
  * planted in their sources. In no package of theirs, since it knows them all and they know the invariants.
  */
-public class PlantedFaultsTest {
+public class PlantedFaultsTest extends UnderRandomLoad {
 
     private static final int SEEDS = 15;
     private static final int SEEDS_FOR_A_FAULT = 25;
@@ -24,21 +22,22 @@
     private static final String CLIENTS = "peppergauge.sockets.ClientsLoad";
     private static final String PACES = "peppergauge.coldstart.PacesLoad";
 
+    public PlantedFaultsTest() {
+        super("", "", SEEDS_FOR_A_FAULT);
+    }
+
+    @Override
     @DataProvider
     public Object[][] loads() {
         return new Object[][] {
-            {"sessions", (Loads.Load) SessionsLoad::run},
-            {"overload", (Loads.Load) OverloadLoad::run},
-            {"clients", (Loads.Load) ClientsLoad::run},
-            {"paces", (Loads.Load) PacesLoad::run},
+            {"sessions", (Loads.Load) SessionsLoad::run, SEEDS},
+            {"overload", (Loads.Load) OverloadLoad::run, SEEDS},
+            {"clients", (Loads.Load) ClientsLoad::run, SEEDS},
+            {"paces", (Loads.Load) PacesLoad::run, SEEDS},
         };
     }
 
-    @Test(dataProvider = "loads")
-    public void allHoldsWhateverHappens(String name, Loads.Load load) {
-        Loads.each(name, SEEDS, load);
-    }
-
+    @Override
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
@@ -113,10 +112,4 @@
                 "serversKnown > 0 ? 2 * longestMs : longestMs;", "ready only after"},
         };
     }
-
-    @Test(dataProvider = "faults")
-    public void aPlantedFaultIsFound(String load, String file, String sound, String faulty, String says)
-            throws IOException, ReflectiveOperationException {
-        new PlantedSource(file, sound, faulty).mustBeFound(load, SEEDS_FOR_A_FAULT, says);
-    }
 }
