Reckon a memory's size with the keys that a forecast reckons with

Where it was too sure, the memory's size was inferred from the sampled keys alone, and turned back into a reach by the forecast with heavy keys beside them: two unlike counts of the keys that a server meets. With 200 heavy keys told and none sampled, a reach of 11 s seen for sure became 0.565 (0.551 to 0.580) where 0.661 is right.

Now MemoryEstimator counts keys met, and all sessions, over the same keys as Forecaster (KeyClass.told, moved to popularity): 0.663 there. Where all keys are sampled nothing changes.

--- a/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Forecaster.java
@@ -17,6 +17,7 @@
 import peppergauge.forecast.placement.Placement;
 import peppergauge.forecast.placement.PlacementChange;
 import peppergauge.forecast.placement.Step;
+import peppergauge.forecast.popularity.KeyClass;
 import peppergauge.forecast.popularity.Popularity;
 import peppergauge.forecast.popularity.Popularity.KeyCount;
 
@@ -36,8 +37,6 @@
     private static final double COLD_MODEL_ERROR = 0.006;
     /** And more where servers' loads are bounded: which sessions spill is reckoned from means alone. */
     private static final double BOUND_ERROR = 0.012;
-    /** Where more keys are sampled than this share, the popular ones among them stand for themselves. */
-    private static final double MOST_SAMPLED = 0.5;
     private static final NormalDistribution NORMAL = NormalDistribution.of(0, 1);
 
     private final Popularity popularity;
@@ -58,8 +57,7 @@
         if (stations.isEmpty()) {
             throw new IllegalArgumentException("no sampled key came");
         }
-        List<KeyClass> only = popularity.share() > MOST_SAMPLED ? KeyClass.of(popularity, stations)
-                : KeyClass.withKnown(popularity, stations);
+        List<KeyClass> only = KeyClass.told(popularity, stations);
         if (!only.isEmpty()) {
             populations.add(only);
             points.addAll(memory.points());
--- a/forecast/src/main/java/peppergauge/forecast/hits/Spell.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Spell.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import peppergauge.forecast.hits.Course.Group;
 import peppergauge.forecast.placement.Homes;
+import peppergauge.forecast.popularity.KeyClass;
 
 /**
  * Misses at one moment, given what memories are like. A memory that keeps the keys met last, so many and each for so
--- a/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimator.java
+++ b/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimator.java
@@ -5,12 +5,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.apache.commons.statistics.distribution.NormalDistribution;
 import peppergauge.forecast.memory.MemoryEstimate.Point;
 import peppergauge.forecast.memory.ServiceTimes.Seen;
 import peppergauge.forecast.memory.ServiceTimes.Sum;
 import peppergauge.forecast.placement.Homes;
 import peppergauge.forecast.placement.Placement;
+import peppergauge.forecast.popularity.KeyClass;
 import peppergauge.forecast.popularity.Popularity;
 import peppergauge.forecast.popularity.Popularity.KeyCount;
 
@@ -60,7 +62,8 @@
     private final double[] luck;
     private final List<Kind> kinds;
     private final Popularity popularity;
-    private final long sampled;
+    /** All sessions, as far as keys are told, in sampled ones. */
+    private final double whole;
     private final double alone;
     private final double variance;
     private final List<List<Popular>> classes = new ArrayList<>();
@@ -72,19 +75,31 @@
         luck = placement.luck();
         this.kinds = kinds;
         this.popularity = popularity;
-        sampled = popularity.sampled();
+        List<KeyClass> told = popularity.share() < 1 ? told(popularity) : List.of();
+        whole = told.isEmpty() ? popularity.sampled() : popularity.share() * popularity.sessions();
         alone = placement.sidecars().stream().mapToDouble(share -> share * share).sum();
         variance = within();
         met = new double[kinds.size()][ServiceTimes.BUCKETS + 1];
         metVariance = new double[kinds.size()][ServiceTimes.BUCKETS + 1];
         for (int kind = 0; kind < met.length; kind++) {
             classes.add(classes(kinds.get(kind)));
+            List<KeyClass> all = told.isEmpty() ? classes.get(kind).stream().map(each ->
+                    new KeyClass(0, each.keys(), each.count(), false)).toList() : told;
             for (int edge = 0; edge < met[kind].length; edge++) {
-                meet(kind, edge);
+                meet(kind, edge, all);
             }
         }
     }
 
+    /**
+     * Those that a forecast reckons with: a memory of so many keys has to reach as far here as there. A sample that has
+     * more or less of the popular keys than its share has other sums of sessions and of keys met.
+     */
+    private static List<KeyClass> told(Popularity popularity) {
+        return KeyClass.told(popularity, Stream.concat(popularity.keys().stream(), popularity.heavy().stream())
+                .map(KeyCount::station).distinct().sorted().toList());
+    }
+
     private List<Popular> classes(Kind kind) {
         Map<Long, Popular> classes = new TreeMap<>();
         for (KeyCount key : popularity.keys()) {
@@ -99,12 +114,12 @@
     /** Part of a key's sessions that one of its servers gets. */
     private double keyPart(int kind, double count) {
         double part = kinds.get(kind).part();
-        return part / homes.chance(part, count / sampled);
+        return part / homes.chance(part, count / whole);
     }
 
     /** Keys that one server meets in the time up to this edge, and how much that differs from time to time. */
-    private void meet(int kind, int edge) {
-        for (Popular each : classes.get(kind)) {
+    private void meet(int kind, int edge, List<KeyClass> all) {
+        for (KeyClass each : all) {
             double part = keyPart(kind, each.count());
             double chance = kinds.get(kind).part() / part;
             for (double factor : luck) {
--- a/forecast/src/main/java/peppergauge/forecast/hits/KeyClass.java
+++ b/forecast/src/main/java/peppergauge/forecast/popularity/KeyClass.java
@@ -1,4 +1,4 @@
-package peppergauge.forecast.hits;
+package peppergauge.forecast.popularity;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
-import peppergauge.forecast.popularity.Popularity;
 import peppergauge.forecast.popularity.Popularity.KeyCount;
 import peppergauge.forecast.sample.HeavyKeys;
 
@@ -19,8 +18,10 @@
  * @param count sessions with each, in the mean
  * @param known whether the keys are told one by one, sampled or not, so that nothing hangs on which were sampled
  */
-record KeyClass(int station, double keys, double count, boolean known) {
+public record KeyClass(int station, double keys, double count, boolean known) {
 
+    /** Where more keys are sampled than this share, the popular ones among them stand for themselves. */
+    private static final double MOST_SAMPLED = 0.5;
     /** Of the most popular sampled keys so many, or a fourth of all, give way to a curve. */
     private static final int HEAD = 12;
     private static final double STEEPEST = 3;
@@ -33,8 +34,13 @@
     /** None of them counts for less than this of a key, however the sum is off. */
     private static final double LEAST_WEIGHT = 0.05;
 
-    static List<KeyClass> of(Popularity popularity, List<String> stations) {
-        return grouped(popularity.keys(), stations);
+    /**
+     * The keys that are told: the sampled ones where they are more than half, else heavy and sampled ones together.
+     * Empty where neither says enough, so that a curve has to.
+     */
+    public static List<KeyClass> told(Popularity popularity, List<String> stations) {
+        return popularity.share() > MOST_SAMPLED ? grouped(popularity.keys(), stations)
+                : withKnown(popularity, stations);
     }
 
     private static List<KeyClass> grouped(List<KeyCount> keys, List<String> stations) {
@@ -58,16 +64,16 @@
     }
 
     /** Sampled keys that give way to the curve. */
-    static int head(Popularity popularity) {
+    public static int head(Popularity popularity) {
         return Math.max(1, Math.min(HEAD, popularity.keys().size() / 4));
     }
 
     /**
      * Heavy keys as they are told, and the sampled ones among the rest for all sessions that the heavy ones leave: what
-     * the sample is off in that known sum is laid on the more popular of them, as in {@link Forecaster}'s estimate.
+     * the sample is off in that known sum is laid on the more popular of them, as in a forecast's estimate.
      * Empty where too few are known to reach down to the ranks that the sample stands for, or too few are sampled.
      */
-    static List<KeyClass> withKnown(Popularity popularity, List<String> stations) {
+    private static List<KeyClass> withKnown(Popularity popularity, List<String> stations) {
         Set<KeyCount> known = popularity.heavy().stream().map(KeyClass::name).collect(Collectors.toSet());
         List<KeyCount> rest = popularity.keys().stream().filter(key -> !known.contains(name(key))).toList();
         double left = popularity.sessions() - popularity.heavy().stream().mapToLong(KeyCount::count).sum();
@@ -98,7 +104,7 @@
      *
      * @param off by how much the rank of the last one that gives way is taken to be off, as a share
      */
-    static List<KeyClass> withHead(Popularity popularity, List<String> stations, double off) {
+    public static List<KeyClass> withHead(Popularity popularity, List<String> stations, double off) {
         List<KeyCount> order = new ArrayList<>(popularity.keys());
         order.sort(Comparator.comparingLong(KeyCount::count).reversed());
         int head = head(popularity);
--- a/forecast/src/test/java/peppergauge/forecast/MemoryEstimatorTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/MemoryEstimatorTest.java
@@ -9,6 +9,7 @@
 import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import peppergauge.forecast.hits.Forecaster;
 import peppergauge.forecast.memory.MemoryEstimate;
 import peppergauge.forecast.memory.MemoryEstimate.Point;
 import peppergauge.forecast.memory.MemoryEstimator;
@@ -29,14 +30,18 @@
 
     /** Answers with gaps drawn evenly by their logarithm; what comes within the reach took less. */
     private static ServiceTimes.Seen seen(int answers, double part, double reachMs, long seed) {
+        return seen(answers, part, reachMs, seed, 300, 100);
+    }
+
+    private static ServiceTimes.Seen seen(int answers, double part, double reachMs, long seed, int keys, int each) {
         SplittableRandom random = new SplittableRandom(seed);
         ServiceTimes times = new ServiceTimes(1_000);
         for (int i = 0; i < answers; i++) {
             double gapMs = 250 * Math.pow(128, random.nextDouble());
             // What the other sidecar sends hits, too.
-            boolean others = random.nextDouble() < 1 - Math.exp(-100 * part / 2 * reachMs / SPAN_MS);
+            boolean others = random.nextDouble() < 1 - Math.exp(-each * part / 2 * reachMs / SPAN_MS);
             boolean known = i % 2 == 0;
-            times.answered(i % 300, known ? gapMs : Double.POSITIVE_INFINITY,
+            times.answered(i % keys, known ? gapMs : Double.POSITIVE_INFINITY,
                     (others || known && gapMs < reachMs ? 0.6 : 1) * (0.5 + random.nextDouble()));
         }
         return times.seen();
@@ -90,6 +95,21 @@
                 life.points().toString());
     }
 
+    /** 200 heavy keys, none of them sampled, are half of what a server meets: a memory has to hold them, too. */
+    @Test(dataProvider = "reaches")
+    public void aMemoryIsAsLargeAsAForecastNeedsItForTheReachThatWasSeen(double reachMs) {
+        Popularity known = new Popularity(0.02, 300_000, SPAN_MS, IntStream.range(0, 200).mapToObj(i ->
+                new KeyCount(i, "s", 10)).toList(), IntStream.range(0, 200).mapToObj(i ->
+                new KeyCount((i + 1L) << 48, "s", 1_000)).toList());
+        MemoryEstimate found = MemoryEstimator.estimate(PLACEMENT, List.of(new MemoryEstimator.Kind(0.1,
+                seen(16_000, 0.1, reachMs, 1, 200, 10))), known);
+        double said = new Forecaster(known, found, PLACEMENT).now().fleet().mean();
+        // A key that came n times counts one less: the session itself is not met before it.
+        double seen = (100_000 * (1 - Math.pow(1 - 0.1 * reachMs / SPAN_MS, 9))
+                + 200_000 * (1 - Math.pow(1 - 0.1 * reachMs / SPAN_MS, 999))) / 300_000;
+        assertEquals(said, seen, 0.02);
+    }
+
     @Test
     public void withoutAnswersAllThatMayBeStaysInTheEstimate() {
         MemoryEstimate found = estimate(0.1, 0, 4_000);
