Keep forecasts' trust and scores over a restart of the fleet service

An instance that was restarted trusted a forecaster that had lost its say, and its scores began at nothing: six wrong outcomes can take months to come again.

TrackRecord gives and takes all that the say hangs on; Scores adds the counts and the last 20 outcomes (KeptScores, with the forecaster's version), and they go into NAME-state beside the planner's state. Read, they are aged: outcomes of over 30 days, or as far ahead of the clock, are left out. Another version, or what cannot be read, is as none. An older release passes the field over, and reads the rest. Instances do not merge trust: each scores the same change by itself, so it would count three times (docs/FLEET-SERVICE.md).

ScoresTest tries eleven restarts (ages, versions, parts missing), ServiceTest one on a real disk and a damaged file; TrustLoad restarts at random.

--- a/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
+++ b/fleet/src/main/java/peppergauge/fleet/decide/Planner.java
@@ -25,6 +25,18 @@
         return Map.of();
     }
 
+    /** What of its forecasts has to outlive the process, of a form of its own; the thread that has it forecast asks. */
+    default byte[] forecastState() {
+        return new byte[0];
+    }
+
+    /**
+     * Goes on from what {@link #forecastState} gave, before the first forecast.
+     *
+     * @throws IllegalArgumentException if it is of no use: then it starts anew
+     */
+    default void restoreForecasts(byte[] state) { }
+
     /** What has to outlive the process; of a form of the planner's own. */
     default byte[] state() {
         return new byte[0];
--- a/fleet/src/main/java/peppergauge/fleet/disk/KeptState.java
+++ b/fleet/src/main/java/peppergauge/fleet/disk/KeptState.java
@@ -14,17 +14,23 @@
  * counted twice or not at all.
  *
  * @param planner its own state
+ * @param forecasts likewise of how they fared; empty in a file of an older release
  */
-public record KeptState(List<DaemonReport> reports, List<KeptTotal> totals, byte[] planner) {
+public record KeptState(List<DaemonReport> reports, List<KeptTotal> totals, byte[] planner, byte[] forecasts) {
 
     /** One cell's total. */
     public record KeptTotal(Cell cell, long answered, long denied, long failed, String latency) { }
 
-    public static KeptState of(List<DaemonReport> reports, Map<Cell, Tally.Total> totals, byte[] planner) {
+    public KeptState {
+        forecasts = forecasts == null ? new byte[0] : forecasts;
+    }
+
+    public static KeptState of(List<DaemonReport> reports, Map<Cell, Tally.Total> totals, byte[] planner,
+            byte[] forecasts) {
         List<KeptTotal> kept = new ArrayList<>();
         totals.forEach((cell, total) -> kept.add(new KeptTotal(cell, total.answered(), total.denied(), total.failed(),
                 Latencies.encode(total.latency()))));
-        return new KeptState(reports, kept, planner);
+        return new KeptState(reports, kept, planner, forecasts);
     }
 
     /** @throws IllegalArgumentException if a histogram is none */
--- a/fleet/src/main/java/peppergauge/fleet/plan/KeyForecasts.java
+++ b/fleet/src/main/java/peppergauge/fleet/plan/KeyForecasts.java
@@ -15,6 +15,7 @@
 import peppergauge.fleet.decide.ForecastAnswer;
 import peppergauge.fleet.decide.MergedView;
 import peppergauge.fleet.wire.DaemonReport;
+import peppergauge.fleet.wire.Json;
 import peppergauge.forecast.answers.Answers;
 import peppergauge.forecast.hits.Forecast;
 import peppergauge.forecast.hits.HitRate;
@@ -57,6 +58,8 @@
     private volatile long placedMs;
     private volatile boolean trusted = true;
     private volatile Map<String, Object> report = Map.of();
+    /** Until the first step, for only then it is known how old it is. */
+    private KeptScores before;
     private int next;
     private long failures;
     private String lastFailure = "";
@@ -72,6 +75,10 @@
      * @param steering in force
      */
     public void step(long nowMs, MergedView merged, Steering steering) {
+        if (before != null) {
+            scores.restore(before, nowMs);
+            before = null;
+        }
         try {
             feed(nowMs, merged);
             scores.step(nowMs, merged, steering);
@@ -177,6 +184,20 @@
         return ids;
     }
 
+    /** Trust and scores, to go on from after a restart; the stepping thread. */
+    public byte[] kept() {
+        return Json.write(before != null ? before : scores.kept());
+    }
+
+    /**
+     * Goes on from there, before the first step.
+     *
+     * @throws IllegalArgumentException if it is of no use: then it starts unproved
+     */
+    public void restore(byte[] kept) {
+        before = Json.read(kept, KeptScores.class);
+    }
+
     /** What followed one of the answers; the stepping thread. */
     TrackRecord record() {
         return answers.record();
--- a/fleet/src/main/java/peppergauge/fleet/plan/PromisePlanner.java
+++ b/fleet/src/main/java/peppergauge/fleet/plan/PromisePlanner.java
@@ -79,6 +79,16 @@
         return forecasts.answers();
     }
 
+    @Override
+    public byte[] forecastState() {
+        return forecasts.kept();
+    }
+
+    @Override
+    public void restoreForecasts(byte[] state) {
+        forecasts.restore(state);
+    }
+
     /** By "station / class": for each window, how many times its error budget is being spent. */
     private Map<String, List<Double>> burnRates() {
         Map<String, List<Double>> rates = new LinkedHashMap<>();
--- a/fleet/src/main/java/peppergauge/fleet/plan/Scores.java
+++ b/fleet/src/main/java/peppergauge/fleet/plan/Scores.java
@@ -41,7 +41,7 @@
     static final double MOST_ERROR = 0.05;
     /** What the estimate is off by beside chance, as tried; see docs/FORECAST.md. */
     private static final double MODEL_ERROR = 0.01;
-    private static final int LAST = 20;
+    static final int LAST = 20;
 
     private final TrackRecord record;
     private final SeenHits hits = new SeenHits();
@@ -215,4 +215,25 @@
         unscored.forEach((why, count) -> counts.put(why.text(), count));
         return new ForecastScore(scored, counts, List.copyOf(last));
     }
+
+    /** A change that is under way is not in it: who was not there throughout cannot score it. */
+    KeptScores kept() {
+        ForecastScore now = score();
+        return new KeptScores(KeptScores.FORECASTER, record.kept().newest(last.size()), now.scored(), now.unscored(),
+                now.last());
+    }
+
+    /** Goes on from there, before the first step; a say that was lost longer ago is given back. */
+    void restore(KeptScores kept, long nowMs) {
+        int fresh = kept.fresh(nowMs);
+        scored = kept.scored();
+        for (Unscored why : Unscored.values()) {
+            unscored.merge(why, kept.unscored().getOrDefault(why.text(), 0L), Long::sum);
+        }
+        unscored.values().removeIf(count -> count == 0);
+        last.addAll(kept.last().subList(kept.last().size() - fresh, kept.last().size()));
+        if (fresh > 0) {
+            record.restore(kept.record().newest(fresh));
+        }
+    }
 }
--- a/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/FleetService.java
@@ -66,7 +66,7 @@
         stateFile = new KeptFile<>(disk, settings.folder(), settings.name(), "state", KeptState.class);
         merging = new Merging(settings, clock, kept());
         deciding = new Deciding(planner, merging);
-        forecasting = new Forecasting(planner, merging.forecastFrom());
+        forecasting = new Forecasting(planner, merging);
         keeping = new Keeping(stateFile, merging.kept(), clock);
         Membership membership = new Membership(settings.name(), started, settings.peers().stream()
                 .map(ServiceSettings.Peer::name).collect(Collectors.toSet()), settings.patience(), started);
--- a/fleet/src/main/java/peppergauge/fleet/service/Merging.java
+++ b/fleet/src/main/java/peppergauge/fleet/service/Merging.java
@@ -41,6 +41,7 @@
     private final Tally tally;
     private final Map<String, Newest> newest = new ConcurrentHashMap<>();
     private volatile byte[] plannerState = new byte[0];
+    private volatile byte[] forecastState = new byte[0];
     private volatile int live;
     private volatile long bytes;
     private final long startedMs;
@@ -64,6 +65,7 @@
                 note(report);
             });
             plannerState = before.planner();
+            forecastState = before.forecasts();
         }
     }
 
@@ -140,7 +142,7 @@
     private Supplier<KeptState> account() {
         List<DaemonReport> reports = state.reports();
         Map<peppergauge.promises.Cell, Tally.Total> totals = tally.totals();
-        return () -> KeptState.of(reports, totals, plannerState);
+        return () -> KeptState.of(reports, totals, plannerState, forecastState);
     }
 
     /** When no thread steps any more. */
@@ -193,4 +195,12 @@
     void plannerState(byte[] state) {
         plannerState = state;
     }
+
+    byte[] forecastState() {
+        return forecastState;
+    }
+
+    void forecastState(byte[] state) {
+        forecastState = state;
+    }
 }
--- a/fleet/src/test/java/peppergauge/fleet/disk/KeptFileTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/disk/KeptFileTest.java
@@ -122,10 +122,12 @@
         }
         try (KeptFile<KeptState> state = new KeptFile<>(new RealDisk(), folder, "fleet-1", "state",
                 KeptState.class)) {
-            state.write(KeptState.of(List.of(Samples.report(1, 1, 1, 1)), Map.of(), new byte[] {7}), 1);
+            state.write(KeptState.of(List.of(Samples.report(1, 1, 1, 1)), Map.of(), new byte[] {7}, new byte[] {8}),
+                    1);
             KeptState read = state.read(log::add).orElseThrow();
             assertEquals(read.reports(), List.of(Samples.report(1, 1, 1, 1)));
             assertEquals(read.planner(), new byte[] {7});
+            assertEquals(read.forecasts(), new byte[] {8});
         }
         Files.copy(folder.resolve("fleet-1-state.snapshot"), newest,
                 java.nio.file.StandardCopyOption.REPLACE_EXISTING);
--- a/fleet/src/test/java/peppergauge/fleet/plan/ScoresTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/plan/ScoresTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -20,6 +21,7 @@
 import peppergauge.fleet.decide.MergedView;
 import peppergauge.fleet.state.Tally;
 import peppergauge.fleet.wire.DaemonReport.Server;
+import peppergauge.fleet.wire.Json;
 import peppergauge.forecast.hits.HitRate;
 import peppergauge.forecast.memory.ServiceTimes.Sum;
 import peppergauge.forecast.seen.AnswerLevels;
@@ -35,8 +37,8 @@
 
     /** Two daemons, 90 servers in three zones, a hit rate that is set, and what is said at each step. */
     private static final class Fleet {
-        private final TrackRecord record = new TrackRecord();
-        private final Scores scores = new Scores(record);
+        private TrackRecord record = new TrackRecord();
+        private Scores scores = new Scores(record);
         private final Map<String, AnswerLevels> levels = new HashMap<>();
         private final Map<String, Long> incarnations = new HashMap<>(Map.of("d0", 1L, "d1", 1L));
         private List<Server> servers = new ArrayList<>(IntStream.range(0, 90)
@@ -90,6 +92,19 @@
             }
         }
 
+        /** @param from a part of what is kept, which is found as the other instead */
+        void restart(long downMs, String from, String to) {
+            String kept = new String(Json.write(scores.kept()), StandardCharsets.UTF_8).replace(from, to);
+            nowMs += downMs;
+            record = new TrackRecord();
+            scores = new Scores(record);
+            try {
+                scores.restore(Json.read(kept.getBytes(StandardCharsets.UTF_8), KeptScores.class), nowMs);
+            } catch (IllegalArgumentException none) {
+                assertFalse(from.isEmpty(), none.toString());
+            }
+        }
+
         void lose(String zone) {
             servers.removeIf(server -> server.zone().equals(zone));
         }
@@ -218,6 +233,37 @@
         assertEquals(fleet.scores.score().scored(), 16);
     }
 
+    @DataProvider
+    Object[][] restarts() {
+        long day = 86_400_000;
+        return new Object[][] {
+            {0L, "", "", true}, {29 * day, "", "", true}, {-29 * day, "", "", true},
+            {31 * day, "", "", false}, {-31 * day, "", "", false},
+            {0L, "\"forecaster\":1", "\"forecaster\":2", false}, {0L, "\"forecaster\":1", "\"older\":1", false},
+            {0L, "\"last\":[", "\"last\":[null,", false}, {0L, "}]}", "}", false},
+            {0L, "\"scored\":4", "\"scored\":3", false}, {0L, "\"off\":", "\"off\":1", false},
+        };
+    }
+
+    /** Wrong twice, then a restart, then wrong once more: the sixth outcome takes the say, if the first four count. */
+    @Test(dataProvider = "restarts")
+    public void trustAndScoresOutliveARestartUnlessTheyAreOldOrAnothers(long downMs, String from, String to,
+            boolean kept) {
+        Fleet fleet = new Fleet();
+        for (int change = 0; change < 3; change++) {
+            if (change == 2) {
+                fleet.restart(downMs, from, to);
+            }
+            fleet.change(0.2, each -> each.replace(36));
+        }
+        assertEquals(fleet.record.trusted(), !kept);
+        assertEquals(fleet.scores.score().last().size(), kept ? 6 : 2);
+        // What was counted is of no age; what cannot be read is as none.
+        assertEquals(fleet.scores.score().scored(), kept || from.isEmpty() ? 6 : 2);
+        fleet.restart(0, "", "");
+        assertEquals(fleet.record.trusted(), !kept, "the say is back with a restart");
+    }
+
     /** Whoever is right keeps the say, whatever follows. */
     @Property(tries = 20)
     public void aRightForecasterKeepsItsSay(@ForAll @IntRange(min = 0, max = 90) int percent) {
--- a/fleet/src/test/java/peppergauge/fleet/service/Bed.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/Bed.java
@@ -43,6 +43,8 @@
     /** Likewise: the next time that it looks at the clock, an invariant is broken there. */
     final Set<String> broken = ConcurrentHashMap.newKeySet();
     final AtomicLong clockShiftMs = new AtomicLong();
+    /** How forecasts fared so far, wherever they come from; null for as it is. */
+    volatile byte[] proved;
     /** Of the instance started last. */
     volatile KeyForecasts forecasts;
     volatile Steering wanted = new Steering(Map.of("radio", Map.of("east", 0.5)));
@@ -95,6 +97,16 @@
                 own.step(nowMs, merged, Steering.NONE);
                 return own.answers();
             }
+
+            @Override
+            public byte[] forecastState() {
+                return proved == null ? own.kept() : proved;
+            }
+
+            @Override
+            public void restoreForecasts(byte[] state) {
+                own.restore(state);
+            }
         };
         services[i] = new FleetService(settings(i), planner, new RealDisk(), clock);
     }
--- a/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
@@ -15,9 +15,11 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import peppergauge.fleet.Samples;
+import peppergauge.fleet.decide.ForecastOutcome;
 import peppergauge.fleet.http.Caller;
 import peppergauge.fleet.wire.FleetTable;
 import peppergauge.fleet.wire.Json;
+import peppergauge.forecast.hits.HitRate;
 import peppergauge.forecast.sample.KeySampler;
 import peppergauge.log.Log;
 
@@ -173,16 +175,27 @@
         }
     }
 
+    private static void untilForecastsAreTrusted(Bed bed, boolean trusted) {
+        Bed.until("trusted " + trusted, () -> ((Boolean) trusted).equals(bed.forecasts.report().get("trusted")));
+    }
+
     @Test
-    public void totalsOutliveTheProcessAndADamagedFileMeansAFreshStart() throws Exception {
+    public void totalsAndTrustOutliveTheProcessAndADamagedFileMeansAFreshStart() throws Exception {
         try (Bed bed = new Bed(1)) {
-            bed.start(0);
             long now = System.currentTimeMillis();
+            HitRate said = new HitRate(0.2, 0.1, 0.3);
+            bed.proved = Json.write(Map.of("forecaster", 1, "record", Map.of("trusted", false, "last", List.of()),
+                    "scored", 6, "unscored", Map.of(), "last", List.of(new ForecastOutcome("replaced:0.4", "steady",
+                            now, said, 0.6, 0.6, 0.01, false))));
+            bed.start(0);
             bed.report(0, Samples.report(1, now, 1, now));
             Bed.until("merged", () -> held(bed, 0) == 1);
+            untilForecastsAreTrusted(bed, true);
             bed.service(0).close();
+            bed.proved = null;
             bed.start(0);
             assertEquals(held(bed, 0), 1);
+            untilForecastsAreTrusted(bed, false);
             bed.service(0).close();
             for (String ending : new String[] {"", ".before"}) {
                 Path kept = bed.folder(0).resolve("fleet-0-state.snapshot" + ending);
@@ -192,6 +205,7 @@
             }
             bed.start(0);
             assertEquals(held(bed, 0), 0);
+            untilForecastsAreTrusted(bed, true);
             assertEquals(bed.report(0, Samples.report(1, now, 2, now)), "taken");
         }
     }
--- a/forecast/src/main/java/peppergauge/forecast/trust/TrackRecord.java
+++ b/forecast/src/main/java/peppergauge/forecast/trust/TrackRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import peppergauge.forecast.hits.HitRate;
 
 /**
@@ -24,7 +25,47 @@
     private final Deque<Outcome> last = new ArrayDeque<>();
     private boolean trusted = true;
 
-    private record Outcome(boolean held, double off, double plainOff, double error) { }
+    /** One forecast, held against what followed. */
+    public record Outcome(boolean held, double off, double plainOff, double error) {
+
+        public Outcome {
+            if (!(off >= 0 && off <= 1 && plainOff >= 0 && plainOff <= 1 && error >= 0 && error <= 1)) {
+                throw new IllegalArgumentException("off by " + off + " and " + plainOff + ", with an error of " + error);
+            }
+        }
+    }
+
+    /**
+     * All that the say hangs on.
+     *
+     * @param last outcomes that count, the newest last
+     */
+    public record Kept(boolean trusted, List<Outcome> last) {
+
+        public Kept {
+            last = List.copyOf(last);
+            if (last.size() > (trusted ? LAST : AGAIN - 1)) {
+                throw new IllegalArgumentException(last.size() + " outcomes are kept");
+            }
+        }
+
+        /** With so many of the newest at most. */
+        public Kept newest(int most) {
+            return new Kept(trusted, last.subList(Math.max(0, last.size() - most), last.size()));
+        }
+    }
+
+    /** For a record that goes on from here. */
+    public Kept kept() {
+        return new Kept(trusted, List.copyOf(last));
+    }
+
+    /** Goes on from there. */
+    public void restore(Kept kept) {
+        last.clear();
+        last.addAll(kept.last());
+        trusted = kept.trusted();
+    }
 
     /** As below, where what followed is known for sure. */
     public void followed(HitRate said, double before, double seen) {
--- a/forecast/src/test/java/peppergauge/forecast/trust/TrustLoad.java
+++ b/forecast/src/test/java/peppergauge/forecast/trust/TrustLoad.java
@@ -8,7 +8,10 @@
 import peppergauge.forecast.hits.HitRate;
 import peppergauge.invariant.Loads;
 
-/** Forecasts that are right and wrong for a while; the say that they have is held against the rule as it is written. */
+/**
+ * Forecasts that are right and wrong for a while; the say that they have is held against the rule as it is
+ * written, over restarts, too.
+ */
 public final class TrustLoad {
 
     private static final int STEPS = Loads.steps(400);
@@ -33,6 +36,9 @@
             HitRate said = new HitRate(mean, Math.max(0, mean - half), Math.min(1, mean + half));
             double before = random.nextDouble() < 0.5 ? seen : Math.min(1, seen + 0.02);
             boolean trusted = record.trusted();
+            if (random.nextInt(10) == 0) {
+                record = restarted(record);
+            }
             record.followed(said, before, seen);
             since.add(new Seen(!said.holds(seen), Math.abs(mean - seen), Math.abs(before - seen)));
             check(trusted, record.trusted(), since);
@@ -46,6 +52,14 @@
         }
     }
 
+    /** What the load tells of the rule goes on as if nothing had been. */
+    private static TrackRecord restarted(TrackRecord record) {
+        TrackRecord next = new TrackRecord();
+        next.restore(record.kept());
+        require(next.kept().equals(record.kept()), "kept is " + record.kept() + ", restored " + next.kept());
+        return next;
+    }
+
     private static void check(boolean before, boolean now, List<Seen> since) {
         List<Seen> last = since.subList(Math.max(0, since.size() - (before ? 20 : 10)), since.size());
         long missed = last.stream().filter(Seen::missed).count();
