Try the planner and forecaster with reports that pass the intake and cannot be true

fleet.plan had no random load of its own. PlanLoad tells keys that came more often than all sessions, thresholds that rise, gaps without end, hits that take longer than misses, servers twice and zones nobody has; clocks go back, planner and daemons start anew. It found, each mended: one daemon that lists a server twice outvoted the others (TableWatch); sums beyond all numbers left the memory's estimate without a point; a station with no key left beside the curve ended the reckoning of a move (Spell). Invariants stand in Scores, TableWatch and KeyForecasts; three planted faults are found.

--- a/fleet/src/main/java/peppergauge/fleet/plan/KeyForecasts.java
+++ b/fleet/src/main/java/peppergauge/fleet/plan/KeyForecasts.java
@@ -97,6 +97,8 @@
         given.values().removeIf(answer -> nowMs - answer.atMs() > FORGET_MS);
         costs.values().removeIf(cost -> nowMs - cost.atMs() > FORGET_MS);
         trusted = answers.record().trusted();
+        assert costs.values().stream().allMatch(cost -> cost.work() >= 0 && cost.work() < Double.POSITIVE_INFINITY)
+                : "moves make " + costs.values();
         report = account();
     }
 
--- a/fleet/src/main/java/peppergauge/fleet/plan/Scores.java
+++ b/fleet/src/main/java/peppergauge/fleet/plan/Scores.java
@@ -92,6 +92,7 @@
         if (both.size() > 2) {
             both.removeFirst();
         }
+        assert both.size() <= 2 : both.size() + " answers stand";
     }
 
     /** Before this step's answers are given. */
@@ -194,6 +195,7 @@
             if (last.size() > LAST) {
                 last.removeFirst();
             }
+            assert last.size() <= LAST && scored >= last.size() : last.size() + " of " + scored + " outcomes are told";
         }
     }
 
--- a/fleet/src/main/java/peppergauge/fleet/plan/TableWatch.java
+++ b/fleet/src/main/java/peppergauge/fleet/plan/TableWatch.java
@@ -46,11 +46,16 @@
     private Map<String, String> most() {
         Map<String, Integer> counts = new HashMap<>();
         Map<String, String> zones = new HashMap<>();
-        told.values().forEach(each -> each.table().forEach(server -> {
-            counts.merge(server.id(), 1, Integer::sum);
-            zones.put(server.id(), server.zone());
-        }));
+        told.values().forEach(each -> {
+            Map<String, String> own = new HashMap<>();
+            each.table().forEach(server -> own.put(server.id(), server.zone()));
+            // Whoever lists a server twice is still one.
+            own.keySet().forEach(id -> counts.merge(id, 1, Integer::sum));
+            zones.putAll(own);
+        });
         zones.keySet().removeIf(id -> counts.get(id) * 2 <= told.size());
+        assert zones.keySet().stream().allMatch(id -> 2 * told.values().stream().filter(each -> each.table().stream()
+                .anyMatch(server -> server.id().equals(id))).count() > told.size()) : "few list all of " + zones;
         return zones;
     }
 
--- a/fleet/src/test/java/peppergauge/fleet/FleetInvariantsTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/FleetInvariantsTest.java
@@ -2,6 +2,7 @@
 
 import org.testng.annotations.DataProvider;
 import peppergauge.fleet.member.MembersLoad;
+import peppergauge.fleet.plan.PlanLoad;
 import peppergauge.fleet.service.MergingLoad;
 import peppergauge.fleet.state.StateLoad;
 import peppergauge.fleet.table.TablesLoad;
@@ -15,6 +16,7 @@
     private static final String STATE = "state.StateLoad";
     private static final String MEMBERS = "member.MembersLoad";
     private static final String TABLES = "table.TablesLoad";
+    private static final String PLAN = "plan.PlanLoad";
     private static final String MERGING = "service.MergingLoad";
 
     public FleetInvariantsTest() {
@@ -27,6 +29,7 @@
         return new Object[][] {
             {"fleet's state", (Loads.Load) StateLoad::run, SEEDS}, {"members", (Loads.Load) MembersLoad::run, SEEDS},
             {"tables", (Loads.Load) TablesLoad::run, SEEDS}, {"merge", (Loads.Load) MergingLoad::run, SEEDS},
+            {"plans", (Loads.Load) PlanLoad::run, 8},
         };
     }
 
@@ -76,6 +79,12 @@
                 "are held"},
             {MERGING, "service/Merging.java", "new Tally(settings.sizes().cells(), before.tally())",
                 "new Tally(settings.sizes().cells())", "Total.answered()"},
+            {PLAN, "plan/Scores.java", "if (both.size() > 2) {", "if (both.size() > 3) {", "answers stand"},
+            {PLAN, "plan/TableWatch.java", "own.keySet().forEach(id", "each.table().stream().map(Server::id).forEach(id",
+                "few list all of"},
+            {PLAN, "plan/KeyForecasts.java",
+                "        given.keySet().retainAll(questions.stream().map(Question::text).toList());\n", "",
+                "is answered, of"},
         };
     }
 }
--- a/forecast/src/main/java/peppergauge/forecast/hits/Spell.java
+++ b/forecast/src/main/java/peppergauge/forecast/hits/Spell.java
@@ -44,7 +44,8 @@
         whole = classes.stream().mapToDouble(each -> each.keys() * each.count()).sum();
         misses = new double[classes.size()];
         slopes = new double[classes.size()];
-        int stations = classes.stream().mapToInt(KeyClass::station).max().orElse(0) + 1;
+        // Also of stations of which no key is left beside the curve.
+        int stations = course.groups.get(0).parts().length;
         groupMisses = new double[course.groups.size()][stations];
         groupSessions = new double[course.groups.size()][stations];
         groupSquares = new double[course.groups.size()][3];
--- a/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimator.java
+++ b/forecast/src/main/java/peppergauge/forecast/memory/MemoryEstimator.java
@@ -205,7 +205,8 @@
             double saving = -factors[1] / Math.max(1e-6, factors[0]);
             squares += line.left(factors) + (saving < LEAST_SAVING || saving > 1 - LEAST_SAVING ? unlikely : 0);
         }
-        return -squares / (2 * TEMPER * variance);
+        double found = -squares / (2 * TEMPER * variance);
+        return Double.isFinite(found) ? found : Double.NEGATIVE_INFINITY;
     }
 
     private LeastSquares line(int kind, double lifeMs, double keys) {
@@ -255,11 +256,13 @@
         order.sort(Comparator.comparingDouble(Cell::reachMs).thenComparingDouble(Cell::lifeMs)
                 .thenComparingDouble(Cell::keys));
         double best = cells.stream().mapToDouble(Cell::logLikelihood).max().orElseThrow();
-        double whole = cells.stream().mapToDouble(cell -> Math.exp(cell.logLikelihood() - best)).sum();
+        // Of answers that no numbers explain (a broken daemon's) nothing is learned: all is as likely.
+        boolean told = best > Double.NEGATIVE_INFINITY;
+        double whole = cells.stream().mapToDouble(cell -> told ? Math.exp(cell.logLikelihood() - best) : 1).sum();
         List<Point> points = new ArrayList<>();
         double at = 0;
         for (Cell cell : order) {
-            at += Math.exp(cell.logLikelihood() - best) / whole;
+            at += (told ? Math.exp(cell.logLikelihood() - best) : 1) / whole;
             while (points.size() < POINTS && at > (points.size() + 0.5) / POINTS) {
                 points.add(new Point(cell.lifeMs(), cell.keys(), 1.0 / POINTS));
             }
@@ -275,7 +278,7 @@
             double[][] found = line(kind, best.lifeMs(), best.keys()).solve();
             double whole = found[0][0];
             double error = Math.sqrt(variance * (found[1][0] + found[1][1])) / Math.max(whole, 1e-6);
-            if (whole > 0 && error < 1) {
+            if (whole > 0 && error > 0 && error < 1 && Double.isFinite(found[0][1])) {
                 sum += Math.max(0, Math.min(1, -found[0][1] / whole)) / (error * error);
                 weights += 1 / (error * error);
             }
@@ -289,7 +292,7 @@
         double least = 0;
         for (int kind = 0; kind < kinds.size(); kind++) {
             double[] found = line(kind, best.lifeMs(), best.keys()).solve()[0];
-            if (found[2] > 1e-6) {
+            if (found[2] > 1e-6 && Double.isFinite(found[0] + found[1])) {
                 least = Math.max(least, Math.min(1, 1 - (found[0] + found[1]) / found[2]));
             }
         }
