Let a successor that is heard of late count by its capacity, not as idle

Change: where a sidecar works with a part of the servers, what is not known of a cold server's requests in flight starts at its capacity's share of what warm ones of its kind report; one report of a cold one counts as much as that.

--- a/sidecar/src/main/java/peppergauge/decision/Decide.java
+++ b/sidecar/src/main/java/peppergauge/decision/Decide.java
@@ -481,9 +481,10 @@
             server.live = live(server);
             double believed = believed(server);
             double known = server.live + believed * server.reportedOthers;
-            // In a crush a successor counts by its like, else none would find it idle; lots guard it.
-            double usualOthers = server.capacity < 1 ? server.kind.coldOthers.mean(nowMs)
-                    : ofKind(server.kind.others, crowd.mean(nowMs));
+            double usualOthers = ofKind(server.kind.others, crowd.mean(nowMs));
+            // In a crush a successor counts by its like, else none finds it idle; unheard, by its capacity.
+            usualOthers = server.capacity >= 1 ? usualOthers : ofKind(server.kind.coldOthers,
+                    partial ? server.capacity * usualOthers : server.kind.coldOthers.mean(nowMs));
             server.inFlight = known + (1 - believed) * usualOthers;
             double n = server.outcomes.weight(nowMs) + server.errors.weight(nowMs);
             double excess = Math.max(0, server.errors.sum(nowMs) - n * errorShare);
--- a/sidecar/src/test/java/peppergauge/decision/CrushTest.java
+++ b/sidecar/src/test/java/peppergauge/decision/CrushTest.java
@@ -60,6 +60,35 @@
         Assert.assertTrue(found >= 8, "successors got " + found + " of 40");
     }
 
+    /**
+     * After an outage of discovery all took successors that crowded unheard for idle: of a kind none of whose cold
+     * ones had answered, each counted as holding nothing, was sent all that the lots allow, and choked for good.
+     */
+    @Test(dataProvider = "seeds")
+    public void aSuccessorOfWhichOneHearsLateIsNotTakenForIdle(int seed) {
+        Scripted s = many(seed, 100);
+        s.list(true, Scripted.servers(8));
+        List<ServerEntry> fresh = new ArrayList<>();
+        int found = 0;
+        for (int i = 0; i < 80; i++) {
+            if (i == 40) {
+                for (int j = 0; j < 4; j++) {
+                    fresh.add(new ServerEntry("new" + j, 0, 0, ServerState.READY, s.nowMs - 0.7 * COLD_MS));
+                }
+                s.list(false, fresh);
+            }
+            String server = Scripted.sentTo(s.request("r" + i, 0));
+            boolean late = server.startsWith("new");
+            found += late ? 1 : 0;
+            s.pass(40);
+            s.give(new AttemptEnded("r" + i, 0, server, late ? Outcome.CANCELLED : Outcome.SUCCESS, 40, true,
+                    late ? null : new double[] {1, 30}));
+            s.pass(200);
+        }
+        // They are a third of the members and have lots for half of the requests.
+        Assert.assertTrue(found <= 15, "successors got " + found + " of 40 unheard");
+    }
+
     /**
      * Where nearly all servers were cold, seven in ten requests had no server to go to though the lots would do for
      * most: members are the first by the hash that placed their lots, so these lay on one another.
