Have a daemon that was started with SIGHUP ignored look at its own files

A daemon started as by nohup reloaded by its command alone: the Java machine leaves the signal ignored, and HangUp looked at the file that GW_CONFIG names, which a daemon has not. DaemonTest failed wherever the build was started so.

HangUp.comes says whether the signal can come; serve looks at GW_CONFIG's file as before. A daemon looks (FileLooks) at its file, the JSON file in [sidecar] config and the plug-ins' modules twice a second, and reloads when they are others than those that it read last, in the same state for two looks: the first half of a TOML file that is still being written may be a usable file without its plug-ins. What the command has just read is no news.

DaemonTest starts a daemon after trap '' HUP and changes its file, then the JSON file: with the program as it was it fails at the first change, and passes with this. Its other daemon gets SIGHUP however the build was started.

--- a/daemon/src/main/java/peppergauge/daemon/Daemon.java
+++ b/daemon/src/main/java/peppergauge/daemon/Daemon.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
-import peppergauge.HangUp;
 import peppergauge.daemon.file.DaemonFile;
 import peppergauge.daemon.file.LogSection;
 import peppergauge.daemon.lines.JsonLines;
@@ -46,7 +45,7 @@
             sayWhetherChecked();
             Running running = new Running(file, values, () -> System.exit(0));
             Runtime.getRuntime().addShutdownHook(new Thread(running::windDown, "wind-down"));
-            HangUp.handle(running::reload);
+            running.reloadAtHangUp();
             running.start();
         } catch (IllegalArgumentException unusable) {
             exit(2, unusable.getMessage());
--- a/daemon/src/main/java/peppergauge/daemon/Running.java
+++ b/daemon/src/main/java/peppergauge/daemon/Running.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import peppergauge.Additions;
+import peppergauge.HangUp;
 import peppergauge.Sidecar;
 import peppergauge.config.Config;
 import peppergauge.daemon.admin.AdminAddress;
@@ -23,6 +24,7 @@
 import peppergauge.daemon.part.Subsystems;
 import peppergauge.log.Log;
 import peppergauge.operator.Values;
+import peppergauge.plugin.files.PluginSection;
 
 /** One daemon in service: the sidecar, its parts, and the file that they go by. */
 final class Running {
@@ -33,6 +35,7 @@
     private final Sidecar sidecar;
     private final Runnable end;
     private final Optional<AdminAddress> adminAddress;
+    private final FileLooks looks = new FileLooks();
     private Config config;
     private int reloads;
     private AdminSocket admin;
@@ -47,6 +50,7 @@
         this.file = file;
         this.end = end;
         config = SidecarSection.read(values);
+        looks.lookAt(files(values));
         adminAddress = AdminAddress.of(values);
         parts = Subsystems.ALL.stream().map(subsystem -> subsystem.open(values)).toList();
         List<Additions> additions = new ArrayList<>(List.of(answers));
@@ -54,6 +58,23 @@
         sidecar = new Sidecar(config, new Combined(additions));
     }
 
+    /** At each SIGHUP; where that was ignored at the start, as by nohup, whenever its files are others than before. */
+    void reloadAtHangUp() {
+        if (!HangUp.comes(this::reload)) {
+            Log.line("reload", "SIGHUP was ignored when this was started: " + file
+                    + " and the files that it names are looked at instead");
+            looks.start(this::reload);
+        }
+    }
+
+    /** What a reload reads: the file, and the files that it names. */
+    private List<Path> files(Values values) {
+        List<Path> all = new ArrayList<>(List.of(file));
+        values.get(SidecarSection.TABLE).find(SidecarSection.CONFIG).ifPresent(path -> all.add(Path.of(path)));
+        values.all(PluginSection.TABLE).forEach(plugin -> all.add(Path.of(plugin.get(PluginSection.FILE))));
+        return all;
+    }
+
     void start() throws IOException, InterruptedException {
         sidecar.start();
         if (adminAddress.isPresent()) {
@@ -122,9 +143,11 @@
     /** Reads the whole file again. All of it comes into force, or nothing; the answer says which and why. */
     synchronized Map<String, Object> reload() {
         List<Subsystem.Change> changes = new ArrayList<>();
+        looks.reading();
         try {
             Values values = DaemonFile.read(file);
             Config fresh = SidecarSection.read(values);
+            looks.lookAt(files(values));
             for (Subsystem.Part part : parts) {
                 changes.add(part.prepare(values));
             }
--- a/daemon/src/test/java/peppergauge/daemon/DaemonTest.java
+++ b/daemon/src/test/java/peppergauge/daemon/DaemonTest.java
@@ -48,17 +48,28 @@
         file = directory.resolve("d.toml");
         admin = new AdminAddress(Optional.of(directory.resolve("a.sock")), 0);
         write("");
-        daemon = new ProcessBuilder(System.getProperty("java.home") + File.separator + "bin" + File.separator + "java",
-                "-cp", System.getProperty("java.class.path"), "peppergauge.daemon.Daemon", "daemon", "--config",
-                file.toString()).directory(ROOT.toFile()).redirectErrorStream(true).start();
+        // However the build was started.
+        daemon = start(file, "exec env --default-signal=HUP");
+        port = Integer.parseInt(serves(daemon).replaceAll(".*:(\\d+) with.*", "$1"));
+        until(() -> Files.exists(admin.path().orElseThrow()));
+    }
+
+    private static Process start(Path file, String shell) throws IOException {
+        return new ProcessBuilder("sh", "-c", shell + " \"$0\" \"$@\"", System.getProperty("java.home")
+                + File.separator + "bin" + File.separator + "java", "-cp", System.getProperty("java.class.path"),
+                "peppergauge.daemon.Daemon", "daemon", "--config", file.toString())
+                .directory(ROOT.toFile()).redirectErrorStream(true).start();
+    }
+
+    /** The line that says so; each before it is an object. */
+    private static String serves(Process daemon) throws IOException {
         String line;
         do {
             line = daemon.inputReader().readLine();
             byte[] bytes = line.getBytes(StandardCharsets.UTF_8);
             assertTrue(JsonTree.parse(bytes, 0, bytes.length).containsKey("time"), line);
         } while (!line.contains(" serves on "));
-        port = Integer.parseInt(line.replaceAll(".*:(\\d+) with.*", "$1"));
-        until(() -> Files.exists(admin.path().orElseThrow()));
+        return line;
     }
 
     @AfterClass(alwaysRun = true)
@@ -152,6 +163,35 @@
         assertFalse(Files.exists(admin.path().orElseThrow()));
     }
 
+    /** As by nohup: SIGHUP never comes, and whoever wrote a file and sent it would wait for good. */
+    @Test
+    public void withHangUpIgnoredAtTheStartItsFilesAreLookedAtInstead() throws Exception {
+        Path toml = directory.resolve("n.toml");
+        Path config = Files.copy(ROOT.resolve("example/config.json"), directory.resolve("n.json"));
+        AdminAddress where = new AdminAddress(Optional.of(directory.resolve("n.sock")), 0);
+        String text = "kind = \"daemon\"\n[sidecar]\nconfig = \"" + config + "\"\nlisten = \"127.0.0.1:0\"\n"
+                + "[admin]\nsocket = \"" + where.path().orElseThrow() + "\"\n[log]\nformat = \"json\"\n";
+        Files.writeString(toml, text);
+        Process ignoring = start(toml, "trap '' HUP; exec");
+        try {
+            serves(ignoring);
+            until(() -> Files.exists(where.path().orElseThrow()));
+            String[][] steps = {{toml.toString(), text + plugin("allow-list", "\"dongsan-fm=\""), "1"},
+                {toml.toString(), "nonsense", "1"}, {toml.toString(), text, "2"},
+                {config.toString(), Files.readString(config).replaceAll("\\s+", " "), "3"}};
+            for (String[] step : steps) {
+                Files.writeString(Path.of(step[0]), step[1]);
+                new ProcessBuilder("kill", "-HUP", Long.toString(ignoring.pid())).start().waitFor();
+                if (step[1].equals("nonsense")) {
+                    while (!ignoring.inputReader().readLine().contains("everything stays as it was")) { }
+                }
+                until(() -> AdminClient.ask(where, "status").get("reloads").toString().equals(step[2]));
+            }
+        } finally {
+            ignoring.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
+        }
+    }
+
     @Test
     public void theExampleIsUsable() {
         assertEquals(DaemonFile.read(ROOT.resolve("example/daemon.toml")).all(
--- a/sidecar/src/main/java/peppergauge/HangUp.java
+++ b/sidecar/src/main/java/peppergauge/HangUp.java
@@ -25,6 +25,15 @@
      * another than before, or a moved discovery would never be heard of again.
      */
     public static void handle(Runnable task) {
+        String path = System.getenv("GW_CONFIG");
+        if (!comes(task) && path != null) {
+            Log.line("reload", "SIGHUP was ignored when this was started: " + path + " is looked at instead");
+            lookAt(Path.of(path), task);
+        }
+    }
+
+    /** The same without a look at any file: says no where the signal was ignored, and the task will never run. */
+    public static boolean comes(Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -40,13 +49,10 @@
             Object proxy = Proxy.newProxyInstance(HangUp.class.getClassLoader(), new Class<?>[] {handler}, invocation);
             Object before = signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
-            String path = System.getenv("GW_CONFIG");
-            if (before == handler.getField("SIG_IGN").get(null) && path != null) {
-                Log.line("reload", "SIGHUP was ignored when this was started: " + path + " is looked at instead");
-                lookAt(Path.of(path), task);
-            }
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException unavailable) {
             Log.line("reload", "SIGHUP cannot be handled here and would end the program: " + unavailable);
+            return true;
         }
     }
 
@@ -72,7 +78,7 @@
     }
 
     /** What tells one state of a file from another: one put in its place has a key of its own. */
-    private static String stamp(Path file) {
+    public static String stamp(Path file) {
         try {
             return Files.readAttributes(file, "unix:ino,lastModifiedTime,size").toString();
         } catch (IOException | UnsupportedOperationException unreadable) {
@@ -80,7 +86,8 @@
         }
     }
 
-    private static void run(Runnable task) {
+    /** The task; a bug of its is told, and ends nothing. */
+    public static void run(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException bug) {
