Hold a crowded rig's run to its rules in seconds, and let its thread go on meanwhile

Seen: two lanes of twenty schedules beside other work on three cores. While a run goes on its end is looked for four times a second: the whole history was put in order under the lock that the rig's own thread records by, so that links and clients stood still for that long.

Waits are looked up by their times, with the same sums. A history is put in order outside of the lock. Processes are ended before rules are held to what they did, and whether service is back looks at this round's sessions only.

--- a/lab/src/main/java/peppergauge/lab/history/History.java
+++ b/lab/src/main/java/peppergauge/lab/history/History.java
@@ -24,8 +24,8 @@
     private final Map<String, List<Span>> still = new HashMap<>();
     private final Map<String, List<Span>> down = new HashMap<>();
     private final Map<String, List<Span>> ending = new HashMap<>();
-    private final Map<String, List<Event>> late = new HashMap<>();
-    private final Map<String, List<Event>> waited = new HashMap<>();
+    private final Map<String, Waits> late = new HashMap<>();
+    private final Map<String, Waits> waited = new HashMap<>();
 
     /** @param recorded in any order, since many processes told them */
     public History(List<Event> recorded) {
@@ -34,8 +34,10 @@
         spans(still, What.STOPPED, What.CONTINUED);
         spans(down, What.DOWN, What.UP);
         spans(ending, What.TERMINATED, What.UP);
-        of(What.LATE).forEach(event -> late.computeIfAbsent(event.who(), who -> new ArrayList<>()).add(event));
-        of(What.WAITED).forEach(event -> waited.computeIfAbsent(event.who(), who -> new ArrayList<>()).add(event));
+        of(What.LATE).forEach(event -> late.computeIfAbsent(event.who(), who -> new Waits())
+                .add(event.atNs() - event.number() * 1_000_000, event.atNs(), event.number()));
+        of(What.WAITED).forEach(event -> waited.computeIfAbsent(event.who(), who -> new Waits())
+                .add(Long.parseLong(event.text()), event.atNs(), event.number()));
     }
 
     /** What begins and does not end lasts to the end of time; the two of a fault have the same number. */
@@ -100,9 +102,7 @@
      * most, since a sidecar on the same CPUs waited as they did.
      */
     double lateMs(long fromNs, long toNs) {
-        return late.values().stream().mapToDouble(one -> one.stream()
-                .filter(event -> event.atNs() >= fromNs && event.atNs() - event.number() * 1_000_000 <= toNs)
-                .mapToDouble(Event::number).sum()).max().orElse(0);
+        return late.values().stream().mapToDouble(one -> one.meetingMs(fromNs, toNs)).max().orElse(0);
     }
 
     /** By how much the machine let the lab, or this process itself, wait in a span, ms: the longer of the two. */
@@ -112,8 +112,6 @@
 
     /** For how long a process was ready to run in a span and got no CPU, ms; looks that reach beyond it count whole. */
     double waitedMs(String process, long fromNs, long toNs) {
-        return waited.getOrDefault(process, List.of()).stream()
-                .filter(event -> event.atNs() >= fromNs && Long.parseLong(event.text()) <= toNs)
-                .mapToDouble(Event::number).sum();
+        return waited.containsKey(process) ? waited.get(process).meetingMs(fromNs, toNs) : 0;
     }
 }
--- a/lab/src/main/java/peppergauge/lab/history/Recovery.java
+++ b/lab/src/main/java/peppergauge/lab/history/Recovery.java
@@ -78,7 +78,9 @@
         if (history.of(What.FAULT).noneMatch(round::holds) || Double.isNaN(healedMs)) {
             return null;
         }
-        List<Session> sessions = sessions(history, beginNs);
+        // The usual ones and this round's alone: a run of many rounds is asked four times a second whether it is over.
+        List<Session> sessions = sessions(history, beginNs).stream()
+                .filter(one -> one.atMs() < firstMs || one.atMs() >= healedMs).toList();
         double lastMs = (round.toNs() - beginNs) / 1e6 - bounds.windowMs();
         double best = Double.NaN;
         for (double at = healedMs; at <= Math.min(lastMs, healedMs + bounds.backMs()); at += STEP_MS) {
--- a/lab/src/main/java/peppergauge/lab/rig/Recorder.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Recorder.java
@@ -30,8 +30,12 @@
         }
     }
 
-    /** All so far. */
-    public synchronized History history() {
-        return new History(events);
+    /** All so far. Put in order outside of the lock: the rig's own thread must not wait for it in the middle of a run. */
+    public History history() {
+        List<Event> soFar;
+        synchronized (this) {
+            soFar = List.copyOf(events);
+        }
+        return new History(soFar);
     }
 }
--- a/lab/src/main/java/peppergauge/lab/rig/Sweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Sweep.java
@@ -83,13 +83,17 @@
         // A sweep that is broken off must leave no sidecar behind: unlike stand-ins they do not end with their input.
         Thread broken = new Thread(() -> close(rig));
         Runtime.getRuntime().addShutdownHook(broken);
+        History history;
+        Map<String, Long> memoryKb;
         try (rig) {
-            History history = rig.run();
-            return new Outcome(file, history, Rules.check(history, bounds(file)), rig.rssKb());
+            history = rig.run();
+            memoryKb = rig.rssKb();
         } finally {
             Runtime.getRuntime().removeShutdownHook(broken);
             delete(folder);
         }
+        // Only now: checking takes a while, and its processes would idle at the cost of others' runs meanwhile.
+        return new Outcome(file, history, Rules.check(history, bounds(file)), memoryKb);
     }
 
     private static void close(Rig rig) {
