Keep what measures the fleet service's cost with the lab's tools

Need: two programs that measure by a documented command assert nothing and stood among fleet's tests, so they counted as tests and needed their class path. Measured: the lab compiles with them (-Xlint:all -Werror).

--- a/fleet/src/main/java/peppergauge/fleet/reader/Witness.java
+++ b/fleet/src/main/java/peppergauge/fleet/reader/Witness.java
@@ -13,7 +13,7 @@
  * Counts what this sidecar's clients saw, by station, class and the data centre that was last sent to. All on the
  * loop, without locks; a cell costs some 10 KiB from its first session on.
  */
-final class Witness {
+public final class Witness {
 
     private static final int NOWHERE = -1;
 
@@ -24,10 +24,10 @@
     private final Map<String, Integer> zoneOfServer = new HashMap<>();
 
     /** How sessions end. */
-    enum Ending { ANSWERED, DENIED, FAILED }
+    public enum Ending { ANSWERED, DENIED, FAILED }
 
     /** @param latency not to be changed by who is handed it */
-    record Cells(Cell cell, long answered, long denied, long failed, Histogram latency) { }
+    public record Cells(Cell cell, long answered, long denied, long failed, Histogram latency) { }
 
     private static final class Counted {
         private long answered;
@@ -37,11 +37,11 @@
         private Histogram latency;
     }
 
-    Witness(SiteNames names) {
+    public Witness(SiteNames names) {
         this.names = names;
     }
 
-    void listed(boolean whole, Map<String, Integer> zoneByServer) {
+    public void listed(boolean whole, Map<String, Integer> zoneByServer) {
         if (whole) {
             zoneOfServer.clear();
         }
@@ -49,11 +49,11 @@
     }
 
     /** An attempt goes out: of one session one is out at a time, so the last is the one that answers. */
-    void sent(String id, String server) {
+    public void sent(String id, String server) {
         zones.put(id, zoneOfServer.getOrDefault(server, NOWHERE));
     }
 
-    void ended(String id, int tenant, int requestClass, Ending ending, double tookMs) {
+    public void ended(String id, int tenant, int requestClass, Ending ending, double tookMs) {
         Integer sentTo = zones.remove(id);
         int zone = sentTo == null ? NOWHERE : sentTo;
         Counted counted = cells.computeIfAbsent(key(tenant, requestClass, zone), key -> new Counted());
@@ -80,7 +80,7 @@
     }
 
     /** A copy, for another thread. */
-    List<Cells> copy() {
+    public List<Cells> copy() {
         List<Cells> copy = new ArrayList<>();
         int zones = names.zones().size() + 1;
         int classes = Math.max(1, names.classes().size());
--- a/fleet/src/test/java/peppergauge/fleet/reader/MeasureLoop.java
+++ b/lab/src/main/java/peppergauge/lab/cost/CountingCost.java
@@ -1,4 +1,4 @@
-package peppergauge.fleet.reader;
+package peppergauge.lab.cost;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -7,6 +7,9 @@
 import java.util.Random;
 import peppergauge.decision.Balancer.AttemptEnded;
 import peppergauge.decision.Balancer.Outcome;
+import peppergauge.fleet.reader.KeySource;
+import peppergauge.fleet.reader.SampledKeys;
+import peppergauge.fleet.reader.Witness;
 import peppergauge.fleet.state.Latencies;
 import peppergauge.fleet.wire.Json;
 import peppergauge.session.Message;
@@ -14,9 +17,9 @@
 import peppergauge.settings.SiteNames;
 
 /** By hand: what counting costs the loop, a session and a report; of 96 cells, then of 2,048 sampled keys of 2,000. */
-public final class MeasureLoop {
+public final class CountingCost {
 
-    private MeasureLoop() { }
+    private CountingCost() { }
 
     private static List<String> names(String stem, int count) {
         List<String> names = new ArrayList<>();
--- a/fleet/src/test/java/peppergauge/fleet/Measure.java
+++ b/lab/src/main/java/peppergauge/lab/cost/FleetCost.java
@@ -1,4 +1,4 @@
-package peppergauge.fleet;
+package peppergauge.lab.cost;
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
@@ -28,11 +28,11 @@
 import peppergauge.snapshot.disk.RealDisk;
 
 /**
- * By hand: {@code Measure DAEMONS CELLS SECONDS KEEP_EVERY_S}. So many emulated daemons report to three instances in this process
- * and ask them for tables, as often as they are told; the second half of the time is measured. Prints bytes and CPU a
- * second on both sides.
+ * By hand: {@code FleetCost DAEMONS CELLS SECONDS KEEP_EVERY_S}. So many emulated daemons report to three instances in
+ * this process and ask them for tables, as often as they are told; the second half of the time is measured. Prints
+ * bytes and CPU a second on both sides.
  */
-public final class Measure {
+public final class FleetCost {
 
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
@@ -46,7 +46,7 @@
     private long up;
     private long down;
 
-    private Measure(int cells, long keepMs) {
+    private FleetCost(int cells, long keepMs) {
         this.cells = cells;
         this.keepMs = keepMs;
     }
@@ -67,7 +67,8 @@
     private record Due(long atMs, Daemon daemon, boolean report) { }
 
     public static void main(String[] args) throws Exception {
-        new Measure(Integer.parseInt(args[1]), Integer.parseInt(args[3]) * 1_000L).run(Integer.parseInt(args[0]), Integer.parseInt(args[2]) * 1_000L);
+        new FleetCost(Integer.parseInt(args[1]), Integer.parseInt(args[3]) * 1_000L)
+                .run(Integer.parseInt(args[0]), Integer.parseInt(args[2]) * 1_000L);
         System.exit(0);
     }
 
