Test each rule of fleet, daemon, forecast and promises once, and race no clock

Need: tests had grown to 38 % of the new code, and some of them proved what another proves; others gave a verdict that hung on how crowded the machine was.

Mended: Bed's ports lie under those that the system hands out, so that none is taken while its instance is down; waits have a minute; a table is held against the time at which it was asked for, not after it came; reports made after a wait are sent with the present time; a call that was given up may be overtaken; ready by news and ready by patience are told apart by what was awaited, not by who was faster; plug-ins have a second; a silent client of the admin socket is no race any more.

--- a/fleet/src/test/java/peppergauge/fleet/Samples.java
+++ b/fleet/src/test/java/peppergauge/fleet/Samples.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import org.HdrHistogram.Histogram;
 import peppergauge.fleet.state.Latencies;
@@ -17,6 +19,15 @@
 
     private Samples() { }
 
+    /** Waits for a state, for as long as a crowded machine may take to come to it. */
+    public static void until(String what, BooleanSupplier holds) throws InterruptedException {
+        for (long end = System.nanoTime() + TimeUnit.MINUTES.toNanos(1); !holds.getAsBoolean(); Thread.sleep(10)) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("never: " + what);
+            }
+        }
+    }
+
     /** Answers of a cell after so many reports. */
     public static long answered(int daemon, long incarnation, long sequence) {
         return sequence * (1 + daemon + incarnation % 7);
--- a/forecast/src/main/java/peppergauge/forecast/answers/Answers.java
+++ b/forecast/src/main/java/peppergauge/forecast/answers/Answers.java
@@ -9,7 +9,6 @@
 import peppergauge.forecast.KeyReport;
 import peppergauge.forecast.hits.Forecast;
 import peppergauge.forecast.hits.Forecaster;
-import peppergauge.forecast.hits.HitRate;
 import peppergauge.forecast.memory.MemoryEstimator;
 import peppergauge.forecast.memory.MemoryEstimator.Kind;
 import peppergauge.forecast.memory.ServiceTimes;
@@ -64,12 +63,6 @@
         return forecaster(now, parts, nowMs).map(found -> found.forecast(change));
     }
 
-    /** The same for the fleet over the seconds after the change, or that nothing is known. */
-    public HitRate heard(Placement now, Map<String, Double> parts, PlacementChange change, long nowMs) {
-        return forecast(now, parts, change, nowMs).map(said -> record.heard(said.soon().fleet()))
-                .orElse(HitRate.UNKNOWN);
-    }
-
     /**
      * Work beyond the usual that a station's sessions make in a zone while memories are cold for them, if its share
      * grows there: in the station's mean work there; 0 where nothing is known, or forecasts have no say.
