Plant a cost without trust among the faults of forecasts

Change: ForecastLoad takes the trust away at its end and asks for the same cost again; the fault is a row of ForecastInvariantsTest.

--- a/forecast/src/test/java/peppergauge/forecast/ForecastInvariantsTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/ForecastInvariantsTest.java
@@ -47,6 +47,8 @@
                 "at > (points.size() + 2.5) / POINTS", "weights of"},
             {FORECAST, "placement/Placement.java", "            shares[i] /= sum;\n", "", "shares of"},
             {FORECAST, "placement/Placement.java", "drawn[i] / sum * LUCK", "drawn[i]", "luck of"},
+            {FORECAST, "answers/Answers.java", "return record.trusted() ? forecaster",
+                "return record != null ? forecaster", "a cost without trust"},
             {FORECAST, "hits/Forecaster.java", "cold / (1 - memory.saving() * steady)",
                 "cold / (0 * memory.saving())", "moving"},
         };
--- a/forecast/src/test/java/peppergauge/forecast/ForecastLoad.java
+++ b/forecast/src/test/java/peppergauge/forecast/ForecastLoad.java
@@ -145,6 +145,11 @@
         double work = answers.extraWork(now, parts, "s" + random.nextInt(4), random.nextBoolean() ? "x" : "z",
                 random.nextDouble(), random.nextDouble(), nowMs);
         require(work >= 0 && work < 1e3, "a move makes work of " + work);
+        double moved = answers.extraWork(now, parts, "s2", "x", 0.1, 0.9, nowMs);
+        for (int i = 0; i < 6; i++) {
+            answers.record().followed(new HitRate(0.2, 0.1, 0.3), 0.6, 0.6);
+        }
+        require(answers.extraWork(now, parts, "s2", "x", 0.1, 0.9, nowMs) == 0, "a cost without trust: " + moved);
     }
 
     private Placement.Rule rule(int count) {
