Keep what is run by hand for figures with the lab's tools, and read the stock scenarios in one place

NomadInVirtualTimeTest and RestartGainTest call the tools as before; no check changed. LongHaul's own figures were not taken again.

--- a/lab/src/test/java/peppergauge/lab/bodies/LongHaul.java
+++ b/lab/src/main/java/peppergauge/lab/bodies/LongHaul.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import peppergauge.lab.process.SidecarProcess;
 
 /**
  * Measures long bodies through a real daemon, by hand: {@code LongHaul pairs MIB} passes bodies both ways between fast
@@ -62,9 +63,7 @@
     private void start() throws Exception {
         Path file = Files.createTempFile("long-haul", ".toml");
         file.toFile().deleteOnExit();
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
+        port = SidecarProcess.freeAddress().getPort();
         String settings = "{\"balancers\":1,\"me\":0,\"zone\":0,\"areas\":[\"z0\"],\"tickMs\":5,\"overShareWorth\":1,"
                 + "\"registryMode\":\"automatic\",\"limits\":{\"cancelling\":true,\"connIdleMs\":800,"
                 + "\"connectTimeoutMs\":200,\"maxRetryAfterMs\":1200,\"mayProbe\":false,\"mostTries\":4,"
@@ -81,8 +80,9 @@
                     .append("\",\"zone\":\"z0\",\"cell\":0,\"state\":\"active\",\"started_ms\":0}");
         }
         Files.writeString(file, "kind = \"daemon\"\n[sidecar]\nname = \"n\"\nlisten = \"127.0.0.1:" + port
-                + "\"\ndiscovery = \"127.0.0.1:1\"\nseed = \"8c1f30d27a5be964\"\nsockets = 4096\nknown = '{\"version\":1,"
-                + "\"full\":true,\"servers\":[" + servers + "]}'\nsettings = '" + settings + "'\n[bodies]\n"
+                + "\"\ndiscovery = \"127.0.0.1:1\"\nseed = \"8c1f30d27a5be964\"\nsockets = 4096\n"
+                + "known = '{\"version\":1,\"full\":true,\"servers\":[" + servers + "]}'\n"
+                + "settings = '" + settings + "'\n[bodies]\n"
                 + "longest-request = \"64 GiB\"\nlongest-answer = \"64 GiB\"\n"
                 + System.getProperty("bodies", "").replace(';', '\n') + "\n");
         daemon = new ProcessBuilder("bin/peppergauge", "daemon", "--config", file.toString())
@@ -138,7 +138,8 @@
             thread.join();
             StringBuilder tenths = new StringBuilder();
             for (int i = 0; i <= 10 && !samples.isEmpty(); i++) {
-                tenths.append(String.format(" %.0f", samples.get(Math.min(samples.size() - 1, i * samples.size() / 10))));
+                tenths.append(String.format(" %.0f",
+                        samples.get(Math.min(samples.size() - 1, i * samples.size() / 10))));
             }
             return "resident MB by tenths of the time:" + tenths + ", most "
                     + String.format("%.0f", samples.stream().mapToDouble(each -> each).max().orElse(0));
@@ -361,8 +362,8 @@
             each.join();
         }
         double[] sorted = took.stream().mapToDouble(each -> each).sorted().toArray();
-        return new double[] {sorted[sorted.length / 2], sorted[sorted.length * 9 / 10], sorted[sorted.length * 99 / 100],
-            sorted[sorted.length * 999 / 1000], failed.get()};
+        return new double[] {sorted[sorted.length / 2], sorted[sorted.length * 9 / 10],
+            sorted[sorted.length * 99 / 100], sorted[sorted.length * 999 / 1000], failed.get()};
     }
 
     private void readers(int count, long length, double perS, int seconds) throws Exception {
@@ -409,7 +410,8 @@
         }
         Thread.sleep(3_000);
         System.out.println("with " + count + " readers: " + Arrays.toString(usual(seconds)));
-        System.out.printf("%.0f MB read, %d readers cut off, %d denials, %.2f ms of CPU a MB with the usual sessions, %s%n",
+        System.out.printf("%.0f MB read, %d readers cut off, %d denials, %.2f ms of CPU a MB with the usual sessions, "
+                + "%s%n",
                 bytes.get() / 1e6, broken.get(), denied.get(), (cpuMs() - cpu) / (bytes.get() / 1e6), memory.end());
         over.set(true);
         Thread.sleep(1_000);
--- a/lab/src/test/java/peppergauge/lab/emulator/NomadLoss.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/NomadLoss.java
@@ -18,8 +18,8 @@
 
 /**
  * What each fault of Nomad's API costs in service, in pairs of runs with the same seed: a perfect source, Nomad
- * healthy, Nomad with the fault. By hand: {@code java -cp ... peppergauge.lab.emulator.NomadLoss 40}; a second word
- * leaves the faults out.
+ * healthy, Nomad with the fault. By hand: {@code java -cp peppergauge-lab.jar peppergauge.lab.emulator.NomadLoss 40}; a
+ * second word leaves the faults out.
  */
 final class NomadLoss {
 
--- a/lab/src/main/java/peppergauge/lab/emulator/PromisesByHand.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/PromisesByHand.java
@@ -1,6 +1,5 @@
 package peppergauge.lab.emulator;
 
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,7 +7,6 @@
 import java.util.function.Consumer;
 import java.util.stream.LongStream;
 import org.apache.commons.rng.UniformRandomProvider;
-import peppergauge.lab.files.Kinds;
 import peppergauge.lab.result.RunResult;
 import peppergauge.lab.scenario.Entry;
 import peppergauge.lab.scenario.Incident;
@@ -29,7 +27,7 @@
     private PromisesByHand() { }
 
     public static void main(String[] arguments) {
-        Scenario stock = stock();
+        Scenario stock = Stock.scenario("promises");
         long first = Long.parseLong(arguments[0]);
         long last = Long.parseLong(arguments[1]);
         System.out.println("| trouble | policy | windows kept | penalty of the most | worth | largest step, 1/s |");
@@ -50,12 +48,6 @@
         System.exit(0);
     }
 
-    static Scenario stock() {
-        Path file = Path.of("..", "scenarios", "promises.toml");
-        return Scenario.read(Kinds.all().read(file.toFile().exists() ? file : Path.of("scenarios", "promises.toml"))
-                .values().orElseThrow());
-    }
-
     static Figures run(Scenario stock, Trouble trouble, Policy policy, long seed) {
         UniformRandomProvider luck = new Streams(seed).of("trouble");
         String zone = stock.network().zones().get(luck.nextInt(3));
--- a/lab/src/test/java/peppergauge/lab/emulator/RestartGain.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/RestartGain.java
@@ -20,7 +20,6 @@
 import peppergauge.decision.Learned.Fleet;
 import peppergauge.decision.Learned.Kind;
 import peppergauge.decision.Learned.Known;
-import peppergauge.lab.files.Kinds;
 import peppergauge.lab.scenario.Clients;
 import peppergauge.lab.result.RunResult;
 import peppergauge.lab.scenario.Entry;
@@ -33,7 +32,7 @@
 /**
  * What a snapshot gains, or loses, in the 10 s after all sidecars crashed, against starts that know nothing: pairs of
  * runs that differ in the snapshot only. By hand:
- * {@code java -cp ... peppergauge.lab.emulator.RestartGain ../scenarios/calm.toml 200}.
+ * {@code java -cp peppergauge-lab.jar peppergauge.lab.emulator.RestartGain scenarios/calm.toml 200}.
  */
 final class RestartGain {
 
@@ -266,16 +265,12 @@
         return new Gain(cold / seeds, mean, Math.sqrt(Math.max(0, squares / seeds - mean * mean) / (seeds - 1)));
     }
 
-    static Scenario read(Path file) {
-        return Scenario.read(Kinds.all().read(file).values().orElseThrow());
-    }
-
     private static boolean isAsked(Snapshots snapshots) {
         return List.of(System.getProperty("only", snapshots.name()).split(",")).contains(snapshots.name());
     }
 
     public static void main(String[] args) throws Exception {
-        Scenario base = read(Path.of(args[0]));
+        Scenario base = Stock.scenario(Path.of(args[0]));
         double rate = args.length > 2 ? Double.parseDouble(args[2]) : 1;
         ExecutorService pool = Executors.newFixedThreadPool(Integer.getInteger("workers", 4));
         for (String script : scripts().keySet()) {
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/emulator/Stock.java
@@ -0,0 +1,33 @@
+package peppergauge.lab.emulator;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import peppergauge.lab.files.Kinds;
+import peppergauge.lab.scenario.Scenario;
+import peppergauge.operator.Reading;
+
+/** The scenarios at the root of the repository. */
+final class Stock {
+
+    /** As a test sees it, or who is at the root. */
+    static final Path FOLDER = Files.exists(Path.of("../scenarios")) ? Path.of("../scenarios") : Path.of("scenarios");
+
+    private Stock() { }
+
+    static Scenario scenario(String name) {
+        return scenario(FOLDER.resolve(name + ".toml"));
+    }
+
+    static Scenario scenario(Path file) {
+        return scenario(Kinds.all().read(file));
+    }
+
+    static Scenario read(String text) {
+        return scenario(Kinds.all().read("s.toml", text));
+    }
+
+    private static Scenario scenario(Reading reading) {
+        return Scenario.read(reading.values().orElseThrow(() ->
+                new IllegalArgumentException(reading.problems().toString())));
+    }
+}
--- a/lab/src/test/java/peppergauge/lab/emulator/NomadInVirtualTimeTest.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/NomadInVirtualTimeTest.java
@@ -53,7 +53,7 @@
 
     @Test
     public void theDigestDependsOnNothingElse() {
-        Scenario scenario = Stock.shortened("nomad-wrong", 20_000);
+        Scenario scenario = StockTest.shortened("nomad-wrong", 20_000);
         assertEquals(Emulator.run("a", scenario).digest(), Emulator.run("b", scenario).digest());
     }
 
--- a/lab/src/test/java/peppergauge/lab/emulator/PlantedFaultsTest.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/PlantedFaultsTest.java
@@ -53,6 +53,6 @@
         assertTrue(small.run().length().compareTo(whole.run().length()) < 0, steps.toString());
         assertTrue(small.servers().stream().mapToLong(kind -> kind.count()).sum() < 13, steps.toString());
         assertFalse(steps.isEmpty());
-        assertTrue(Shrinker.shrink(Stock.shortened("calm", 2_000), steps::add).isEmpty());
+        assertTrue(Shrinker.shrink(StockTest.shortened("calm", 2_000), steps::add).isEmpty());
     }
 }
--- a/lab/src/test/java/peppergauge/lab/emulator/PromisesTest.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/PromisesTest.java
@@ -14,7 +14,7 @@
 /** Promises over drawn incidents, a few; docs/PROMISES.md has the table of many. */
 public class PromisesTest {
 
-    private final Scenario stock = PromisesByHand.stock();
+    private final Scenario stock = Stock.scenario("promises");
 
     @DataProvider
     public Object[][] troubles() {
--- a/lab/src/test/java/peppergauge/lab/emulator/RestartGainTest.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/RestartGainTest.java
@@ -3,7 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.nio.file.Path;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.testng.annotations.DataProvider;
@@ -16,7 +15,7 @@
 
     private static final int SEEDS = 8;
 
-    private final Scenario base = RestartGain.read(Path.of("../scenarios/calm.toml"));
+    private final Scenario base = Stock.scenario("calm");
 
     @DataProvider
     public Object[][] wrong() {
--- a/lab/src/test/java/peppergauge/lab/emulator/StockTest.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/StockTest.java
@@ -7,11 +7,15 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import peppergauge.lab.result.RunResult;
+import peppergauge.lab.scenario.Run;
+import peppergauge.lab.scenario.Scenario;
 
 /** The stock scenarios break no rule, and what a run does is decided by scenario and seed alone. */
 public class StockTest {
@@ -19,13 +23,24 @@
     private static final long PLAYED_MS = 12_000;
 
     @DataProvider
-    public Object[][] stock() {
-        return Stock.names().stream().map(name -> new Object[] {name}).toArray(Object[][]::new);
+    public Object[][] stock() throws IOException {
+        try (var files = Files.list(Stock.FOLDER)) {
+            return files.map(file -> new Object[] {file.getFileName().toString().replace(".toml", "")}).sorted(
+                    Comparator.comparing(row -> (String) row[0])).toArray(Object[][]::new);
+        }
+    }
+
+    /** Only the beginning, with its entries. */
+    static Scenario shortened(String name, long ms) {
+        Scenario whole = Stock.scenario(name);
+        Duration length = Duration.ofMillis(ms);
+        return whole.with(new Run(length, whole.run().seed()), whole.servers(), whole.entries().stream()
+                .filter(entry -> entry.time().compareTo(length) <= 0).toList());
     }
 
     @Test(dataProvider = "stock")
     public void noRuleIsBrokenAndTheFileSaysWhatItIsFor(String name) throws IOException {
-        RunResult result = Emulator.run(name, Stock.shortened(name, PLAYED_MS));
+        RunResult result = Emulator.run(name, shortened(name, PLAYED_MS));
         assertEquals(result.broken().toString(), "[]");
         assertTrue(result.totals().service() > 0.8, result.totals().toString());
         assertEquals(result.totals().asked(), result.totals().inTime() + result.totals().late()
@@ -42,9 +57,9 @@
     /** Run between other runs and alone, one after the other and side by side. */
     @Test(dataProvider = "busy")
     public void theDigestDependsOnNothingElse(String name) throws InterruptedException {
-        var scenario = Stock.shortened(name, 15_000);
+        var scenario = shortened(name, 15_000);
         String digest = Emulator.run(name, scenario).digest();
-        Emulator.run("calm", Stock.shortened("calm", 1_000));
+        Emulator.run("calm", shortened("calm", 1_000));
         assertEquals(Emulator.run("again", scenario).digest(), digest);
         assertNotEquals(Emulator.run(name, scenario.seeded(2)).digest(), digest);
         assertEquals(sweep(name, 8), sweep(name, 1));
@@ -53,7 +68,7 @@
 
     private static List<String> sweep(String name, int workers) throws InterruptedException {
         List<String> digests = new ArrayList<>();
-        Sweep.run(name, Stock.shortened(name, 15_000), 1, 9, workers, result -> digests.add(result.digest()));
+        Sweep.run(name, shortened(name, 15_000), 1, 9, workers, result -> digests.add(result.digest()));
         return digests;
     }
 
@@ -67,14 +82,14 @@
         List<String> lines = new String(other.getInputStream().readAllBytes()).lines().toList();
         assertEquals(other.waitFor(), 0, lines.toString());
         assertEquals(lines.get(lines.size() - 1),
-                "digest: " + Emulator.run("calm", Stock.shortened("calm", 2_000)).digest());
+                "digest: " + Emulator.run("calm", shortened("calm", 2_000)).digest());
     }
 
     /** One draw more in one place moves nothing elsewhere: what is asked is the same, whatever happens to servers. */
     @Test
     public void whatIsAskedDoesNotDependOnWhatBecomesOfIt() {
-        RunResult calm = Emulator.run("calm", Stock.shortened("calm", 12_000));
-        RunResult fast = Emulator.run("fast", Stock.read(Stock.shortened("calm", 12_000).toToml()
+        RunResult calm = Emulator.run("calm", shortened("calm", 12_000));
+        RunResult fast = Emulator.run("fast", Stock.read(shortened("calm", 12_000).toToml()
                 + "[[at]]\ntime = '1 s'\nwhat = 'fast-errors'\ntarget = 'gen-a'\npart = 1.0\n"));
         assertTrue(fast.totals().failed() > calm.totals().failed());
         assertEquals(fast.seconds().stream().map(RunResult.Second::asked).toList(),
