Write what tests repeat once, and let a starved machine skip a test instead of failing it

Need: tests wrote the same things again: waiting for a condition (five times), lists of servers as JSON (four), the loop of lab.wire for a test (three), a loop in virtual time (two), a fake disk (two), the run of planted faults (three), bodies of 26 mutants and seven faults. And on two shared cores at a load of 60 to 80 tests on sockets failed that pass on a calm machine: HardCasesTest 4 of 21, RulesOnSocketsTest 1 to 3 of 86, ServerTableWatchTest 1 of 21. Change: Toy.await and Bed.row/table/config serve all modules; OnLoop, HandLoop, Specs.took; the invariants' tests of bodies, membership and donations extend UnderRandomLoad; Mutant and the lab's Faults are tables. Waits for what must come are 30 s; LinkTest, StandInTest, TurnsTest, GeneratorTest and the tests over Nomad wait for the event and not for a time; RigTest no longer polls on a core of its own. InRealTime: where a thread that only sleeps was over 100 ms late, or late for a fifth of the time, a failure on sockets is a skip that says so. Gone, and what fails on the same fault: RandomEventsTest, each of whose rules is an invariant that a mutant breaks in RandomLoadTest; RulesOnSocketsTest's four broken-off requests, as HardCasesTest's, broken off at every byte, stands there now; LedgerPropertiesTest is LedgerLoad, with its 300 seeds; KeptFileTest uses FakeDisk. Measured, by faults in copies of the sources: draining ignored, and what ran taken for what did not, are found by RandomLoadTest; ways swapped in Flow by LinkTest; a call given up but not taken out of the turns by TurnsTest; any older list believed by FaultsTest (two agents).

--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/wire/OnLoop.java
@@ -0,0 +1,42 @@
+package peppergauge.lab.wire;
+
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+
+/** A loop that runs, fresh for each test. */
+public abstract class OnLoop {
+
+    protected Loop loop;
+
+    @BeforeMethod
+    public void startLoop() throws IOException {
+        loop = Loop.sleeping("test");
+        loop.start();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void endLoop() throws IOException {
+        loop.close();
+    }
+
+    /** What comes of something that the loop's thread does. */
+    protected final <T> T on(Callable<T> step) {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.post(() -> {
+            try {
+                done.complete(step.call());
+            } catch (Exception failed) {
+                done.completeExceptionally(failed);
+            }
+        });
+        return done.join();
+    }
+
+    protected final void does(Runnable step) {
+        on(Executors.callable(step));
+    }
+}
--- a/plugin/src/test/java/peppergauge/plugin/Specs.java
+++ b/plugin/src/test/java/peppergauge/plugin/Specs.java
@@ -7,8 +7,14 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import peppergauge.plugin.abi.SessionView;
+import peppergauge.plugin.box.Box;
 import peppergauge.plugin.box.Capability;
+import peppergauge.plugin.box.Fault;
 import peppergauge.plugin.box.Limits;
+import peppergauge.plugin.crew.Crew;
+import peppergauge.plugin.crew.Job;
 import peppergauge.plugin.crew.Times;
 import peppergauge.plugin.files.PluginSpec;
 import peppergauge.plugin.rules.OnFailure;
@@ -34,4 +40,26 @@
                 List.of("x-other"), List.of("X-Tag", "X-Traffic"), Map.of(), ZoneOffset.UTC, LIMITS, times, 5, 1,
                 1 << 16);
     }
+
+    /** Offers a session; how long its call took, ms, however it ended. */
+    public static CompletableFuture<Double> took(Crew crew, SessionView session) {
+        CompletableFuture<Double> took = new CompletableFuture<>();
+        crew.offer(new Job() {
+            @Override
+            public void run(Box box) throws Fault {
+                box.onSession(session);
+            }
+
+            @Override
+            public void ended(double tookMs) {
+                took.complete(tookMs);
+            }
+
+            @Override
+            public void failed(String why, double tookMs) {
+                took.complete(tookMs);
+            }
+        });
+        return took;
+    }
 }
--- a/sidecar/src/test/java/peppergauge/decision/Scripted.java
+++ b/sidecar/src/test/java/peppergauge/decision/Scripted.java
@@ -108,6 +108,22 @@
         return server;
     }
 
+    /** Requests served one after the other, each in so long. */
+    void warm(int count, double tookMs) {
+        for (int i = 0; i < count; i++) {
+            serve("w" + i, tookMs);
+        }
+    }
+
+    /** How many of so many requests at one moment are sent. */
+    int sentOfBurst(int count) {
+        int sent = 0;
+        for (int i = 0; i < count; i++) {
+            sent += sentTo(request("burst" + i, 0)) == null ? 0 : 1;
+        }
+        return sent;
+    }
+
     static String sentTo(List<Action> answer) {
         return answer.stream().filter(Send.class::isInstance).map(action -> ((Send) action).server())
                 .findFirst().orElse(null);
