--- a/fleet/src/test/java/peppergauge/fleet/plan/KeyForecastsTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/plan/KeyForecastsTest.java
@@ -95,6 +95,11 @@
         }
         assertTrue(forecasts.answers().get("replaced:1.0").soon().mean()
                 < forecasts.answers().get("replaced:1.0").steady().mean());
+        // Once it is well known: each key comes every 2 s, over all servers, to a life of 5 s.
+        plans(forecasts, 50, zones, nowMs - BEGAN_MS);
+        HitRate now = forecasts.answers().get("replaced:1.0").now();
+        assertEquals(now.mean(), 1 - Math.exp(-5 / 2.0 / 12), 0.03, now.toString());
+        assertTrue(now.high() - now.low() < 0.2, now.toString());
     }
 
     @Test
--- a/forecast/src/test/java/peppergauge/forecast/ForecastInvariantsTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/ForecastInvariantsTest.java
@@ -40,6 +40,9 @@
             {TRUST, "trust/TrackRecord.java", "            last.clear();\n", "", "outcomes are kept"},
             {TRUST, "trust/TrackRecord.java", "missed() <= 1", "missed() <= 2", "given back"},
             {TRUST, "trust/TrackRecord.java", "MOST_MISSED = 5", "MOST_MISSED = 7", "kept"},
+            {TRUST, "trust/TrackRecord.java", "        trusted = kept.trusted();\n", "", "kept is"},
+            {TRUST, "trust/TrackRecord.java", "new Kept(trusted, List.copyOf(last))",
+                "new Kept(trusted, List.copyOf(last)).newest(9)", "the say is"},
             {FORECAST, "popularity/KeyMerge.java", "source.kept.removeLast();\n        }\n        source.kept.add",
                 "assert true;\n        }\n        source.kept.add", "are kept"},
             {FORECAST, "popularity/KeyMerge.java", "-scale * key.count(), Double::sum", "0.0, Double::sum", "sampled"},
@@ -47,6 +50,8 @@
                 "at > (points.size() + 2.5) / POINTS", "weights of"},
             {FORECAST, "placement/Placement.java", "            shares[i] /= sum;\n", "", "shares of"},
             {FORECAST, "placement/Placement.java", "drawn[i] / sum * LUCK", "drawn[i]", "luck of"},
+            {FORECAST, "answers/Answers.java", "return record.trusted() ? forecaster",
+                "return record != null ? forecaster", "a cost without trust"},
             {FORECAST, "hits/Forecaster.java", "cold / (1 - memory.saving() * steady)",
                 "cold / (0 * memory.saving())", "moving"},
         };
