--- a/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
 import org.testng.annotations.AfterMethod;
@@ -17,9 +18,11 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import peppergauge.fleet.Samples;
+import peppergauge.fleet.decide.ForecastOutcome;
 import peppergauge.fleet.http.Caller;
 import peppergauge.fleet.wire.FleetTable;
 import peppergauge.fleet.wire.Json;
+import peppergauge.forecast.hits.HitRate;
 import peppergauge.forecast.sample.KeySampler;
 import peppergauge.log.Log;
 
@@ -144,14 +147,25 @@
         return next.issuer().equals("fleet-" + issuer) ? next : issued(bed, next.version(), issuer);
     }
 
+    private void untilForecastsAreTrusted(boolean trusted) throws InterruptedException {
+        Samples.until("trusted " + trusted, () -> ((Boolean) trusted).equals(bed.forecasts.report().get("trusted")));
+    }
+
     @Test
-    public void totalsOutliveTheProcessAndADamagedFileMeansAFreshStart() throws Exception {
+    public void totalsAndTrustOutliveTheProcessAndADamagedFileMeansAFreshStart() throws Exception {
         long now = System.currentTimeMillis();
+        HitRate said = new HitRate(0.2, 0.1, 0.3);
+        bed.proved = Json.write(Map.of("forecaster", 1, "record", Map.of("trusted", false, "last", List.of()),
+                "scored", 6, "unscored", Map.of(), "last", List.of(new ForecastOutcome("replaced:0.4", "steady",
+                        now, said, 0.6, 0.6, 0.01, false))));
         bed.report(0, Samples.report(1, now, 1, now));
         bed.untilDaemons(0, 1);
+        untilForecastsAreTrusted(true);
         bed.service(0).close();
+        bed.proved = null;
         bed.start(0);
         assertEquals(bed.daemons(0), 1);
+        untilForecastsAreTrusted(false);
         bed.service(0).close();
         for (String ending : new String[] {"", ".before"}) {
             Path kept = bed.folder(0).resolve("fleet-0-state.snapshot" + ending);
@@ -161,6 +175,7 @@
         }
         bed.start(0);
         assertEquals(bed.daemons(0), 0);
+        untilForecastsAreTrusted(true);
         assertEquals(bed.report(0, Samples.report(1, now, 2, System.currentTimeMillis())), "taken");
     }
 
