--- a/fleet/src/test/java/peppergauge/fleet/table/TablesLoad.java
+++ b/fleet/src/test/java/peppergauge/fleet/table/TablesLoad.java
@@ -89,14 +89,16 @@
         require(handedOut.add(next), "version " + next + " twice");
         require(next > highest[at], "version " + next + " after " + highest[at]);
         highest[at] = next;
-        double factor = parted ? at == 0 ? Steering.FLOOR : 1
-                : Steering.FLOOR + (1 - Steering.FLOOR) * random.nextDouble();
-        Steering wanted = !parted && random.nextInt(4) == 0 ? Steering.NONE
-                : new Steering(Map.of("radio", Map.of("east", factor), "press", Map.of("west", 0.5)));
+        Steering wanted = parted ? leaning(at == 0 ? Steering.FLOOR : 1) : random.nextInt(4) == 0 ? Steering.NONE
+                : leaning(Steering.FLOOR + (1 - Steering.FLOOR) * random.nextDouble());
         last[at] = new Publishing("north", "i" + at, LEASE_MS, STEP).issue(next, clock, last[at], wanted);
         issuedAtMs.put(last[at], nowMs);
     }
 
+    private static Steering leaning(double factor) {
+        return new Steering(Map.of("radio", Map.of("east", factor), "press", Map.of("west", 0.5)));
+    }
+
     private void adopt(int at, FleetTable told, long clock) {
         if (versions[at].seen(told.version(), clock)) {
             require(versions[at].next(clock) > told.version(), "what is seen is not gone beyond");
