--- a/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/FaultSweep.java
@@ -64,10 +64,12 @@
         long served = outcome.history().of(What.ENDED).filter(end -> end.text().equals("200")).count();
         verdict.excused().forEach((why, count) -> excused.merge(why, count, Integer::sum));
         verdict.rules().forEach(rule -> broken.merge(rule, 1, Integer::sum));
-        System.out.printf("seed %s: %d faults, asked %d, served %.3f, %d MiB, checked %s, excused %s: %s%n",
+        System.out.printf("seed %s: %d faults, asked %d, served %.3f, rig late %.3f, %d MiB, checked %s,"
+                + " excused %s: %s%n",
                 files.size() == 1 ? seed : seed + ".." + (seed + files.size() - 1),
                 files.stream().mapToInt(file -> file.faults().size()).sum(), asked,
-                served / (double) Math.max(1, asked), outcome.memoryMib(), verdict.checked(), verdict.excused(),
+                served / (double) Math.max(1, asked), outcome.rigLate(), outcome.memoryMib(),
+                verdict.checked(), verdict.excused(),
                 verdict.rules().isEmpty() ? "fine" : "BROKEN " + verdict.rules());
         verdict.broken().stream().limit(5).forEach(one -> System.out.println("    " + one));
         if (!verdict.rules().isEmpty()) {
--- a/lab/src/main/java/peppergauge/lab/rig/PromiseSweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/PromiseSweep.java
@@ -96,7 +96,8 @@
                 figures() + scenario.contracts().stream().map(PromiseSection::toToml).collect(Collectors.joining()));
         Sweep sweep = new Sweep(commands, Capacity.usual(2, 2, 1_000), instances.programs(INSTANCES),
                 1e3 * number("back", 20), 2_000);
-        Scenario whole = scenario.with(new Run(scenario.run().length().plus(warm), seed), scenario.servers(), List.of());
+        Run longer = new Run(scenario.run().length().plus(warm), seed);
+        Scenario whole = scenario.with(longer, scenario.servers(), List.of());
         Sweep.Outcome outcome = sweep.run(new RigFile(whole, faults));
         if (options.containsKey("history")) {
             Path folder = Files.createDirectories(Path.of(options.get("history")));
@@ -114,13 +115,12 @@
         List<Leaning> leanings = outcome.history().of(What.STEERED).map(Event::text).map(Leaning::read).toList();
         long issuers = outcome.history().of(What.TABLE).map(event -> event.number() & 255).distinct().count();
         System.out.printf("seed %d %s: %d faults, windows kept %d of %d (%s), penalty %.3f, worth %.4f,"
-                + " largest rise %.1f/s, least factor %.2f, issuers %d, %d MiB,"
+                + " largest rise %.1f/s, least factor %.2f, issuers %d, rig late %.3f, %d MiB,"
                 + " checked %s, excused %s: %s%n", seed, mode, faults,
                 figures.kept(), figures.windows(), figures.stations().stream().map(one -> one.contract().station() + ' '
                 + one.kept()).collect(Collectors.joining(", ")), figures.penalty(), figures.worth(),
                 figures.largestRise(), leanings.stream().mapToDouble(Leaning::least).min().orElse(1), issuers,
-                outcome.memoryKb().values().stream()
-                .mapToLong(kb -> kb).sum() >> 10, verdict.checked(), verdict.excused(),
+                outcome.rigLate(), outcome.memoryMib(), verdict.checked(), verdict.excused(),
                 verdict.broken().isEmpty() ? "no rule broken" : "BROKEN");
         verdict.broken().stream().limit(8).forEach(one -> System.out.println("  " + one));
     }
--- a/lab/src/main/java/peppergauge/lab/rig/Recorder.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Recorder.java
@@ -30,7 +30,7 @@
         }
     }
 
-    /** All so far. Put in order outside of the lock: the rig's own thread must not wait for it in the middle of a run. */
+    /** All so far, put in order outside of the lock: the rig's own thread must not wait for that during a run. */
     public History history() {
         List<Event> soFar;
         synchronized (this) {
--- a/lab/src/main/java/peppergauge/lab/rig/Sweep.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Sweep.java
@@ -14,9 +14,11 @@
 import peppergauge.lab.fault.Names;
 import peppergauge.lab.fault.Schedules;
 import peppergauge.lab.history.Bounds;
+import peppergauge.lab.history.Event;
 import peppergauge.lab.history.History;
 import peppergauge.lab.history.Rules;
 import peppergauge.lab.history.Verdict;
+import peppergauge.lab.history.What;
 import peppergauge.lab.scenario.Run;
 import peppergauge.lab.scenario.Scenario;
 
@@ -34,6 +36,14 @@
         public long memoryMib() {
             return memoryKb.values().stream().mapToLong(kib -> kib).sum() / 1024;
         }
+
+        /** Share of the run by which the rig's own thread, with all links and clients, was late; near 0, or no run. */
+        public double rigLate() {
+            List<Event> own = history.of(What.LATE).filter(event -> event.who().equals("rig")).toList();
+            long beginNs = history.first(What.BEGIN).orElse(0L);
+            long endNs = history.first(What.END).orElse(Long.MAX_VALUE);
+            return own.stream().mapToDouble(Event::number).sum() * 1e6 / (endNs - beginNs);
+        }
     }
 
     private final Commands commands;
--- a/lab/src/test/java/peppergauge/lab/rig/StationFiguresTest.java
+++ b/lab/src/test/java/peppergauge/lab/rig/StationFiguresTest.java
@@ -67,5 +67,7 @@
         assertEquals(figures.penalty(), 0.2, 1e-9);
         assertEquals(figures.worth(), (14 + 3 * 0.5) / 18, 1e-9);
         assertEquals(figures.largestRise(), 1, 1e-9);
+        StationFigures warm = StationFigures.of(new History(events), scenario, 6_000);
+        assertEquals(warm.windows() + " " + warm.kept(), "5 2", "windows begin after the warming up");
     }
 }
