Close the loop's sockets on its own thread, not beneath a round

A closing sidecar logged now and then "loop: java.util.ConcurrentModificationException at HashMap$HashIterator.nextNode, HashMap$KeyIterator.next". It is not HttpCore's pool, which nobody closes: Loop.close closed the reactor on the thread that winds down, and closing a selector removes all keys from the set of ready sockets, which SingleCoreIOReactor.processEvents goes through on the loop's thread without a lock. The loop's thread ended by it, as it was to end anyhow; what else was ready in that round was not handled.

Loop.close hands the closing in as a task, which runs at the end of a round, and waits for it for at most 500 ms; a loop that never ran or is stuck is closed as before.

ProcessTest (ends under load) and ReloadTest pass.

--- a/sidecar/src/main/java/peppergauge/sockets/Loop.java
+++ b/sidecar/src/main/java/peppergauge/sockets/Loop.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
@@ -46,6 +47,8 @@
     public static final double SELECT_MS = 20;
     private static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds((long) SELECT_MS);
     private static final int BACKLOG = 511;
+    /** How long closing waits for the round that is under way. */
+    private static final long LONGEST_ROUND_MS = 500;
     /** Times that one connection may write in a round, before the others get their turn. */
     static final int MOST_WRITES = 4;
     /** An address that nothing is ever sent to: see {@link #wakeUp}. */
@@ -110,9 +113,26 @@
         reactor.start();
     }
 
-    /** Closes every connection as it is, and ends the threads. What is handed in afterwards never runs. */
+    /**
+     * Closes every connection as it is, and ends the threads. What is handed in afterwards never runs. The loop's own
+     * thread does it, at the end of a round: closing the selector empties the set of ready sockets, and under a thread
+     * that goes through them that is a ConcurrentModificationException.
+     */
     public void close() {
         timers.shutdownNow();
+        if (thread != null && thread.isAlive() && !isHere()) {
+            CountDownLatch closed = new CountDownLatch(1);
+            execute(() -> {
+                reactor.close(CloseMode.IMMEDIATE);
+                closed.countDown();
+            });
+            try {
+                closed.await(LONGEST_ROUND_MS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException ending) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        // Where it never ran, or is stuck. A second time does nothing.
         reactor.close(CloseMode.IMMEDIATE);
     }
 
