--- /dev/null
+++ b/daemon/src/test/java/peppergauge/daemon/DaemonArchive.java
@@ -0,0 +1,180 @@
+package peppergauge.daemon;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import peppergauge.Toy;
+import peppergauge.daemon.admin.AdminAddress;
+import peppergauge.daemon.admin.AdminClient;
+
+/**
+ * Run by the build: has the packed program be an instance of the fleet service and a daemon that reports to it, serve
+ * a little, and tell which classes it loaded; an archive (CDS) of all those is left, with which both are ready sooner.
+ * One archive, since the launcher does not know which of them a file makes; without what few daemons have, since each
+ * page of it takes memory in every process. Arguments: the archive, the jar.
+ */
+public final class DaemonArchive {
+
+    private static final String FLEET = """
+            kind = "fleet"
+            [service]
+            site = "training"
+            name = "fleet-1"
+            number = 1
+            listen = "127.0.0.1:%d"
+            folder = "%s/state"
+            least-interval = "100 ms"
+            table-every = "200 ms"
+            gossip-every = "100 ms"
+            keep-every = "200 ms"
+            """;
+    private static final String DAEMON = """
+            kind = "daemon"
+            [sidecar]
+            config = "example/config.json"
+            listen = "127.0.0.1:0"
+            discovery = "%s"
+            known = '{"version": 1, "full": true, "servers": [{"id": "s-1", "addr": "%s", "zone": "here", "cell": 0, \
+            "state": "active", "started_ms": 0}]}'
+            [admin]
+            socket = "%s"
+            [log]
+            format = "json"
+            [start]
+            discovery-calls = 50
+            [fleet]
+            site = "training"
+            addresses = ["127.0.0.1:%d"]
+            first-interval = "100 ms"
+            """;
+    private static final Pattern LISTENS = Pattern.compile(".*127\\.0\\.0\\.1:(\\d+) with .*");
+
+    private final Path folder;
+    private final Path jar;
+    private final Path root;
+
+    private DaemonArchive(Path folder, Path jar) {
+        this.folder = folder;
+        this.jar = jar;
+        root = jar.getParent().getParent().getParent();
+    }
+
+    public static void main(String[] args) throws Exception {
+        Path folder = Files.createTempDirectory("archive");
+        try {
+            DaemonArchive training = new DaemonArchive(folder, Path.of(args[1]));
+            training.dump(training.classes(), Path.of(args[0]));
+        } finally {
+            try (var files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+            }
+        }
+    }
+
+    /** What both loaded, one a line in the form of the Java machine's. */
+    private Path classes() throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        Path socket = folder.resolve("a.sock");
+        try (Toy backend = Toy.saying(Toy.ok("inflight=1,queue=0,latency_ms=5"));
+                Toy discovery = Toy.saying("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")) {
+            Process instance = start("fleet", FLEET.formatted(port, folder));
+            Process daemon = start("daemon", DAEMON.formatted(discovery.address(), backend.address(), socket, port));
+            try {
+                serveALittle(daemon);
+                AdminAddress admin = new AdminAddress(Optional.of(socket), 0);
+                for (String command : List.of("status", "fleet", "reload")) {
+                    AdminClient.ask(admin, command);
+                }
+            } finally {
+                // A killed one may leave half of its list, and nobody would see that the archive is thin.
+                end(daemon);
+                end(instance);
+            }
+        }
+        Set<String> all = new LinkedHashSet<>(Files.readAllLines(list("fleet")));
+        all.addAll(Files.readAllLines(list("daemon")));
+        return Files.write(list("both"), all);
+    }
+
+    private Path list(String name) {
+        return folder.resolve(name + ".classes");
+    }
+
+    private static String java() {
+        return System.getProperty("java.home") + File.separator + "bin" + File.separator + "java";
+    }
+
+    private Process start(String name, String text) throws IOException {
+        Path file = Files.writeString(folder.resolve(name + ".toml"), text);
+        return new ProcessBuilder(java(), "-XX:DumpLoadedClassList=" + list(name), "-XX:+UseSerialGC", "-Xmx128m",
+                "-jar", jar.toString(), "daemon", "--config", file.toString()).directory(root.toFile())
+                .redirectErrorStream(true).start();
+    }
+
+    private static void end(Process process) throws IOException, InterruptedException {
+        process.destroy();
+        if (!process.waitFor(60, TimeUnit.SECONDS)) {
+            process.destroyForcibly();
+            throw new IOException("a process in training did not end");
+        }
+    }
+
+    private static void serveALittle(Process daemon) throws IOException {
+        BufferedReader log = daemon.inputReader();
+        int port = 0;
+        StringBuilder said = new StringBuilder();
+        for (String line = log.readLine(); line != null && port == 0; line = log.readLine()) {
+            said.append(line).append('\n');
+            Matcher matcher = LISTENS.matcher(line);
+            port = matcher.matches() ? Integer.parseInt(matcher.group(1)) : 0;
+        }
+        if (port == 0) {
+            throw new IOException("the daemon in training did not serve:\n" + said);
+        }
+        Toy.daemon(() -> log.lines().forEach(line -> { }));
+        try (Socket client = new Socket("127.0.0.1", port)) {
+            for (int i = 0; i < 50; i++) {
+                ask(client, "GET /episode-list/a HTTP/1.1", "g" + i, "");
+                ask(client, "POST /donation/a HTTP/1.1", "p" + i, "x");
+            }
+        }
+    }
+
+    private static void ask(Socket client, String line, String id, String body) throws IOException {
+        client.getOutputStream().write((line + "\r\nHost: a\r\nX-Txn: " + id + "\r\nX-Org: hanul-fm\r\n"
+                + "X-Remaining-Ms: 900\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.ISO_8859_1));
+        Toy.read(client.getInputStream());
+    }
+
+    private void dump(Path classes, Path archive) throws IOException, InterruptedException {
+        Path fresh = archive.resolveSibling(archive.getFileName() + ".new");
+        // The Java machine can only archive objects with this collector, and load them with any.
+        Process dumping = new ProcessBuilder(java(), "-Xshare:dump", "-XX:+UseG1GC", "-Xmx128m",
+                "-XX:SharedClassListFile=" + classes, "-XX:SharedArchiveFile=" + fresh, "-Xlog:cds*=error",
+                "-cp", jar.toString()).redirectErrorStream(true).start();
+        String said = new String(dumping.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        if (dumping.waitFor() != 0) {
+            throw new IOException("no archive of the daemon's classes was made:\n" + said);
+        }
+        Files.move(fresh, archive, StandardCopyOption.REPLACE_EXISTING);
+    }
+}
--- a/lab/src/test/java/peppergauge/lab/command/LauncherTest.java
+++ b/lab/src/test/java/peppergauge/lab/command/LauncherTest.java
@@ -68,11 +68,20 @@
         assertEquals(start(directory, launcher + " adapter"), deployed("sim"));
     }
 
+    /** With an archive that is not there the Java machine would go without any. */
     @Test
-    public void theDaemonIsItsOwnProcess() throws Exception {
-        String started = start("/", tree + "/bin/peppergauge daemon --config f.toml");
-        assertEquals(started.replaceAll(" -X\\S+", ""),
-                "java -jar daemon/target/peppergauge-daemon.jar daemon --config f.toml");
+    public void theDaemonIsItsOwnProcessWithAnArchiveWhereThereIsOne() throws Exception {
+        Path archive = tree.resolve("daemon/target/peppergauge-daemon.jsa");
+        for (String named : new String[] {"", " -XX:SharedArchiveFile=daemon/target/peppergauge-daemon.jsa"}) {
+            String started = start("/", "PEPPERGAUGE_FLAGS='-Xshare:off -Da=b' " + tree
+                    + "/bin/peppergauge daemon --config f.toml");
+            assertEquals(started.replaceAll(" -X(?!X:Shared|share)\\S+", ""), "java" + named + " -Xshare:auto -Xshare:off"
+                    + " -Da=b -jar daemon/target/peppergauge-daemon.jar daemon --config f.toml");
+            if (named.isEmpty()) {
+                Files.createFile(archive);
+            }
+        }
+        Files.delete(archive);
     }
 
     @Test
