Read a sidecar's process id once where the rig looks how long it waits for a CPU

A sidecar that was killed between the two calls ended the thread that looks (NoSuchElementException, seen twice in a cold start of 200 sidecars): from then on nothing excused what that sidecar did without CPU.

--- a/lab/src/main/java/peppergauge/lab/rig/Rig.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Rig.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -232,7 +233,9 @@
             AtomicLong lastNs = new AtomicLong(System.nanoTime());
             again(() -> {
                 long nowNs = System.nanoTime();
-                double ms = member.pid().isPresent() ? waits.sinceLastMs(member.pid().getAsLong()) : 0;
+                // Once: it may be killed meanwhile, and this look is all that excuses what it does without CPU.
+                OptionalLong pid = member.pid();
+                double ms = pid.isPresent() ? waits.sinceLastMs(pid.getAsLong()) : 0;
                 if (ms >= LEAST_WAIT_MS) {
                     recorder.add(new Event(nowNs, What.WAITED, sidecar, "", "", (long) ms, lastNs.toString()));
                 }
