--- a/daemon/src/test/java/peppergauge/daemon/FleetProcessesTest.java
+++ b/daemon/src/test/java/peppergauge/daemon/FleetProcessesTest.java
@@ -98,7 +98,8 @@
                 + "keep-every = \"200 ms\"\n");
         for (int j = 0; j < 3; j++) {
             if (j != i) {
-                text.append("[[service.peer]]\nname = \"fleet-").append(j).append("\"\naddress = \"").append(address(j)).append("\"\n");
+                text.append("[[service.peer]]\nname = \"fleet-").append(j).append("\"\naddress = \"")
+                        .append(address(j)).append("\"\n");
             }
         }
         Files.writeString(directory.resolve("fleet-" + i + ".toml"), text);
@@ -133,7 +134,7 @@
 
     private void launchDaemon() throws IOException, InterruptedException {
         admin = new AdminAddress(Optional.of(directory.resolve("a.sock")), 0);
-        // Sessions have time enough for a machine that gives no CPU for seconds: who fails then failed for another cause.
+        // Sessions have time enough for a machine that gives no CPU for seconds: who fails has another cause.
         Path config = Files.writeString(directory.resolve("config.json"), Files.readString(ROOT.resolve(
                 "example/config.json")).replace("\"deadlineMs\": 1000", "\"deadlineMs\": 30000")
                 .replace("\"connectTimeoutMs\": 200", "\"connectTimeoutMs\": 9000"));
