Bound the connections of all clients in a rig, so that 200 sidecars fit its open files

Seen: cold starts of 200 sidecars ended at 20,000 open files as the sidecars came back: up to 300 connections of clients for each sidecar, three files each where a session waits.

Change: 4,000 of all sidecars' clients together at most; up to 13 sidecars have 300 each as before, 200 have 20. A session that finds none waits at its client, and its time counts.

--- a/lab/src/main/java/peppergauge/lab/rig/Rig.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Rig.java
@@ -60,7 +60,9 @@
         }
     }
 
-    private static final Generator.Shape CONNECTIONS = new Generator.Shape(2, 300, false, false);
+    /** Most connections of one sidecar's clients, and of all: each is three files of this process where it waits. */
+    private static final int CONNECTIONS = 300;
+    private static final int CONNECTIONS_OF_ALL = 4_000;
     /** How often the end looks for sessions that are still open, ms, and for how long the loop may be away. */
     private static final double LOOK_MS = 50;
     private static final double TABLES_MS = 300;
@@ -181,7 +183,7 @@
             Applications source = new Applications(scenario, recorder, name, run, cast.seed("clients of " + name),
                     rate(i));
             Generator generator = new Generator(loop, cast.link(Names.CLIENTS, name).address(),
-                    CONNECTIONS, source);
+                    connections(scenario.sidecars().count()), source);
             source.use(generator);
             sources.add(source);
             generators.add(generator);
@@ -189,6 +191,11 @@
         director = new Director(loop, hands, recorder, cast, scenario);
     }
 
+    /** For hundreds of sidecars fewer each: where all of them stall at once, this process would be out of files. */
+    static Generator.Shape connections(int sidecars) {
+        return new Generator.Shape(2, Math.min(CONNECTIONS, CONNECTIONS_OF_ALL / sidecars), false, false);
+    }
+
     /** Where sidecars are daemons with further programs beside them, such as the fleet service's instances. */
     private boolean looksAtTables() {
         return plan.commands().daemons().isPresent() && !plan.programs().isEmpty();
