--- a/lab/src/main/java/peppergauge/lab/rig/Rig.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Rig.java
@@ -192,8 +192,8 @@
     }
 
     /** For hundreds of sidecars fewer each: where all of them stall at once, this process would be out of files. */
-    static Generator.Shape connections(int sidecars) {
-        return new Generator.Shape(2, Math.min(CONNECTIONS, CONNECTIONS_OF_ALL / sidecars), false, false);
+    static Generator.Shape connections(long sidecars) {
+        return new Generator.Shape(2, (int) Math.min(CONNECTIONS, CONNECTIONS_OF_ALL / sidecars), false, false);
     }
 
     /** Where sidecars are daemons with further programs beside them, such as the fleet service's instances. */
