--- a/fleet/src/test/java/peppergauge/fleet/service/Bed.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/Bed.java
@@ -47,6 +47,8 @@
     final AtomicLong clockShiftMs = new AtomicLong();
     /** How forecasts fared so far, wherever they come from; null for as it is. */
     volatile byte[] proved;
+    /** How often that was asked for. */
+    final AtomicLong proofs = new AtomicLong();
     /** Of the instance started last. */
     volatile KeyForecasts forecasts;
     volatile Steering wanted = new Steering(Map.of("radio", Map.of("east", 0.5)));
@@ -106,6 +108,7 @@
 
             @Override
             public byte[] forecastState() {
+                proofs.incrementAndGet();
                 return proved == null ? own.kept() : proved;
             }
 
--- a/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
+++ b/fleet/src/test/java/peppergauge/fleet/service/ServiceTest.java
@@ -161,6 +161,9 @@
         bed.report(0, Samples.report(1, now, 1, now));
         bed.untilDaemons(0, 1);
         untilForecastsAreTrusted(true);
+        // What one step found is with the merge before the next one asks.
+        long asked = bed.proofs.get();
+        Samples.until("found twice", () -> bed.proofs.get() > asked + 1);
         bed.service(0).close();
         bed.proved = null;
         bed.start(0);
