--- a/forecast/src/test/java/peppergauge/forecast/ForecasterTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/ForecasterTest.java
@@ -168,6 +168,8 @@
         Forecaster forecaster = new Forecaster(new Popularity(0.1, 2_000, SPAN_MS, some),
                 MemoryEstimate.told(5_000, 100, 0.4), placement(10, new Draws()));
         assertEquals(forecaster.now().stations().get("b"), HitRate.UNKNOWN);
+        // Nor of what its move would cost; that no key is left of it ended the reckoning.
+        assertEquals(forecaster.extraWork("b", "x", 0.1, 0.5), 0.0);
     }
 
     @Property(tries = 40, seed = "12")
--- a/forecast/src/test/java/peppergauge/forecast/MemoryEstimatorTest.java
+++ b/forecast/src/test/java/peppergauge/forecast/MemoryEstimatorTest.java
@@ -118,4 +118,17 @@
         assertTrue(found.points().stream().mapToDouble(Point::lifeMs).max().orElseThrow() > 16_000);
         assertEquals(found.savingError(), 1.0);
     }
+
+    /** A broken daemon's: one such report left no point of the estimate, and a forecast has to reckon with some. */
+    @Test
+    public void answersBeyondAllNumbersSayNothing() {
+        ServiceTimes times = new ServiceTimes(1_000);
+        for (int i = 0; i < 2_000; i++) {
+            times.answered(i % 300, i % 2 == 0 ? 250 + 10 * i : Double.POSITIVE_INFINITY, 1e200 * (1 + i % 3));
+        }
+        MemoryEstimate found = MemoryEstimator.estimate(PLACEMENT, List.of(new MemoryEstimator.Kind(0.1,
+                times.seen())), KEYS);
+        assertEquals(found.points().stream().mapToDouble(Point::weight).sum(), 1, 1e-9);
+        assertTrue(found.saving() >= 0 && found.saving() <= 1, found.saving() + " is saved");
+    }
 }
