Begin the limits of log lines anew for each reader

The log admits five lines of a kind a second over the whole process, and the tests before it plant breaches of invariants too, whose lines count with its own when all come within one second, as on a fast and quiet machine.

Log.to(sink) now forgets the counts: a new reader misses nothing because of what a former one got. Everybody else calls it once, at the start. LogTest fails without it (0 lines heard, 1 expected).

--- a/sidecar/src/main/java/peppergauge/log/Log.java
+++ b/sidecar/src/main/java/peppergauge/log/Log.java
@@ -23,8 +23,10 @@
     }
 
     /**
-     * From now on lines go there; their limits stay. The sink is the whole process's: whoever runs something in a
-     * larger one puts the former back, else its lines are lost for all that comes after.
+     * From now on lines go there, and the limits begin anew: a new reader misses no line because of those that a
+     * former one got in the same second, and hears nothing of how many that one missed. The sink is the whole
+     * process's: whoever runs something in a larger one puts the former back, else its lines are lost for all that
+     * comes after.
      *
      * @param other null for standard error
      * @return where lines went until now, null for standard error
@@ -32,6 +34,8 @@
     public static Sink to(Sink other) {
         Sink former = sink;
         sink = other;
+        // Only then: a line of the time between counts for neither.
+        KINDS.clear();
         return former;
     }
 
--- /dev/null
+++ b/sidecar/src/test/java/peppergauge/log/LogTest.java
@@ -0,0 +1,40 @@
+package peppergauge.log;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.testng.annotations.Test;
+
+public class LogTest {
+
+    private static final String KIND = "log-test";
+
+    /** A test that listened for one line did not hear it: others of its JVM had used up the lines of that second. */
+    @Test
+    public void aNewReaderMissesNothingForWhatAFormerOneGot() {
+        List<String> first = new CopyOnWriteArrayList<>();
+        List<String> second = new CopyOnWriteArrayList<>();
+        Log.Sink former = Log.to(only(first));
+        try {
+            int lines = 0;
+            while (first.size() == lines) {
+                Log.line(KIND, "line " + ++lines);
+            }
+            Log.to(only(second));
+            Log.line(KIND, "heard");
+        } finally {
+            Log.to(former);
+        }
+        assertEquals(second, List.of("heard, 0 passed over"));
+    }
+
+    /** Threads of other tests may still have something to say. */
+    private static Log.Sink only(List<String> heard) {
+        return (kind, text, passedOver) -> {
+            if (kind.equals(KIND)) {
+                heard.add(text + ", " + passedOver + " passed over");
+            }
+        };
+    }
+}
