Wait for the admin socket where the daemon's archive is trained

The training asks the admin socket for its status once the sidecar has served a little. The socket is opened only after the line that says that it serves, so on a busy machine it might not be there yet, and the build would fail. And the port of the training's fleet instance was found free on 127.0.0.1 and shut again: any connection of the daemon, which starts beside it, may take it, and the archive is thin.

The socket is waited for, and the instance listens on an address of its own, as in the tests with processes.

--- a/daemon/src/test/java/peppergauge/daemon/DaemonArchive.java
+++ b/daemon/src/test/java/peppergauge/daemon/DaemonArchive.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -30,13 +31,15 @@
  */
 public final class DaemonArchive {
 
+    /** No outgoing connection takes a port there: one that was found free stays so. */
+    private static final String FLEET_HOST = "127.77.0.2";
     private static final String FLEET = """
             kind = "fleet"
             [service]
             site = "training"
             name = "fleet-1"
             number = 1
-            listen = "127.0.0.1:%d"
+            listen = "%s:%d"
             folder = "%s/state"
             least-interval = "100 ms"
             table-every = "200 ms"
@@ -59,7 +62,7 @@
             discovery-calls = 50
             [fleet]
             site = "training"
-            addresses = ["127.0.0.1:%d"]
+            addresses = ["%s:%d"]
             first-interval = "100 ms"
             """;
     private static final Pattern LISTENS = Pattern.compile(".*127\\.0\\.0\\.1:(\\d+) with .*");
@@ -89,16 +92,19 @@
     /** What both loaded, one a line in the form of the Java machine's. */
     private Path classes() throws Exception {
         int port;
-        try (ServerSocket free = new ServerSocket(0)) {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(FLEET_HOST))) {
             port = free.getLocalPort();
         }
         Path socket = folder.resolve("a.sock");
         try (Toy backend = Toy.saying(Toy.ok("inflight=1,queue=0,latency_ms=5"));
                 Toy discovery = Toy.saying("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")) {
-            Process instance = start("fleet", FLEET.formatted(port, folder));
-            Process daemon = start("daemon", DAEMON.formatted(discovery.address(), backend.address(), socket, port));
+            Process instance = start("fleet", FLEET.formatted(FLEET_HOST, port, folder));
+            Process daemon = start("daemon", DAEMON.formatted(discovery.address(), backend.address(), socket,
+                    FLEET_HOST, port));
             try {
                 serveALittle(daemon);
+                // It is there only some time after the sidecar serves.
+                Toy.await("the admin socket", 60, () -> Files.exists(socket));
                 AdminAddress admin = new AdminAddress(Optional.of(socket), 0);
                 for (String command : List.of("status", "fleet", "reload")) {
                     AdminClient.ask(admin, command);
