End a rig's processes also where it ran out of files, and start none after its end

A rig of 200 sidecars that ran out of files left them running: Java looks into /proc before it ends a process, so with no file left destroyForcibly does nothing and descendants throws, and the first member that could not be closed kept all others alive. The links are closed first now, each member whatever becomes of the others, and a start that is under way begins no life after the end. A process that still runs is told by name.

--- a/lab/src/main/java/peppergauge/lab/process/Program.java
+++ b/lab/src/main/java/peppergauge/lab/process/Program.java
@@ -211,10 +211,16 @@
         if (process == null) {
             return;
         }
-        process.descendants().forEach(ProcessHandle::destroyForcibly);
+        try {
+            process.descendants().forEach(ProcessHandle::destroyForcibly);
+        } catch (RuntimeException outOfFiles) {
+            // Who has no file left cannot look into /proc, and Java ends nothing either; that is told below.
+        }
         process.destroyForcibly();
         try {
-            process.waitFor(LONGEST_END_S, TimeUnit.SECONDS);
+            if (!process.waitFor(LONGEST_END_S, TimeUnit.SECONDS)) {
+                throw new IOException(name + " still runs, process " + process.pid());
+            }
         } catch (InterruptedException ending) {
             Thread.currentThread().interrupt();
         }
--- a/lab/src/main/java/peppergauge/lab/rig/Member.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Member.java
@@ -54,6 +54,8 @@
     private volatile CompletableFuture<String> ports = new CompletableFuture<>();
     private final Object talk = new Object();
     private boolean wanted;
+    /** No life is begun after the rig's end; guarded by the talk's lock, which no wait is made under. */
+    private boolean closed;
 
     Member(String name, Recorder recorder, Path folder, Start start, Optional<FurtherProgram> check,
             Optional<Line> task, Consumer<List<InetSocketAddress>> reach) throws IOException {
@@ -104,6 +106,9 @@
         Program.Command command = start.command(Files.createDirectories(program.disk()));
         recorder.now(What.STARTED, name, "");
         synchronized (talk) {
+            if (closed) {
+                throw new InterruptedException("the rig is being closed");
+            }
             program.start(command);
             task.ifPresent(line -> program.say(line.line()));
         }
@@ -207,6 +212,9 @@
 
     @Override
     public void close() throws IOException {
-        program.close();
+        synchronized (talk) {
+            closed = true;
+            program.close();
+        }
     }
 }
--- a/lab/src/main/java/peppergauge/lab/rig/Rig.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Rig.java
@@ -4,9 +4,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -14,7 +14,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import peppergauge.daemon.file.DaemonFile;
@@ -67,8 +66,6 @@
     private static final double LOOK_MS = 50;
     private static final double TABLES_MS = 300;
     private static final double LOOK_EACH_MS = 10;
-    /** Of two threads within a look: less is no news. */
-    private static final double LEAST_WAIT_MS = 10;
     private static final long LONGEST_STALL_S = 5;
     private static final long LONGEST_HEALING_NS = 90_000_000_000L;
 
@@ -236,18 +233,7 @@
     private void lookAtWaits() {
         for (String sidecar : RigFile.sidecars(scenario)) {
             Member member = cast.members().get(sidecar);
-            CpuWaits waits = new CpuWaits();
-            AtomicLong lastNs = new AtomicLong(System.nanoTime());
-            again(() -> {
-                long nowNs = System.nanoTime();
-                // Once: it may be killed meanwhile, and this look is all that excuses what it does without CPU.
-                OptionalLong pid = member.pid();
-                double ms = pid.isPresent() ? waits.sinceLastMs(pid.getAsLong()) : 0;
-                if (ms >= LEAST_WAIT_MS) {
-                    recorder.add(new Event(nowNs, What.WAITED, sidecar, "", "", (long) ms, lastNs.toString()));
-                }
-                lastNs.set(nowNs);
-            });
+            again(new WaitLook(sidecar, member::pid, new CpuWaits()::sinceLastMs, recorder));
         }
     }
 
@@ -310,9 +296,26 @@
     @Override
     public void close() throws IOException {
         hands.shutdownNow();
-        for (Member member : cast.members().values()) {
-            member.close();
+        close(loop, cast.members().values());
+    }
+
+    /**
+     * Each of them, whatever becomes of those before it; the first one's failure is told after the last. The links go
+     * first: Java ends no process of a rig that ran out of files until it has some again.
+     */
+    static void close(Closeable links, Collection<? extends Closeable> processes) throws IOException {
+        List<Closeable> all = new ArrayList<>(processes);
+        all.add(0, links);
+        IOException first = null;
+        for (Closeable each : all) {
+            try {
+                each.close();
+            } catch (IOException | RuntimeException failed) {
+                first = first == null ? new IOException("not all could be closed", failed) : first;
+            }
+        }
+        if (first != null) {
+            throw first;
         }
-        loop.close();
     }
 }
