Record when a sidecar had a request and when it answered, and blame the rig for the rest

Cold starts of 120 and 200 sidecars broke rule answer by sessions whose clients gave up, and of 24 by sessions that crossed a close; whether the rig's one thread or the sidecar had them could not be told from the history. The rig records now when it wrote a request whole to the sidecar's socket (HANDED), when it read the answer (REPLIED), and which request was on its way when the sidecar closed, with how long that connection had been idle (HUNG_UP).

--- a/lab/src/main/java/peppergauge/lab/history/What.java
+++ b/lab/src/main/java/peppergauge/lab/history/What.java
@@ -16,6 +16,15 @@
     ASKED,
     /** A client has what it gets (who: the sidecar); text: the status or a word of {@code load.Ending}. */
     ENDED,
+    /** The rig has written a client's request, id, whole to the socket of its sidecar (whom). */
+    HANDED,
+    /** The rig has read the sidecar's (who) answer to it; text: its status. */
+    REPLIED,
+    /**
+     * A sidecar (who) closed a connection before it had the request, id, that was on its way there; number: for how
+     * many ms nothing had been asked on it.
+     */
+    HUNG_UP,
     /** A sidecar (who) has written an attempt to a server (whom) whole; the time is its first byte's; number: where. */
     SENT,
     /** That attempt is out no longer; text: answered, closed (by the sidecar) or broken. */
--- a/lab/src/main/java/peppergauge/lab/relay/Flow.java
+++ b/lab/src/main/java/peppergauge/lab/relay/Flow.java
@@ -102,12 +102,16 @@
     void read(Way way, byte[] bytes, int count) {
         if (way == out) {
             tap.sent(bytes, count);
+        } else {
+            tap.said(bytes, count);
         }
     }
 
     void written(Way way, byte[] bytes, int count) {
         if (way == back) {
             tap.told(bytes, count);
+        } else {
+            tap.passed(bytes, count);
         }
     }
 
@@ -115,6 +119,8 @@
     void ended(Way way) {
         if (way == out) {
             over(true);
+        } else {
+            left();
         }
         if (out.isDone() && back.isDone()) {
             close();
@@ -122,6 +128,14 @@
     }
 
     private boolean told;
+    private boolean left;
+
+    private void left() {
+        if (!told && !left) {
+            left = true;
+            tap.left();
+        }
+    }
 
     private void over(boolean byCaller) {
         if (!told) {
@@ -205,6 +219,8 @@
         public void broken() {
             if (isNear) {
                 over(true);
+            } else {
+                left();
             }
             if (over) {
                 return;
--- a/lab/src/main/java/peppergauge/lab/rig/Cast.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Cast.java
@@ -92,6 +92,9 @@
         if (whom.equals(Names.DISCOVERY)) {
             return () -> new ListTap(recorder, from);
         }
+        if (from.equals(Names.CLIENTS)) {
+            return () -> new ClientTap(recorder, whom);
+        }
         return RigFile.servers(scenario).contains(whom)
                 ? () -> plan.taps().apply(new AttemptTap(recorder, from, whom)) : () -> Tap.NONE;
     }
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/rig/ClientTap.java
@@ -0,0 +1,93 @@
+package peppergauge.lab.rig;
+
+import java.io.IOException;
+import java.util.Arrays;
+import peppergauge.lab.fault.Names;
+import peppergauge.lab.history.Event;
+import peppergauge.lab.history.What;
+import peppergauge.lab.relay.Tap;
+import peppergauge.lab.wire.Message;
+import peppergauge.lab.wire.Speech;
+
+/**
+ * Sees on a link between clients and their sidecar when it had a request and when it answered. What a session waited
+ * beyond that it waited for the rig, whose one thread carries every byte.
+ */
+final class ClientTap implements Tap {
+
+    private final Recorder recorder;
+    private final String sidecar;
+    private final Message.Inbox requests = new Message.Inbox(Speech.HTTP);
+    private final Message.Inbox answers = new Message.Inbox(Speech.HTTP);
+    /** What a client sent last, and how much of all it sent is still on its way to the sidecar. */
+    private byte[] last = {};
+    private long onItsWay;
+    private String asked = "";
+    private long idleSinceNs = System.nanoTime();
+    private long leftNs;
+    private boolean readable = true;
+
+    ClientTap(Recorder recorder, String sidecar) {
+        this.recorder = recorder;
+        this.sidecar = sidecar;
+    }
+
+    @Override
+    public void sent(byte[] bytes, int count) {
+        last = Arrays.copyOf(bytes, count);
+        onItsWay += count;
+        if (leftNs != 0) {
+            hungUp();
+        }
+    }
+
+    @Override
+    public void passed(byte[] bytes, int count) {
+        onItsWay -= count;
+        Message request = next(requests, bytes, count);
+        if (request != null && request.header("X-Txn") != null) {
+            asked = request.header("X-Txn");
+            recorder.add(new Event(System.nanoTime(), What.HANDED, Names.CLIENTS, sidecar, asked, 0, ""));
+        }
+    }
+
+    @Override
+    public void said(byte[] bytes, int count) {
+        Message answer = next(answers, bytes, count);
+        if (answer != null && !asked.isEmpty()) {
+            recorder.add(new Event(System.nanoTime(), What.REPLIED, sidecar, "", asked, 0, answer.word(1)));
+            asked = "";
+            idleSinceNs = System.nanoTime();
+        }
+    }
+
+    @Override
+    public void left() {
+        leftNs = System.nanoTime();
+        if (onItsWay > 0) {
+            hungUp();
+        }
+    }
+
+    /** Of a request that its sidecar has not had: how long nothing had been asked when it closed. */
+    private void hungUp() {
+        Message request = next(new Message.Inbox(Speech.HTTP), last, last.length);
+        if (request != null && request.header("X-Txn") != null) {
+            recorder.add(new Event(leftNs, What.HUNG_UP, sidecar, "", request.header("X-Txn"),
+                    (leftNs - idleSinceNs) / 1_000_000, ""));
+        }
+    }
+
+    /** What cannot be read is its client's to judge; here nothing more is looked at. */
+    private Message next(Message.Inbox inbox, byte[] bytes, int count) {
+        try {
+            if (readable) {
+                inbox.add(bytes, count);
+                return inbox.next();
+            }
+        } catch (IOException unreadable) {
+            readable = false;
+        }
+        return null;
+    }
+}
