--- a/lab/src/main/java/peppergauge/lab/history/Carried.java
+++ b/lab/src/main/java/peppergauge/lab/history/Carried.java
@@ -7,6 +7,9 @@
 /** How long the rig itself had a session's request and answer, whose sidecar is not to blame for that. */
 final class Carried {
 
+    /** Of {@code load.Ending}. */
+    private static final String GAVE_UP = "gave up";
+
     private final Map<String, Event> handed;
     private final Map<String, Event> replied;
     private final Map<String, Event> hungUp;
@@ -27,7 +30,7 @@
      */
     String excuse(Event asked, Event end, double limitMs) {
         Event from = handed.get(asked.id());
-        if (from == null || end == null || !end.text().equals("gave-up") && !end.text().matches("[1-5]\\d\\d")) {
+        if (from == null || end == null || !end.text().equals(GAVE_UP) && !end.text().matches("[1-5]\\d\\d")) {
             return "";
         }
         Event reply = replied.get(asked.id());
