Count what promises' steering does to sessions that nothing is promised

A factor by station moves the classes of a station that nothing is promised as well. PromisesByHand said nothing of them: only worth, in which they count little.

Its table has a column "others in their aim": of the sessions of classes that nothing is promised, the share answered within their class's aim; Stations counts them beside the evidence.

--- a/lab/src/main/java/peppergauge/lab/emulator/PromisesByHand.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/PromisesByHand.java
@@ -30,18 +30,20 @@
         Scenario stock = Stock.scenario("promises");
         long first = Long.parseLong(arguments[0]);
         long last = Long.parseLong(arguments[1]);
-        System.out.println("| trouble | policy | windows kept | penalty of the most | worth | largest step, 1/s |");
-        System.out.println("| --- | --- | --- | --- | --- | --- |");
+        System.out.println("| trouble | policy | windows kept | penalty of the most | worth | others in their aim"
+                + " | largest step, 1/s |");
+        System.out.println("| --- | --- | --- | --- | --- | --- | --- |");
         for (Trouble trouble : arguments.length > 2 ? new Trouble[] {Trouble.valueOf(arguments[2])} : Trouble.values()) {
             for (Policy policy : Policy.values()) {
                 List<Figures> all = LongStream.rangeClosed(first, last).parallel()
                         .mapToObj(seed -> run(stock, trouble, policy, seed)).toList();
-                System.out.printf("| %s | %s | %.3f | %.3f | %.4f | %.1f |%n", trouble, policy,
+                System.out.printf("| %s | %s | %.3f | %.3f | %.4f | %.4f | %.1f |%n", trouble, policy,
                         (double) all.stream().mapToLong(f -> f.balance().kept()).sum()
                                 / all.stream().mapToLong(f -> f.balance().windows()).sum(),
                         all.stream().mapToDouble(f -> f.balance().penalty()).sum()
                                 / all.stream().mapToDouble(f -> f.balance().most()).sum(),
                         all.stream().mapToDouble(Figures::worth).average().orElse(0),
+                        all.stream().mapToDouble(f -> f.balance().othersInAim()).average().orElse(0),
                         all.stream().mapToDouble(Figures::largest).average().orElse(0));
             }
         }
--- a/lab/src/main/java/peppergauge/lab/emulator/Stations.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Stations.java
@@ -38,6 +38,8 @@
     private final Steerer steerer;
     private Map<Cell, long[]> before = Map.of();
     private final Map<String, Map<String, Double>> winners = new TreeMap<>();
+    private long others;
+    private long othersInAim;
     private boolean down;
 
     Stations(World world) {
@@ -84,7 +86,10 @@
                 && each.requestClass().equals(kind.name())).findFirst().orElse(null);
         boolean kept = tookMs <= (contract == null ? Scenario.ms(kind.deadline()) : contract.withinMs());
         counters.computeIfAbsent(new Cell(station, kind.name(), zone), cell -> new long[2])[kept ? 0 : 1]++;
-        if (contract != null) {
+        if (contract == null) {
+            others++;
+            othersInAim += tookMs <= Scenario.ms(kind.aim()) ? 1 : 0;
+        } else {
             for (int i = 0; i < contract.windowsMs().size(); i++) {
                 long number = (long) (world.time.elapsedMs() / contract.windowsMs().get(i));
                 windows.get(contract).get(i).computeIfAbsent(number, each -> new long[2])[kept ? 0 : 1]++;
@@ -170,8 +175,9 @@
      * Windows of all contracts that are over.
      *
      * @param kept of them; {@code penalty} of the others together, of {@code most} if all had been missed
+     * @param othersInAim share of the sessions that nothing is promised which were answered within their class's aim
      */
-    record Balance(long windows, long kept, double penalty, double most) { }
+    record Balance(long windows, long kept, double penalty, double most, double othersInAim) { }
 
     Balance balance() {
         long all = 0;
@@ -194,6 +200,6 @@
                 }
             }
         }
-        return new Balance(all, kept, penalty, most);
+        return new Balance(all, kept, penalty, most, others == 0 ? 1 : (double) othersInAim / others);
     }
 }
