--- a/lab/src/main/java/peppergauge/lab/rig/Rig.java
+++ b/lab/src/main/java/peppergauge/lab/rig/Rig.java
@@ -68,6 +68,7 @@
     private static final double LOOK_EACH_MS = 10;
     private static final long LONGEST_STALL_S = 5;
     private static final long LONGEST_HEALING_NS = 90_000_000_000L;
+    private static final long LONGEST_CALMING_NS = 30_000_000_000L;
 
     private final Plan plan;
     private final Scenario scenario;
@@ -109,6 +110,7 @@
         loop.start();
         inParallel(cast.members().values().stream().filter(member -> !member.name().startsWith("sidecar-")).toList());
         inParallel(cast.members().values().stream().filter(member -> member.name().startsWith("sidecar-")).toList());
+        Calm.await(loop, LONGEST_CALMING_NS);
         loop.post(this::begin);
         lookAtTables();
         lookAtWaits();
