--- a/lab/src/test/java/peppergauge/lab/emulator/StockTest.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/StockTest.java
@@ -25,7 +25,9 @@
     @DataProvider
     public Object[][] stock() throws IOException {
         try (var files = Files.list(Stock.FOLDER)) {
-            return files.map(file -> new Object[] {file.getFileName().toString().replace(".toml", "")}).sorted(
+            // Folders beside them hold files of other kinds.
+            return files.filter(Files::isRegularFile)
+                    .map(file -> new Object[] {file.getFileName().toString().replace(".toml", "")}).sorted(
                     Comparator.comparing(row -> (String) row[0])).toArray(Object[][]::new);
         }
     }
