--- a/example/ToyServers.java
+++ b/example/ToyServers.java
@@ -9,7 +9,8 @@
 
 /**
  * Two toy backend servers on 9001 and 9002 and a toy discovery on 8500, all on 127.0.0.1, for trying a sidecar:
- * java example/ToyServers.java. The second server is five times as slow as the first.
+ * java example/ToyServers.java. The second server is five times as slow as the first. A GET of /work/200 at a server's
+ * own port has it take some 200 ms from then on.
  */
 public class ToyServers {
 
@@ -28,10 +29,16 @@
         return server;
     }
 
-    private static void backendServer(int port, int workMs) throws IOException {
+    private static void backendServer(int port, int usualMs) throws IOException {
         AtomicInteger inFlight = new AtomicInteger();
+        AtomicInteger work = new AtomicInteger(usualMs);
         HttpServer server = listen(port);
+        server.createContext("/work/", exchange -> {
+            work.set(Math.max(2, Integer.parseInt(exchange.getRequestURI().getPath().substring("/work/".length()))));
+            answer(exchange, port + " takes some " + work + " ms\n");
+        });
         server.createContext("/", exchange -> {
+            int workMs = work.get();
             inFlight.incrementAndGet();
             try {
                 exchange.getRequestBody().readAllBytes();
@@ -45,7 +52,7 @@
                 inFlight.decrementAndGet();
             }
         });
-        server.createContext("/metrics/load", exchange -> answer(exchange, load(inFlight.get(), workMs)));
+        server.createContext("/metrics/load", exchange -> answer(exchange, load(inFlight.get(), work.get())));
     }
 
     private static String load(int inFlight, int workMs) {
