--- a/example/ToyServers.java
+++ b/example/ToyServers.java
@@ -9,7 +9,7 @@
 
 /**
  * Two toy backend servers on 9001 and 9002 and a toy discovery on 8500, all on 127.0.0.1, for trying a sidecar:
- * java example/ToyServers.java. The second server is five times as slow as the first. A GET of /work/200 at a server's
+ * java example/ToyServers.java. The second server is five times as slow as the first. A GET of /pace/200 at a server's
  * own port has it take some 200 ms from then on.
  */
 public class ToyServers {
@@ -33,8 +33,8 @@
         AtomicInteger inFlight = new AtomicInteger();
         AtomicInteger work = new AtomicInteger(usualMs);
         HttpServer server = listen(port);
-        server.createContext("/work/", exchange -> {
-            work.set(Math.max(2, Integer.parseInt(exchange.getRequestURI().getPath().substring("/work/".length()))));
+        server.createContext("/pace/", exchange -> {
+            work.set(Math.max(2, Integer.parseInt(exchange.getRequestURI().getPath().substring("/pace/".length()))));
             answer(exchange, port + " takes some " + work + " ms\n");
         });
         server.createContext("/", exchange -> {
--- a/lab/src/test/java/peppergauge/lab/load/GeneratorTest.java
+++ b/lab/src/test/java/peppergauge/lab/load/GeneratorTest.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -109,6 +110,29 @@
         }
     }
 
+    /** The answer came in time, while the clients' own loop stood still for longer than their patience. */
+    @Test
+    public void aStallOfTheLoopLosesNoAnswerThatCameMeanwhile() throws Exception {
+        CountDownLatch standing = new CountDownLatch(1);
+        CountDownLatch answered = new CountDownLatch(1);
+        try (Toy server = new Toy((request, connection) -> {
+            loop.post(() -> {
+                standing.countDown();
+                try {
+                    answered.await();
+                    Thread.sleep(400);
+                } catch (InterruptedException ending) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            standing.await();
+            serve(request, connection);
+            answered.countDown();
+        })) {
+            assertEquals(run(server.address(), 1, each(1, 10, 100), 1).ends().toString(), "{200=1}");
+        }
+    }
+
     @Test
     public void whoIsNotAnsweredGivesUpAndWhoFindsNobodyIsRefused() throws Exception {
         Toy silent = new Toy((request, connection) -> { });
