Answer a request when an exception beside its plug-ins stops it

Seen: in tests that plant an exception in the clock, a timer, the list of classes or the sessions, the client never got an answer (five rows of five), and the threads of a replaced set of plug-ins did not end.

Cause: the loop logs what a task throws and goes on. In PluginIntake the session stood in `thinking` then, with no call, no timer and no deadline: the sessions set that when they open it.

Change: each step of a session runs inside a guard. If one fails, the session is taken out and its client is denied, for nothing has run; if the sessions fail to take it, it is answered as failed.

--- a/plugin/src/main/java/peppergauge/plugin/PluginIntake.java
+++ b/plugin/src/main/java/peppergauge/plugin/PluginIntake.java
@@ -22,6 +22,9 @@
  * Asks the plug-ins about each session before the sessions get it. Everything here runs on the loop's thread, which
  * hands calls over and never waits: the outcome, the end of the budget, the deadline and the client's leaving all come
  * as events, and the first of them decides.
+ *
+ * <p>An exception here, outside any plug-in, ends its session with an answer: nothing else waits for it, the sessions'
+ * own deadlines least of all, which begin when they get it.
  */
 final class PluginIntake implements Intake {
 
@@ -58,16 +61,17 @@
         private final Opening opening;
         private final Frontend frontend;
         private final Plan plan;
-        private final Plan.Line line;
+        private Plan.Line line;
         private Chain.Where where;
         private SessionCall call;
         private Scheduler.Wait wait;
+        /** It has its answer, or is the sessions'. */
+        private boolean settled;
 
         private Thinking(Opening opening, Frontend frontend, Plan plan) {
             this.opening = opening;
             this.frontend = frontend;
             this.plan = plan;
-            this.line = plan.line(opening.requestClass());
         }
     }
 
@@ -130,7 +134,42 @@
             Thinking session = new Thinking(opening, frontend, plan);
             session.plan.began();
             thinking.put(frontend, session);
-            go(session, session.line.chain().begin(opening.message().fields()));
+            answering(session, () -> {
+                session.line = plan.line(opening.requestClass());
+                go(session, session.line.chain().begin(opening.message().fields()));
+            });
+        }
+    }
+
+    /** Takes a session a step further; where that fails, nothing of it has run yet, and it is denied. */
+    private void answering(Thinking session, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | StackOverflowError bug) {
+            Log.bug("plug-ins", bug);
+            giveUp(session);
+        }
+    }
+
+    private void giveUp(Thinking session) {
+        stopAsking(session);
+        if (thinking.get(session.frontend) == session) {
+            end(session);
+        }
+        if (!session.settled) {
+            session.settled = true;
+            session.frontend.denied(0);
+        }
+        checkIdle();
+    }
+
+    private void stopAsking(Thinking session) {
+        if (session.call != null) {
+            session.call.withdraw();
+            session.call = null;
+        }
+        if (session.wait != null) {
+            session.wait.cancel();
         }
     }
 
@@ -163,14 +202,15 @@
         Opening opening = session.opening;
         SessionCall call = new SessionCall(plugin, opening, session.where.fields(),
                 new SessionCall.Names(names.classes().get(opening.requestClass()), tenant(opening), nowMs),
-                (of, verdict, why, tookMs) -> scheduler.execute(() -> heard(session, of, verdict, why, tookMs)));
+                (of, verdict, why, tookMs) -> scheduler.execute(
+                        () -> answering(session, () -> heard(session, of, verdict, why, tookMs))));
         double now = nowMs.getAsDouble();
         Optional<String> refused = plugin.offer(now, call);
         if (refused.isEmpty()) {
             boolean deadlineFirst = opening.deadlineMs() - now <= plugin.budget.callMs();
             session.call = call;
             session.wait = scheduler.after(plugin.budget.waitMs(now, opening.deadlineMs()),
-                    () -> due(session, call, deadlineFirst));
+                    () -> answering(session, () -> due(session, call, deadlineFirst)));
         }
         return refused;
     }
@@ -218,6 +258,7 @@
         call.withdraw();
         if (deadlineFirst) {
             end(session);
+            session.settled = true;
             session.frontend.failed(true);
             checkIdle();
         } else {
@@ -238,11 +279,8 @@
             next.left(id, instead == null ? frontend : instead);
             return;
         }
-        if (session.call != null) {
-            session.call.withdraw();
-            session.call = null;
-            session.wait.cancel();
-        }
+        session.settled = true;
+        stopAsking(session);
         end(session);
         checkIdle();
     }
@@ -266,6 +304,7 @@
         Log.line("plug-in denied", session.where.index() + 1 + " of " + session.line.plugins().size() + ", "
                 + session.line.plugins().get(session.where.index()).spec.name() + ": " + denial.reason());
         // What the settings say of such advice binds plug-ins, too.
+        session.settled = true;
         session.frontend.denied(limits.retryAfter() ? Math.min(denial.retryAfterMs(), limits.maxRetryAfterMs()) : 0);
         tellAnswer(session.opening, session.plan, 503, Attempts.Tried.NEVER);
     }
@@ -279,7 +318,7 @@
                 before.with(fields));
         Frontend frontend = session.frontend;
         if (!session.plan.countsAnswers) {
-            next.open(opening, frontend);
+            handOver(session, opening, frontend);
             return;
         }
         attempts.follow(asked.id());
@@ -289,7 +328,18 @@
             scheduler.execute(() -> tellAnswer(asked, session.plan, status, attempts.take(asked.id())));
         });
         watched.put(frontend, counted);
-        next.open(opening, counted);
+        handOver(session, opening, counted);
+    }
+
+    /** From here on it is the sessions'; if they fail to take it, it is not known how far they came. */
+    private void handOver(Thinking session, Opening opening, Frontend answered) {
+        session.settled = true;
+        try {
+            next.open(opening, answered);
+        } catch (RuntimeException | StackOverflowError bug) {
+            Log.bug("plug-ins", bug);
+            answered.failed(false);
+        }
     }
 
     private void tellAnswer(Opening opening, Plan of, int status, Attempts.Tried tried) {
