Answer a request when an exception stops it before its session is open

Seen: an exception between a request's arrival and its open session (planted by a class that no table has) left the client without any answer; the log had "bug: java.lang.IndexOutOfBoundsException".

Cause: Sessions guarded that step by logging alone, and the deadline that would answer 504 is set only with the open session.

Change: Sessions.answered guards both steps; a request that is not open after a failed one is taken out of the order and denied, for nothing has run.

Test: FailingArrivalTest, red without the mend (no answer), green with it; the request behind it is not touched.

--- a/sidecar/src/main/java/peppergauge/session/Sessions.java
+++ b/sidecar/src/main/java/peppergauge/session/Sessions.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import peppergauge.decision.Balancer.Action;
 import peppergauge.decision.Balancer.Event;
 import peppergauge.decision.Balancer.Outcome;
@@ -74,7 +75,7 @@
     @Override
     public void open(Opening opening, Frontend frontend) {
         arriving.incrementAndGet();
-        post(() -> onArrival(new Newcomer(opening, frontend)));
+        post(() -> answered(new Newcomer(opening, frontend), this::onArrival));
     }
 
     @Override
@@ -142,11 +143,23 @@
         }
     }
 
+    /** A bug before a session is open must not leave its client without an answer: nothing of it has run. */
+    private void answered(Newcomer newcomer, Consumer<Newcomer> step) {
+        try {
+            step.accept(newcomer);
+        } catch (RuntimeException | StackOverflowError bug) {
+            Log.bug("bug", bug);
+            if (!open.containsKey(newcomer.opening().id())) {
+                overload.order().withdraw(newcomer.opening().id());
+                guarded(() -> newcomer.frontend().denied(0));
+            }
+        }
+    }
+
     private void takeNewcomers() {
         newcomersAwaited = false;
         for (Newcomer next = overload.next(); next != null; next = overload.next()) {
-            Newcomer newcomer = next;
-            guarded(() -> take(newcomer));
+            answered(next, this::take);
         }
         checkIdle();
     }
--- /dev/null
+++ b/sidecar/src/test/java/peppergauge/session/FailingArrivalTest.java
@@ -0,0 +1,88 @@
+package peppergauge.session;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.testng.annotations.Test;
+import peppergauge.decision.Balancer.Effect;
+import peppergauge.decision.Balancer.Group;
+import peppergauge.decision.Balancer.RequestClass;
+import peppergauge.overload.Overload;
+import peppergauge.overload.OverloadSettings;
+
+/**
+ * A bug on the way of a request to its open session. What happened: the loop logged it ("bug: ...
+ * IndexOutOfBoundsException") and went on, no deadline was set yet, and the client waited in vain.
+ */
+public class FailingArrivalTest {
+
+    private static final int NO_SUCH_CLASS = 7;
+
+    private final HandLoop loop = new HandLoop(1_000);
+
+    private static final class Unused implements Backend {
+
+        @Override
+        public Exchange send(Server server, Message message, double untilMs, Sender sender) {
+            throw new IllegalStateException("nothing is sent");
+        }
+
+        @Override
+        public Exchange probe(Server server, double untilMs, Consumer<Result> ended) {
+            throw new IllegalStateException("no probe is asked for");
+        }
+
+        @Override
+        public void forget(Server server) {
+            // Nothing is kept here.
+        }
+    }
+
+    private record Client(List<String> answers) implements Frontend {
+
+        @Override
+        public void served(Message answer) {
+            answers.add("served");
+        }
+
+        @Override
+        public void denied(double retryAfterMs) {
+            answers.add("denied");
+        }
+
+        @Override
+        public void failed(boolean late) {
+            answers.add("failed");
+        }
+
+        @Override
+        public void duplicate() {
+            answers.add("duplicate");
+        }
+    }
+
+    @Test
+    public void isAnsweredAndCostsTheNextOnesNothing() {
+        Sessions sessions = new Sessions((now, event, actions) -> { }, new Unused(), loop, loop,
+                new Overload<>(OverloadSettings.of(List.of(1.0), 0.1, true, 1_500, 20, 1)),
+                List.of(new RequestClass(100, 300, 1, 0, Effect.SAFE, Group.ALL, 500)), 50);
+        List<String> answers = new ArrayList<>();
+        List<String> nextAnswers = new ArrayList<>();
+        sessions.open(opening("a", NO_SUCH_CLASS), new Client(answers));
+        sessions.open(opening("b", 0), new Client(nextAnswers));
+        loop.runTasks();
+        for (Runnable due = loop.due(2_000); due != null; due = loop.due(2_000)) {
+            due.run();
+            loop.runTasks();
+        }
+        assertEquals(answers, List.of("denied"));
+        assertEquals(nextAnswers, List.of("failed"));
+    }
+
+    private Opening opening(String id, int requestClass) {
+        return new Opening(id, requestClass, -1, 300, false, loop.nowMs(),
+                new Message("GET", "/r", List.of(), new byte[0], null));
+    }
+}
