Look at a Thrift client's connection before its attempt's first byte

Seen: with the loop held between the reading of a call and its attempt, and the client closed meanwhile, the server got the call in nine pairs of Thrift's forms of nine; over HTTP it did not.

Cause: ThriftBackend.send took `sender::ended` alone and never asked Sender.waits(); Call inherited "still there".

Change: ThriftExchange asks right before the first byte and ends as cancelled; Call.waits reads what has come in on its connection. Oneway calls are sent all the same.

Test: RulesInEachFormTest.nothingIsSentForAClientWhoseEndStandsUnread, ten pairs, nine red without the mend, all green with it.

--- a/thrift/src/main/java/peppergauge/thrift/backend/ThriftBackend.java
+++ b/thrift/src/main/java/peppergauge/thrift/backend/ThriftBackend.java
@@ -77,7 +77,7 @@
             return Nothing.OUT;
         }
         Method method = methods.find(call.head().name()).orElseThrow();
-        ThriftExchange exchange = new ThriftExchange(pool, server, call, method, new Around(untilMs, method,
+        ThriftExchange exchange = new ThriftExchange(pool, server, call, method, new Around(untilMs, method, sender,
                 Carried.isOneway(call) ? () -> begunOneways.add(message) : () -> { }), sender::ended);
         exchange.start();
         return exchange;
@@ -92,7 +92,7 @@
         Method method = new Method(probe.get(), 0, Optional.empty(), Optional.empty(), Optional.empty(),
                 Optional.empty(), 0, 0, Set.of(), Optional.of(RETURNED));
         ThriftExchange exchange = new ThriftExchange(pool, server, Exceptions.call(form.encoding(), probe.get()),
-                method, new Around(untilMs, method, () -> { }), ended);
+                method, new Around(untilMs, method, ended::accept, () -> { }), ended);
         exchange.start();
         return exchange;
     }
@@ -106,11 +106,13 @@
 
         private final double untilMs;
         private final Method method;
+        private final Sender sender;
         private final Runnable begun;
 
-        Around(double untilMs, Method method, Runnable begun) {
+        Around(double untilMs, Method method, Sender sender, Runnable begun) {
             this.untilMs = untilMs;
             this.method = method;
+            this.sender = sender;
             this.begun = begun;
         }
 
@@ -134,6 +136,11 @@
             begun.run();
         }
 
+        @Override
+        public boolean waits() {
+            return sender.waits();
+        }
+
         @Override
         public Reply judge(Head asked, RawMessage reply) {
             return Reply.judge(asked, reply, method, links.loadFields());
--- a/thrift/src/main/java/peppergauge/thrift/backend/ThriftExchange.java
+++ b/thrift/src/main/java/peppergauge/thrift/backend/ThriftExchange.java
@@ -57,6 +57,9 @@
         /** The first byte is written: from here on the call may run. */
         void begun();
 
+        /** Whether anybody still waits for the answer; to be asked right before the first byte. */
+        boolean waits();
+
         Reply judge(Head asked, RawMessage reply);
     }
 
@@ -126,6 +129,11 @@
                 failed();
                 return true;
             }
+            if (!around.waits()) {
+                giveBack(true);
+                conclude(Outcome.CANCELLED, null, null);
+                return true;
+            }
             unsent = ByteBuffer.wrap(bytes(connection));
         }
         if (connection.write(unsent) > 0 && state == State.WAITING) {
--- a/thrift/src/main/java/peppergauge/thrift/frontend/Call.java
+++ b/thrift/src/main/java/peppergauge/thrift/frontend/Call.java
@@ -82,6 +82,15 @@
         refuse(Refusal.DUPLICATE);
     }
 
+    /** Nobody waits for a oneway call's answer, and it is sent all the same. */
+    @Override
+    public boolean waits() {
+        if (!oneway && !done) {
+            connection.lookForEnd();
+        }
+        return oneway || !done;
+    }
+
     /** Also what never became a session ends here. */
     void refuse(Refusal refusal) {
         if (oneway) {
--- a/thrift/src/main/java/peppergauge/thrift/frontend/ClientConnection.java
+++ b/thrift/src/main/java/peppergauge/thrift/frontend/ClientConnection.java
@@ -359,21 +359,34 @@
         return phase == Phase.CLOSED || open > 0 || !isWritten() || reading;
     }
 
+    /** Reads what has come in: the client's end may stand behind it. */
+    void lookForEnd() {
+        if (phase == Phase.READING) {
+            readWhatIsThere();
+        } else if (phase == Phase.ANSWERING) {
+            readOn();
+        }
+    }
+
     private void readWhatIsThere() {
         long before = -1;
         while (phase == Phase.READING && connection.isOpen() && reader.taken() != before) {
             before = reader.taken();
-            try {
-                inputReady(connection, null);
-            } catch (IOException broken) {
-                close();
-            }
+            readOn();
             if (reader.taken() - before > LingeringClose.MOST_DISCARDED) {
                 return;
             }
         }
     }
 
+    private void readOn() {
+        try {
+            inputReady(connection, null);
+        } catch (IOException broken) {
+            close();
+        }
+    }
+
     /** Nothing is owed: what the client still sends is not taken. */
     private void endSending() {
         if (!phase.atLeast(Phase.LINGERING)) {
--- a/thrift/src/test/java/peppergauge/RulesInEachFormTest.java
+++ b/thrift/src/test/java/peppergauge/RulesInEachFormTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
@@ -54,6 +55,41 @@
         }
     }
 
+    /**
+     * A client's end stands unread as an attempt of its call gets a connection. What happened: a Thrift attempt did not
+     * look at its client's connection before its first byte, and was sent to a server though the client had gone (asks
+     * were t1, t2 and t3 in each form but HTTP).
+     */
+    @Test(dataProvider = "pairs")
+    public void nothingIsSentForAClientWhoseEndStandsUnread(Pair pair) throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch gone = new CountDownLatch(1);
+        try (Stage stage = new Stage(pair, ok(pair))) {
+            // The server's connection is there from now on, so that the next attempt has its turn at once.
+            assertEquals(stage.ask(Stage.asking("list", "t1", 900)).body(), "t1");
+            stage.holdAfterReading = () -> {
+                held.countDown();
+                awaitQuietly(gone);
+            };
+            try (Socket client = stage.client()) {
+                client.getOutputStream().write(pair.client().ask(Stage.asking("list", "t2", 900), "acme"));
+                held.await();
+                stage.holdAfterReading = null;
+            }
+            gone.countDown();
+            assertEquals(stage.ask(Stage.asking("list", "t3", 900)).body(), "t3");
+            assertEquals(stage.asks.stream().map(Spelling.Ask::id).toList(), List.of("t1", "t3"));
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException ending) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test(dataProvider = "pairs")
     public void howTheBytesComeInMakesNoDifferenceAndAnswersComeInOrder(Pair pair) throws Exception {
         try (Stage stage = new Stage(pair, (ask, connection) -> {
--- a/thrift/src/test/java/peppergauge/Stage.java
+++ b/thrift/src/test/java/peppergauge/Stage.java
@@ -15,6 +15,11 @@
 import peppergauge.config.Config;
 import peppergauge.operator.OperatorFiles;
 import peppergauge.operator.Reading;
+import peppergauge.session.Backend;
+import peppergauge.session.Frontend;
+import peppergauge.session.Intake;
+import peppergauge.session.Opening;
+import peppergauge.session.Sessions;
 import peppergauge.thrift.ThriftAddition;
 import peppergauge.thrift.file.ThriftSection;
 
@@ -62,6 +67,8 @@
     final Pair pair;
     final List<Spelling.Ask> asks = new CopyOnWriteArrayList<>();
     final List<Socket> connections = new CopyOnWriteArrayList<>();
+    /** Runs on the loop once a request is read, before any attempt of it; null: nothing does. */
+    volatile Runnable holdAfterReading;
     final Sidecar sidecar;
     final ThriftAddition addition;
     private final Toy discovery;
@@ -92,10 +99,48 @@
         addition = new ThriftAddition(file("[thrift]\nlisten = \"127.0.0.1:0\"\n[thrift.servers]\nform = \""
                 + (http ? "binary" : pair.server().toString().toLowerCase(Locale.ROOT).replace('_', '-')) + "\"\n"
                 + (http ? "only = [\"none\"]\n" : "") + METHODS).values().orElseThrow());
-        sidecar = new Sidecar(Config.read(Map.of("GW_CONFIG", path.toString())), addition);
+        sidecar = new Sidecar(Config.read(Map.of("GW_CONFIG", path.toString())), new Holding());
         sidecar.start();
     }
 
+    /** The addition, with a place at which the loop can be held. */
+    private final class Holding implements Additions {
+
+        @Override
+        public Backend backend(Backend http, Parts parts) {
+            return addition.backend(http, parts);
+        }
+
+        @Override
+        public Intake intake(Sessions sessions, Parts parts) {
+            return new Intake() {
+                @Override
+                public void open(Opening opening, Frontend frontend) {
+                    sessions.open(opening, frontend);
+                    Runnable hold = holdAfterReading;
+                    if (hold != null) {
+                        parts.loop().execute(hold);
+                    }
+                }
+
+                @Override
+                public void left(String id, Frontend frontend) {
+                    sessions.left(id, frontend);
+                }
+            };
+        }
+
+        @Override
+        public void starting(Intake intake, Sessions sessions, Parts parts) throws IOException, InterruptedException {
+            addition.starting(intake, sessions, parts);
+        }
+
+        @Override
+        public void stopping() {
+            addition.stopping();
+        }
+    }
+
     static Reading file(String text) {
         return new OperatorFiles(List.of(ThriftSection.KIND)).read("f", "kind = \"thrift\"\n" + text);
     }
