Let a long body finish that begins while the process ends

Seen: an upload whose request was half read at SIGTERM was cut off 3.7 s later ("stop: sessions were open past the longest deadline"), where `finish` allows 20 s.

Cause: Sidecar.windDown asked Bodies.whenIdle once, before it waited for the clients' connections; what began after that had the longest deadline only.

Change: while connections are open and a body is under way it waits for bodies again, bounded by `finish` and one longest deadline after it. The platform's sidecar, which takes none, waits as before.

Test: BodiesOnSocketsTest.aBodyThatBeginsLateInAShutdownIsFinishedToo sends the rest of the head once the bodies were found idle; "Broken pipe" without the mend, served with it.

--- a/bodies/src/test/java/peppergauge/bodies/BodiesOnSocketsTest.java
+++ b/bodies/src/test/java/peppergauge/bodies/BodiesOnSocketsTest.java
@@ -589,6 +589,31 @@
         }
     }
 
+    /**
+     * A request's head is half there as the process is told to end, and its body is a long one. What happened: whether
+     * bodies are under way was asked once, before the clients' connections were waited for; the body began after that,
+     * and was cut off once the longest deadline was over, 3 s, though the settings allow bodies 20 s to finish ("stop:
+     * sessions were open past the longest deadline").
+     */
+    @Test
+    public void aBodyThatBeginsLateInAShutdownIsFinishedToo() throws Exception {
+        try (Rig rig = Rig.shortDeadlines(CHECKS); Socket up = rig.client()) {
+            String head = ask("save", "up", "Content-Length: 900000\r\n\r\n");
+            send(up, head.substring(0, 20));
+            Thread ending = Toy.daemon(rig.sidecar::windDown);
+            Toy.await("no body is under way yet", 30, () -> rig.foundIdle.get() == 1);
+            send(up, head.substring(20));
+            OutputStream out = up.getOutputStream();
+            for (int at = 0; at < 900_000; at += 50_000) {
+                Thread.sleep(250);
+                out.write(pattern(900_000, 7), at, 50_000);
+            }
+            assertEquals(said(Answer.read(up.getInputStream())), "200 900000 true");
+            ending.join(10_000);
+            assertFalse(ending.isAlive());
+        }
+    }
+
     /** Takes some 0.7 s for 1 MiB. */
     private static InputStream slowly(InputStream in) {
         return new java.io.FilterInputStream(in) {
--- a/bodies/src/test/java/peppergauge/bodies/Rig.java
+++ b/bodies/src/test/java/peppergauge/bodies/Rig.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -21,12 +22,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
+import peppergauge.Additions;
 import peppergauge.Bed;
 import peppergauge.Sidecar;
 import peppergauge.Toy;
 import peppergauge.bodies.ledger.Bounds;
 import peppergauge.bodies.spool.Disk;
 import peppergauge.config.Config;
+import peppergauge.session.Bodies;
 
 /** A sidecar that takes long bodies, between backend servers by a script and clients on raw sockets. */
 final class Rig implements Closeable {
@@ -82,6 +85,8 @@
     final List<String> whole = new CopyOnWriteArrayList<>();
     /** Requests that began. */
     final AtomicInteger begun = new AtomicInteger();
+    /** Times that the process which ends was told that no long body is under way. */
+    final AtomicInteger foundIdle = new AtomicInteger();
     final BodiesAddition addition;
     final Sidecar sidecar;
     volatile Script script;
@@ -106,6 +111,10 @@
     }
 
     Rig(Script script, BodiesSettings settings, Disk disk) throws Exception {
+        this(script, settings, disk, SETTINGS);
+    }
+
+    private Rig(Script script, BodiesSettings settings, Disk disk, String siteSettings) throws Exception {
         this.script = script;
         addition = new BodiesAddition(settings, disk);
         // Little of a body stands in the kernel's buffers: an end in its middle is then surely one.
@@ -126,11 +135,31 @@
         file.toFile().deleteOnExit();
         Files.writeString(file, Bed.config("127.0.0.1:" + discovery.getLocalPort(), 1_200, Bed.table(1, true,
                 Stream.of("s0", "s1", "s2", "s3").map(id -> Bed.row(id, address, "active")).toList()))
-                .replace(Bed.SETTINGS, SETTINGS));
-        sidecar = new Sidecar(Config.read(Map.of("GW_CONFIG", file.toString())), addition);
+                .replace(Bed.SETTINGS, siteSettings));
+        sidecar = new Sidecar(Config.read(Map.of("GW_CONFIG", file.toString())), watchingIdle());
         sidecar.start();
     }
 
+    /** With deadlines that are shorter than the least time which a process takes to end. */
+    static Rig shortDeadlines(Script script) throws Exception {
+        return new Rig(script, settings(bounds(), Optional.of(Files.createTempDirectory("bodies")), List.of()), null,
+                SETTINGS.replace("Ms\":60000", "Ms\":1000"));
+    }
+
+    /** The addition, with a count of how often its bodies were found idle by the process that ends. */
+    private Additions watchingIdle() {
+        ClassLoader loader = Rig.class.getClassLoader();
+        return (Additions) Proxy.newProxyInstance(loader, new Class<?>[] {Additions.class}, (self, method, given) -> {
+            Object result = method.invoke(addition, given);
+            return !(result instanceof Bodies bodies) ? result : Proxy.newProxyInstance(loader,
+                    new Class<?>[] {Bodies.class}, (same, called, with) -> called.getName().equals("whenIdle")
+                            ? called.invoke(bodies, (Runnable) () -> {
+                                foundIdle.incrementAndGet();
+                                ((Runnable) with[0]).run();
+                            }) : called.invoke(bodies, with));
+        });
+    }
+
     static Rig hastyFiles(Script script) throws Exception {
         return new Rig(script, hasty(settings(bounds(), Optional.of(Files.createTempDirectory("bodies")), List.of())),
                 null);
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -217,13 +217,7 @@
             stopListening();
             additions.stopping();
             frontend.closeIdle(clock.nowMs() + longestDeadlineMs - END_MARGIN_MS);
-            CountDownLatch bodiesIdle = new CountDownLatch(1);
-            loop.execute(() -> bodies.whenIdle(bodiesIdle::countDown));
-            bodiesIdle.await((long) bodies.finishMs(), TimeUnit.MILLISECONDS);
-            long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longestDeadlineMs);
-            CountDownLatch clientsGone = new CountDownLatch(1);
-            frontend.whenNoneIsOpen(clientsGone::countDown);
-            clientsGone.await(untilNs - System.nanoTime(), TimeUnit.NANOSECONDS);
+            long untilNs = awaitClients();
             // Calls that nobody waits for outlive their client's connection.
             CountDownLatch idle = new CountDownLatch(1);
             sessions.whenIdle(idle::countDown);
@@ -235,6 +229,39 @@
         stopNow();
     }
 
+    /**
+     * Waits until no client's connection is open, for the longest deadline; where long bodies are under way, for what
+     * they may take to finish and the longest deadline after it. One may begin at any time, as a request that was half
+     * read turns out to be long.
+     *
+     * @return until when what is left may be waited for, by {@link System#nanoTime}
+     */
+    private long awaitClients() throws InterruptedException {
+        CountDownLatch clientsGone = new CountDownLatch(1);
+        frontend.whenNoneIsOpen(clientsGone::countDown);
+        long bodiesUntilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos((long) bodies.finishMs());
+        long untilNs;
+        boolean gone;
+        do {
+            awaitBodies(bodiesUntilNs);
+            untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longestDeadlineMs);
+            gone = clientsGone.await(untilNs - System.nanoTime(), TimeUnit.NANOSECONDS);
+        } while (!gone && System.nanoTime() < bodiesUntilNs && !awaitBodies(System.nanoTime()));
+        return untilNs;
+    }
+
+    /** Whether no long body was under way by then. */
+    private boolean awaitBodies(long untilNs) throws InterruptedException {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch idle = new CountDownLatch(1);
+        loop.execute(() -> {
+            bodies.whenIdle(idle::countDown);
+            asked.countDown();
+        });
+        asked.await(longestDeadlineMs, TimeUnit.MILLISECONDS);
+        return idle.await(untilNs - System.nanoTime(), TimeUnit.NANOSECONDS);
+    }
+
     /** Closes everything, whatever is open. */
     public void stopNow() {
         watch.close();
