Watch discovery where the file says at SIGHUP, whatever it said at the start

Seen: read in the code, and shown by a row of ConfigTest (port 3 where the file names 4): a file that is replaced after the process got GW_DISCOVERY and before its first look at the file is the same at SIGHUP as at the start, and discovery stays at the variable's address, which answers no more.

Cause: Config.reread compared the file's `discovery` with that of the start to tell an override from a change, which that comparison cannot.

Change: at SIGHUP the file goes before GW_DISCOVERY; without `discovery` in the file the variable holds. The file is read once, not twice. The field that held the former value is gone, and the Nomad source's watch does the same.

--- a/nomad/src/main/java/peppergauge/nomad/NomadAddition.java
+++ b/nomad/src/main/java/peppergauge/nomad/NomadAddition.java
@@ -140,7 +140,7 @@
     @Override
     public void reload(Map<String, String> environment) {
         if (watch != null) {
-            Config fresh = config.reread(environment);
+            Config fresh = Config.reread(environment);
             if (!fresh.discovery().equals(config.discovery())) {
                 watch.moveTo(fresh.discovery());
             }
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -181,7 +181,7 @@
     /** Rereads the configuration: discovery may be elsewhere now. What cannot be used changes nothing. */
     public synchronized void reload(Map<String, String> environment) {
         try {
-            Config fresh = config.reread(environment);
+            Config fresh = Config.reread(environment);
             additions.reload(environment);
             moveTo(fresh);
         } catch (IllegalArgumentException unusable) {
--- a/sidecar/src/main/java/peppergauge/config/Config.java
+++ b/sidecar/src/main/java/peppergauge/config/Config.java
@@ -6,31 +6,32 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Objects;
 import java.util.SplittableRandom;
 import peppergauge.settings.JsonTree;
 
 /** What a sidecar is told at its start; the variables {@code GW_*} go before the file that GW_CONFIG names. */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Object discoveryInFile,
-        long seed, int sockets, Map<String, Object> known, Map<String, Object> settings) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        Map<String, Object> known, Map<String, Object> settings) {
 
     private static final int FEWEST_SOCKETS = 48;
     private static final int USUAL_SOCKETS = 1024;
 
     /** An {@link IllegalArgumentException} says which value is missing or unusable. */
     public static Config read(Map<String, String> environment) {
+        return of(environment, file(environment));
+    }
+
+    private static Map<String, Object> file(Map<String, String> environment) {
         String path = environment.get("GW_CONFIG");
         require(path != null && !path.isBlank(), "GW_CONFIG is not set");
-        Map<String, Object> file;
         try {
             byte[] bytes = Files.readAllBytes(Path.of(path));
-            file = JsonTree.parse(bytes, 0, bytes.length);
+            return JsonTree.parse(bytes, 0, bytes.length);
         } catch (IOException | InvalidPathException unreadable) {
             throw new IllegalArgumentException("GW_CONFIG names a file that cannot be read: " + path);
         } catch (IllegalArgumentException malformed) {
             throw new IllegalArgumentException(path + " is " + malformed.getMessage());
         }
-        return of(environment, file);
     }
 
     /**
@@ -47,7 +48,6 @@
                 text(environment, "GW_NAME", file, "name"),
                 address(text(environment, "GW_LISTEN", file, "listen"), "GW_LISTEN"),
                 address(text(environment, "GW_DISCOVERY", file, "discovery"), "GW_DISCOVERY"),
-                file.get("discovery"),
                 seed(file.get("seed")),
                 sockets(file.get("limits")),
                 object(file, "known"),
@@ -55,17 +55,17 @@
     }
 
     /**
-     * Where discovery is by the file as it is now. GW_DISCOVERY goes before what the file said at the start, but
-     * not before what is put in there later: a variable cannot change while the program runs.
+     * Where discovery is by the file as it is now. GW_DISCOVERY goes before the file at the start only: a variable cannot
+     * change while the program runs, and the file may have been replaced before it was read for the first time, so that
+     * its being as it was then says nothing.
      */
-    public Config reread(Map<String, String> environment) {
-        Config fresh = read(environment);
-        if (Objects.equals(fresh.discoveryInFile, discoveryInFile)) {
-            return this;
+    public static Config reread(Map<String, String> environment) {
+        Map<String, Object> file = file(environment);
+        Map<String, String> variables = new HashMap<>(environment);
+        if (file.containsKey("discovery")) {
+            variables.remove("GW_DISCOVERY");
         }
-        Map<String, String> fileOnly = new HashMap<>(environment);
-        fileOnly.remove("GW_DISCOVERY");
-        return read(fileOnly);
+        return of(variables, file);
     }
 
     private static String text(Map<String, String> environment, String variable, Map<String, Object> file,
--- a/sidecar/src/test/java/peppergauge/config/ConfigTest.java
+++ b/sidecar/src/test/java/peppergauge/config/ConfigTest.java
@@ -39,6 +39,36 @@
         assertEquals(config.sockets(), 99);
     }
 
+    @DataProvider
+    public Object[][] files() {
+        String other = FILE.replace(":2\"", ":4\"");
+        return new Object[][] {
+            {"replaced before the first look at it", other, other, 4},
+            {"replaced while it runs", FILE, other, 4},
+            {"without discovery", FILE, FILE.replace("\"discovery\":\"127.0.0.1:2\",", ""), 3},
+        };
+    }
+
+    /**
+     * GW_DISCOVERY names 127.0.0.1:3 all the time. What happened: a file that had been replaced after the process was
+     * given its variables and before it read the file was the same at SIGHUP as at the start, and discovery stayed at
+     * GW_DISCOVERY, which nobody answers any more ("reload: discovery stays at 127.0.0.1:3").
+     */
+    @Test(dataProvider = "files")
+    public void onSighupTheFileGoesBeforeTheVariable(String which, String atStart, String atSighup, int port)
+            throws IOException {
+        Path path = Files.createTempFile("config", ".json");
+        try {
+            Map<String, String> environment = Map.of("GW_CONFIG", path.toString(), "GW_DISCOVERY", "127.0.0.1:3");
+            Files.writeString(path, atStart);
+            assertEquals(Config.read(environment).discovery().getPort(), 3);
+            Files.writeString(path, atSighup);
+            assertEquals(Config.reread(environment).discovery().getPort(), port, which);
+        } finally {
+            Files.delete(path);
+        }
+    }
+
     /** The first draw of a {@link Random} hardly differs where seeds differ in their last bits. */
     @Test
     public void sidecarsThatShareASeedDrawTheirOwnWaits() throws IOException {
