Leave room in discovery's pace for a process that is held up for 0.15 s

Need: a sidecar may be held up for 0.15 s between its clock and its write, and the drain grace has to cover that. The pace left 90 ms of the grace for the answer and for timers. By its constants, with the shortest grace (400 ms, 450 on sockets) a refused call was followed after up to 310 ms; held up for 150 and answered in 40 that is 500.

Change: 150 ms of the grace are left: 150 for the hold and 50 for timers and the answer, less the 50 ms that the grace is longer on sockets.

Test: a property over graces of 0.4 to 2 s and any ends of calls.

--- a/sidecar/src/main/java/peppergauge/coldstart/PromptPace.java
+++ b/sidecar/src/main/java/peppergauge/coldstart/PromptPace.java
@@ -9,7 +9,7 @@
  *
  * <p>What the agent gets when discovery is back after an outage counts as told at once, and a server that leaves may be
  * sent to for the drain grace after that. So however calls fail, and for however long, the next one begins within the
- * grace, less the time for its answer.
+ * grace, less the time for its answer and for a process that is held up.
  *
  * <p>Not every discovery is such an agent. One that many share answers late when it has many calls to answer, and each
  * further call makes it later. Therefore a call without an answer is not given up: the next one is made beside it, and
@@ -30,8 +30,11 @@
     static final double USUAL_GRACE_MS = 750;
     private static final double LEAST_GRACE_MS = 300;
     private static final double LONGEST_GRACE_MS = 1_000;
-    /** Of the grace, for connecting, the answer and its way to the module, and for timers that are late. */
-    private static final double ANSWERED_MS = 90;
+    /**
+     * Of the grace, for what comes after a call's time: a process may be held up for 150 ms, and timers, connecting, the
+     * answer and its way to the module take up to 50; on sockets the grace is 50 ms longer.
+     */
+    private static final double RESERVE_MS = 150;
     /**
      * Shares of the time in which the next call has to begin: the wait for an answer and the pause after it. The rest
      * is for the first back-off, at most {@link #BACKOFF_TIMES} times its share: a watch may be reset as servers
@@ -70,7 +73,7 @@
     /** {@code graceMs}: so long may a server that counts as leaving be sent to. */
     public PromptPace(long seed, double graceMs) {
         random = new SplittableRandom(seed);
-        withinMs = Math.max(LEAST_GRACE_MS, Math.min(LONGEST_GRACE_MS, graceMs)) - ANSWERED_MS;
+        withinMs = Math.max(LEAST_GRACE_MS, Math.min(LONGEST_GRACE_MS, graceMs)) - RESERVE_MS;
         leastBackoffMs = LEAST_BACKOFF_SHARE * withinMs;
         backoffMs = leastBackoffMs;
     }
--- a/sidecar/src/test/java/peppergauge/coldstart/PromptPacePropertiesTest.java
+++ b/sidecar/src/test/java/peppergauge/coldstart/PromptPacePropertiesTest.java
@@ -26,6 +26,8 @@
     private static final double ANSWERED_MS = 50;
     /** An outage of which the terms tell lasts 8 s; a watch that is found silent in it was so for 2.5 s. */
     private static final double OUTAGE_MS = 8_000;
+    /** Between reading its clock and writing, a process may be held up for so long. */
+    private static final double HELD_UP_MS = 150;
     /** By which each limit is longer on sockets. */
     private static final double SLACK_MS = 50;
 
@@ -116,6 +118,18 @@
         }
     }
 
+    /** The process is held up for as long as it may be, between the end of a wait and the call, or the call's news. */
+    @Property(seed = "15", tries = 1_000)
+    void aProcessThatIsHeldUpAsksWithinTheGraceToo(@ForAll long seed, @ForAll @DoubleRange(min = 400, max = 2_000)
+            double graceMs, @ForAll @Size(min = 1, max = 20) List<End> ends) {
+        PromptPace pace = new PromptPace(seed, graceMs);
+        for (End end : ends) {
+            double waitMs = end.ends() ? pace.afterEndMs() : pace.answerMs() + SELECT_MS + pace.afterSilenceMs();
+            double askedMs = waitMs + HELD_UP_MS + ANSWERED_MS;
+            assertTrue(askedMs <= graceMs + SLACK_MS, end + ": asked after " + askedMs + " of " + graceMs);
+        }
+    }
+
     /** Also after an outage that is longer than all of which the terms tell. */
     @Property(seed = "12", tries = 1_000)
     void whateverBecameOfTheCallsBeforeAChangeIsAskedForInTime(@ForAll long seed, @ForAll boolean silent,
