Forward answers without a length that end by a close in order

Cause: HttpExchange.consumeResponse threw on each 200 that is neither framed by a length nor by chunks, since its end "may cut the body short". A close in order is its end (RFC 9112, 6.3), and what dies resets.

Change: the body is taken to the connection's end, 64 KiB at most; a reset, or 300 ms of silence, breaks the attempt; the connection is not used again.

--- a/sidecar/src/main/java/peppergauge/backend/HttpExchange.java
+++ b/sidecar/src/main/java/peppergauge/backend/HttpExchange.java
@@ -20,6 +20,7 @@
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.pool.PoolEntry;
+import org.apache.hc.core5.util.Timeout;
 import peppergauge.decision.Balancer.LoadField;
 import peppergauge.decision.Balancer.Outcome;
 import peppergauge.http.Headers;
@@ -47,6 +48,8 @@
 
     /** New connections that ended before a byte was written, after which the server counts as out of reach. */
     private static final int MOST_ENDED_AT_ONCE = 4;
+    /** Of an answer without a length, before its next byte or its end. */
+    private static final long LONGEST_SILENCE_MS = 300;
     /** Less than this cannot be told in whole milliseconds, and nobody could answer in it. */
     private static final double LEAST_REMAINING_MS = 1;
 
@@ -72,6 +75,8 @@
     private Outflow asking;
     /** The answer's, where it is too long to be held here. */
     private LongAnswer longAnswer;
+    /** Its answer has no length: the end of the connection is the answer's. */
+    private boolean endsWithConnection;
     /** How much of an answer without a length HttpCore was allowed to read until it turned out long. */
     private CapacityChannel capacity;
     private int granted;
@@ -269,12 +274,22 @@
             // The status says it all.
             giveBack(false);
             conclude(outcome(), null, load());
-        } else if (!framed || tooLong) {
-            // Without a length or chunks the end of the connection may cut the body short.
-            throw new ProtocolException(tooLong ? "an answer over " + LARGEST_BODY + " bytes" : "an unframed answer");
+        } else if (tooLong) {
+            throw new ProtocolException("an answer over " + LARGEST_BODY + " bytes");
+        } else if (!framed) {
+            awaitEnd();
         }
     }
 
+    /**
+     * Without a length or chunks the body ends with its connection (RFC 9112, 6.3): a server that closes in order has
+     * written all of it, a reset is no end. One that has no more to write closes at once; others may never.
+     */
+    private void awaitEnd() {
+        endsWithConnection = true;
+        connection.getConnection().setTimeout(Timeout.ofMilliseconds(LONGEST_SILENCE_MS));
+    }
+
     /** The answer is passed on as it comes from here on; the attempt is its session's. */
     private void begin(long length) throws HttpException, IOException {
         connection.getConnection().bound(bodies.socketBuffer());
@@ -353,15 +368,19 @@
     @Override
     public void streamEnd(List<? extends Header> trailers) {
         if (longAnswer != null) {
-            giveBack(isWritten());
+            giveBack(isReusable());
             longAnswer.ended();
         } else {
             answered();
         }
     }
 
+    private boolean isReusable() {
+        return isWritten() && !endsWithConnection;
+    }
+
     private void answered() {
-        giveBack(isWritten());
+        giveBack(isReusable());
         Outcome outcome = outcome();
         conclude(outcome, outcome == Outcome.SUCCESS ? answer() : null, load());
     }
