Name the file and its key where an address in the configuration is unusable

Seen: in the soak's logs, "GW_DISCOVERY is not host:port: nowhere" at SIGHUP, where the variable was right and the file's key `discovery` wrong.

Cause: Config.address was told the variable's name whichever the text came from.

Change: the variable where it is set, else "'discovery' in FILE".

Test: a row of ConfigTest.

--- a/sidecar/src/main/java/peppergauge/config/Config.java
+++ b/sidecar/src/main/java/peppergauge/config/Config.java
@@ -46,8 +46,8 @@
     public static Config of(Map<String, String> environment, Map<String, Object> file) {
         return new Config(
                 text(environment, "GW_NAME", file, "name"),
-                address(text(environment, "GW_LISTEN", file, "listen"), "GW_LISTEN"),
-                address(text(environment, "GW_DISCOVERY", file, "discovery"), "GW_DISCOVERY"),
+                address(environment, "GW_LISTEN", file, "listen"),
+                address(environment, "GW_DISCOVERY", file, "discovery"),
                 seed(file.get("seed")),
                 sockets(file.get("limits")),
                 object(file, "known"),
@@ -75,7 +75,14 @@
         return (String) value;
     }
 
-    static InetSocketAddress address(String text, String variable) {
+    /** What is wrong is told of the variable or of the file's key, whichever it was taken from. */
+    private static InetSocketAddress address(Map<String, String> environment, String variable,
+            Map<String, Object> file, String key) {
+        return address(text(environment, variable, file, key), environment.containsKey(variable) ? variable
+                : "'" + key + "' in " + environment.get("GW_CONFIG"));
+    }
+
+    private static InetSocketAddress address(String text, String origin) {
         int colon = text.lastIndexOf(':');
         int port = -1;
         try {
@@ -83,7 +90,7 @@
         } catch (NumberFormatException malformed) {
             // Reported below.
         }
-        require(colon > 0 && port >= 0 && port <= 65535, variable + " is not host:port: " + text);
+        require(colon > 0 && port >= 0 && port <= 65535, origin + " is not host:port: " + text);
         return new InetSocketAddress(text.substring(0, colon), port);
     }
 
--- a/sidecar/src/test/java/peppergauge/config/ConfigTest.java
+++ b/sidecar/src/test/java/peppergauge/config/ConfigTest.java
@@ -89,6 +89,7 @@
             {FILE, "GW_LISTEN", "nowhere", "GW_LISTEN is not host:port"},
             {FILE, "GW_LISTEN", "h:70000", "GW_LISTEN is not host:port"},
             {FILE, "GW_DISCOVERY", ":1", "GW_DISCOVERY is not host:port"},
+            {FILE.replace("127.0.0.1:2", "nowhere"), "X", "", ".json is not host:port: nowhere"},
             {FILE, "GW_CONFIG", "/no/such", "cannot be read"},
             {FILE, "GW_CONFIG", "", "GW_CONFIG is not set"},
             {FILE.replace("\"name\":\"n\",", ""), "X", "", "neither GW_NAME"},
