Soak one sidecar with seeded shutdowns, signals and crowds

Need: the ends of requests, connections and of the process were tested one at a time; nothing drew them together, over the real program by its run line.

Program sends SIGHUP, and PlantedSource compiles for a process.

--- a/lab/src/main/java/peppergauge/lab/command/ExitCode.java
+++ b/lab/src/main/java/peppergauge/lab/command/ExitCode.java
@@ -13,7 +13,7 @@
         FINE + ":fine",
         FAILED + ":it failed, for a reason outside its input",
         UNUSABLE_INPUT + ":unusable input: the command line or a file; each error is named on standard error",
-        RULE_BROKEN + ":a rule of the system was broken in an emulated or played run",
+        RULE_BROKEN + ":a rule of the system was broken in an emulated, played or soaked run",
     };
 
     private ExitCode() { }
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/command/SoakCommand.java
@@ -0,0 +1,99 @@
+package peppergauge.lab.command;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
+import peppergauge.lab.process.Deploy;
+import peppergauge.lab.soak.Soak;
+import peppergauge.lab.soak.SoakFile;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+
+/** {@code soak}: seeded runs, a line each. */
+@Command(name = "soak", description = {"Shutdowns, signals and crowds of one real sidecar, drawn from seeds.",
+    "The sidecar is started by the run line of deploy/balancer.toml; docs/RIG.md has the rules."})
+final class SoakCommand implements Callable<Integer> {
+
+    private static final int LONG_EVERY = 10;
+
+    @CommandLine.Spec
+    private CommandSpec spec;
+
+    @Option(names = "--seeds", paramLabel = "A..B", converter = SeedRange.Converter.class, defaultValue = "1..10",
+            description = "A run of some 10 s for each (preset: ${DEFAULT-VALUE}).")
+    private SeedRange seeds;
+
+    @Option(names = "--minutes", paramLabel = "M", description = "No run begins later than this.")
+    private Long minutes;
+
+    @Option(names = "--long", description = "Each tenth seed has an outage of discovery of 20 s and more.")
+    private boolean longOutages;
+
+    @Option(names = "--file", paramLabel = "FILE", description = "Plays a file of kind soak in place of drawn runs.")
+    private Path file;
+
+    @Option(names = "--shrink", paramLabel = "FOLDER", description = "Writes the fewest steps that break the same rule.")
+    private Path shrink;
+
+    @Option(names = "--log", paramLabel = "FOLDER", description = "Writes the sidecar's log of each run that breaks one.")
+    private Path log;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        List<SoakFile> files;
+        try {
+            files = file != null ? List.of(Soak.read(file)) : LongStream.rangeClosed(seeds.first(), seeds.last())
+                    .mapToObj(seed -> Soak.drawn(seed, longOutages && seed % LONG_EVERY == 0)).toList();
+        } catch (IllegalArgumentException unusable) {
+            spec.commandLine().getErr().println(file + ": " + unusable.getMessage());
+            return ExitCode.UNUSABLE_INPUT;
+        }
+        Path home = Home.path();
+        return run(new Soak(List.of("/bin/sh", "-c", Deploy.checked(Deploy.run(home))), home), files);
+    }
+
+    private int run(Soak soak, List<SoakFile> files) throws IOException, InterruptedException {
+        long untilNs = minutes == null ? Long.MAX_VALUE : System.nanoTime() + TimeUnit.MINUTES.toNanos(minutes);
+        Map<String, Integer> broken = new TreeMap<>();
+        int runs = 0;
+        for (SoakFile each : files) {
+            if (System.nanoTime() >= untilNs) {
+                break;
+            }
+            Soak.Outcome outcome = soak.run(each);
+            outcome.lines().forEach(this::print);
+            outcome.names().forEach(rule -> broken.merge(rule, 1, Integer::sum));
+            if (!outcome.broken().isEmpty()) {
+                keep(soak, outcome);
+            }
+            runs++;
+        }
+        print(runs + " runs; broken: " + broken);
+        return broken.isEmpty() ? ExitCode.FINE : ExitCode.RULE_BROKEN;
+    }
+
+    private void print(String line) {
+        spec.commandLine().getOut().println(line);
+        spec.commandLine().getOut().flush();
+    }
+
+    private void keep(Soak soak, Soak.Outcome outcome) throws IOException {
+        String name = "seed-" + outcome.file().run().seed();
+        if (log != null) {
+            Files.writeString(Files.createDirectories(log).resolve(name + ".log"), outcome.log());
+        }
+        if (shrink != null) {
+            SoakFile fewest = soak.shrunk(outcome);
+            Files.writeString(Files.createDirectories(shrink).resolve(name + ".toml"), fewest.toToml());
+            print("    shrunk to " + fewest.steps().size() + " steps");
+        }
+    }
+}
--- a/lab/src/main/java/peppergauge/lab/process/Program.java
+++ b/lab/src/main/java/peppergauge/lab/process/Program.java
@@ -28,7 +28,7 @@
 public final class Program implements Closeable {
 
     /** Signals that are sent to all of its processes. */
-    public enum Signal { KILL, TERM, STOP, CONT }
+    public enum Signal { KILL, TERM, HUP, STOP, CONT }
 
     /**
      * How to start it.
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/soak/BackendServer.java
@@ -0,0 +1,185 @@
+package peppergauge.lab.soak;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A backend server on blocking sockets, a thread for each connection, with the troubles that servers have. */
+final class BackendServer implements Closeable {
+
+    private static final String TURNED_AWAY = "HTTP/1.1 503 Draining\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final String ERROR = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n";
+    private static final int LEAST_WORK_MS = 2;
+    private static final int WORK_SPREAD_MS = 25;
+    private static final double ERRORS = 0.02;
+    private static final double REFUSALS = 0.02;
+    private static final double RESETS = 0.01;
+    private static final double WITHOUT_LENGTH = 0.04;
+
+    /** What all servers have in common at the moment. */
+    static final class Troubles {
+        volatile boolean hang;
+        volatile boolean fail;
+    }
+
+    /** How an idle connection ends. */
+    private enum IdleEnd { CLOSE, RESET, FORGET }
+
+    /** One connection, and whether it waits for a request. */
+    private static final class Connection {
+
+        private final Socket socket;
+        private volatile boolean idle = true;
+        /** What comes is neither read nor answered, as behind a device that forgot the connection. */
+        private volatile boolean forgotten;
+
+        Connection(Socket socket) {
+            this.socket = socket;
+        }
+    }
+
+    private final String id;
+    private final Journal journal;
+    private final Troubles troubles;
+    private final SplittableRandom random;
+    private final ServerSocket listener = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+    private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+
+    BackendServer(String id, Journal journal, Troubles troubles, long seed) throws IOException {
+        this.id = id;
+        this.journal = journal;
+        this.troubles = troubles;
+        random = new SplittableRandom(seed);
+        Threads.start("server " + id, this::accept);
+    }
+
+    String id() {
+        return id;
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private void accept() throws IOException {
+        while (true) {
+            Socket socket = listener.accept();
+            socket.setTcpNoDelay(true);
+            Connection connection = new Connection(socket);
+            connections.add(connection);
+            Threads.start("connection of " + id, () -> serve(connection));
+        }
+    }
+
+    private void serve(Connection connection) {
+        try {
+            InputStream in = new BufferedInputStream(connection.socket.getInputStream());
+            boolean open = true;
+            while (open) {
+                connection.socket.setSoTimeout(0);
+                int first = in.read();
+                if (connection.forgotten) {
+                    return;
+                }
+                connection.idle = false;
+                long firstNs = System.nanoTime();
+                String head = Http.head(in, first);
+                open = head != null && answer(connection, in, head, firstNs);
+                connection.idle = true;
+            }
+        } catch (IOException ended) {
+            // As connections end.
+        }
+        connections.remove(connection);
+        Http.close(connection.socket);
+    }
+
+    /** Whether the connection goes on. */
+    private boolean answer(Connection connection, InputStream in, String head, long firstNs) throws IOException {
+        String request = Http.header(head, "X-Txn");
+        if (request == null) {
+            Http.write(connection.socket, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
+        Journal.Attempt attempt = new Journal.Attempt(request, id,
+                Double.parseDouble(Http.header(head, "X-Remaining-Ms")), firstNs);
+        journal.attempts.add(attempt);
+        try {
+            Http.body(in, head);
+            attempt.begunNs = System.nanoTime();
+            return work(connection, in, attempt);
+        } finally {
+            attempt.overNs = System.nanoTime();
+        }
+    }
+
+    private boolean work(Connection connection, InputStream in, Journal.Attempt attempt) throws IOException {
+        Socket socket = connection.socket;
+        double luck = draw();
+        if (troubles.fail) {
+            luck *= ERRORS + REFUSALS + RESETS;
+        } else if (troubles.hang || !isWaitedFor(socket, in, LEAST_WORK_MS + (int) (draw() * WORK_SPREAD_MS))) {
+            in.read();
+            return false;
+        }
+        if (luck < RESETS) {
+            Http.reset(socket);
+            return false;
+        } else if (luck < RESETS + ERRORS) {
+            Http.write(socket, ERROR);
+        } else if (luck < RESETS + ERRORS + REFUSALS) {
+            attempt.turnedAway = true;
+            Http.write(socket, TURNED_AWAY);
+        } else if (luck < RESETS + ERRORS + REFUSALS + WITHOUT_LENGTH) {
+            attempt.withoutLength = true;
+            Http.write(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + attempt.id);
+            return false;
+        } else {
+            Http.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + attempt.id.length() + "\r\n\r\n" + attempt.id);
+        }
+        return true;
+    }
+
+    /** Works for so long; false once the connection has ended. */
+    private static boolean isWaitedFor(Socket socket, InputStream in, int workMs) throws IOException {
+        socket.setSoTimeout(workMs);
+        try {
+            return in.read() >= 0;
+        } catch (SocketTimeoutException worked) {
+            return true;
+        } finally {
+            socket.setSoTimeout(0);
+        }
+    }
+
+    private synchronized double draw() {
+        return random.nextDouble();
+    }
+
+    /** Each idle connection is closed, reset or forgotten. */
+    void endIdleConnections() {
+        for (Connection connection : connections) {
+            if (connection.idle) {
+                switch (IdleEnd.values()[(int) (draw() * IdleEnd.values().length)]) {
+                    case CLOSE -> Http.close(connection.socket);
+                    case RESET -> Http.reset(connection.socket);
+                    default -> connection.forgotten = true;
+                }
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        connections.forEach(connection -> Http.close(connection.socket));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/soak/DiscoveryService.java
@@ -0,0 +1,221 @@
+package peppergauge.lab.soak;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/**
+ * Discovery at two addresses, with the troubles that it has. What it has counts as told at once; while it is silent, once
+ * that is over, and by calls that begin after it alone: those in flight are never answered.
+ */
+final class DiscoveryService implements Closeable {
+
+    private static final Pattern FROM = Pattern.compile("from=(\\d+)");
+    private static final int BOTH = -1;
+    private static final long BLANK_LINE_MS = 2_000;
+    private static final long SLOW_MS = 500;
+    /** Whatever becomes of calls, a change counts as told so long after discovery had it and could be reached. */
+    private static final long LATEST_NS = 6_000_000_000L;
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String CROWDED = "HTTP/1.1 503 Crowded\r\nContent-Length: 0\r\n\r\n";
+
+    /** A row, and the version in which it came to be so. */
+    private record Row(String server, String address, String state, long version) {
+
+        String json() {
+            return "{\"id\":\"" + server + "\",\"addr\":\"" + address + "\",\"zone\":\"z0\",\"cell\":0,\"state\":\""
+                    + state + "\",\"started_ms\":0}";
+        }
+    }
+
+    private final List<ServerSocket> listeners = new ArrayList<>();
+    private final Map<Socket, Integer> watches = new ConcurrentHashMap<>();
+    private final Set<Socket> all = ConcurrentHashMap.newKeySet();
+    private final Map<String, Row> rows = new LinkedHashMap<>();
+    private long version = 1;
+    private volatile long silentUntilNs;
+    private volatile boolean silent;
+    private volatile boolean slow;
+    private volatile boolean crowded;
+    /** The one address that is answered; {@link #BOTH} until discovery has moved. */
+    private volatile int answered = BOTH;
+
+    DiscoveryService() throws IOException {
+        for (int i = 0; i < 2; i++) {
+            ServerSocket listener = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+            listeners.add(listener);
+            int address = i;
+            Threads.start("discovery " + i, () -> accept(listener, address));
+        }
+        Threads.start("blank lines", this::blankLines);
+    }
+
+    String address(int which) {
+        return "127.0.0.1:" + listeners.get(which).getLocalPort();
+    }
+
+    // ---- Calls ----
+
+    private void accept(ServerSocket listener, int address) throws IOException {
+        while (true) {
+            Socket socket = listener.accept();
+            socket.setTcpNoDelay(true);
+            all.add(socket);
+            Threads.start("call of discovery", () -> call(socket, address));
+        }
+    }
+
+    private void call(Socket socket, int address) throws IOException, InterruptedException {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        String head = Http.head(in);
+        if (head == null || silent) {
+            return;
+        }
+        if (answered != BOTH && answered != address) {
+            Http.close(socket);
+            return;
+        }
+        if (slow) {
+            Thread.sleep(SLOW_MS);
+        }
+        if (crowded) {
+            Http.write(socket, CROWDED);
+            Http.close(socket);
+            return;
+        }
+        Matcher from = FROM.matcher(head);
+        open(socket, address, from.find() ? Long.parseLong(from.group(1)) : 0);
+        while (in.read() >= 0) {
+            // Nothing more is asked on a watch.
+            continue;
+        }
+        watches.remove(socket);
+        Http.close(socket);
+    }
+
+    private synchronized void open(Socket socket, int address, long from) throws IOException {
+        if (silent) {
+            return;
+        }
+        watches.put(socket, address);
+        List<Row> changed = rows.values().stream().filter(row -> row.version() > from).toList();
+        // Whoever knows nothing gets all that there is; what drains is left out of it.
+        String text = from == 0 ? list(true, rows.values().stream().filter(row -> row.state().equals("active")).toList())
+                : changed.isEmpty() ? "\n" : list(false, changed);
+        Http.write(socket, HEAD + chunk(text));
+    }
+
+    private String list(boolean whole, List<Row> some) {
+        return "{\"version\":" + version + ",\"full\":" + whole + ",\"servers\":["
+                + some.stream().map(Row::json).collect(Collectors.joining(",")) + "]}\n";
+    }
+
+    /** For a configuration: what a sidecar that starts knows. */
+    synchronized String known() {
+        return list(true, rows.values().stream().filter(row -> row.state().equals("active")).toList()).trim();
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private void blankLines() throws InterruptedException {
+        while (true) {
+            Thread.sleep(BLANK_LINE_MS);
+            synchronized (this) {
+                tell("\n");
+            }
+        }
+    }
+
+    private void tell(String text) {
+        if (silent) {
+            return;
+        }
+        for (Socket watch : watches.keySet()) {
+            try {
+                Http.write(watch, chunk(text));
+            } catch (IOException gone) {
+                watches.remove(watch);
+            }
+        }
+    }
+
+    // ---- Changes ----
+
+    /**
+     * A server's state.
+     *
+     * @return from when on it counts as told to a sidecar that watches, by {@link System#nanoTime}
+     */
+    synchronized long changed(String server, String address, String state) {
+        version++;
+        Row row = new Row(server, address, state, version);
+        rows.put(server, row);
+        tell(list(false, List.of(row)));
+        long nowNs = System.nanoTime();
+        boolean isTold = !watches.isEmpty() && !silent;
+        long reachableNs = silent ? silentUntilNs : nowNs;
+        return isTold || !slow && !crowded ? reachableNs : nowNs + LATEST_NS;
+    }
+
+    // ---- Troubles ----
+
+    /** Takes connections and says nothing for so long, on open watches never again. */
+    void silence(long ms) throws InterruptedException {
+        synchronized (this) {
+            silentUntilNs = System.nanoTime() + ms * 1_000_000;
+            silent = true;
+            watches.clear();
+        }
+        Threads.sleepUntil(silentUntilNs);
+        synchronized (this) {
+            silent = false;
+        }
+    }
+
+    void slow(boolean now) {
+        slow = now;
+    }
+
+    void crowded(boolean now) {
+        crowded = now;
+    }
+
+    void resetWatches() {
+        watches.keySet().forEach(Http::reset);
+        watches.clear();
+    }
+
+    /** The other addresses' watches are closed, as the former discovery's are some time after a move. */
+    void retireAllBut(int address) {
+        answered = address;
+        watches.forEach((watch, at) -> {
+            if (at != address) {
+                watches.remove(watch);
+                Http.close(watch);
+            }
+        });
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (ServerSocket listener : listeners) {
+            listener.close();
+        }
+        all.forEach(Http::close);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/soak/Journal.java
@@ -0,0 +1,132 @@
+package peppergauge.lab.soak;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** Everything that happened in one run; all times by {@link System#nanoTime}. Any thread writes. */
+public final class Journal {
+
+    /** What a client sees as the end of a request. */
+    static final String CLOSED = "closed";
+    static final String PARTIAL = "an answer that broke off";
+    static final String GAVE_UP = "gave up";
+
+    /** A request of a client. What its client's thread writes is read when that has ended. */
+    static final class Ask {
+
+        final String id;
+        final boolean unsafe;
+        final double remainingMs;
+        /** The connection's first request, and how long nothing had been asked on it. */
+        final boolean first;
+        final double restedMs;
+        /** A request before it on its connection, whose answer has to come first; null: none. */
+        Ask behind;
+        /** Its last byte was written. */
+        volatile long sentNs;
+        /** What its client got: a status, or one of the words above; null while it waits. */
+        volatile String end;
+        volatile long endNs;
+        /** Its client closed the connection before there was an answer; 0: it did not. */
+        volatile long leftNs;
+
+        Ask(String id, boolean unsafe, double remainingMs, boolean first, double restedMs) {
+            this.id = id;
+            this.unsafe = unsafe;
+            this.remainingMs = remainingMs;
+            this.first = first;
+            this.restedMs = restedMs;
+        }
+
+        /** By when an answer can be had: answers come in the order of their requests. */
+        long dueNs() {
+            long ownNs = sentNs + (long) (remainingMs * 1e6);
+            return behind == null ? ownNs : Math.max(ownNs, behind.dueNs());
+        }
+
+        void ended(String how) {
+            endNs = System.nanoTime();
+            end = how;
+        }
+    }
+
+    /** An attempt as a server sees it. */
+    static final class Attempt {
+
+        final String id;
+        final String server;
+        final double toldMs;
+        final long firstNs;
+        /** Its last byte has come: the server begins. */
+        volatile long begunNs;
+        /** It was answered, or its connection was found closed; 0: neither. */
+        volatile long overNs;
+        /** An answer without a length was written whole. */
+        volatile boolean withoutLength;
+        volatile boolean turnedAway;
+
+        Attempt(String id, String server, double toldMs, long firstNs) {
+            this.id = id;
+            this.server = server;
+            this.toldMs = toldMs;
+            this.firstNs = firstNs;
+        }
+    }
+
+    /** A client that stopped in the middle of a request. */
+    static final class HalfRequest {
+
+        volatile long stoppedNs;
+        /** It had an error or its connection was closed; 0: neither. */
+        volatile long endedNs;
+    }
+
+    /** A server leaves; {@code countsNs}: from when on the sidecar counts as told. */
+    record Leaving(String server, long countsNs) { }
+
+    /** A thread that only sleeps, or the sidecar, waited for the machine. */
+    record Wait(long atNs, double ms) { }
+
+    /** Idle clients filled the places of connections from one moment to another. */
+    record Crowd(long fromNs, long untilNs) { }
+
+    /** The process as it was at one look. */
+    record Look(long atNs, int descriptors, long rssKb) { }
+
+    final Map<String, Ask> asks = new ConcurrentHashMap<>();
+    final Queue<Attempt> attempts = new ConcurrentLinkedQueue<>();
+    final Queue<HalfRequest> halfRequests = new ConcurrentLinkedQueue<>();
+    final Queue<Leaving> leaving = new ConcurrentLinkedQueue<>();
+    final Queue<Wait> waits = new ConcurrentLinkedQueue<>();
+    final Queue<Crowd> crowds = new ConcurrentLinkedQueue<>();
+    final Queue<Look> looks = new ConcurrentLinkedQueue<>();
+    /** Times at which connections of clients ended. */
+    final Queue<Long> clientEndsNs = new ConcurrentLinkedQueue<>();
+    volatile long startedNs;
+    volatile long readyNs;
+    volatile long terminatedNs;
+    volatile long endedNs;
+    volatile boolean killed;
+    volatile int exitCode;
+    /** What a start that got SIGTERM did; 0: there was none. */
+    volatile double terminatedStartMs;
+    volatile String log = "";
+
+    Collection<Ask> allAsks() {
+        return asks.values();
+    }
+
+    List<Attempt> attemptsOf(String id) {
+        return attempts.stream().filter(attempt -> attempt.id.equals(id)).toList();
+    }
+
+    /** How long the machine let the stand-ins or the sidecar wait between two moments, ms. */
+    double waitedMs(long fromNs, long untilNs) {
+        return waits.stream().filter(wait -> wait.atNs() >= fromNs && wait.atNs() - wait.ms() * 1e6 <= untilNs)
+                .mapToDouble(Wait::ms).sum();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/soak/Schedule.java
@@ -0,0 +1,126 @@
+package peppergauge.lab.soak;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Draws a run from its seed. The same seed gives the same run. */
+final class Schedule {
+
+    private static final List<Integer> GRACES_MS = List.of(400, 750, 1_000);
+    private static final int LEAST_LENGTH_MS = 6_000;
+    private static final int LENGTH_SPREAD_MS = 5_000;
+    /** Before it nothing happens but the load. */
+    private static final int FIRST_MS = 800;
+    private static final int LONG_OUTAGE_MS = 20_000;
+
+    private final UniformRandomProvider random;
+    private final List<Step> steps = new ArrayList<>();
+    private final int lengthMs;
+
+    private Schedule(long seed, boolean longOutage) {
+        random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+        lengthMs = LEAST_LENGTH_MS + random.nextInt(LENGTH_SPREAD_MS) + (longOutage ? LONG_OUTAGE_MS : 0);
+    }
+
+    /** {@code longOutage}: discovery is away for 20 s and more, and servers drain at its return. */
+    static SoakFile draw(long seed, boolean longOutage) {
+        Schedule schedule = new Schedule(seed, longOutage);
+        int graceMs = GRACES_MS.get(schedule.random.nextInt(GRACES_MS.size()));
+        schedule.drawSteps(longOutage);
+        return new SoakFile(new SoakFile.Run(seed, Duration.ofMillis(schedule.lengthMs), Duration.ofMillis(graceMs)),
+                schedule.steps);
+    }
+
+    private void drawSteps(boolean longOutage) {
+        if (random.nextInt(3) == 0) {
+            add(StepKind.TERMINATE_START, 30 + random.nextInt(900), 0, 0);
+        }
+        if (longOutage) {
+            add(StepKind.DISCOVERY_SILENT, FIRST_MS, LONG_OUTAGE_MS + random.nextInt(2_000), 0);
+        } else if (random.nextInt(2) == 0) {
+            outage();
+        }
+        for (int drains = random.nextInt(3); drains > 0; drains--) {
+            add(StepKind.DRAIN, anyMs(), 0, 0);
+        }
+        if (random.nextInt(3) > 0) {
+            signals();
+        }
+        for (int others = 1 + random.nextInt(5); others > 0; others--) {
+            other();
+        }
+        theEnd();
+        steps.sort(Comparator.comparing(Step::time));
+    }
+
+    /** Discovery's trouble, with a drain shortly before its end, which is told at the return. */
+    private void outage() {
+        List<StepKind> kinds = List.of(StepKind.DISCOVERY_SILENT, StepKind.DISCOVERY_SLOW, StepKind.DISCOVERY_CROWDED,
+                StepKind.RESET_WATCHES);
+        StepKind kind = kinds.get(random.nextInt(kinds.size()));
+        int atMs = anyMs();
+        int outageMs = Math.min(lengthMs - atMs, 500 + random.nextInt(4_000));
+        add(kind, atMs, outageMs, 0);
+        add(StepKind.DRAIN, atMs + random.nextInt(outageMs + 200), 0, 0);
+    }
+
+    /** New configurations in a row. */
+    private void signals() {
+        List<StepKind> kinds = List.of(StepKind.MOVE_DISCOVERY, StepKind.MOVE_DISCOVERY, StepKind.SAME_CONFIGURATION,
+                StepKind.TORN_CONFIGURATION, StepKind.WRONG_CONFIGURATION);
+        int atMs = anyMs();
+        for (int signals = 1 + random.nextInt(4); signals > 0; signals--) {
+            add(kinds.get(random.nextInt(kinds.size())), atMs, 0, 0);
+            atMs += random.nextInt(random.nextBoolean() ? 60 : 800);
+        }
+    }
+
+    private void other() {
+        int atMs = anyMs();
+        switch (random.nextInt(7)) {
+            case 0 -> add(StepKind.SERVERS_HANG, atMs, 300 + random.nextInt(1_500), 0);
+            case 1 -> add(StepKind.IDLE_CONNECTIONS_END, atMs, 0, 0);
+            case 2 -> add(StepKind.SERVERS_FAIL, atMs, 100 + random.nextInt(800), 0);
+            case 3 -> add(StepKind.HOLD, atMs, 20 + random.nextInt(131), 0);
+            case 4 -> add(StepKind.CROWD, atMs, 500 + random.nextInt(3_000), 30 + random.nextInt(60));
+            case 5 -> add(StepKind.HALF_REQUESTS, atMs, 0, 1 + random.nextInt(6));
+            default -> add(StepKind.QUIET, atMs, 500 + random.nextInt(4_000), 0);
+        }
+    }
+
+    private void theEnd() {
+        if (random.nextInt(3) == 0) {
+            add(StepKind.TERMINATE_AGAIN, random.nextInt(1_000), 0, 0);
+        }
+        if (random.nextInt(3) == 0) {
+            add(StepKind.HANG_UP_AT_THE_END, random.nextInt(1_000), 0, 0);
+        }
+        if (random.nextInt(3) == 0) {
+            add(StepKind.HANG_AT_THE_END, 0, 0, 0);
+        }
+        if (random.nextInt(3) == 0) {
+            add(StepKind.REST_AT_THE_END, 0, 0, 0);
+        }
+        if (random.nextInt(4) == 0) {
+            add(StepKind.CROWD_AT_THE_END, 0, 0, 30 + random.nextInt(60));
+        }
+        if (random.nextInt(3) == 0) {
+            add(StepKind.HALF_REQUESTS, lengthMs - random.nextInt(1_500), 0, 1 + random.nextInt(4));
+        }
+        if (random.nextInt(3) == 0) {
+            add(StepKind.SAME_CONFIGURATION, lengthMs - random.nextInt(100), 0, 0);
+        }
+    }
+
+    private int anyMs() {
+        return FIRST_MS + random.nextInt(lengthMs - FIRST_MS - 500);
+    }
+
+    private void add(StepKind what, int atMs, int lengthOfItMs, int count) {
+        steps.add(new Step(Duration.ofMillis(atMs), what, Duration.ofMillis(lengthOfItMs), count));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/soak/SoakFile.java
@@ -0,0 +1,74 @@
+package peppergauge.lab.soak;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Collectors;
+import peppergauge.lab.scenario.Rows;
+import peppergauge.operator.FileKind;
+import peppergauge.operator.Key;
+import peppergauge.operator.OperatorFiles;
+import peppergauge.operator.Problems;
+import peppergauge.operator.Section;
+import peppergauge.operator.Table;
+import peppergauge.operator.Types;
+import peppergauge.operator.Values;
+
+/**
+ * A file of kind {@code soak}: one run of it.
+ *
+ * @param steps in the order of the file
+ */
+public record SoakFile(Run run, List<Step> steps) {
+
+    private static final Key<Long> SEED = Key.required("seed", Types.wholeNumber(0, Long.MAX_VALUE), "7",
+            "Of all that clients and servers draw.");
+    private static final Key<Duration> LENGTH = Key.required("length", Types.duration(Duration.ofSeconds(1),
+            Duration.ofMinutes(30)), "\"10 s\"", "From the start of the load to SIGTERM.");
+    private static final Key<Duration> GRACE = Key.preset("grace", Types.duration(Duration.ofMillis(100),
+            Duration.ofSeconds(10)), "\"1 s\"", "The drain grace that the settings tell.");
+    private static final Table RUN = Table.required("run", "How long and with which draws.", SEED, LENGTH, GRACE);
+
+    /** {@code [run]}. */
+    public record Run(long seed, Duration length, Duration grace) { }
+
+    /** Reads files of this kind. */
+    static final OperatorFiles FILES = new OperatorFiles(List.of(new FileKind("soak",
+            "One run of the soak: what happens to one sidecar, and round it.", List.of(section(RUN),
+            section(Step.TABLE)))));
+
+    /** A list that nobody changes. */
+    public SoakFile {
+        steps = List.copyOf(steps);
+    }
+
+    private static Section section(Table table) {
+        return new Section() {
+            @Override
+            public Table table() {
+                return table;
+            }
+
+            @Override
+            public void check(Values file, Problems problems) {
+                // Every value that its own type lets pass makes sense beside every other.
+            }
+        };
+    }
+
+    /** @param file what a file without problems was read to */
+    static SoakFile read(Values file) {
+        return new SoakFile(Rows.read(Run.class, RUN, file.get(RUN)), file.all(Step.TABLE).stream()
+                .map(values -> Rows.read(Step.class, Step.TABLE, values)).toList());
+    }
+
+    /** A file that reads to this one. */
+    public String toToml() {
+        return "kind = \"soak\"\n\n" + Rows.write(RUN, run)
+                + steps.stream().map(step -> Rows.write(Step.TABLE, step)).collect(Collectors.joining());
+    }
+
+    /** The same run with other steps. */
+    SoakFile with(List<Step> others) {
+        return new SoakFile(run, others);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/peppergauge/lab/soak/Threads.java
@@ -0,0 +1,38 @@
+package peppergauge.lab.soak;
+
+import java.io.IOException;
+
+/** Daemon threads for blocking sockets. */
+final class Threads {
+
+    private Threads() { }
+
+    /** Something that ends by an exception when its socket is closed. */
+    interface Blocking {
+
+        void run() throws IOException, InterruptedException;
+    }
+
+    static Thread start(String name, Blocking task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException closed) {
+                // The run is over, or the other side has gone.
+            } catch (InterruptedException ending) {
+                Thread.currentThread().interrupt();
+            }
+        }, name);
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    /** Sleeps until a time of {@link System#nanoTime}. */
+    static void sleepUntil(long atNs) throws InterruptedException {
+        long leftNs = atNs - System.nanoTime();
+        if (leftNs > 0) {
+            Thread.sleep(leftNs / 1_000_000, (int) (leftNs % 1_000_000));
+        }
+    }
+}
--- a/sidecar/src/test/java/peppergauge/invariant/PlantedSource.java
+++ b/sidecar/src/test/java/peppergauge/invariant/PlantedSource.java
@@ -61,7 +61,26 @@
     }
 
     private URL[] compile(Path classes) throws IOException {
-        Path source = Path.of("src", "main", "java", "peppergauge").resolve(file);
+        compileInto(classes, Path.of("src", "main", "java", "peppergauge"));
+        List<URL> urls = new ArrayList<>(List.of(url(classes)));
+        for (String each : path().split(File.pathSeparator)) {
+            urls.add(url(Path.of(each)));
+        }
+        return urls.toArray(URL[]::new);
+    }
+
+    private static String path() {
+        return System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+    }
+
+    /**
+     * Compiles the copy with the fault; a program that has its classes first on its path runs with it.
+     *
+     * @param classes a folder
+     * @param sources the folder of the file, for a module that is not the present one
+     */
+    public void compileInto(Path classes, Path sources) throws IOException {
+        Path source = sources.resolve(file);
         String text = Files.readString(source);
         if (text.split(java.util.regex.Pattern.quote(sound), -1).length != 2) {
             throw new AssertionError(file + " does not have once: " + sound);
@@ -69,18 +88,12 @@
         Path copy = classes.resolve(source.getFileName());
         Files.writeString(copy, text.replace(sound, faulty));
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
-        String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
         StringWriter said = new StringWriter();
         var files = compiler.getStandardFileManager(null, Locale.ROOT, null);
-        if (!compiler.getTask(said, files, null, List.of("-nowarn", "-proc:none", "-cp", path, "-d", classes.toString()),
+        if (!compiler.getTask(said, files, null, List.of("-nowarn", "-proc:none", "-cp", path(), "-d", classes.toString()),
                 null, files.getJavaFileObjects(copy)).call()) {
             throw new AssertionError(file + " with its fault does not compile: " + said);
         }
-        List<URL> urls = new ArrayList<>(List.of(url(classes)));
-        for (String each : path.split(File.pathSeparator)) {
-            urls.add(url(Path.of(each)));
-        }
-        return urls.toArray(URL[]::new);
     }
 
     private static URL url(Path path) throws MalformedURLException {
