Name the guards of PluginIntake and Sessions alike, and record answers once in tests

Need: `answered` and `answering` said nothing of what they guard, and three tests each had the same client that writes its answers down.

Change: both are stepOrDeny; RecordedAnswers serves the three tests.

--- a/plugin/src/main/java/peppergauge/plugin/PluginIntake.java
+++ b/plugin/src/main/java/peppergauge/plugin/PluginIntake.java
@@ -134,7 +134,7 @@
             Thinking session = new Thinking(opening, frontend, plan);
             session.plan.began();
             thinking.put(frontend, session);
-            answering(session, () -> {
+            stepOrDeny(session, () -> {
                 session.line = plan.line(opening.requestClass());
                 go(session, session.line.chain().begin(opening.message().fields()));
             });
@@ -142,7 +142,7 @@
     }
 
     /** Takes a session a step further; where that fails, nothing of it has run yet, and it is denied. */
-    private void answering(Thinking session, Runnable step) {
+    private void stepOrDeny(Thinking session, Runnable step) {
         try {
             step.run();
         } catch (RuntimeException | StackOverflowError bug) {
@@ -203,14 +203,14 @@
         SessionCall call = new SessionCall(plugin, opening, session.where.fields(),
                 new SessionCall.Names(names.classes().get(opening.requestClass()), tenant(opening), nowMs),
                 (of, verdict, why, tookMs) -> scheduler.execute(
-                        () -> answering(session, () -> heard(session, of, verdict, why, tookMs))));
+                        () -> stepOrDeny(session, () -> heard(session, of, verdict, why, tookMs))));
         double now = nowMs.getAsDouble();
         Optional<String> refused = plugin.offer(now, call);
         if (refused.isEmpty()) {
             boolean deadlineFirst = opening.deadlineMs() - now <= plugin.budget.callMs();
             session.call = call;
             session.wait = scheduler.after(plugin.budget.waitMs(now, opening.deadlineMs()),
-                    () -> answering(session, () -> due(session, call, deadlineFirst)));
+                    () -> stepOrDeny(session, () -> due(session, call, deadlineFirst)));
         }
         return refused;
     }
--- a/plugin/src/test/java/peppergauge/plugin/PluginIntakeTest.java
+++ b/plugin/src/test/java/peppergauge/plugin/PluginIntakeTest.java
@@ -22,6 +22,7 @@
 import peppergauge.session.Intake;
 import peppergauge.session.Message;
 import peppergauge.session.Opening;
+import peppergauge.session.RecordedAnswers;
 import peppergauge.session.Scheduler;
 import peppergauge.settings.SiteNames;
 
@@ -73,29 +74,6 @@
         }
     }
 
-    private record Client(List<String> answers) implements Frontend {
-
-        @Override
-        public void served(Message answer) {
-            answers.add("served");
-        }
-
-        @Override
-        public void denied(double retryAfterMs) {
-            answers.add("denied");
-        }
-
-        @Override
-        public void failed(boolean late) {
-            answers.add("failed");
-        }
-
-        @Override
-        public void duplicate() {
-            answers.add("duplicate");
-        }
-    }
-
     /** Fails at its call of this number. */
     private static DoubleSupplier clock(int failing) {
         AtomicInteger calls = new AtomicInteger();
@@ -144,7 +122,7 @@
         intake.begin(new Plan(List.of(plugin), List.of("read")));
         List<String> answers = new ArrayList<>();
         loop.run(() -> intake.open(new Opening("a", requestClass, 0, 900, false, 1_000,
-                new Message("GET", "/read/k", List.of(), new byte[0], null)), new Client(answers)));
+                new Message("GET", "/read/k", List.of(), new byte[0], null)), new RecordedAnswers(answers)));
         loop.runUntil(answers);
         assertEquals(answers, List.of(answer), which);
         // The plan's threads end once no session thinks any more.
--- a/sidecar/src/main/java/peppergauge/session/Sessions.java
+++ b/sidecar/src/main/java/peppergauge/session/Sessions.java
@@ -75,7 +75,7 @@
     @Override
     public void open(Opening opening, Frontend frontend) {
         arriving.incrementAndGet();
-        post(() -> answered(new Newcomer(opening, frontend), this::onArrival));
+        post(() -> stepOrDeny(new Newcomer(opening, frontend), this::onArrival));
     }
 
     @Override
@@ -144,7 +144,7 @@
     }
 
     /** A bug before a session is open must not leave its client without an answer: nothing of it has run. */
-    private void answered(Newcomer newcomer, Consumer<Newcomer> step) {
+    private void stepOrDeny(Newcomer newcomer, Consumer<Newcomer> step) {
         try {
             step.accept(newcomer);
         } catch (RuntimeException | StackOverflowError bug) {
@@ -159,7 +159,7 @@
     private void takeNewcomers() {
         newcomersAwaited = false;
         for (Newcomer next = overload.next(); next != null; next = overload.next()) {
-            answered(next, this::take);
+            stepOrDeny(next, this::take);
         }
         checkIdle();
     }
--- a/sidecar/src/test/java/peppergauge/session/FailingArrivalTest.java
+++ b/sidecar/src/test/java/peppergauge/session/FailingArrivalTest.java
@@ -40,29 +40,6 @@
         }
     }
 
-    private record Client(List<String> answers) implements Frontend {
-
-        @Override
-        public void served(Message answer) {
-            answers.add("served");
-        }
-
-        @Override
-        public void denied(double retryAfterMs) {
-            answers.add("denied");
-        }
-
-        @Override
-        public void failed(boolean late) {
-            answers.add("failed");
-        }
-
-        @Override
-        public void duplicate() {
-            answers.add("duplicate");
-        }
-    }
-
     @Test
     public void isAnsweredAndCostsTheNextOnesNothing() {
         Sessions sessions = new Sessions((now, event, actions) -> { }, new Unused(), loop, loop,
@@ -70,8 +47,8 @@
                 List.of(new RequestClass(100, 300, 1, 0, Effect.SAFE, Group.ALL, 500)), 50);
         List<String> answers = new ArrayList<>();
         List<String> nextAnswers = new ArrayList<>();
-        sessions.open(opening("a", NO_SUCH_CLASS), new Client(answers));
-        sessions.open(opening("b", 0), new Client(nextAnswers));
+        sessions.open(opening("a", NO_SUCH_CLASS), new RecordedAnswers(answers));
+        sessions.open(opening("b", 0), new RecordedAnswers(nextAnswers));
         loop.runTasks();
         for (Runnable due = loop.due(2_000); due != null; due = loop.due(2_000)) {
             due.run();
--- a/sidecar/src/test/java/peppergauge/session/LongBodyDenialTest.java
+++ b/sidecar/src/test/java/peppergauge/session/LongBodyDenialTest.java
@@ -48,7 +48,7 @@
         Sessions sessions = sessions(new RequestClass(100, 300, 1, 0, effect, group, 500), attempts);
         sessions.listed(new ServerTable(1, true, List.of(row("s0"), row("s1"))));
         sessions.open(new Opening("r", 0, -1, 300, false, loop.nowMs(),
-                new Message("POST", "/r", List.of(), new byte[0], body)), new Client(answers));
+                new Message("POST", "/r", List.of(), new byte[0], body)), new RecordedAnswers(answers));
         loop.runTasks();
         attempts.get(0).accept(new Backend.Result(first));
         loop.runTasks();
@@ -132,27 +132,4 @@
             kept = false;
         }
     }
-
-    private record Client(List<String> answers) implements Frontend {
-
-        @Override
-        public void served(Message answer) {
-            answers.add("served");
-        }
-
-        @Override
-        public void denied(double retryAfterMs) {
-            answers.add("denied");
-        }
-
-        @Override
-        public void failed(boolean late) {
-            answers.add("failed");
-        }
-
-        @Override
-        public void duplicate() {
-            answers.add("duplicate");
-        }
-    }
 }
