Have the soak's discovery tell open watches at its return, and break watches apart

What an agent gets while it is down counts at its return, and it tells it then on watches that are open; a watch that has fallen silent for good is broken, and what it misses counts 6 s after that. The stand-in broke the watches and counted at the return.

--- a/lab/src/main/java/peppergauge/lab/soak/DiscoveryService.java
+++ b/lab/src/main/java/peppergauge/lab/soak/DiscoveryService.java
@@ -18,8 +18,9 @@
 import java.util.stream.Collectors;
 
 /**
- * Discovery at two addresses, with the troubles that it has. What it has counts as told at once; while it is silent, once
- * that is over, and by calls that begin after it alone: those in flight are never answered.
+ * Discovery at two addresses, with the troubles that it has. What it has counts as told at once. What it gets while it is
+ * down counts once that is over: watches that are still open are told it then, and calls that begin from then on; calls
+ * in flight are never answered. A watch that falls silent for good is broken: what it misses counts 6 s after that.
  */
 final class DiscoveryService implements Closeable {
 
@@ -47,6 +48,8 @@
     private final Map<String, Row> rows = new LinkedHashMap<>();
     private long version = 1;
     private volatile long silentUntilNs;
+    /** When all watches that were open fell silent for good; 0: they never did. */
+    private long watchesBrokenNs;
     private volatile boolean silent;
     private volatile boolean slow;
     private volatile boolean crowded;
@@ -169,24 +172,39 @@
         long nowNs = System.nanoTime();
         boolean isTold = !watches.isEmpty() && !silent;
         long reachableNs = silent ? silentUntilNs : nowNs;
+        boolean isBroken = watches.isEmpty() && watchesBrokenNs != 0 && nowNs - watchesBrokenNs < LATEST_NS;
+        if (isBroken) {
+            return Math.max(reachableNs, watchesBrokenNs + LATEST_NS);
+        }
         return isTold || !slow && !crowded ? reachableNs : nowNs + LATEST_NS;
     }
 
     // ---- Troubles ----
 
-    /** Takes connections and says nothing for so long, on open watches never again. */
+    /** Takes connections and says nothing for so long; then tells what it got meanwhile on watches that are still open. */
     void silence(long ms) throws InterruptedException {
+        long knownVersion;
         synchronized (this) {
             silentUntilNs = System.nanoTime() + ms * 1_000_000;
             silent = true;
-            watches.clear();
+            knownVersion = version;
         }
         Threads.sleepUntil(silentUntilNs);
         synchronized (this) {
             silent = false;
+            List<Row> missed = rows.values().stream().filter(row -> row.version() > knownVersion).toList();
+            if (!missed.isEmpty()) {
+                tell(list(false, missed));
+            }
         }
     }
 
+    /** Open watches stay open and are never written to again. */
+    synchronized void breakWatches() {
+        watchesBrokenNs = System.nanoTime();
+        watches.clear();
+    }
+
     void slow(boolean now) {
         slow = now;
     }
--- a/lab/src/main/java/peppergauge/lab/soak/Schedule.java
+++ b/lab/src/main/java/peppergauge/lab/soak/Schedule.java
@@ -60,7 +60,7 @@
     /** Discovery's trouble, with a drain shortly before its end, which is told at the return. */
     private void outage() {
         List<StepKind> kinds = List.of(StepKind.DISCOVERY_SILENT, StepKind.DISCOVERY_SLOW, StepKind.DISCOVERY_CROWDED,
-                StepKind.RESET_WATCHES);
+                StepKind.WATCHES_SILENT, StepKind.RESET_WATCHES);
         StepKind kind = kinds.get(random.nextInt(kinds.size()));
         int atMs = anyMs();
         int outageMs = Math.min(lengthMs - atMs, 500 + random.nextInt(4_000));
--- a/lab/src/main/java/peppergauge/lab/soak/SoakRun.java
+++ b/lab/src/main/java/peppergauge/lab/soak/SoakRun.java
@@ -211,6 +211,7 @@
             case DISCOVERY_SILENT -> discovery.silence(step.length().toMillis());
             case DISCOVERY_SLOW -> during(step, discovery::slow);
             case DISCOVERY_CROWDED -> during(step, discovery::crowded);
+            case WATCHES_SILENT -> discovery.breakWatches();
             case RESET_WATCHES -> discovery.resetWatches();
             case DRAIN -> drain();
             case SERVERS_HANG -> during(step, now -> troubles.hang = now);
--- a/lab/src/main/java/peppergauge/lab/soak/StepKind.java
+++ b/lab/src/main/java/peppergauge/lab/soak/StepKind.java
@@ -18,6 +18,8 @@
     DISCOVERY_SLOW,
     /** Discovery answers calls with 503. */
     DISCOVERY_CROWDED,
+    /** All open watches fall silent for good. */
+    WATCHES_SILENT,
     /** All watches are reset. */
     RESET_WATCHES,
     /** A server drains, and stays up; a new one takes its place. */
