Excuse in the soak what any of its own threads waited for a CPU

What a client's or server's thread waited was not seen.

Change: of all threads of the stand-ins the longest wait for a CPU between two looks counts, once for a client's and once for a server's thread, over the whole time between the looks.

--- a/lab/src/main/java/peppergauge/lab/soak/SoakRun.java
+++ b/lab/src/main/java/peppergauge/lab/soak/SoakRun.java
@@ -307,19 +307,24 @@
             Thread.sleep(CANARY_MS);
             double lateMs = (System.nanoTime() - startNs) / 1e6 - CANARY_MS;
             if (lateMs > LATE_MS) {
-                journal.waits.add(new Journal.Wait(System.nanoTime(), lateMs));
+                journal.waits.add(new Journal.Wait(startNs, System.nanoTime(), lateMs));
             }
         }
     }
 
     private void looks() throws IOException, InterruptedException {
         CpuWaits waits = new CpuWaits();
+        CpuWaits ownWaits = new CpuWaits();
+        long lastNs = System.nanoTime();
         while (!over && program.pid().isPresent()) {
             long pid = program.pid().getAsLong();
-            double waitedMs = waits.sinceLastMs(pid);
+            // One request passes a client's and a server's thread of the stand-ins, and the sidecar's loop.
+            double waitedMs = waits.sinceLastMs(pid) + 2 * ownWaits.longestSinceLastMs(ProcessHandle.current().pid());
+            long nowNs = System.nanoTime();
             if (waitedMs > LATE_MS) {
-                journal.waits.add(new Journal.Wait(System.nanoTime(), waitedMs));
+                journal.waits.add(new Journal.Wait(lastNs, nowNs, waitedMs));
             }
+            lastNs = nowNs;
             try (Stream<Path> open = Files.list(Path.of("/proc", Long.toString(pid), "fd"))) {
                 journal.looks.add(new Journal.Look(System.nanoTime(), (int) open.count(), program.rssKb()));
             }
