--- a/lab/src/main/java/peppergauge/lab/command/Lab.java
+++ b/lab/src/main/java/peppergauge/lab/command/Lab.java
@@ -14,7 +14,8 @@
         subcommands = {ServeHelp.class, AdapterHelp.class, ServeWith.class, DaemonHelp.class, Check.class,
             Schema.class, Emulate.class, Shrink.class, CostCommand.class, PlayCommand.class, ReportCommand.class,
             CompareCommand.class, SoakCommand.class, SnapshotCommand.class, PluginCommand.class,
-            Admin.Status.class, Admin.Plugins.class, Admin.Bodies.class, Admin.Drain.class, Admin.Reload.class, HelpCommand.class})
+            Admin.Status.class, Admin.Plugins.class,
+            Admin.Bodies.class, Admin.Drain.class, Admin.Reload.class, HelpCommand.class})
 public final class Lab implements Runnable {
 
     @CommandLine.Spec
--- a/lab/src/main/java/peppergauge/lab/command/SoakCommand.java
+++ b/lab/src/main/java/peppergauge/lab/command/SoakCommand.java
@@ -40,10 +40,12 @@
     @Option(names = "--file", paramLabel = "FILE", description = "Plays a file of kind soak in place of drawn runs.")
     private Path file;
 
-    @Option(names = "--shrink", paramLabel = "FOLDER", description = "Writes the fewest steps that break the same rule.")
+    @Option(names = "--shrink", paramLabel = "FOLDER",
+            description = "Writes the fewest steps that break the same rule.")
     private Path shrink;
 
-    @Option(names = "--log", paramLabel = "FOLDER", description = "Writes the sidecar's log of each run that breaks one.")
+    @Option(names = "--log", paramLabel = "FOLDER",
+            description = "Writes the sidecar's log of each run that breaks one.")
     private Path log;
 
     @Override
--- a/lab/src/main/java/peppergauge/lab/soak/Clients.java
+++ b/lab/src/main/java/peppergauge/lab/soak/Clients.java
@@ -11,9 +11,9 @@
 import java.util.SplittableRandom;
 
 /**
- * The application beside the sidecar, a thread for each of its clients. They ask whole, in pieces, two requests at once,
- * with little time, leave early, and rest so that a request crosses the end of their connection. After SIGTERM they go on
- * on every connection that stays open; new ones they open for 0.3 s more.
+ * The application beside the sidecar, a thread for each of its clients. They ask whole, in pieces, two requests at
+ * once, with little time, leave early, and rest so that a request crosses the end of their connection. After SIGTERM
+ * they go on on every connection that stays open; new ones they open for 0.3 s more.
  */
 final class Clients {
 
--- a/lab/src/main/java/peppergauge/lab/soak/DiscoveryService.java
+++ b/lab/src/main/java/peppergauge/lab/soak/DiscoveryService.java
@@ -18,9 +18,10 @@
 import java.util.stream.Collectors;
 
 /**
- * Discovery at two addresses, with the troubles that it has. What it has counts as told at once. What it gets while it is
- * down counts once that is over: watches that are still open are told it then, and calls that begin from then on; calls
- * in flight are never answered. A watch that falls silent for good is broken: what it misses counts 6 s after that.
+ * Discovery at two addresses, with the troubles that it has. What it has counts as told at once. What it gets while it
+ * is down counts once that is over: watches that are still open are told it then, and calls that begin from then on;
+ * calls in flight are never answered. A watch that falls silent for good is broken: what it misses counts 6 s after
+ * that.
  */
 final class DiscoveryService implements Closeable {
 
@@ -116,8 +117,7 @@
         watches.put(socket, address);
         List<Row> changed = rows.values().stream().filter(row -> row.version() > from).toList();
         // Whoever knows nothing gets all that there is; what drains is left out of it.
-        String text = from == 0 ? list(true, rows.values().stream().filter(row -> row.state().equals("active")).toList())
-                : changed.isEmpty() ? "\n" : list(false, changed);
+        String text = from == 0 ? list(true, active()) : changed.isEmpty() ? "\n" : list(false, changed);
         Http.write(socket, HEAD + chunk(text));
     }
 
@@ -128,7 +128,11 @@
 
     /** For a configuration: what a sidecar that starts knows. */
     synchronized String known() {
-        return list(true, rows.values().stream().filter(row -> row.state().equals("active")).toList()).trim();
+        return list(true, active()).trim();
+    }
+
+    private List<Row> active() {
+        return rows.values().stream().filter(row -> row.state().equals("active")).toList();
     }
 
     private static String chunk(String text) {
@@ -181,7 +185,9 @@
 
     // ---- Troubles ----
 
-    /** Takes connections and says nothing for so long; then tells what it got meanwhile on watches that are still open. */
+    /**
+     * Takes connections and says nothing for so long; then tells what it got meanwhile on watches that are still open.
+     */
     void silence(long ms) throws InterruptedException {
         long knownVersion;
         synchronized (this) {
--- a/lab/src/main/java/peppergauge/lab/soak/Soak.java
+++ b/lab/src/main/java/peppergauge/lab/soak/Soak.java
@@ -40,8 +40,9 @@
         /** For people: a line of figures, and of a run that broke something what it was and what happened. */
         public List<String> lines() {
             long served = journal.allAsks().stream().filter(ask -> "200".equals(ask.end)).count();
-            String line = String.format(Locale.ROOT, "seed %d: %d steps, asked %d, served %.3f, ended after %.2f s by %s,"
-                    + " checked %s, excused %s: %s", file.run().seed(), file.steps().size(), journal.asks.size(),
+            String line = String.format(Locale.ROOT, "seed %d: %d steps, asked %d, served %.3f, ended after"
+                    + " %.2f s by %s, checked %s, excused %s: %s", file.run().seed(), file.steps().size(),
+                    journal.asks.size(),
                     served / (double) Math.max(1, journal.asks.size()),
                     (journal.endedNs - journal.terminatedNs) / 1e9, journal.killed ? "SIGKILL" : "itself",
                     rules.checked(), rules.excused(), broken.isEmpty() ? "fine" : "BROKEN " + names());
--- a/lab/src/main/java/peppergauge/lab/soak/SoakRules.java
+++ b/lab/src/main/java/peppergauge/lab/soak/SoakRules.java
@@ -125,7 +125,9 @@
         }
     }
 
-    /** A sidecar may end a connection between requests, and a request may cross that: nothing of it is forwarded then. */
+    /**
+     * A sidecar may end a connection between requests, and a request may cross that: nothing of it is forwarded then.
+     */
     private void closed(Journal.Ask ask, List<Journal.Attempt> of) {
         String name = "request " + ask.id + (ask.first ? " (first on its connection)" : "");
         boolean ending = journal.terminatedNs != 0 && ask.endNs > journal.terminatedNs;
--- a/lab/src/main/java/peppergauge/lab/soak/SoakRun.java
+++ b/lab/src/main/java/peppergauge/lab/soak/SoakRun.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import peppergauge.lab.process.CpuWaits;
 import peppergauge.lab.process.Program;
--- a/sidecar/src/main/java/peppergauge/coldstart/PromptPace.java
+++ b/sidecar/src/main/java/peppergauge/coldstart/PromptPace.java
@@ -31,8 +31,8 @@
     private static final double LEAST_GRACE_MS = 300;
     private static final double LONGEST_GRACE_MS = 1_000;
     /**
-     * Of the grace, for what comes after a call's time: a process may be held up for 150 ms, and timers, connecting, the
-     * answer and its way to the module take up to 50; on sockets the grace is 50 ms longer.
+     * Of the grace, for what comes after a call's time: a process may be held up for 150 ms; timers, connecting, the
+     * answer and its way to the module take up to 50 ms; on sockets the grace is 50 ms longer.
      */
     private static final double RESERVE_MS = 150;
     /**
--- a/sidecar/src/main/java/peppergauge/config/Config.java
+++ b/sidecar/src/main/java/peppergauge/config/Config.java
@@ -55,9 +55,9 @@
     }
 
     /**
-     * Where discovery is by the file as it is now. GW_DISCOVERY goes before the file at the start only: a variable cannot
-     * change while the program runs, and the file may have been replaced before it was read for the first time, so that
-     * its being as it was then says nothing.
+     * Where discovery is by the file as it is now. GW_DISCOVERY goes before the file at the start only: a variable
+     * cannot change while the program runs, and the file may have been replaced before it was read for the first time,
+     * so that its being as it was then says nothing.
      */
     public static Config reread(Map<String, String> environment) {
         Map<String, Object> file = file(environment);
