Log class, idle time and counts of each evicted connection

Need: clients in use lost their connections beside load, and connection_evicted said only how many connections were open: neither whose was closed, nor how long it had been idle, nor how many accepted ones were not open yet.

Change: connection_evicted has class, idle_ms, open and accepted. Clients that were served have an event of their own, served_connection_evicted, since the rate limit would otherwise drop their lines among those of connections without a byte. Log.event asks the rate limit before it builds the text of a line.

--- a/sidecar/src/main/java/peppergauge/log/Log.java
+++ b/sidecar/src/main/java/peppergauge/log/Log.java
@@ -81,11 +81,15 @@
      */
     public static void event(String event, Object... fields) {
         assert fields.length % 2 == 0 : "the last field of event " + event + " has no value";
+        int dropped = admit(event);
+        if (dropped < 0) {
+            return;
+        }
         StringBuilder text = new StringBuilder();
         for (int i = 0; i + 1 < fields.length; i += 2) {
             text.append(i > 0 ? " " : "").append(fields[i]).append('=').append(quoted(String.valueOf(fields[i + 1])));
         }
-        write(event, " ", text.toString());
+        write(event, " ", text.toString(), dropped);
     }
 
     private static String quoted(String value) {
@@ -98,23 +102,28 @@
      * events yet.
      */
     public static void line(String kind, String text) {
-        write(kind, ": ", text);
+        int dropped = admit(kind);
+        if (dropped >= 0) {
+            write(kind, ": ", text, dropped);
+        }
     }
 
-    private static void write(String event, String separator, String text) {
-        int dropped = RATES.computeIfAbsent(event, key -> new EventRate()).admit(System.nanoTime() / 1_000_000_000L);
-        if (dropped >= 0) {
-            String singleLine = text.replaceAll("\\p{Cntrl}+", " ");
-            String truncated =
-                    singleLine.length() > MAX_LINE_CHARS ? singleLine.substring(0, MAX_LINE_CHARS) + "..." : singleLine;
-            Sink current = sink;
-            if (current != null) {
-                current.write(event, truncated, dropped);
-                return;
-            }
-            System.err.println(Instant.now() + " " + event + separator + truncated
-                    + (dropped > 0 ? " (" + dropped + " such lines dropped)" : ""));
+    /** Returns the number of lines of this event dropped before this one, or -1 if this one is to be dropped. */
+    private static int admit(String event) {
+        return RATES.computeIfAbsent(event, key -> new EventRate()).admit(System.nanoTime() / 1_000_000_000L);
+    }
+
+    private static void write(String event, String separator, String text, int dropped) {
+        String singleLine = text.replaceAll("\\p{Cntrl}+", " ");
+        String truncated =
+                singleLine.length() > MAX_LINE_CHARS ? singleLine.substring(0, MAX_LINE_CHARS) + "..." : singleLine;
+        Sink current = sink;
+        if (current != null) {
+            current.write(event, truncated, dropped);
+            return;
         }
+        System.err.println(Instant.now() + " " + event + separator + truncated
+                + (dropped > 0 ? " (" + dropped + " such lines dropped)" : ""));
     }
 
     /**
--- a/sidecar/src/main/java/peppergauge/overload/ConnectionEvictionPolicy.java
+++ b/sidecar/src/main/java/peppergauge/overload/ConnectionEvictionPolicy.java
@@ -21,7 +21,7 @@
 public final class ConnectionEvictionPolicy<C> {
 
     /** Classes of idle connections in the order of their eviction, each with its grace period in ms. */
-    private enum IdleClass {
+    public enum IdleClass {
         /**
          * Nothing was received. If the limit was reached, its request was in the kernel's queue when it was accepted.
          */
@@ -41,8 +41,20 @@
         IdleClass(double graceMs) {
             this.graceMs = graceMs;
         }
+
+        /** Whether a request was served on the connection. */
+        public boolean isServed() {
+            return this == SINGLE_REQUEST || this == RECURRING;
+        }
     }
 
+    /**
+     * How a connection was last idle.
+     *
+     * @param sinceMs when it entered the class, ms
+     */
+    public record IdleState(IdleClass idleClass, double sinceMs) {}
+
     /** The state of a connection; {@code idleClass} is null while it must not be evicted. */
     private static final class State {
 
@@ -50,6 +62,8 @@
         private int requestsServed;
         private int pendingResponses;
         private IdleClass idleClass;
+        private IdleClass lastIdleClass;
+        private double idleSinceMs;
     }
 
     /** Consistency is asserted at one of this many changes, since the check is linear in the number of connections. */
@@ -200,12 +214,20 @@
         return false;
     }
 
+    /** How an open connection was last idle, also after it was selected; null if it is not open. */
+    public IdleState lastIdle(C connection) {
+        State state = states.get(connection);
+        return state == null ? null : new IdleState(state.lastIdleClass, state.idleSinceMs);
+    }
+
     private void reclassify(C connection, State state, IdleClass idleClass, double nowMs) {
         if (state.idleClass != null) {
             idleByClass.get(state.idleClass).remove(connection);
         }
         state.idleClass = idleClass;
         if (idleClass != null) {
+            state.lastIdleClass = idleClass;
+            state.idleSinceMs = nowMs;
             idleByClass.get(idleClass).put(connection, nowMs);
         }
         assert ++changes % CHANGES_PER_CHECK != 0 || isConsistent() : "the classes of connections do not add up";
--- a/sidecar/src/main/java/peppergauge/sockets/ClientConnections.java
+++ b/sidecar/src/main/java/peppergauge/sockets/ClientConnections.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import peppergauge.log.Log;
@@ -78,13 +79,28 @@
             if (next == null) {
                 return;
             }
+            ConnectionEvictionPolicy.IdleState idle = eviction.lastIdle(next);
             if (next.evict()) {
                 evicted++;
-                Log.event("connection_evicted", "open", open.size());
+                logEviction(idle, now);
             }
         }
     }
 
+    /** Evictions of clients that were served have an event of their own: the others are more, and limited in rate. */
+    private void logEviction(ConnectionEvictionPolicy.IdleState idle, double nowMs) {
+        Log.event(
+                idle.idleClass().isServed() ? "served_connection_evicted" : "connection_evicted",
+                "class",
+                idle.idleClass().name().toLowerCase(Locale.ROOT),
+                "idle_ms",
+                Math.round(nowMs - idle.sinceMs()),
+                "open",
+                open.size(),
+                "accepted",
+                accepted.get());
+    }
+
     /** Called when a connection that passed {@link #awaitCapacity} is open. */
     public void onOpened(EvictableConnection connection) {
         boolean added = open.add(connection);
