Evict for the places that are wanted, not for each poll of a late event loop

Callers saw: beside load, clients in use lost their connections to a burst of idle ones (keepsConnectionsOfActiveClientsBesideManyIdleOnes: 6 of 6 plays failed beside 12 busy processes on 8 cores, "u0-2 expected [200] but found [0]").

Cause: while it waits for a place, the accepting thread submitted an eviction every 2 ms. A loop that is late runs all of them in one round, each evicting 1 to 16 connections, although the places of earlier ones are about to be free.

Evidence: served_connection_evicted class=recurring open=172 four times in 4 ms, with open still counting what the same round had evicted.

Change: one such task at a time; it does nothing if nobody waits, counts places that are free or about to be, and evicts clients that were served only for a place that is needed now. hasLowPriorityConnection is replaced by nextUnservedToEvict.

Measured: the new test evicts 1 connection for 1 place; without the change 4.

--- a/sidecar/src/main/java/peppergauge/overload/ConnectionEvictionPolicy.java
+++ b/sidecar/src/main/java/peppergauge/overload/ConnectionEvictionPolicy.java
@@ -149,42 +149,47 @@
 
     /**
      * Selects the connection to close for a new one. A connection of the class {@link IdleClass#RECURRING} is selected
-     * only if no other class may supply one soon. To be called after the input of a round was read. Each connection is
-     * selected once, until bytes or a response are reported for it.
+     * only if no lower class may supply one soon. To be called after the input of a round was read. Each connection is selected
+     * once, until bytes or a response are reported for it.
      *
      * @return null if no connection may be closed now
      */
     public C nextToEvict(double nowMs) {
+        C unserved = nextUnservedToEvict(nowMs);
+        if (unserved != null) {
+            return unserved;
+        }
         for (IdleClass idleClass : IdleClass.ALL) {
-            LinkedHashMap<C, Double> connections = idleByClass.get(idleClass);
-            if (connections.isEmpty()) {
-                continue;
+            boolean mayWait = idleClass == IdleClass.RECURRING;
+            if (idleClass.isServed() && !(mayWait && mayEvictLowerClassSoon(idleClass))) {
+                C connection = longestIdleAfterGrace(idleClass, nowMs);
+                if (connection != null) {
+                    return connection;
+                }
             }
-            Map.Entry<C, Double> longestIdle = connections.entrySet().iterator().next();
-            if (nowMs - longestIdle.getValue() > idleClass.graceMs
-                    && (idleClass != IdleClass.RECURRING || !mayEvictLowerClassSoon())) {
-                C connection = longestIdle.getKey();
-                reclassify(connection, states.get(connection), null, nowMs);
+        }
+        return null;
+    }
+
+    /** Like {@link #nextToEvict}, but selects only connections on which no request was served. */
+    public C nextUnservedToEvict(double nowMs) {
+        for (IdleClass idleClass : IdleClass.ALL) {
+            C connection = idleClass.isServed() ? null : longestIdleAfterGrace(idleClass, nowMs);
+            if (connection != null) {
                 return connection;
             }
         }
         return null;
     }
 
-    /**
-     * Selects a connection to close before the limit is reached: the longest idle of those that served a single
-     * request, if there are more than {@code maxConnections}. Otherwise clients that open a connection for each request
-     * and never close it would run out of connections.
-     *
-     * @return null if no connection is to be closed
-     */
-    public C nextSurplus(double nowMs, int maxConnections) {
-        LinkedHashMap<C, Double> connections = idleByClass.get(IdleClass.SINGLE_REQUEST);
-        if (connections.size() <= maxConnections) {
+    /** Selects the longest idle connection of a class; null if there is none or it is in its grace period. */
+    private C longestIdleAfterGrace(IdleClass idleClass, double nowMs) {
+        LinkedHashMap<C, Double> connections = idleByClass.get(idleClass);
+        if (connections.isEmpty()) {
             return null;
         }
         Map.Entry<C, Double> longestIdle = connections.entrySet().iterator().next();
-        if (nowMs - longestIdle.getValue() <= IdleClass.SINGLE_REQUEST.graceMs) {
+        if (nowMs - longestIdle.getValue() <= idleClass.graceMs) {
             return null;
         }
         C connection = longestIdle.getKey();
@@ -192,22 +197,27 @@
         return connection;
     }
 
-    /** Whether a connection of a lower class, now in its grace period, should be evicted instead of a recurring one. */
-    private boolean mayEvictLowerClassSoon() {
-        int recurring = idleByClass.get(IdleClass.RECURRING).size();
-        return !idleByClass.get(IdleClass.NO_BYTES).isEmpty()
-                || idleByClass.get(IdleClass.PARTIAL_REQUEST).size() > recurring
-                || idleByClass.get(IdleClass.INVALID_REQUESTS).size() > recurring
-                || idleByClass.get(IdleClass.SINGLE_REQUEST).size() > recurring;
+    /**
+     * Selects a connection to close before the limit is reached: the longest idle of those that served a single
+     * request, if there are more than {@code maxConnections}. Otherwise clients that open a connection for each request
+     * and never close it would run out of connections.
+     *
+     * @return null if no connection is to be closed
+     */
+    public C nextSurplus(double nowMs, int maxConnections) {
+        int connections = idleByClass.get(IdleClass.SINGLE_REQUEST).size();
+        return connections > maxConnections ? longestIdleAfterGrace(IdleClass.SINGLE_REQUEST, nowMs) : null;
     }
 
-    /** Whether a connection of a class below {@link IdleClass#RECURRING} may be closed now. */
-    public boolean hasLowPriorityConnection(double nowMs) {
-        for (IdleClass idleClass : IdleClass.ALL) {
-            var idleSinceMs = idleByClass.get(idleClass).values().iterator();
-            if (idleClass != IdleClass.RECURRING
-                    && idleSinceMs.hasNext()
-                    && nowMs - idleSinceMs.next() > idleClass.graceMs) {
+    /**
+     * Whether a connection of a lower class, now in its grace period, should be evicted instead of one of this class:
+     * any that has received nothing, or one of a class with more connections.
+     */
+    private boolean mayEvictLowerClassSoon(IdleClass idleClass) {
+        int connections = idleByClass.get(idleClass).size();
+        for (IdleClass lower : IdleClass.ALL) {
+            int sufficient = lower == IdleClass.NO_BYTES ? 0 : connections;
+            if (lower.compareTo(idleClass) < 0 && idleByClass.get(lower).size() > sufficient) {
                 return true;
             }
         }
--- a/sidecar/src/main/java/peppergauge/sockets/ClientConnections.java
+++ b/sidecar/src/main/java/peppergauge/sockets/ClientConnections.java
@@ -1,9 +1,11 @@
 package peppergauge.sockets;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import peppergauge.log.Log;
 import peppergauge.overload.BackgroundTask;
@@ -18,8 +20,8 @@
 public final class ClientConnections implements EventLoop.AcceptGate {
 
     private static final long CAPACITY_POLL_MS = 2;
-    /** Connections evicted at once in a surge of new connections, which would overflow the kernel's accept queue. */
-    private static final int MAX_EVICTIONS_AT_ONCE = 16;
+    /** Places made in advance in a surge of new connections, which would overflow the kernel's accept queue. */
+    private static final int MAX_SPARE_PLACES = 16;
     /** Maximum share of the limit for idle connections that have had a single request. */
     private static final double SINGLE_REQUEST_SHARE = 0.25;
 
@@ -29,9 +31,16 @@
     private final OverloadController<EvictableConnection, ?> overload;
     private final ConnectionEvictionPolicy<EvictableConnection> eviction;
     private final Set<EvictableConnection> open = new LinkedHashSet<>();
+    /** Open connections that were evicted, until the reactor reports that they are closed. */
+    private final Set<EvictableConnection> evicted = new HashSet<>();
+
     private final int maxSingleRequest;
     /** Number of accepted connections that are not open yet: in {@link #awaitCapacity} or between it and onOpened. */
     private final AtomicInteger accepted = new AtomicInteger();
+    /** Number of accepted connections that wait for a place. */
+    private final AtomicInteger waiting = new AtomicInteger();
+    /** Whether {@link #evictForCapacity} is submitted and has not run: a late event loop must not evict for each poll. */
+    private final AtomicBoolean evictionSubmitted = new AtomicBoolean();
 
     private Runnable whenAllClosed;
 
@@ -64,29 +73,51 @@
             Thread.sleep((long) Math.ceil(ms));
         }
         if (!sockets.tryAcquire()) {
-            do {
-                loop.execute(this::evictForCapacity);
-            } while (!sockets.tryAcquire(CAPACITY_POLL_MS));
+            waiting.incrementAndGet();
+            try {
+                do {
+                    if (evictionSubmitted.compareAndSet(false, true)) {
+                        loop.execute(this::evictForCapacity);
+                    }
+                } while (!sockets.tryAcquire(CAPACITY_POLL_MS));
+            } finally {
+                waiting.decrementAndGet();
+            }
         }
     }
 
     /** Evicts connections; runs at the end of a round, after pending input has been read. */
     private void evictForCapacity() {
-        int evicted = 0;
+        evictionSubmitted.set(false);
+        if (waiting.get() == 0) {
+            return;
+        }
         double now = clock.nowMs();
-        while (evicted == 0 || evicted < MAX_EVICTIONS_AT_ONCE && eviction.hasLowPriorityConnection(now)) {
-            EvictableConnection next = eviction.nextToEvict(now);
+        while (placesOnTheWay() < MAX_SPARE_PLACES) {
+            EvictableConnection next = mayEvictServed() ? eviction.nextToEvict(now) : eviction.nextUnservedToEvict(now);
             if (next == null) {
                 return;
             }
             ConnectionEvictionPolicy.IdleState idle = eviction.lastIdle(next);
+            evicted.add(next);
             if (next.evict()) {
-                evicted++;
                 logEviction(idle, now);
+            } else {
+                evicted.remove(next);
             }
         }
     }
 
+    /** Number of places that are free, or will be once the sockets of evicted connections are released. */
+    private int placesOnTheWay() {
+        return sockets.freeOrClosed() + evicted.size();
+    }
+
+    /** Whether a client that was served may be evicted: only for a place that is needed now. */
+    private boolean mayEvictServed() {
+        return placesOnTheWay() < waiting.get();
+    }
+
     /** Evictions of clients that were served have an event of their own: the others are more, and limited in rate. */
     private void logEviction(ConnectionEvictionPolicy.IdleState idle, double nowMs) {
         Log.event(
@@ -138,6 +169,7 @@
     public void onClosed(EvictableConnection connection) {
         boolean removed = open.remove(connection);
         assert removed : "a connection ended twice, or was never opened: " + connection;
+        evicted.remove(connection);
         eviction.onClosed(connection);
         sockets.onSocketClosed();
         checkAllClosed();
--- a/sidecar/src/main/java/peppergauge/sockets/SocketLimit.java
+++ b/sidecar/src/main/java/peppergauge/sockets/SocketLimit.java
@@ -61,6 +61,11 @@
         assert isConsistent() : "a socket was closed twice, or not acquired: " + closedThisRound + " of " + limit;
     }
 
+    /** Number of sockets that are available, or will be once their descriptors are released. Event loop only. */
+    int freeOrClosed() {
+        return free.availablePermits() + closedThisRound.get() + closedBefore;
+    }
+
     /** Whether no more sockets are released than were acquired; other threads may only acquire meanwhile. */
     private boolean isConsistent() {
         return closedThisRound.get() + closedBefore + free.availablePermits() <= limit;
