Keep served clients while connections without a request are open or opening

Callers saw: beside load, a client that pauses 100 ms between two requests lost its connection although idle ones were open, or accepted and about to be opened.

Cause: a connection with one served request was selected while those without a byte were in their grace period of 5 ms; only recurring ones waited for them. And accepted connections that are not open yet were not counted: a late loop accepts a hundred before it opens one, and evicted clients in use meanwhile.

Evidence: served_connection_evicted class=recurring idle_ms=51 open=67 accepted=106 of 172 allowed; class=single_request idle_ms=111 open=67 accepted=106.

Change: both classes of served connections wait for the unserved ones, those in their grace period and those that are about to be opened.

--- a/sidecar/src/main/java/peppergauge/overload/ConnectionEvictionPolicy.java
+++ b/sidecar/src/main/java/peppergauge/overload/ConnectionEvictionPolicy.java
@@ -11,7 +11,8 @@
  * <p>Idle connections are classified by the requests received on them; the lowest class is evicted first, and within a
  * class the connection that has been idle longest. A connection is never evicted while a response is pending or a
  * request is being received by a client that was served before, nor within the grace period of its class, in which its
- * next request may be on its way.
+ * next request may be on its way. A connection of a client that was served is not evicted while one that was not may be
+ * evicted soon.
  *
  * <p>All methods are O(1); {@link #nextToEvict} checks one connection of each class. Times are in ms and
  * never go backwards. Calls for connections that were never opened or are closed do nothing. One thread only.
@@ -148,8 +149,8 @@
     }
 
     /**
-     * Selects the connection to close for a new one. A connection of the class {@link IdleClass#RECURRING} is selected
-     * only if no lower class may supply one soon. To be called after the input of a round was read. Each connection is selected
+     * Selects the connection to close for a new one. A connection of a client that was served is selected only if no
+     * lower class may supply one soon. To be called after the input of a round was read. Each connection is selected
      * once, until bytes or a response are reported for it.
      *
      * @return null if no connection may be closed now
@@ -160,8 +161,7 @@
             return unserved;
         }
         for (IdleClass idleClass : IdleClass.ALL) {
-            boolean mayWait = idleClass == IdleClass.RECURRING;
-            if (idleClass.isServed() && !(mayWait && mayEvictLowerClassSoon(idleClass))) {
+            if (idleClass.isServed() && !mayEvictLowerClassSoon(idleClass)) {
                 C connection = longestIdleAfterGrace(idleClass, nowMs);
                 if (connection != null) {
                     return connection;
--- a/sidecar/src/main/java/peppergauge/sockets/ClientConnections.java
+++ b/sidecar/src/main/java/peppergauge/sockets/ClientConnections.java
@@ -113,9 +113,13 @@
         return sockets.freeOrClosed() + evicted.size();
     }
 
-    /** Whether a client that was served may be evicted: only for a place that is needed now. */
+    /**
+     * Whether a client that was served may be evicted: only for a place that is needed now, and not while accepted
+     * connections are about to be opened, which have no request yet.
+     */
     private boolean mayEvictServed() {
-        return placesOnTheWay() < waiting.get();
+        boolean isAnyOpening = accepted.get() > waiting.get();
+        return !isAnyOpening && placesOnTheWay() < waiting.get();
     }
 
     /** Evictions of clients that were served have an event of their own: the others are more, and limited in rate. */
--- a/sidecar/src/test/java/peppergauge/overload/ConnectionEvictionPolicyPropertiesTest.java
+++ b/sidecar/src/test/java/peppergauge/overload/ConnectionEvictionPolicyPropertiesTest.java
@@ -1,5 +1,6 @@
 package peppergauge.overload;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -129,6 +131,23 @@
         assertNull(policy.nextToEvict(nowMs + 1_000));
     }
 
+    /** A client that pauses between its first two requests lost its connection to a burst of new ones. */
+    @Example
+    void servedClientsStayWhileConnectionWithoutBytesIsInItsGracePeriod() {
+        ConnectionEvictionPolicy<Integer> policy = new ConnectionEvictionPolicy<>();
+        for (int servedRequests = 1; servedRequests <= 2; servedRequests++) {
+            policy.onOpened(servedRequests, 0);
+            for (int request = 0; request < servedRequests; request++) {
+                policy.onRequestReceived(servedRequests);
+                policy.onResponseSent(servedRequests, 0, true);
+            }
+        }
+        policy.onOpened(0, 1_000);
+        assertNull(policy.nextToEvict(1_004));
+        assertEquals(0, policy.nextToEvict(1_006));
+        assertEquals(1, policy.nextToEvict(1_006));
+    }
+
     /** In recorded traffic, clients that opened a connection for each request and kept it ran out of connections. */
     @Property(seed = "3", tries = 20)
     void closesSingleRequestConnectionsOverLimit(@ForAll @IntRange(min = 1, max = 50) int maxConnections) {
--- a/sidecar/src/test/java/peppergauge/sockets/ClientConnectionsTest.java
+++ b/sidecar/src/test/java/peppergauge/sockets/ClientConnectionsTest.java
@@ -21,6 +21,7 @@
     private static final int MAX_SOCKETS = 4;
     private static final long CAPACITY_POLL_MS = 2;
     private static final long RECURRING_GRACE_MS = 50;
+    private static final long SINGLE_REQUEST_GRACE_MS = 100;
 
     private EventLoop loop;
     private ClientConnections clients;
@@ -79,6 +80,24 @@
         assertEquals(evicted.size(), 1, "connections evicted for one new connection");
     }
 
+    /** A late event loop had accepted many connections and opened none, and evicted clients in use for the next one. */
+    @Test
+    public void keepsServedConnectionsWhileAcceptedConnectionIsNotOpen() throws Exception {
+        loop.start(new EventLoop.RoundListener() {}, () -> {});
+        for (int i = 1; i < MAX_SOCKETS; i++) {
+            openServed(new ClosedInNextRound(), i % 2 + 1);
+        }
+        clients.awaitCapacity();
+        Thread.sleep(SINGLE_REQUEST_GRACE_MS + 1);
+        CompletableFuture<Void> accepting = CompletableFuture.runAsync(this::awaitCapacity);
+        Thread.sleep(20 * CAPACITY_POLL_MS);
+        assertEquals(evicted, List.of(), "connections evicted while one is about to be opened");
+        EvictableConnection withoutRequest = new ClosedInNextRound();
+        onLoop(() -> clients.onOpened(withoutRequest));
+        accepting.get(5, TimeUnit.SECONDS);
+        assertEquals(evicted, List.of(withoutRequest));
+    }
+
     private void openServed(EvictableConnection connection, int requests) throws Exception {
         clients.awaitCapacity();
         onLoop(() -> {
