Log which mechanism rejected a request, and by which figures

Need: the third of three pipelined requests was rejected with 700 ms left, and no log line said by whom. The overload controller, the server's limit and the queue deadline could not be told apart from outside.

Change: request_rejected names the load balancer's reason, how long the request had waited, what remained, and the service time from which its queue deadline follows; request_not_admitted names the overload controller's decision, queue delay and admitted share. Both are limited in rate as all events are. The reason travels in RejectRequest, so decisions stay free of I/O; wire and recordings do not contain it. Requests of the JVM's warm-up are not logged.

--- a/sidecar/src/main/java/peppergauge/JvmWarmUp.java
+++ b/sidecar/src/main/java/peppergauge/JvmWarmUp.java
@@ -68,6 +68,7 @@
                 new OverloadController<>(Sidecar.overloadConfig(settings, config.seed())),
                 settings.classes(),
                 REQUEST_TIMEOUT_MS);
+        dispatcher.disableRejectionLog();
         dispatcher.onEndpointUpdate(new EndpointUpdate(1, true, servers(address)));
         frontend.enableWarmUp(dispatcher, requestIdPrefix);
         Semaphore inFlightPermits = new Semaphore(MAX_IN_FLIGHT);
--- a/sidecar/src/main/java/peppergauge/decision/AdaptiveLoadBalancer.java
+++ b/sidecar/src/main/java/peppergauge/decision/AdaptiveLoadBalancer.java
@@ -134,7 +134,7 @@
         requests.put(request.id, request);
         double expiryMs = request.usefulUntilMs() - settings.tickMs();
         if (expiryMs <= nowMs) {
-            rejectOrFail(request);
+            rejectOrFail(request, RejectionReason.TOO_LATE);
             return;
         }
         setTimer(expiryMs, RequestTimers.Kind.REQUEST_EXPIRY, request);
@@ -158,7 +158,7 @@
             close(request);
         } else if (!request.isClosed && !request.isStreaming && request.openAttemptCount == 0) {
             if (retryPolicy.isCausedByRequest(ended.outcome(), nowMs)) {
-                rejectOrFail(request);
+                rejectOrFail(request, RejectionReason.CAUSED_FAILURE);
             } else {
                 sendOrEnqueue(request);
             }
@@ -245,7 +245,7 @@
         } else if (retryPolicy.mayWait(request, nowMs)) {
             enqueue(request);
         } else {
-            rejectOrFail(request);
+            rejectOrFail(request, RejectionReason.NO_FURTHER_ATTEMPT);
         }
     }
 
@@ -321,7 +321,7 @@
         if (idle != null) {
             send(request, idle);
         } else {
-            rejectOrFail(request);
+            rejectOrFail(request, RejectionReason.QUEUE_TIMEOUT);
         }
     }
 
@@ -338,12 +338,14 @@
             setTimer(request.deadlineMs - settings.tickMs(), RequestTimers.Kind.REQUEST_EXPIRY, request);
             return;
         }
-        rejectOrFail(request);
+        rejectOrFail(request, RejectionReason.EXPIRED);
     }
 
-    private void rejectOrFail(Request request) {
+    private void rejectOrFail(Request request, RejectionReason reason) {
         if (idempotency.mayReject(request)) {
-            actions.accept(new RejectRequest(request.id, loadShedding.retryAfterMs(request, nowMs)));
+            double retryAfterMs = loadShedding.retryAfterMs(request, nowMs);
+            double minServiceMs = loadShedding.minServiceMs(request, nowMs);
+            actions.accept(new RejectRequest(request.id, retryAfterMs, reason, minServiceMs));
         } else {
             actions.accept(new FailRequest(request.id));
         }
--- a/sidecar/src/main/java/peppergauge/overload/OverloadController.java
+++ b/sidecar/src/main/java/peppergauge/overload/OverloadController.java
@@ -126,6 +126,11 @@
         return admission.admittedShare();
     }
 
+    /** The minimum time that a request needs; one with less remaining time is not admitted, ms. */
+    public double minServiceMs(double nowMs) {
+        return admission.minServiceMs(nowMs);
+    }
+
     /** The minimum queue delay of the last interval, ms. */
     public double minQueueDelayMs() {
         return minQueueDelayMs;
--- a/sidecar/src/main/java/peppergauge/request/RequestAdmission.java
+++ b/sidecar/src/main/java/peppergauge/request/RequestAdmission.java
@@ -91,6 +91,7 @@
         if (decision == AdmissionDecision.ADMIT) {
             requests.open(request, pending.listener());
         } else {
+            requests.rejectionLog().notAdmitted(request, decision, overload);
             requests.rememberCompleted(request.id());
             double classDeadlineMs = classes.get(request.requestClass()).deadlineMs();
             double remainingMs = classDeadlineMs - (now - request.arrivedMs());
--- a/sidecar/src/main/java/peppergauge/request/RequestDispatcher.java
+++ b/sidecar/src/main/java/peppergauge/request/RequestDispatcher.java
@@ -58,6 +58,11 @@
         healthChecks = new HealthChecks(context, healthCheckTimeoutMs);
     }
 
+    /** Logs no rejections; for a dispatcher whose requests are not sent by clients. To be called before any request. */
+    public void disableRejectionLog() {
+        requests.rejectionLog().disable();
+    }
+
     @Override
     public void handle(IncomingRequest request, ResponseListener listener) {
         admission.submit(request, listener);
--- a/sidecar/src/main/java/peppergauge/request/RequestLifecycle.java
+++ b/sidecar/src/main/java/peppergauge/request/RequestLifecycle.java
@@ -34,6 +34,7 @@
     private final Clock clock;
     private final Scheduler scheduler;
     private final Runnable idleCheck;
+    private final RejectionLog rejectionLog;
 
     RequestLifecycle(DispatchContext context) {
         loadBalancer = context.loadBalancer();
@@ -41,6 +42,11 @@
         scheduler = context.scheduler();
         idleCheck = context.idleCheck();
         attempts = new AttemptLifecycle(this, context);
+        rejectionLog = new RejectionLog(clock);
+    }
+
+    RejectionLog rejectionLog() {
+        return rejectionLog;
     }
 
     AttemptLifecycle attempts() {
@@ -96,6 +102,7 @@
     void reject(RejectRequest action) {
         OpenRequest request = open.get(action.id());
         if (request != null && !request.hasResponded()) {
+            rejectionLog.rejected(request, action);
             reject(request, action.retryAfterMs());
             completeIfDone(request);
         }
--- a/sidecar/src/test/java/peppergauge/request/RequestLifecycleTest.java
+++ b/sidecar/src/test/java/peppergauge/request/RequestLifecycleTest.java
@@ -6,9 +6,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import peppergauge.decision.LoadBalancer.RejectRequest;
+import peppergauge.decision.LoadBalancer.RejectionReason;
+import peppergauge.log.Log;
 
 public class RequestLifecycleTest {
 
@@ -67,6 +70,23 @@
         assertEquals(request.state, RequestLifecycle.State.COMPLETED);
     }
 
+    /** A 503 with most of the time left could not be explained from the log. */
+    @Test
+    public void logsMechanismAndFiguresOfRejection() {
+        List<String> lines = new CopyOnWriteArrayList<>();
+        Log.Sink previous = Log.setSink((event, fields, dropped) -> lines.add(event + " " + fields));
+        try {
+            RequestLifecycle requests = requests(false);
+            requests.open(incoming("d"), new RecordingResponseListener(responses));
+            requests.reject(new RejectRequest("d", 0, RejectionReason.QUEUE_TIMEOUT, 120));
+        } finally {
+            Log.setSink(previous);
+        }
+        String expected = "request_rejected reason=queue_timeout request=d waited_ms=0 remaining_ms=300"
+                + " min_service_ms=120 attempts=0";
+        assertTrue(lines.contains(expected), "expected the line " + expected + " but was " + lines);
+    }
+
     @Test
     public void failsImmediatelyIfLoadBalancerThrows() {
         RequestLifecycle requests = requests(true);
