Shed no requests for delays that the machine and not they have caused

Callers saw: beside load, 503 for the third of three pipelined requests with 700 ms left, and for one of 20 clients that connect at once.

Cause: the overload controller counted samples that show no standing queue: of rounds in which no client was waiting, and several of one round that the machine interrupted. The admitted share fell to a half for as few as three requests.

Change: a round without input shows an empty queue; the samples of a round count for half an interval at most; nothing is shed while two rounds have fewer than 5 requests, the target of 15 ms divided by the 3 ms that a request takes at least (RFC 8289 has such a rule, which was missing).

Why it works: shedding only helps against delay by requests; fewer than these cannot cause it, and a queue that was empty in between is no standing one.

--- a/sidecar/src/main/java/peppergauge/overload/OverloadController.java
+++ b/sidecar/src/main/java/peppergauge/overload/OverloadController.java
@@ -22,6 +22,13 @@
     private final AcceptRateLimiter acceptRateLimiter = new AcceptRateLimiter();
     private final BackgroundTasks backgroundTasks = new BackgroundTasks();
     private final double intervalMs;
+    /** Fewer new requests than this in a round cannot have caused a delay above the target, however late the loop is. */
+    private final int minRequestsToShed;
+    /** Number of new requests of this round and of the previous one that were decided on. */
+    private int decidedInRound;
+
+    private int decidedInPreviousRound;
+
     private double intervalStartMs = Double.NaN;
     private double minQueueDelayMs;
 
@@ -32,12 +39,17 @@
         admission = new PriorityAdmission(config);
         retryAfter = new RetryAfter(config.mayAdviseRetryAfter() ? config.maxRetryAfterMs() : 0, config.seed());
         intervalMs = config.intervalMs();
+        minRequestsToShed = (int) Math.ceil(config.targetDelayMs() / MinServiceTime.MIN_ESTIMATE_MS);
     }
 
     /** Begins a round: its select has returned, with or without ready sockets. */
     public void onSelectReturned(double nowMs) {
+        decidedInPreviousRound = decidedInRound;
+        decidedInRound = 0;
         latency.onSelectReturned(nowMs);
+        standingQueue.endRound();
         recordDelay(nowMs, latency.queueDelayMs());
+        standingQueue.startRound();
     }
 
     /**
@@ -46,6 +58,10 @@
      * @param hasRead whether anything was read in the round
      */
     public void onRoundEnded(double nowMs, boolean hasRead) {
+        if (!hasRead && latency.stalledMs() == 0) {
+            // Nothing waited for this round, however late its select was.
+            recordDelay(nowMs, 0);
+        }
         latency.onRoundEnded(nowMs, hasRead);
     }
 
@@ -85,7 +101,10 @@
         // The queue grows during a long round: this is CoDel's sample at the head of the queue.
         double queueDelayMs = nowMs - latency.earliestArrivalMs();
         recordDelay(nowMs, queueDelayMs);
-        return admission.decide(nowMs, queueDelayMs, request);
+        decidedInRound++;
+        int requests = Math.max(decidedInPreviousRound, decidedInRound + queue.size());
+        boolean mayShed = requests >= minRequestsToShed;
+        return admission.decide(nowMs, queueDelayMs, mayShed, request);
     }
 
     /**
