Reject no waiting request by a service time that nobody has measured

Callers saw: 503 after 120 ms for a request with 780 ms left, at a sidecar whose only server was about to answer; the rarer of two causes of a failing acceptsInputByteByByteAndRespondsInOrder.

Cause: a waiting request is rejected after one expected service time if its client can retry in time. Before the first response that time is assumed: a quarter of the first class's latency objective, times 1.2.

Evidence: request_rejected reason=queue_timeout request=t3 waited_ms=208 remaining_ms=692 min_service_ms=120 attempts=0; a trial with the state in the line showed no latency sample and two attempts open at the one server.

Change: at its queue deadline a request goes on waiting for another service time, as long as no latency is measured and it can still be served in time.

Measured: the new test is rejected at 120 ms without the change.

--- a/sidecar/src/main/java/peppergauge/decision/AdaptiveLoadBalancer.java
+++ b/sidecar/src/main/java/peppergauge/decision/AdaptiveLoadBalancer.java
@@ -320,6 +320,11 @@
         Server idle = request.remainingMs(nowMs) > 0 ? selector.select(request, true, nowMs) : null;
         if (idle != null) {
             send(request, idle);
+            return;
+        }
+        double extendedMs = loadShedding.extendedQueueDeadlineMs(request, nowMs);
+        if (extendedMs > nowMs) {
+            setTimer(extendedMs, RequestTimers.Kind.QUEUE_TIMEOUT, request);
         } else {
             rejectOrFail(request, RejectionReason.QUEUE_TIMEOUT);
         }
--- a/sidecar/src/main/java/peppergauge/decision/LatencyEstimator.java
+++ b/sidecar/src/main/java/peppergauge/decision/LatencyEstimator.java
@@ -206,6 +206,11 @@
         return (idleLatency.sum(nowMs) + initialMs * INITIAL_WEIGHT) / (idleLatency.weight(nowMs) + INITIAL_WEIGHT);
     }
 
+    /** Whether the idle latency is measured rather than only assumed. */
+    boolean isMeasured() {
+        return idleLatency.lastWeight() > 0;
+    }
+
     /** The unloaded latency of all servers as of the last response, ms; infinite while unknown. */
     double unloadedMs() {
         return unloadedMs;
--- a/sidecar/src/main/java/peppergauge/decision/LoadShedding.java
+++ b/sidecar/src/main/java/peppergauge/decision/LoadShedding.java
@@ -38,6 +38,18 @@
         return mayRetryInTime ? Math.min(lastMs, request.arrivedMs + serviceMs) : lastMs;
     }
 
+    /**
+     * Until when a pending request may wait after its queue deadline, ms; {@code nowMs} if no longer. Before the first
+     * response the service time is only assumed, which is no reason to reject a request that can still be served.
+     */
+    double extendedQueueDeadlineMs(Request request, double nowMs) {
+        if (latency.isMeasured()) {
+            return nowMs;
+        }
+        double serviceMs = minServiceMs(request, nowMs);
+        return Math.max(nowMs, Math.min(request.usefulUntilMs() - serviceMs, nowMs + serviceMs));
+    }
+
     /** Whether a client that is rejected at {@code rejectedMs} can retry and be served in time. */
     private boolean canRetryInTime(Request request, double rejectedMs, double nowMs) {
         double serviceMs = minServiceMs(request, nowMs);
--- a/sidecar/src/test/java/peppergauge/decision/AdaptiveLoadBalancerTest.java
+++ b/sidecar/src/test/java/peppergauge/decision/AdaptiveLoadBalancerTest.java
@@ -15,6 +15,8 @@
 import peppergauge.decision.LoadBalancer.AttemptEnded;
 import peppergauge.decision.LoadBalancer.CancelAttempt;
 import peppergauge.decision.LoadBalancer.DiscoveryFailed;
+import peppergauge.decision.LoadBalancer.Idempotency;
+import peppergauge.decision.LoadBalancer.KeyScope;
 import peppergauge.decision.LoadBalancer.Limits;
 import peppergauge.decision.LoadBalancer.OpenWatch;
 import peppergauge.decision.LoadBalancer.Outcome;
@@ -30,6 +32,10 @@
 class AdaptiveLoadBalancerTest {
 
     private static Settings singleInstance(boolean reports, boolean watch) {
+        return singleInstance(reports, watch, ScriptedLoadBalancer.IDEMPOTENT);
+    }
+
+    private static Settings singleInstance(boolean reports, boolean watch, RequestClass requestClass) {
         return new Settings(
                 0,
                 1,
@@ -37,7 +43,7 @@
                 1,
                 watch,
                 0.1,
-                List.of(ScriptedLoadBalancer.IDEMPOTENT),
+                List.of(requestClass),
                 List.of(),
                 new Limits(4, true, true, false, true, 1500, false, 15_000),
                 new Rules(0.12, 24_000, 2.5, 3_000, true, LoadBalancer.RetryBudgetConfig.UNLIMITED),
@@ -191,6 +197,21 @@
         assertTrue(retryAfterMs > 400, "expected Retry-After over 400 ms but was " + retryAfterMs);
     }
 
+    /** The third of three pipelined requests was rejected by a service time that nobody had measured yet. */
+    @Test
+    void keepsPendingRequestBeforeFirstResponse() {
+        RequestClass usefulUntilDeadline =
+                new RequestClass(400, 1_000, 9, 0.3, Idempotency.NON_IDEMPOTENT, KeyScope.ALL, 0);
+        ScriptedLoadBalancer scripted = new ScriptedLoadBalancer(singleInstance(true, false, usefulUntilDeadline), 3);
+        scripted.updateEndpoints(true, ScriptedLoadBalancer.servers(1));
+        scripted.request("a", 0);
+        scripted.request("b", 0);
+        assertTrue(only(SendAttempt.class, scripted.request("c", 0)).isEmpty());
+        assertTrue(only(RejectRequest.class, scripted.advance(120)).isEmpty());
+        List<LoadBalancer.Action> answer = scripted.end("a", 0, "s0", Outcome.SUCCESS, 120);
+        assertEquals("c", only(SendAttempt.class, answer).get(0).id());
+    }
+
     @Test
     void sendsNewestPendingRequestFirst() {
         ScriptedLoadBalancer scripted = ScriptedLoadBalancer.withServers(1);
