Check that exactly the tests in KNOWN-RED.txt are excluded from builds

Need: a test in the excluded group that nobody lists was passed over silently.

Change: a test of the lab compares the annotations in all test sources with the entries, and checks that an entry names test, observation, command and issue. An annotation in another form, which it would not find, fails as well.

--- /dev/null
+++ b/lab/src/test/java/peppergauge/lab/KnownRedTest.java
@@ -0,0 +1,79 @@
+package peppergauge.lab;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+
+/** Checks that exactly the tests that {@code KNOWN-RED.txt} names are excluded from builds, and its entries' form. */
+public class KnownRedTest {
+
+    private static final Path ROOT = Path.of("..");
+    /** An annotation with the excluded group, by any spelling of its attribute, and the name of the method under it. */
+    private static final Pattern EXCLUDED_TEST = Pattern.compile("@Test\\([^)]*\"known-"
+            + "red\"[^)]*\\)\\s*(?:@\\w+(?:\\([^)]*\\))?\\s*)*" + "(?:public\\s+)?void\\s+(\\w+)");
+
+    /** {@code Class.method: what was seen, with the command; issue N}. */
+    private static final Pattern ENTRY =
+            Pattern.compile("(\\w+\\.\\w+): .{20,}; mvn .*-Dtest=.*; issue \\d+", Pattern.DOTALL);
+
+    @Test
+    public void excludedTestsAreExactlyThoseListed() throws IOException {
+        SortedSet<String> listed = new TreeSet<>();
+        for (String entry : entries()) {
+            listed.add(entry.substring(0, Math.max(0, entry.indexOf(':'))));
+        }
+        assertEquals(excludedTests(), listed, "tests of the group known-" + "red");
+    }
+
+    @Test
+    public void entriesNameTestObservationCommandAndIssue() throws IOException {
+        for (String entry : entries()) {
+            assertTrue(ENTRY.matcher(entry).matches(), "expected Class.method: seen; mvn command; issue N: " + entry);
+        }
+    }
+
+    /** An annotation in another form would be excluded from builds without being found by this test. */
+    @Test
+    public void groupIsNamedInAnnotationsOfTestsOnly() throws IOException {
+        int named = 0;
+        for (Path source : testSources()) {
+            named += Files.readString(source).split("\"known-" + "red\"", -1).length - 1;
+        }
+        assertEquals(named, excludedTests().size(), "places that name the group in test sources");
+    }
+
+    private static List<String> entries() throws IOException {
+        return Files.readAllLines(ROOT.resolve("KNOWN-RED.txt")).stream()
+                .filter(line -> !line.isBlank())
+                .toList();
+    }
+
+    private static SortedSet<String> excludedTests() throws IOException {
+        SortedSet<String> excluded = new TreeSet<>();
+        for (Path source : testSources()) {
+            String className = source.getFileName().toString().replace(".java", "");
+            Matcher matcher = EXCLUDED_TEST.matcher(Files.readString(source));
+            while (matcher.find()) {
+                excluded.add(className + "." + matcher.group(1));
+            }
+        }
+        return excluded;
+    }
+
+    private static List<Path> testSources() throws IOException {
+        try (Stream<Path> files =
+                Files.find(ROOT, 20, (path, attributes) -> path.toString().matches(".*/src/test/java/.*\\.java"))) {
+            return files.toList();
+        }
+    }
+}
