--- a/lab/src/test/java/peppergauge/lab/emulator/LoadBalancerFault.java
+++ b/lab/src/test/java/peppergauge/lab/emulator/LoadBalancerFault.java
@@ -14,6 +14,7 @@
 import peppergauge.decision.LoadBalancer.Outcome;
 import peppergauge.decision.LoadBalancer.SendAttempt;
 import peppergauge.decision.LoadBalancer.Settings;
+import peppergauge.decision.RejectionCause;
 
 /** Planted faults that each disable one guard of the load balancer, by changing its events or its actions. */
 enum LoadBalancerFault implements PlantedFault {
@@ -73,7 +74,7 @@
             event -> event,
             (action, servers) -> List.of(
                     action instanceof LoadBalancer.FailRequest fail
-                            ? new LoadBalancer.RejectRequest(fail.id(), 0)
+                            ? new LoadBalancer.RejectRequest(fail.id(), 0, RejectionCause.UNSPECIFIED)
                             : action)),
 
     /** Throws an exception at each rejection. */
--- a/sidecar/src/main/java/peppergauge/decision/AdaptiveLoadBalancer.java
+++ b/sidecar/src/main/java/peppergauge/decision/AdaptiveLoadBalancer.java
@@ -134,7 +134,7 @@
         requests.put(request.id, request);
         double expiryMs = request.usefulUntilMs() - settings.tickMs();
         if (expiryMs <= nowMs) {
-            rejectOrFail(request, RejectionReason.TOO_LATE);
+            rejectOrFail(request, RejectionCause.Reason.TOO_LATE);
             return;
         }
         setTimer(expiryMs, RequestTimers.Kind.REQUEST_EXPIRY, request);
@@ -158,7 +158,7 @@
             close(request);
         } else if (!request.isClosed && !request.isStreaming && request.openAttemptCount == 0) {
             if (retryPolicy.isCausedByRequest(ended.outcome(), nowMs)) {
-                rejectOrFail(request, RejectionReason.CAUSED_FAILURE);
+                rejectOrFail(request, RejectionCause.Reason.CAUSED_FAILURE);
             } else {
                 sendOrEnqueue(request);
             }
@@ -245,7 +245,7 @@
         } else if (retryPolicy.mayWait(request, nowMs)) {
             enqueue(request);
         } else {
-            rejectOrFail(request, RejectionReason.NO_FURTHER_ATTEMPT);
+            rejectOrFail(request, RejectionCause.Reason.NO_FURTHER_ATTEMPT);
         }
     }
 
@@ -326,7 +326,7 @@
         if (extendedMs > nowMs) {
             setTimer(extendedMs, RequestTimers.Kind.QUEUE_TIMEOUT, request);
         } else {
-            rejectOrFail(request, RejectionReason.QUEUE_TIMEOUT);
+            rejectOrFail(request, RejectionCause.Reason.QUEUE_TIMEOUT);
         }
     }
 
@@ -343,14 +343,14 @@
             setTimer(request.deadlineMs - settings.tickMs(), RequestTimers.Kind.REQUEST_EXPIRY, request);
             return;
         }
-        rejectOrFail(request, RejectionReason.EXPIRED);
+        rejectOrFail(request, RejectionCause.Reason.EXPIRED);
     }
 
-    private void rejectOrFail(Request request, RejectionReason reason) {
+    private void rejectOrFail(Request request, RejectionCause.Reason reason) {
         if (idempotency.mayReject(request)) {
             double retryAfterMs = loadShedding.retryAfterMs(request, nowMs);
-            double minServiceMs = loadShedding.minServiceMs(request, nowMs);
-            actions.accept(new RejectRequest(request.id, retryAfterMs, reason, minServiceMs));
+            RejectionCause cause = new RejectionCause(reason, loadShedding.minServiceMs(request, nowMs));
+            actions.accept(new RejectRequest(request.id, retryAfterMs, cause));
         } else {
             actions.accept(new FailRequest(request.id));
         }
--- a/sidecar/src/main/java/peppergauge/decision/LoadBalancer.java
+++ b/sidecar/src/main/java/peppergauge/decision/LoadBalancer.java
@@ -362,37 +362,13 @@
     /** Send an attempt and wait {@code timeoutMs} for its response. A request's attempts are numbered from 0. */
     record SendAttempt(String id, String server, double timeoutMs) implements Action {}
 
-    /** Why a request was rejected. */
-    enum RejectionReason {
-        /** It arrived with too little time for any response to be useful. */
-        TOO_LATE,
-        /** It waited until its queue deadline, and then no server was idle. */
-        QUEUE_TIMEOUT,
-        /** The time in which a response is useful is over. */
-        EXPIRED,
-        /** Its attempts, or the retry budget, are used up. */
-        NO_FURTHER_ATTEMPT,
-        /** It has probably caused the failure of its attempt itself. */
-        CAUSED_FAILURE,
-        /** Not told by the load balancer. */
-        UNSPECIFIED
-    }
-
     /**
      * Answer the client that the request was rejected and may safely be retried.
      *
      * @param retryAfterMs time after which the client may retry, ms; 0 if the response carries no Retry-After
-     * @param reason for the log
-     * @param minServiceMs estimated time that an attempt needs to succeed, from which its queue deadline follows, ms
+     * @param cause for the log
      */
-    record RejectRequest(String id, double retryAfterMs, RejectionReason reason, double minServiceMs)
-            implements Action {
-
-        /** A rejection without a reason. */
-        public RejectRequest(String id, double retryAfterMs) {
-            this(id, retryAfterMs, RejectionReason.UNSPECIFIED, 0);
-        }
-    }
+    record RejectRequest(String id, double retryAfterMs, RejectionCause cause) implements Action {}
 
     /** Answer the client that the request failed and may have been executed. */
     record FailRequest(String id) implements Action {}
--- a/sidecar/src/main/java/peppergauge/overload/OverloadController.java
+++ b/sidecar/src/main/java/peppergauge/overload/OverloadController.java
@@ -22,7 +22,7 @@
     private final AcceptRateLimiter acceptRateLimiter = new AcceptRateLimiter();
     private final BackgroundTasks backgroundTasks = new BackgroundTasks();
     private final double intervalMs;
-    /** Fewer new requests than this in a round cannot have caused a delay above the target, however late the loop is. */
+    /** Fewer new requests than this in a round cannot have caused a delay above the target. */
     private final int minRequestsToShed;
     /** Number of new requests of this round and of the previous one that were decided on. */
     private int decidedInRound;
--- a/sidecar/src/main/java/peppergauge/request/RejectionLog.java
+++ b/sidecar/src/main/java/peppergauge/request/RejectionLog.java
@@ -33,7 +33,7 @@
             Log.event(
                     "request_rejected",
                     "reason",
-                    lowerCase(rejection.reason()),
+                    lowerCase(rejection.cause().reason()),
                     "request",
                     request.id(),
                     "waited_ms",
@@ -41,7 +41,7 @@
                     "remaining_ms",
                     Math.round(request.incoming.deadlineMs() - now),
                     "min_service_ms",
-                    Math.round(rejection.minServiceMs()),
+                    Math.round(rejection.cause().minServiceMs()),
                     "attempts",
                     request.attempts.size());
         }
--- a/sidecar/src/main/java/peppergauge/sockets/ClientConnections.java
+++ b/sidecar/src/main/java/peppergauge/sockets/ClientConnections.java
@@ -39,7 +39,7 @@
     private final AtomicInteger accepted = new AtomicInteger();
     /** Number of accepted connections that wait for a place. */
     private final AtomicInteger waiting = new AtomicInteger();
-    /** Whether {@link #evictForCapacity} is submitted and has not run: a late event loop must not evict for each poll. */
+    /** Whether {@link #evictForCapacity} is submitted and has not run: a late loop must not evict for each poll. */
     private final AtomicBoolean evictionSubmitted = new AtomicBoolean();
 
     private Runnable whenAllClosed;
--- a/sidecar/src/test/java/peppergauge/invariant/Mutant.java
+++ b/sidecar/src/test/java/peppergauge/invariant/Mutant.java
@@ -35,6 +35,7 @@
 import peppergauge.decision.LoadBalancer.SendAttempt;
 import peppergauge.decision.LoadBalancer.Settings;
 import peppergauge.decision.LoadBalancer.TimerFired;
+import peppergauge.decision.RejectionCause;
 
 /** Faults of a load balancer in its settings, events, actions or exported state, and the invariants they violate. */
 enum Mutant {
@@ -117,7 +118,8 @@
                                     ended.localDelayMs()))),
     REJECTS_WHAT_MAY_HAVE_RUN(
             Invariant.REFUSED_WHAT_RAN,
-            changedAction(FailRequest.class, failure -> new RejectRequest(failure.id(), 0))),
+            changedAction(
+                    FailRequest.class, failure -> new RejectRequest(failure.id(), 0, RejectionCause.UNSPECIFIED))),
     SENDS_TO_A_DRAINING_SERVER(Invariant.SERVER, treatedAsReady(EndpointState.DRAINING)),
     SENDS_TO_A_REMOVED_SERVER(Invariant.SERVER, treatedAsReady(EndpointState.REMOVED)),
     SENDS_TO_AN_UNKNOWN_SERVER(
--- a/sidecar/src/test/java/peppergauge/request/RequestLifecycleTest.java
+++ b/sidecar/src/test/java/peppergauge/request/RequestLifecycleTest.java
@@ -10,7 +10,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import peppergauge.decision.LoadBalancer.RejectRequest;
-import peppergauge.decision.LoadBalancer.RejectionReason;
+import peppergauge.decision.RejectionCause;
 import peppergauge.log.Log;
 
 public class RequestLifecycleTest {
@@ -63,8 +63,8 @@
         RecordingResponseListener listener = new RecordingResponseListener(responses);
         requests.open(incoming("b"), listener);
         OpenRequest request = requests.find("b");
-        requests.reject(new RejectRequest("b", 0));
-        requests.reject(new RejectRequest("b", 0));
+        requests.reject(new RejectRequest("b", 0, RejectionCause.UNSPECIFIED));
+        requests.reject(new RejectRequest("b", 0, RejectionCause.UNSPECIFIED));
         requests.onClientDisconnected(request, listener);
         assertEquals(responses, List.of("rejected"));
         assertEquals(request.state, RequestLifecycle.State.COMPLETED);
@@ -78,7 +78,7 @@
         try {
             RequestLifecycle requests = requests(false);
             requests.open(incoming("d"), new RecordingResponseListener(responses));
-            requests.reject(new RejectRequest("d", 0, RejectionReason.QUEUE_TIMEOUT, 120));
+            requests.reject(new RejectRequest("d", 0, new RejectionCause(RejectionCause.Reason.QUEUE_TIMEOUT, 120)));
         } finally {
             Log.setSink(previous);
         }
