Take back the mend of shedding, which costs service while sidecars restart

Cause, suspected only: a request takes 3 ms at least, but more in a cold JVM with a share of a core; five requests may well cause a delay there, and rejecting them early served more.

--- a/sidecar/src/main/java/peppergauge/overload/OverloadController.java
+++ b/sidecar/src/main/java/peppergauge/overload/OverloadController.java
@@ -22,13 +22,6 @@
     private final AcceptRateLimiter acceptRateLimiter = new AcceptRateLimiter();
     private final BackgroundTasks backgroundTasks = new BackgroundTasks();
     private final double intervalMs;
-    /** Fewer new requests than this in a round cannot have caused a delay above the target. */
-    private final int minRequestsToShed;
-    /** Number of new requests of this round and of the previous one that were decided on. */
-    private int decidedInRound;
-
-    private int decidedInPreviousRound;
-
     private double intervalStartMs = Double.NaN;
     private double minQueueDelayMs;
 
@@ -39,17 +32,12 @@
         admission = new PriorityAdmission(config);
         retryAfter = new RetryAfter(config.mayAdviseRetryAfter() ? config.maxRetryAfterMs() : 0, config.seed());
         intervalMs = config.intervalMs();
-        minRequestsToShed = (int) Math.ceil(config.targetDelayMs() / MinServiceTime.MIN_ESTIMATE_MS);
     }
 
     /** Begins a round: its select has returned, with or without ready sockets. */
     public void onSelectReturned(double nowMs) {
-        decidedInPreviousRound = decidedInRound;
-        decidedInRound = 0;
         latency.onSelectReturned(nowMs);
-        standingQueue.endRound();
         recordDelay(nowMs, latency.queueDelayMs());
-        standingQueue.startRound();
     }
 
     /**
@@ -58,10 +46,6 @@
      * @param hasRead whether anything was read in the round
      */
     public void onRoundEnded(double nowMs, boolean hasRead) {
-        if (!hasRead && latency.stalledMs() == 0) {
-            // Nothing waited for this round, however late its select was.
-            recordDelay(nowMs, 0);
-        }
         latency.onRoundEnded(nowMs, hasRead);
     }
 
@@ -101,10 +85,7 @@
         // The queue grows during a long round: this is CoDel's sample at the head of the queue.
         double queueDelayMs = nowMs - latency.earliestArrivalMs();
         recordDelay(nowMs, queueDelayMs);
-        decidedInRound++;
-        int requests = Math.max(decidedInPreviousRound, decidedInRound + queue.size());
-        boolean mayShed = requests >= minRequestsToShed;
-        return admission.decide(nowMs, queueDelayMs, mayShed, request);
+        return admission.decide(nowMs, queueDelayMs, request);
     }
 
     /**
--- a/sidecar/src/main/java/peppergauge/overload/PriorityAdmission.java
+++ b/sidecar/src/main/java/peppergauge/overload/PriorityAdmission.java
@@ -48,17 +48,16 @@
      * Decides on a request and counts it in the histogram.
      *
      * @param queueDelayMs how long the request may have waited since its arrival
-     * @param mayShed whether enough requests wait for shedding to shorten the delay
      */
-    AdmissionDecision decide(double nowMs, double queueDelayMs, boolean mayShed, AdmissionRequest request) {
+    AdmissionDecision decide(double nowMs, double queueDelayMs, AdmissionRequest request) {
         if (request.remainingMs() < minServiceTime.estimateMs(nowMs)) {
             return AdmissionDecision.TOO_LATE;
         }
         int priority = priorities.of(request.requestClass(), request.clientRetry(), request.overQuota());
         int level = priority * LEVELS_PER_PRIORITY + levelWithinPriority(request.id());
         histogram.record(level);
-        // As in CoDel, nothing is shed that has waited for less than the target, nor from a queue that is too short.
-        if (level < admittedLevels || queueDelayMs <= targetDelayMs || !mayShed) {
+        // As in CoDel, nothing is shed that has waited for less than the target.
+        if (level < admittedLevels || queueDelayMs <= targetDelayMs) {
             return AdmissionDecision.ADMIT;
         }
         shedSinceTrial[priority] = (shedSinceTrial[priority] + 1) % TRIAL_INTERVAL;
--- a/sidecar/src/main/java/peppergauge/overload/StandingQueueDetector.java
+++ b/sidecar/src/main/java/peppergauge/overload/StandingQueueDetector.java
@@ -5,9 +5,8 @@
  * CoDel (Nichols and Jacobson, "Controlling Queue Delay", ACM Queue 10(5), 2012; RFC 8289, sections 3.1 and 3.2),
  * which distinguishes a standing queue from a burst by the minimum delay.
  *
- * <p>The time between two samples counts for half an interval at most, and so do all samples within a round, so that
- * neither a pause of the process followed by one round nor a single long round counts as a standing queue. One thread
- * only.
+ * <p>The time between two samples counts for half an interval at most, so that a pause of the process followed by one
+ * round does not count as a standing queue. One thread only.
  */
 public final class StandingQueueDetector {
 
@@ -17,9 +16,6 @@
     /** For how long the delay has been above the target without interruption; -1 if it is not. */
     private double aboveTargetMs = -1;
 
-    /** How much more time the samples of the present round may count; unlimited before the first round. */
-    private double roundBudgetMs = Double.POSITIVE_INFINITY;
-
     private double minDelayMs = Double.POSITIVE_INFINITY;
     private boolean wasWithinTarget;
 
@@ -35,16 +31,6 @@
         this.intervalMs = intervalMs;
     }
 
-    /** Ends a round, before the sample of the next select. */
-    public void endRound() {
-        roundBudgetMs = Double.POSITIVE_INFINITY;
-    }
-
-    /** Starts a round, after the sample of its select. */
-    public void startRound() {
-        roundBudgetMs = intervalMs / 2;
-    }
-
     /** Records the delay of the task that is taken from the queue now; 0 if the queue is empty. */
     public void recordDelay(double nowMs, double delayMs) {
         if (delayMs <= targetDelayMs) {
@@ -54,9 +40,7 @@
             aboveTargetMs = 0;
             minDelayMs = delayMs;
         } else {
-            double countedMs = Math.max(0, Math.min(nowMs - recordedMs, Math.min(intervalMs / 2, roundBudgetMs)));
-            aboveTargetMs += countedMs;
-            roundBudgetMs -= countedMs;
+            aboveTargetMs += Math.max(0, Math.min(nowMs - recordedMs, intervalMs / 2));
         }
         minDelayMs = Math.min(minDelayMs, delayMs);
         assert aboveTargetMs == -1 || aboveTargetMs >= 0 : "negative time above the target: " + aboveTargetMs + " ms";
