Review: a late second answer is served to other clients

Cause: after an answer the connection to the episode server is reused at once. If the server is in another zone (12 ms one way) and sends a second copy of an answer 5 ms after the first, the next request is on its way by then, and the copy is taken for its answer. The connection stays off by one from then on.

KnownRedTest knows a second form of entry for cases of the review, review/N: seen; review/N/run.sh; issue N, and checks that exactly the cases that have a script are listed. Nothing else is changed outside review/.

--- a/lab/src/test/java/peppergauge/lab/KnownRedTest.java
+++ b/lab/src/test/java/peppergauge/lab/KnownRedTest.java
@@ -14,7 +14,10 @@
 import java.util.stream.Stream;
 import org.testng.annotations.Test;
 
-/** Checks that exactly the tests that {@code KNOWN-RED.txt} names are excluded from builds, and its entries' form. */
+/**
+ * Checks that exactly the tests that {@code KNOWN-RED.txt} names are excluded from builds, that it names exactly the
+ * cases of the review, and its entries' form.
+ */
 public class KnownRedTest {
 
     private static final Path ROOT = Path.of("..");
@@ -26,18 +29,37 @@
     private static final Pattern ENTRY =
             Pattern.compile("(\\w+\\.\\w+): .{20,}; mvn .*-Dtest=.*; issue \\d+", Pattern.DOTALL);
 
+    private static final String REVIEW_PREFIX = "review/";
+    /** {@code review/N: what was seen; review/N/run.sh; issue N}. */
+    private static final Pattern REVIEW_ENTRY =
+            Pattern.compile("(review/\\d+): .{20,}; \\1/run\\.sh; issue \\d+", Pattern.DOTALL);
+
     @Test
     public void excludedTestsAreExactlyThoseListed() throws IOException {
         SortedSet<String> listed = new TreeSet<>();
-        for (String entry : entries()) {
-            listed.add(entry.substring(0, Math.max(0, entry.indexOf(':'))));
+        for (String entry : testEntries()) {
+            listed.add(name(entry));
         }
         assertEquals(excludedTests(), listed, "tests of the group known-" + "red");
     }
 
     @Test
-    public void entriesNameTestObservationCommandAndIssue() throws IOException {
+    public void reviewCasesAreExactlyThoseListed() throws IOException {
+        SortedSet<String> listed = new TreeSet<>();
         for (String entry : entries()) {
+            if (entry.startsWith(REVIEW_PREFIX)) {
+                assertTrue(listed.add(name(entry)), "listed twice: " + entry);
+                assertTrue(
+                        REVIEW_ENTRY.matcher(entry).matches(),
+                        "expected review/N: seen; review/N/run.sh; issue N: " + entry);
+            }
+        }
+        assertEquals(reviewCases(), listed, "cases of the review with a script run.sh");
+    }
+
+    @Test
+    public void entriesNameTestObservationCommandAndIssue() throws IOException {
+        for (String entry : testEntries()) {
             assertTrue(ENTRY.matcher(entry).matches(), "expected Class.method: seen; mvn command; issue N: " + entry);
         }
     }
@@ -58,6 +80,29 @@
                 .toList();
     }
 
+    private static List<String> testEntries() throws IOException {
+        return entries().stream()
+                .filter(entry -> !entry.startsWith(REVIEW_PREFIX))
+                .toList();
+    }
+
+    private static String name(String entry) {
+        return entry.substring(0, Math.max(0, entry.indexOf(':')));
+    }
+
+    /** The folders of the review that have a script, by the names under which they are listed. */
+    private static SortedSet<String> reviewCases() throws IOException {
+        SortedSet<String> cases = new TreeSet<>();
+        Path review = ROOT.resolve("review");
+        if (Files.isDirectory(review)) {
+            try (Stream<Path> folders = Files.list(review)) {
+                folders.filter(folder -> Files.isRegularFile(folder.resolve("run.sh")))
+                        .forEach(folder -> cases.add(REVIEW_PREFIX + folder.getFileName()));
+            }
+        }
+        return cases;
+    }
+
     private static SortedSet<String> excludedTests() throws IOException {
         SortedSet<String> excluded = new TreeSet<>();
         for (Path source : testSources()) {
