Review: a killed instance's request is sent by its successor

Cause: the adapter (sim in the deploy file) keeps one list of actions for all events of a batch. If an instance is killed and created anew in the batch in which a request has reached it, the reply has the new instance dispatch the request that died with the old one.

No code of the project is changed.

--- a/review/standins/Kit.java
+++ b/review/standins/Kit.java
@@ -144,6 +144,24 @@
         return process;
     }
 
+    /** Starts the command {@code sim} of the deploy file, whose standard streams are the wire. */
+    static Process startAdapter(Path root, Path folder) throws IOException {
+        Matcher sim = Pattern.compile("(?m)^sim = \"(.*)\"$").matcher(Files.readString(root.resolve("deploy/balancer.toml")));
+        if (!sim.find()) {
+            throw new IOException("deploy/balancer.toml has no sim");
+        }
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", sim.group(1).replace("\\\"", "\""));
+        builder.directory(root.toFile());
+        builder.environment().keySet().removeIf(key -> key.startsWith("JDK_JAVA") || key.startsWith("JAVA_TOOL"));
+        builder.redirectError(new File(folder.toFile(), "adapter.log"));
+        Process process = builder.start();
+        synchronized (Kit.class) {
+            STARTED.add(process);
+        }
+        log("adapter_started", "pid", process.pid());
+        return process;
+    }
+
     /** Waits until GET /up is answered with 200. */
     static boolean awaitReady(int port, double timeoutMs) {
         double end = ms() + timeoutMs;
