Use no connection again until copies of its response have had time to come

Nothing was logged.

Cause: a connection to a server was leased for the next request as soon as a response was complete. A second copy that the server sent some ms later met that request on its way and was read as its response; each later response went to the request after its own.

Evidence: HttpBackendSocketTest sends surplus input only after the next request was started.

Change: QuietPeriod keeps a connection from being leased for 100 ms after a response. Input in that time is logged (unexpected_backend_input, with time and total) and closes the connection. A lease takes a rested connection, else a new one; a full pool closes the one that was idle longest. A connection on which nothing was written needs no quiet period. The warm-up has a backend of its own without one, since it sends to its own listener.

Why it works: no request is on its way while a copy can come.

--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -49,6 +49,14 @@
     private static final int RESERVED_DESCRIPTORS = 40;
 
     private static final long MAX_WARM_UP_MS = 1_000;
+    /** Maximum number of connections of the warm-up to this program's own listener. */
+    private static final int MAX_WARM_UP_CONNECTIONS = 16;
+    /**
+     * Time after a response for which its connection to a backend server is not used for another request. Backend
+     * servers may send a second copy of a response some milliseconds late.
+     */
+    private static final double QUIET_PERIOD_MS = 100;
+
     private static final double DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 
     private volatile Config config;
@@ -95,7 +103,7 @@
         ClientConnections clients = new ClientConnections(loop, maxConnections, clock, overload);
         context = new SidecarExtension.Context(config, settings, names, clock, loop, overload, clients);
         largeBodies = extension.largeBodies(context);
-        HttpBackend httpBackend = createHttpBackend(settings, maxConnections, connectTimeoutMs);
+        HttpBackend httpBackend = createHttpBackend(settings, maxConnections, connectTimeoutMs, QUIET_PERIOD_MS);
         // A health check is answered without queueing, so that the connect timeout applies to it as well.
         dispatcher = new RequestDispatcher(
                 extension.wrapLoadBalancer(createLoadBalancer(settings), context),
@@ -119,7 +127,8 @@
                 settings,
                 names,
                 frontend,
-                httpBackend,
+                // This program's own listener responds to each request once.
+                createHttpBackend(settings, MAX_WARM_UP_CONNECTIONS, connectTimeoutMs, 0),
                 clock,
                 loop,
                 () -> mayWarmUp || !frontend.hasReceivedRequest());
@@ -176,7 +185,8 @@
         return (long) longestMs;
     }
 
-    private HttpBackend createHttpBackend(Settings settings, int maxConnections, double connectTimeoutMs) {
+    private HttpBackend createHttpBackend(
+            Settings settings, int maxConnections, double connectTimeoutMs, double quietMs) {
         return new HttpBackend(
                 clock,
                 loop,
@@ -184,6 +194,7 @@
                 settings.loadFields(),
                 connectTimeoutMs,
                 settings.limits().connectionIdleMs(),
+                quietMs,
                 maxConnections,
                 largeBodies);
     }
--- a/sidecar/src/main/java/peppergauge/backend/ConnectionPool.java
+++ b/sidecar/src/main/java/peppergauge/backend/ConnectionPool.java
@@ -15,13 +15,14 @@
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import peppergauge.request.Backend;
+import peppergauge.request.Clock;
 import peppergauge.sockets.EventLoop;
 import peppergauge.sockets.SocketLimit;
 
 /**
- * Pool of connections to backend servers, reused in last-in, first-out order. Connections belong to a server, not to
- * its address: a server that takes over an address does not get its predecessor's connections. Only the event loop's
- * thread uses it.
+ * Pool of connections to backend servers, reused in last-in, first-out order after a {@link QuietPeriod}. Connections
+ * belong to a server, not to its address: a server that takes over an address does not get its predecessor's
+ * connections. Only the event loop's thread uses it.
  *
  * <p>HttpCore's own requester is not used: it leaves the connect timeout in force as read timeout, and loads the
  * system's trust store at each start.
@@ -39,10 +40,12 @@
     private static final Timeout LOCK_TIMEOUT = Timeout.ofSeconds(1);
 
     private final EventLoop loop;
+    private final Clock clock;
     private final SocketLimit sockets;
     private final StrictConnPool<Backend.Server, ServerConnection> pool;
     private final Timeout connectTimeout;
     private final Timeout idleTimeout;
+    private final QuietPeriod quietPeriod;
 
     /**
      * Creates an empty pool.
@@ -50,21 +53,32 @@
      * @param sockets limits the sockets
      * @param maxSockets the limit
      * @param idleMs after which servers close an idle connection
+     * @param quietMs for which a connection is not leased after a response
      */
-    ConnectionPool(EventLoop loop, SocketLimit sockets, int maxSockets, double connectTimeoutMs, double idleMs) {
+    ConnectionPool(
+            EventLoop loop,
+            Clock clock,
+            SocketLimit sockets,
+            int maxSockets,
+            double connectTimeoutMs,
+            double idleMs,
+            double quietMs) {
         this.loop = loop;
+        this.clock = clock;
         this.sockets = sockets;
         int pooled = (int) Math.ceil(maxSockets * (1 - CLOSING_SHARE));
         this.pool = new StrictConnPool<>(pooled, pooled, TimeValue.NEG_ONE_MILLISECOND, PoolReusePolicy.LIFO, null);
         this.connectTimeout = Timeout.ofMilliseconds((long) Math.max(1, connectTimeoutMs));
         this.idleTimeout = Timeout.ofMilliseconds((long) Math.max(1, idleMs * IDLE_TIMEOUT_SHARE));
+        this.quietPeriod = new QuietPeriod(clock, quietMs);
     }
 
     /**
-     * Leases an idle connection at once, or else a new one. Fails if the connection cannot be established or no socket
-     * is available.
+     * Leases an idle connection whose quiet period is over at once, or else a new one. Fails if the connection cannot
+     * be established or no socket is available.
      */
     void lease(Backend.Server server, FutureCallback<PoolEntry<Backend.Server, ServerConnection>> leased) {
+        quietPeriod.endExpired();
         Future<PoolEntry<Backend.Server, ServerConnection>> lease = pool.lease(server, null, LOCK_TIMEOUT, null);
         if (!lease.isDone()) {
             // The pool would queue the attempt beyond its deadline.
@@ -99,14 +113,15 @@
             PoolEntry<Backend.Server, ServerConnection> entry,
             FutureCallback<PoolEntry<Backend.Server, ServerConnection>> leased) {
         URIAuthority authority = authority(server.address());
-        sockets.acquireThenRun(() -> open(authority, entry, leased));
+        sockets.acquireThenRun(() -> open(server, authority, entry, leased));
     }
 
     private void open(
+            Backend.Server server,
             URIAuthority authority,
             PoolEntry<Backend.Server, ServerConnection> entry,
             FutureCallback<PoolEntry<Backend.Server, ServerConnection>> leased) {
-        ServerConnection connection = new ServerConnection(sockets);
+        ServerConnection connection = new ServerConnection(server, clock, sockets);
         loop.connect(
                 authority,
                 new InetSocketAddress(authority.getHostName(), authority.getPort()),
@@ -146,8 +161,18 @@
         }
     }
 
-    /** Returns a connection that may be used again. */
+    /** Returns a connection that has received a response and may be used again after its quiet period. */
     void release(PoolEntry<Backend.Server, ServerConnection> entry) {
+        quietPeriod.begin(entry);
+        returnOpen(entry);
+    }
+
+    /** Returns a connection on which nothing was written since it was leased. */
+    void returnUnused(PoolEntry<Backend.Server, ServerConnection> entry) {
+        returnOpen(entry);
+    }
+
+    private void returnOpen(PoolEntry<Backend.Server, ServerConnection> entry) {
         ServerConnection connection = entry.getConnection();
         boolean open = connection != null && connection.isOpen();
         if (open) {
--- a/sidecar/src/main/java/peppergauge/backend/HttpBackend.java
+++ b/sidecar/src/main/java/peppergauge/backend/HttpBackend.java
@@ -31,6 +31,7 @@
      * @param arrivedMs supplies the estimated arrival time of the input that the event loop is reading, ms
      * @param connectTimeoutMs the connect timeout
      * @param idleMs time after which backend servers close an idle connection
+     * @param quietMs time after a response for which its connection is not used for another request
      * @param maxConnections maximum number of descriptors that all connections hold together
      * @param bodies streams large response bodies
      */
@@ -41,6 +42,7 @@
             List<LoadField> loadFields,
             double connectTimeoutMs,
             double idleMs,
+            double quietMs,
             int maxConnections,
             LargeBodies bodies) {
         this.clock = clock;
@@ -48,7 +50,7 @@
         this.loadFields = loadFields;
         this.bodies = bodies;
         this.connections = new ConnectionPool(
-                loop, new SocketLimit(maxConnections, loop), maxConnections, connectTimeoutMs, idleMs);
+                loop, clock, new SocketLimit(maxConnections, loop), maxConnections, connectTimeoutMs, idleMs, quietMs);
     }
 
     @Override
--- a/sidecar/src/main/java/peppergauge/backend/HttpExchange.java
+++ b/sidecar/src/main/java/peppergauge/backend/HttpExchange.java
@@ -128,10 +128,15 @@
         PoolEntry<Backend.Server, ServerConnection> leased = lease;
         lease = null;
         request.cancel();
-        if (leased != null && reusable) {
-            pool.release(leased);
-        } else if (leased != null) {
+        if (leased == null) {
+            return;
+        }
+        if (!reusable) {
             pool.discard(leased);
+        } else if (Double.isNaN(writtenMs)) {
+            pool.returnUnused(leased);
+        } else {
+            pool.release(leased);
         }
     }
 
@@ -245,6 +250,7 @@
         response.onHead(head);
         if (response.isSuccess() && !request.isStreamed() && !request.isWritten()) {
             // The response belongs to an earlier request: no server succeeds before it has the last byte.
+            lease.getConnection().reportUnexpectedInput(UnexpectedInput.BEFORE_LAST_BYTE);
             throw new ProtocolException("response 200 before the request was completely written");
         }
         boolean delimited = response.isDelimited(details);
--- a/sidecar/src/main/java/peppergauge/backend/ServerConnection.java
+++ b/sidecar/src/main/java/peppergauge/backend/ServerConnection.java
@@ -21,6 +21,8 @@
 import org.apache.hc.core5.util.Timeout;
 import peppergauge.http.HeadReader;
 import peppergauge.http.HttpClientStream;
+import peppergauge.request.Backend;
+import peppergauge.request.Clock;
 import peppergauge.sockets.ConnectionHandlerFactory;
 import peppergauge.sockets.KernelBuffers;
 import peppergauge.sockets.SocketLimit;
@@ -37,13 +39,22 @@
 
     private final HeadReader<HttpResponse> headReader = HeadReader.forResponses();
     private final ByteBuffer probeBuffer = ByteBuffer.allocate(1);
+    private final Backend.Server server;
+    private final Clock clock;
     private final SocketLimit sockets;
     private IOSession session;
     private HttpExchange exchange;
+    private boolean idle;
     private boolean idleBefore;
-
-    /** Creates a connection whose socket is returned to {@code sockets} when it has closed. */
-    ServerConnection(SocketLimit sockets) {
+    /** When the connection last became idle; NaN before the first time. */
+    private double idleSinceMs = Double.NaN;
+    /** What the head reader had received when the connection became idle. */
+    private long bytesWhenIdle;
+
+    /** Creates a connection to {@code server} whose socket is returned to {@code sockets} when it has closed. */
+    ServerConnection(Backend.Server server, Clock clock, SocketLimit sockets) {
+        this.server = server;
+        this.clock = clock;
         this.sockets = sockets;
     }
 
@@ -82,6 +93,12 @@
         @Override
         public void inputReady(IOSession ready, ByteBuffer source) throws IOException {
             super.inputReady(ready, source);
+            if (idle && headReader.receivedBytes() > bytesWhenIdle) {
+                reportUnexpectedInput(UnexpectedInput.IDLE);
+                // HttpCore closes only after a complete head; no request may be written behind a part of one.
+                close(CloseMode.IMMEDIATE);
+                return;
+            }
             for (int i = 0; i < MAX_READS && exchange != null && exchange.hasBodyCapacity(); i++) {
                 long before = exchange.streamedBytes();
                 super.inputReady(ready, null);
@@ -107,7 +124,10 @@
 
     /** Called when the connection becomes idle; from then on its server may close it at any time. */
     void onIdle() {
+        idle = true;
         idleBefore = true;
+        idleSinceMs = clock.nowMs();
+        bytesWhenIdle = headReader.receivedBytes();
     }
 
     /** Whether the connection has been idle before. */
@@ -121,11 +141,21 @@
      */
     boolean hasNoInput() throws IOException {
         probeBuffer.clear();
-        return !headReader.hasPartialHead() && session.read(probeBuffer) == 0;
+        int read = headReader.hasPartialHead() ? 1 : session.read(probeBuffer);
+        if (read > 0) {
+            reportUnexpectedInput(UnexpectedInput.BEFORE_REQUEST);
+        }
+        return read == 0;
+    }
+
+    /** Logs input that is no response to the current request, after which the connection is not used again. */
+    void reportUnexpectedInput(UnexpectedInput kind) {
+        kind.log(server, clock.nowMs() - idleSinceMs);
     }
 
     /** Starts {@code attempt} on this connection. */
     void execute(RequestExecutionCommand command, HttpExchange attempt) {
+        idle = false;
         exchange = attempt;
         session.enqueue(command, Command.Priority.NORMAL);
         if (!session.isOpen()) {
--- a/sidecar/src/test/java/peppergauge/backend/HttpBackendSocketTest.java
+++ b/sidecar/src/test/java/peppergauge/backend/HttpBackendSocketTest.java
@@ -40,6 +40,9 @@
     private static final double CONNECT_TIMEOUT_MS = 2_000;
     private static final double IDLE_TIMEOUT_MS = 60_000;
     private static final double LONG_TIMEOUT_MS = 20_000;
+    /** Tests that reuse connections at once do without a quiet period. */
+    private static final double NO_QUIET_MS = 0;
+
     private static final int MAX_CONNECTIONS = 100;
     private static final int MIN_BUFFER_BYTES = 4_096;
     private static final ScriptedServer.Script ECHO = (request, connection) ->
@@ -49,7 +52,7 @@
     private static final class BackendFixture implements Closeable {
 
         private final EventLoop loop = new EventLoop();
-        private final Clock clock = new Clock();
+        private final Clock clock;
         private final HttpBackend backend;
 
         BackendFixture(int maxConnections) {
@@ -57,6 +60,11 @@
         }
 
         BackendFixture(int maxConnections, double connectTimeoutMs) {
+            this(maxConnections, connectTimeoutMs, NO_QUIET_MS, new Clock());
+        }
+
+        BackendFixture(int maxConnections, double connectTimeoutMs, double quietMs, Clock clock) {
+            this.clock = clock;
             backend = new HttpBackend(
                     clock,
                     loop,
@@ -64,6 +72,7 @@
                     List.of(),
                     connectTimeoutMs,
                     IDLE_TIMEOUT_MS,
+                    quietMs,
                     maxConnections,
                     LargeBodies.NONE);
             loop.start(new EventLoop.RoundListener() {}, () -> {});
@@ -246,6 +255,121 @@
         }
     }
 
+    // ---- Quiet period ----
+
+    private static final double QUIET_MS = 100;
+
+    /** A clock that a test sets. */
+    private static final class ManualClock extends Clock {
+
+        private volatile double nowMs;
+
+        ManualClock() {
+            super(0);
+        }
+
+        @Override
+        public double nowMs() {
+            return nowMs;
+        }
+    }
+
+    /** What a server sends on top of its response. */
+    @DataProvider
+    public Object[][] surplusInput() {
+        String rejection = "HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+        String error = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+        return new Object[][] {
+            {ScriptedServer.okResponse("first")},
+            {rejection},
+            {error},
+            {"HTTP/1.1 100 Continue\r\n\r\n" + ScriptedServer.okResponse("first")},
+            {"HTTP/1.1 200 OK\r\nContent-Len"},
+            {"noise"},
+        };
+    }
+
+    /** A server that sends surplus input on its first connection, after a first response, when told to. */
+    private static ScriptedServer serverWithSurplusInput(String surplus, Semaphore isSurplusDue) throws IOException {
+        return new ScriptedServer((request, connection) -> {
+            ECHO.answer(request, connection);
+            if (request.header("X-Txn").equals("first")) {
+                isSurplusDue.acquire();
+                ScriptedServer.write(connection, surplus);
+            }
+        });
+    }
+
+    /** A late second copy of a response was read as the response to the next request on its connection (review/1). */
+    @Test(dataProvider = "surplusInput")
+    public void readsNoSurplusInputAsTheResponseToTheNextRequest(String surplus) throws Exception {
+        Semaphore isSurplusDue = new Semaphore(0);
+        ManualClock clock = new ManualClock();
+        try (ScriptedServer server = serverWithSurplusInput(surplus, isSurplusDue);
+                BackendFixture backend = new BackendFixture(MAX_CONNECTIONS, CONNECT_TIMEOUT_MS, QUIET_MS, clock)) {
+            assertEquals(body(backend.exchange(server.address(), "first")), "first");
+            clock.nowMs = QUIET_MS / 2;
+            PendingAttempt next = backend.startAttempt(server.address(), "next");
+            isSurplusDue.release();
+            assertEquals(next.result().outcome(), Outcome.SUCCESS);
+            assertEquals(body(next.result()), "next");
+            // The server's thread closes its socket when the backend has closed the connection.
+            ScriptedServer.await(() -> server.connections.get(0).isClosed());
+            clock.nowMs = 2 * QUIET_MS;
+            assertEquals(body(backend.exchange(server.address(), "last")), "last");
+            assertEquals(ids(server.requests), List.of("first", "next", "last"));
+        }
+    }
+
+    /** Input that is still unread when the quiet period ends, as after a delay of the event loop, is no response. */
+    @Test(dataProvider = "surplusInput")
+    public void readsNoSurplusInputThatIsUnreadWhenTheQuietPeriodEnds(String surplus) throws Exception {
+        Semaphore isSurplusDue = new Semaphore(0);
+        ManualClock clock = new ManualClock();
+        try (ScriptedServer server = serverWithSurplusInput(surplus, isSurplusDue);
+                BackendFixture backend = new BackendFixture(MAX_CONNECTIONS, CONNECT_TIMEOUT_MS, QUIET_MS, clock)) {
+            assertEquals(body(backend.exchange(server.address(), "first")), "first");
+            PendingAttempt next = backend.inOneRound(() -> {
+                isSurplusDue.release();
+                ScriptedServer.await(() -> !isSurplusDue.hasQueuedThreads() && isSurplusDue.availablePermits() == 0);
+                ScriptedServer.pause(50);
+                clock.nowMs = QUIET_MS;
+                return backend.send(server.address(), "next", LONG_TIMEOUT_MS);
+            });
+            assertEquals(next.result().outcome(), Outcome.SUCCESS);
+            assertEquals(body(next.result()), "next");
+            assertEquals(ids(server.requests), List.of("first", "next"));
+        }
+    }
+
+    @Test
+    public void usesAConnectionAgainAfterItsQuietPeriod() throws Exception {
+        ManualClock clock = new ManualClock();
+        try (ScriptedServer server = new ScriptedServer(ECHO);
+                BackendFixture backend = new BackendFixture(MAX_CONNECTIONS, CONNECT_TIMEOUT_MS, QUIET_MS, clock)) {
+            assertEquals(body(backend.exchange(server.address(), "first")), "first");
+            clock.nowMs = QUIET_MS - 1;
+            assertEquals(body(backend.exchange(server.address(), "early")), "early");
+            assertEquals(server.connections.size(), 2);
+            clock.nowMs = QUIET_MS;
+            assertEquals(body(backend.exchange(server.address(), "later")), "later");
+            assertEquals(server.connections.size(), 2);
+        }
+    }
+
+    /** With the pool full, a connection in its quiet period is closed for a new one. */
+    @Test
+    public void closesAConnectionInItsQuietPeriodIfThePoolIsFull() throws Exception {
+        ManualClock clock = new ManualClock();
+        try (ScriptedServer server = new ScriptedServer(ECHO);
+                BackendFixture backend = new BackendFixture(1, CONNECT_TIMEOUT_MS, QUIET_MS, clock)) {
+            for (String id : List.of("first", "second", "third")) {
+                assertEquals(body(backend.exchange(server.address(), id)), id);
+            }
+            assertEquals(server.connections.size(), 3);
+        }
+    }
+
     // ---- Established connections ----
 
     /** How a server ends idle connections, and their number. */
