Limit the memory that all requests and responses hold together

Cause: nothing counted the bytes of all requests. Descriptors and pipelining allow 492 MB of bodies in a heap of 64 MB; a body was collected in an array of up to twice its size and copied.

Evidence: MemoryLimitTest fills unfinished and pipelined bodies, unfinished and pipelined heads, and unread responses on 480 connections.

Change: MessageMemory holds a quarter of the heap at most. A request without memory is read, discarded and answered with 503; a response without memory is not read until there is some. Pipelined and large bodies leave a share for small requests, requests one for responses. BodyBuffer allocates an announced length once. HttpBackend takes its limits as a record.

Why it works: memory is reserved before it is allocated, and what is outside the limit is bounded by the descriptors (CONNECTIONS, "Memory"). MessageMemoryReleaseTest: nothing stays reserved, however requests end.

--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import peppergauge.backend.ConnectionLimits;
 import peppergauge.backend.HttpBackend;
 import peppergauge.coldstart.ReadinessPolicy;
 import peppergauge.coldstart.StartupPolicy;
@@ -19,6 +20,7 @@
 import peppergauge.discovery.EndpointWatch;
 import peppergauge.frontend.HttpFrontend;
 import peppergauge.frontend.RequestClassifier;
+import peppergauge.http.MessageMemory;
 import peppergauge.invariant.InvariantCheckingLoadBalancer;
 import peppergauge.log.Log;
 import peppergauge.overload.BackgroundTask;
@@ -58,6 +60,8 @@
     private static final double QUIET_PERIOD_MS = 100;
 
     private static final double DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
+    /** Share of the heap for requests and responses; the rest is for connections, unfinished heads and the servers. */
+    private static final double MESSAGE_MEMORY_SHARE = 0.25;
 
     private volatile Config config;
     private final Clock clock = new Clock();
@@ -71,6 +75,7 @@
     private final RequestDispatcher dispatcher;
     private final RequestHandler requestHandler;
     private final LargeBodies largeBodies;
+    private final MessageMemory messageMemory = MessageMemory.ofHeap(MESSAGE_MEMORY_SHARE);
     private final HttpFrontend frontend;
     private final JvmWarmUp warmUp;
     private final EndpointWatch watch;
@@ -121,7 +126,8 @@
                 loop,
                 overload,
                 clients,
-                largeBodies);
+                largeBodies,
+                messageMemory);
         warmUp = new JvmWarmUp(
                 config,
                 settings,
@@ -192,11 +198,9 @@
                 loop,
                 overload::likelyArrivalMs,
                 settings.loadFields(),
-                connectTimeoutMs,
-                settings.limits().connectionIdleMs(),
-                quietMs,
-                maxConnections,
-                largeBodies);
+                new ConnectionLimits(connectTimeoutMs, settings.limits().connectionIdleMs(), quietMs, maxConnections),
+                largeBodies,
+                messageMemory);
     }
 
     private LoadBalancer createLoadBalancer(Settings settings) {
--- a/sidecar/src/main/java/peppergauge/backend/ConnectionPool.java
+++ b/sidecar/src/main/java/peppergauge/backend/ConnectionPool.java
@@ -50,27 +50,17 @@
     /**
      * Creates an empty pool.
      *
-     * @param sockets limits the sockets
-     * @param maxSockets the limit
-     * @param idleMs after which servers close an idle connection
-     * @param quietMs for which a connection is not leased after a response
+     * @param sockets limits the sockets, to {@link ConnectionLimits#maxConnections}
      */
-    ConnectionPool(
-            EventLoop loop,
-            Clock clock,
-            SocketLimit sockets,
-            int maxSockets,
-            double connectTimeoutMs,
-            double idleMs,
-            double quietMs) {
+    ConnectionPool(EventLoop loop, Clock clock, SocketLimit sockets, ConnectionLimits limits) {
         this.loop = loop;
         this.clock = clock;
         this.sockets = sockets;
-        int pooled = (int) Math.ceil(maxSockets * (1 - CLOSING_SHARE));
+        int pooled = (int) Math.ceil(limits.maxConnections() * (1 - CLOSING_SHARE));
         this.pool = new StrictConnPool<>(pooled, pooled, TimeValue.NEG_ONE_MILLISECOND, PoolReusePolicy.LIFO, null);
-        this.connectTimeout = Timeout.ofMilliseconds((long) Math.max(1, connectTimeoutMs));
-        this.idleTimeout = Timeout.ofMilliseconds((long) Math.max(1, idleMs * IDLE_TIMEOUT_SHARE));
-        this.quietPeriod = new QuietPeriod(clock, quietMs);
+        this.connectTimeout = Timeout.ofMilliseconds((long) Math.max(1, limits.connectTimeoutMs()));
+        this.idleTimeout = Timeout.ofMilliseconds((long) Math.max(1, limits.idleMs() * IDLE_TIMEOUT_SHARE));
+        this.quietPeriod = new QuietPeriod(clock, limits.quietMs());
     }
 
     /**
--- a/sidecar/src/main/java/peppergauge/backend/HttpBackend.java
+++ b/sidecar/src/main/java/peppergauge/backend/HttpBackend.java
@@ -6,6 +6,7 @@
 import java.util.function.DoubleSupplier;
 import peppergauge.decision.LoadBalancer.LoadField;
 import peppergauge.decision.LoadBalancer.Outcome;
+import peppergauge.http.MessageMemory;
 import peppergauge.request.Backend;
 import peppergauge.request.Clock;
 import peppergauge.request.LargeBodies;
@@ -24,33 +25,29 @@
     private final List<LoadField> loadFields;
     private final ConnectionPool connections;
     private final LargeBodies bodies;
+    private final MessageMemory messageMemory;
 
     /**
      * Creates a backend without connections.
      *
      * @param arrivedMs supplies the estimated arrival time of the input that the event loop is reading, ms
-     * @param connectTimeoutMs the connect timeout
-     * @param idleMs time after which backend servers close an idle connection
-     * @param quietMs time after a response for which its connection is not used for another request
-     * @param maxConnections maximum number of descriptors that all connections hold together
      * @param bodies streams large response bodies
+     * @param messageMemory limits the memory of requests and responses
      */
     public HttpBackend(
             Clock clock,
             EventLoop loop,
             DoubleSupplier arrivedMs,
             List<LoadField> loadFields,
-            double connectTimeoutMs,
-            double idleMs,
-            double quietMs,
-            int maxConnections,
-            LargeBodies bodies) {
+            ConnectionLimits limits,
+            LargeBodies bodies,
+            MessageMemory messageMemory) {
         this.clock = clock;
         this.arrivedMs = arrivedMs;
         this.loadFields = loadFields;
         this.bodies = bodies;
-        this.connections = new ConnectionPool(
-                loop, clock, new SocketLimit(maxConnections, loop), maxConnections, connectTimeoutMs, idleMs, quietMs);
+        this.messageMemory = messageMemory;
+        this.connections = new ConnectionPool(loop, clock, new SocketLimit(limits.maxConnections(), loop), limits);
     }
 
     @Override
@@ -60,8 +57,9 @@
                 server,
                 message,
                 new AttemptClock(clock, arrivedMs, untilMs),
-                loadFields,
                 bodies,
+                new ResponseReader(loadFields, bodies),
+                new ResponseMemory(server, messageMemory),
                 listener);
         exchange.start();
         return exchange;
--- a/sidecar/src/main/java/peppergauge/backend/HttpExchange.java
+++ b/sidecar/src/main/java/peppergauge/backend/HttpExchange.java
@@ -19,7 +19,6 @@
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.pool.PoolEntry;
 import org.apache.hc.core5.util.Timeout;
-import peppergauge.decision.LoadBalancer.LoadField;
 import peppergauge.decision.LoadBalancer.Outcome;
 import peppergauge.request.Backend;
 import peppergauge.request.BodyStream;
@@ -58,6 +57,8 @@
     private final Backend.AttemptListener listener;
     private final RequestWriter request;
     private final ResponseReader response;
+    private final ResponseMemory memory;
+
     private State state = State.UNSENT;
     /** Null while no connection is held. */
     private PoolEntry<Backend.Server, ServerConnection> lease;
@@ -74,8 +75,9 @@
             Backend.Server server,
             Message message,
             AttemptClock clock,
-            List<LoadField> loadFields,
             LargeBodies bodies,
+            ResponseReader response,
+            ResponseMemory memory,
             Backend.AttemptListener listener) {
         this.pool = pool;
         this.server = server;
@@ -83,7 +85,8 @@
         this.bodies = bodies;
         this.listener = listener;
         this.request = new RequestWriter(message);
-        this.response = new ResponseReader(loadFields, bodies);
+        this.response = response;
+        this.memory = memory;
     }
 
     // ---- Connection ----
@@ -160,6 +163,7 @@
         if (before == State.SENT) {
             release(false);
         }
+        memory.release();
         return before == State.UNSENT;
     }
 
@@ -265,7 +269,15 @@
             end(response.outcome(), null, response.loadReport());
         } else if (large) {
             throw new ProtocolException(ResponseReader.tooLargeMessage());
-        } else if (!delimited) {
+        } else {
+            endsWithConnection = !delimited;
+            collectBody(details.getContentLength());
+        }
+    }
+
+    private void collectBody(long length) {
+        response.expectLength(length);
+        if (memory.reserve(length, lease.getConnection(), this::awaitEndOfConnection)) {
             awaitEndOfConnection();
         }
     }
@@ -276,8 +288,9 @@
      * byte; others may never close it.
      */
     private void awaitEndOfConnection() {
-        endsWithConnection = true;
-        lease.getConnection().setTimeout(Timeout.ofMilliseconds(UNDELIMITED_TIMEOUT_MS));
+        if (endsWithConnection) {
+            lease.getConnection().setTimeout(Timeout.ofMilliseconds(UNDELIMITED_TIMEOUT_MS));
+        }
     }
 
     /** Starts passing the body on as it arrives; the attempt has succeeded from here on. */
@@ -366,11 +379,13 @@
     }
 
     private void end(Outcome outcome, Message responseMessage, double[] loadReport) {
-        if (state == State.ENDED) {
-            return;
+        if (state != State.ENDED) {
+            state = State.ENDED;
+            double latencyMs = response.hasHead() ? Math.max(0, clock.inputArrivedMs() - writtenMs) : Double.NaN;
+            listener.onEnded(
+                    new Backend.Result(outcome, responseMessage, loadReport, latencyMs, request.isTruncated()));
         }
-        state = State.ENDED;
-        double latencyMs = response.hasHead() ? Math.max(0, clock.inputArrivedMs() - writtenMs) : Double.NaN;
-        listener.onEnded(new Backend.Result(outcome, responseMessage, loadReport, latencyMs, request.isTruncated()));
+        // The listener has reserved memory for a response that it passes on.
+        memory.release();
     }
 }
--- a/sidecar/src/main/java/peppergauge/backend/ResponseReader.java
+++ b/sidecar/src/main/java/peppergauge/backend/ResponseReader.java
@@ -1,6 +1,5 @@
 package peppergauge.backend;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -11,6 +10,7 @@
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import peppergauge.decision.LoadBalancer.LoadField;
 import peppergauge.decision.LoadBalancer.Outcome;
+import peppergauge.http.BodyBuffer;
 import peppergauge.http.Headers;
 import peppergauge.http.ReceiveWindow;
 import peppergauge.request.BodyStream;
@@ -26,14 +26,13 @@
 final class ResponseReader {
 
     /** Larger bodies are streamed, or rejected if large bodies are not accepted. */
-    private static final int MAX_BUFFERED_BODY_BYTES = 64 * 1024;
+    static final int MAX_BUFFERED_BODY_BYTES = 64 * 1024;
 
-    private static final int INITIAL_BUFFER_BYTES = 256;
     private static final byte[] NO_CONTENT = new byte[0];
 
     private final List<LoadField> loadFields;
     private final LargeBodies bodies;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(INITIAL_BUFFER_BYTES);
+    private final BodyBuffer body = new BodyBuffer(MAX_BUFFERED_BODY_BYTES);
     private HttpResponse head;
     /** The body if it is too large to be held in memory; otherwise null. */
     private StreamedResponseBody streamed;
@@ -104,7 +103,7 @@
 
     /** Returns the response with the body that was collected in memory. */
     Message message() {
-        return new Message(null, null, Headers.endToEnd(head), body.toByteArray());
+        return new Message(null, null, Headers.endToEnd(head), body.take());
     }
 
     /** Returns the response with a body that is passed on as it arrives. */
@@ -114,6 +113,11 @@
 
     // ---- Body ----
 
+    /** Sets the announced length of a body that is collected in memory; -1 if unknown. */
+    void expectLength(long length) {
+        body.expectLength(length);
+    }
+
     /** Called when HttpCore has used up its receive window. */
     void onWindowExhausted(CapacityChannel channel) throws IOException {
         if (streamed != null) {
@@ -137,12 +141,10 @@
             streamed.write(part);
             return true;
         }
-        if (body.size() + part.remaining() > MAX_BUFFERED_BODY_BYTES) {
+        if (!body.accepts(part.remaining())) {
             return false;
         }
-        byte[] bytes = new byte[part.remaining()];
-        part.get(bytes);
-        body.write(bytes, 0, bytes.length);
+        body.write(part);
         return true;
     }
 
@@ -169,8 +171,7 @@
 
     /** Passes on the bytes that were collected before the body turned out to be large. */
     void streamCollected() {
-        streamed.write(ByteBuffer.wrap(body.toByteArray()));
-        body.reset();
+        streamed.write(ByteBuffer.wrap(body.take()));
     }
 
     boolean isStreamed() {
--- a/sidecar/src/main/java/peppergauge/backend/ServerConnection.java
+++ b/sidecar/src/main/java/peppergauge/backend/ServerConnection.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.io.ModalCloseable;
 import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.EventMask;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
@@ -30,7 +31,9 @@
 /** A connection to a backend server, and the attempt that uses it. Only the event loop's thread uses it. */
 final class ServerConnection implements ModalCloseable, ConnectionHandlerFactory {
 
-    private static final int BUFFER_BYTES = 4096;
+    /** Size of the read buffer. */
+    static final int BUFFER_BYTES = 4096;
+
     private static final Http1Config CONFIG =
             Http1Config.custom().setBufferSize(BUFFER_BYTES).build();
 
@@ -163,6 +166,16 @@
         }
     }
 
+    /** Reads nothing until {@link #resumeReading}, so that the server has to stop sending. */
+    void pauseReading() {
+        session.clearEvent(EventMask.READ);
+    }
+
+    /** Reads again. */
+    void resumeReading() {
+        session.setEvent(EventMask.READ);
+    }
+
     /** Limits the kernel's buffers for a large body; 0 leaves them unchanged. */
     void limitBuffers(int bytes) {
         KernelBuffers.limit(session, bytes);
--- a/sidecar/src/main/java/peppergauge/frontend/HttpClientConnection.java
+++ b/sidecar/src/main/java/peppergauge/frontend/HttpClientConnection.java
@@ -250,6 +250,11 @@
         return pipeline.started();
     }
 
+    /** Number of bytes of the head of the latest request. */
+    int lastHeadBytes() {
+        return headReader.lastHeadBytes();
+    }
+
     /** Number of requests whose responses are not completely written, including the current request. */
     int unansweredRequests() {
         return pipeline.unanswered();
--- a/sidecar/src/main/java/peppergauge/frontend/HttpFrontend.java
+++ b/sidecar/src/main/java/peppergauge/frontend/HttpFrontend.java
@@ -6,6 +6,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
+import peppergauge.http.MessageMemory;
 import peppergauge.log.Log;
 import peppergauge.overload.OverloadController;
 import peppergauge.request.Clock;
@@ -35,6 +36,7 @@
     private final OverloadController<EvictableConnection, ?> overload;
     private final ClientConnections connections;
     private final LargeBodies bodies;
+    private final MessageMemory messageMemory;
     private volatile ListenerEndpoint listener;
     private volatile WarmUp warmUp;
     private volatile boolean ready;
@@ -50,6 +52,7 @@
      * @param requestHandler gets the clients' requests
      * @param clients admits and evicts connections
      * @param bodies streams large request bodies
+     * @param messageMemory limits the memory of requests and responses
      */
     public HttpFrontend(
             RequestClassifier classifier,
@@ -58,7 +61,8 @@
             EventLoop loop,
             OverloadController<EvictableConnection, ?> overload,
             ClientConnections clients,
-            LargeBodies bodies) {
+            LargeBodies bodies,
+            MessageMemory messageMemory) {
         this.classifier = classifier;
         this.requestHandler = requestHandler;
         this.clock = clock;
@@ -66,6 +70,7 @@
         this.overload = overload;
         this.connections = clients;
         this.bodies = bodies;
+        this.messageMemory = messageMemory;
     }
 
     /**
@@ -177,6 +182,10 @@
         return bodies;
     }
 
+    MessageMemory messageMemory() {
+        return messageMemory;
+    }
+
     Scheduler scheduler() {
         return loop;
     }
--- a/sidecar/src/main/java/peppergauge/frontend/HttpRequestHandler.java
+++ b/sidecar/src/main/java/peppergauge/frontend/HttpRequestHandler.java
@@ -1,6 +1,5 @@
 package peppergauge.frontend;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -13,6 +12,7 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import peppergauge.http.BodyBuffer;
 import peppergauge.http.ReceiveWindow;
 import peppergauge.request.BodyStream;
 import peppergauge.request.BodyWriter;
@@ -38,7 +38,8 @@
     private final HttpFrontend frontend;
     private final HttpClientConnection connection;
     private final HttpResponseWriter response;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private final BodyBuffer body = new BodyBuffer(MAX_BUFFERED_BODY_BYTES);
+    private final RequestMemory memory;
     private RequestHead head;
     private RequestHandler handler;
     private boolean warmUp;
@@ -57,6 +58,7 @@
         this.frontend = frontend;
         this.connection = connection;
         this.response = new HttpResponseWriter(frontend, connection, this);
+        this.memory = new RequestMemory(frontend.messageMemory());
     }
 
     // ---- Head ----
@@ -104,14 +106,23 @@
             respondLocally(400, "GET takes no body");
         } else if (connection.unansweredRequests() > MAX_PIPELINED_REQUESTS) {
             respondLocally(503, "too many requests on one connection");
+        } else if (!memory.reserveHead(head.id(), connection.lastHeadBytes()) && isPipelined()) {
+            // HttpCore keeps the head until the response is written, so no further one may be read.
+            respondLocally(503, "no memory for further requests");
         } else if (details == null) {
             requestComplete = true;
             dispatch();
         } else if (!large || startLargeBody(details.getContentLength())) {
+            body.expectLength(details.getContentLength());
             continueIfExpected(request);
         }
     }
 
+    /** Whether an earlier request of this connection has no response yet. */
+    private boolean isPipelined() {
+        return connection.unansweredRequests() > 1;
+    }
+
     /** Sends 100 (Continue) to a client that expects it, unless an earlier response is pending. */
     private void continueIfExpected(HttpRequest request) throws HttpException, IOException {
         Header expected = request.getFirstHeader("Expect");
@@ -144,10 +155,10 @@
             consumeLargeBody(part);
         } else if (discardBody) {
             discard(part);
-        } else if (body.size() + part.remaining() <= MAX_BUFFERED_BODY_BYTES) {
-            byte[] bytes = new byte[part.remaining()];
-            part.get(bytes);
-            body.write(bytes, 0, bytes.length);
+        } else if (memory.isExhausted()) {
+            part.position(part.limit());
+        } else if (body.accepts(part.remaining())) {
+            collect(part);
         } else if (frontend.bodies().acceptsLargeBodies()) {
             convertToLargeBody(part);
         } else {
@@ -160,6 +171,17 @@
         }
     }
 
+    private void collect(ByteBuffer part) {
+        int growth = body.growthFor(part.remaining());
+        if (growth == 0 || memory.reserveBody(head.id(), isPipelined(), growth)) {
+            body.write(part);
+        } else {
+            // The request is rejected when the rest of it has been read.
+            body.clear();
+            part.position(part.limit());
+        }
+    }
+
     private void discard(ByteBuffer part) {
         connection.discardBody(part.remaining());
         part.position(part.limit());
@@ -182,7 +204,11 @@
     }
 
     private void dispatch() {
-        IncomingRequest request = head.toRequest(frontend.arrivedMs(), body.toByteArray());
+        if (memory.isExhausted()) {
+            onRejected(0);
+            return;
+        }
+        IncomingRequest request = head.toRequest(frontend.arrivedMs(), body.take());
         if (frontend.isStoppedBefore(request.deadlineMs())) {
             onRejected(0);
             return;
@@ -218,8 +244,8 @@
     /** Starts streaming a body without a length that has turned out to be large. */
     private void convertToLargeBody(ByteBuffer part) throws IOException {
         if (startLargeBody(-1)) {
-            largeBody.write(ByteBuffer.wrap(body.toByteArray()));
-            body.reset();
+            largeBody.write(ByteBuffer.wrap(body.take()));
+            memory.releaseBody();
         }
         consumeLargeBody(part);
     }
@@ -286,6 +312,11 @@
         response.writeLocal(status, text, allowedMethod, retryAfterMs);
     }
 
+    /** The memory of this request and its response. */
+    RequestMemory memory() {
+        return memory;
+    }
+
     @Override
     public void onResponse(Message message) {
         response.writeSuccess(message);
@@ -336,9 +367,10 @@
         onClientDisconnected();
     }
 
+    /** Called by HttpCore when the response is completely written or the connection has ended. */
     @Override
     public void releaseResources() {
-        // No resources are held.
+        memory.release();
     }
 
     /** Called when the connection has ended; a request without a response is cancelled. */
--- a/sidecar/src/main/java/peppergauge/frontend/HttpResponseWriter.java
+++ b/sidecar/src/main/java/peppergauge/frontend/HttpResponseWriter.java
@@ -180,6 +180,7 @@
             response.setHeader("Connection", "close");
         }
         response.setHeader("Content-Length", Integer.toString(content.length));
+        request.memory().holdResponse(content.length);
         unsent = ByteBuffer.wrap(content);
         channel.sendResponse(
                 response, content.length > 0 ? new BasicEntityDetails(content.length, null) : null, context);
--- /dev/null
+++ b/sidecar/src/main/java/peppergauge/frontend/RequestMemory.java
@@ -0,0 +1,88 @@
+package peppergauge.frontend;
+
+import java.util.Locale;
+import peppergauge.http.MessageMemory;
+import peppergauge.log.Log;
+
+/** The memory that one request and its response hold. Only the event loop's thread uses it. */
+final class RequestMemory {
+
+    /** Memory of a request beside its head and body: its objects here, in HttpCore and in the load balancer. */
+    private static final int REQUEST_OVERHEAD_BYTES = 4 * 1024;
+    /** Memory of a head for each byte on the wire: HttpCore keeps its lines as characters, and strings are made of them. */
+    private static final int MEMORY_PER_HEAD_BYTE = 4;
+
+    private final MessageMemory all;
+    private final MessageMemory.Reservation reservation;
+    private long headBytes;
+    private boolean exhausted;
+
+    RequestMemory(MessageMemory all) {
+        this.all = all;
+        this.reservation = all.newReservation();
+    }
+
+    /** Whether memory was refused, so that the request is to be rejected. */
+    boolean isExhausted() {
+        return exhausted;
+    }
+
+    /** Reserves memory for a head of this length on the wire; returns whether there is enough. */
+    boolean reserveHead(String requestId, int lengthBytes) {
+        headBytes = REQUEST_OVERHEAD_BYTES + (long) MEMORY_PER_HEAD_BYTE * lengthBytes;
+        return reserve(requestId, MessageMemory.Purpose.REQUEST, headBytes);
+    }
+
+    /**
+     * Reserves memory for a part of the body; returns whether there is enough. If not, everything is released.
+     *
+     * @param pipelined whether an earlier request of the connection has no response yet
+     */
+    boolean reserveBody(String requestId, boolean pipelined, int bytes) {
+        MessageMemory.Purpose purpose = pipelined
+                ? MessageMemory.Purpose.PIPELINED_BODY
+                : bytes > MessageMemory.SMALL_BODY_BYTES
+                        ? MessageMemory.Purpose.LARGE_BODY
+                        : MessageMemory.Purpose.REQUEST;
+        return reserve(requestId, purpose, bytes);
+    }
+
+    private boolean reserve(String requestId, MessageMemory.Purpose purpose, long bytes) {
+        if (reservation.tryGrow(purpose, bytes)) {
+            return true;
+        }
+        exhausted = true;
+        reservation.release();
+        Log.event(
+                "request_not_admitted",
+                "reason",
+                "memory",
+                "request",
+                requestId,
+                "purpose",
+                purpose.name().toLowerCase(Locale.ROOT),
+                "needed_bytes",
+                bytes,
+                "held_bytes",
+                all.heldBytes(),
+                "limit_bytes",
+                all.limitBytes());
+        return false;
+    }
+
+    /** Called when the body is not held in memory any more. */
+    void releaseBody() {
+        reservation.shrinkTo(headBytes);
+    }
+
+    /** Called when the response is known: head and body are not needed any more, and the response's body is held. */
+    void holdResponse(int bytes) {
+        reservation.shrinkTo(REQUEST_OVERHEAD_BYTES);
+        reservation.grow(bytes);
+    }
+
+    /** Called when the response is written or the connection has ended; may be called several times. */
+    void release() {
+        reservation.release();
+    }
+}
--- a/sidecar/src/main/java/peppergauge/http/HeadReader.java
+++ b/sidecar/src/main/java/peppergauge/http/HeadReader.java
@@ -33,6 +33,7 @@
     private final CharArrayBuffer line = new CharArrayBuffer(INITIAL_LINE_LENGTH);
     private T head;
     private int headBytes;
+    private int lastHeadBytes;
     private long receivedBytes;
     private boolean carriageReturn;
 
@@ -71,6 +72,11 @@
         return headBytes > 0;
     }
 
+    /** Number of bytes of the last head that was completely received. */
+    public int lastHeadBytes() {
+        return lastHeadBytes;
+    }
+
     /** Number of bytes of all heads received so far. */
     public long receivedBytes() {
         return receivedBytes;
@@ -105,6 +111,7 @@
                 carriageReturn = false;
                 if (line.isEmpty() && head != null) {
                     BodyFraming.check(head);
+                    lastHeadBytes = headBytes;
                     return head;
                 }
                 parseLine();
--- a/sidecar/src/test/java/peppergauge/backend/HttpBackendSocketTest.java
+++ b/sidecar/src/test/java/peppergauge/backend/HttpBackendSocketTest.java
@@ -25,6 +25,7 @@
 import peppergauge.RealTimeTestBase;
 import peppergauge.ScriptedServer;
 import peppergauge.decision.LoadBalancer.Outcome;
+import peppergauge.http.MessageMemory;
 import peppergauge.request.Backend;
 import peppergauge.request.Clock;
 import peppergauge.request.LargeBodies;
@@ -60,21 +61,19 @@
         }
 
         BackendFixture(int maxConnections, double connectTimeoutMs) {
-            this(maxConnections, connectTimeoutMs, NO_QUIET_MS, new Clock());
+            this(maxConnections, connectTimeoutMs, NO_QUIET_MS, new Clock(), MessageMemory.ofHeap(0.25));
         }
 
-        BackendFixture(int maxConnections, double connectTimeoutMs, double quietMs, Clock clock) {
+        BackendFixture(int maxConnections, double connectTimeoutMs, double quietMs, Clock clock, MessageMemory memory) {
             this.clock = clock;
             backend = new HttpBackend(
                     clock,
                     loop,
                     clock::nowMs,
                     List.of(),
-                    connectTimeoutMs,
-                    IDLE_TIMEOUT_MS,
-                    quietMs,
-                    maxConnections,
-                    LargeBodies.NONE);
+                    new ConnectionLimits(connectTimeoutMs, IDLE_TIMEOUT_MS, quietMs, maxConnections),
+                    LargeBodies.NONE,
+                    memory);
             loop.start(new EventLoop.RoundListener() {}, () -> {});
         }
 
@@ -274,6 +273,10 @@
         }
     }
 
+    private static BackendFixture fixtureWithQuietPeriod(int maxConnections, Clock clock) {
+        return new BackendFixture(maxConnections, CONNECT_TIMEOUT_MS, QUIET_MS, clock, MessageMemory.ofHeap(0.25));
+    }
+
     /** What a server sends on top of its response. */
     @DataProvider
     public Object[][] surplusInput() {
@@ -306,7 +309,7 @@
         Semaphore isSurplusDue = new Semaphore(0);
         ManualClock clock = new ManualClock();
         try (ScriptedServer server = serverWithSurplusInput(surplus, isSurplusDue);
-                BackendFixture backend = new BackendFixture(MAX_CONNECTIONS, CONNECT_TIMEOUT_MS, QUIET_MS, clock)) {
+                BackendFixture backend = fixtureWithQuietPeriod(MAX_CONNECTIONS, clock)) {
             assertEquals(body(backend.exchange(server.address(), "first")), "first");
             clock.nowMs = QUIET_MS / 2;
             PendingAttempt next = backend.startAttempt(server.address(), "next");
@@ -327,7 +330,7 @@
         Semaphore isSurplusDue = new Semaphore(0);
         ManualClock clock = new ManualClock();
         try (ScriptedServer server = serverWithSurplusInput(surplus, isSurplusDue);
-                BackendFixture backend = new BackendFixture(MAX_CONNECTIONS, CONNECT_TIMEOUT_MS, QUIET_MS, clock)) {
+                BackendFixture backend = fixtureWithQuietPeriod(MAX_CONNECTIONS, clock)) {
             assertEquals(body(backend.exchange(server.address(), "first")), "first");
             PendingAttempt next = backend.inOneRound(() -> {
                 isSurplusDue.release();
@@ -346,7 +349,7 @@
     public void usesAConnectionAgainAfterItsQuietPeriod() throws Exception {
         ManualClock clock = new ManualClock();
         try (ScriptedServer server = new ScriptedServer(ECHO);
-                BackendFixture backend = new BackendFixture(MAX_CONNECTIONS, CONNECT_TIMEOUT_MS, QUIET_MS, clock)) {
+                BackendFixture backend = fixtureWithQuietPeriod(MAX_CONNECTIONS, clock)) {
             assertEquals(body(backend.exchange(server.address(), "first")), "first");
             clock.nowMs = QUIET_MS - 1;
             assertEquals(body(backend.exchange(server.address(), "early")), "early");
@@ -362,7 +365,7 @@
     public void closesAConnectionInItsQuietPeriodIfThePoolIsFull() throws Exception {
         ManualClock clock = new ManualClock();
         try (ScriptedServer server = new ScriptedServer(ECHO);
-                BackendFixture backend = new BackendFixture(1, CONNECT_TIMEOUT_MS, QUIET_MS, clock)) {
+                BackendFixture backend = fixtureWithQuietPeriod(1, clock)) {
             for (String id : List.of("first", "second", "third")) {
                 assertEquals(body(backend.exchange(server.address(), id)), id);
             }
@@ -370,6 +373,61 @@
         }
     }
 
+    // ---- Memory for responses ----
+
+    private static final int LARGE_BODY_BYTES = 60_000;
+
+    /** Responses wait for memory instead of failing, and are read one after the other. */
+    @Test
+    public void readsLargeResponsesOneAfterTheOtherIfThereIsMemoryForOne() throws Exception {
+        String large = "x".repeat(LARGE_BODY_BYTES);
+        MessageMemory memory = new MessageMemory(LARGE_BODY_BYTES + 1_000);
+        try (ScriptedServer server = ScriptedServer.respondingWith(ScriptedServer.okResponse(large));
+                BackendFixture backend =
+                        new BackendFixture(MAX_CONNECTIONS, CONNECT_TIMEOUT_MS, NO_QUIET_MS, new Clock(), memory)) {
+            List<PendingAttempt> attempts = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                attempts.add(backend.startAttempt(server.address(), "t" + i));
+            }
+            for (PendingAttempt attempt : attempts) {
+                assertEquals(attempt.result().outcome(), Outcome.SUCCESS);
+                assertEquals(attempt.result().response().body().length, LARGE_BODY_BYTES);
+            }
+            assertEquals((long) backend.inOneRound(memory::heldBytes), 0);
+        }
+    }
+
+    /** A response for which there is no memory is not read; its attempt can be aborted, and small ones go on. */
+    @Test
+    public void readsSmallResponsesWhileALargeOneWaitsForMemory() throws Exception {
+        MessageMemory memory = new MessageMemory(LARGE_BODY_BYTES);
+        ScriptedServer.Script script = (request, connection) -> ScriptedServer.write(
+                connection,
+                ScriptedServer.okResponse(
+                        request.header("X-Txn").equals("large") ? "x".repeat(LARGE_BODY_BYTES) : "small"));
+        try (ScriptedServer server = new ScriptedServer(script);
+                BackendFixture backend =
+                        new BackendFixture(MAX_CONNECTIONS, CONNECT_TIMEOUT_MS, NO_QUIET_MS, new Clock(), memory)) {
+            MessageMemory.Reservation other = memory.newReservation();
+            backend.inOneRound(() -> {
+                other.grow(1);
+                return null;
+            });
+            PendingAttempt large = backend.startAttempt(server.address(), "large");
+            ScriptedServer.await(() -> server.requests.size() == 1);
+            backend.awaitInputHandled();
+            assertEquals(body(backend.exchange(server.address(), "t")), "small");
+            assertFalse(large.ended.isDone());
+            backend.inOneRound(() -> large.stop(false));
+            backend.inOneRound(() -> {
+                other.release();
+                return null;
+            });
+            assertEquals((long) backend.inOneRound(memory::heldBytes), 0);
+            assertEquals(backend.exchange(server.address(), "large").response().body().length, LARGE_BODY_BYTES);
+        }
+    }
+
     // ---- Established connections ----
 
     /** How a server ends idle connections, and their number. */
--- a/sidecar/src/test/java/peppergauge/frontend/WarmUpRequestsTest.java
+++ b/sidecar/src/test/java/peppergauge/frontend/WarmUpRequestsTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.testng.annotations.Test;
+import peppergauge.http.MessageMemory;
 import peppergauge.overload.OverloadConfig;
 import peppergauge.overload.OverloadController;
 import peppergauge.request.Clock;
@@ -36,7 +37,8 @@
                 loop,
                 overload,
                 new ClientConnections(loop, 8, clock, overload),
-                LargeBodies.NONE);
+                LargeBodies.NONE,
+                MessageMemory.ofHeap(0.25));
         BasicHttpRequest unmarked = new BasicHttpRequest("GET", "/list/k");
         BasicHttpRequest marked = new BasicHttpRequest("GET", "/list/k");
         marked.addHeader(HttpFrontend.WARM_UP_HEADER, "mark");
