--- a/sidecar/src/main/java/peppergauge/backend/ConnectionPool.java
+++ b/sidecar/src/main/java/peppergauge/backend/ConnectionPool.java
@@ -64,12 +64,14 @@
     }
 
     /**
-     * Leases an idle connection whose quiet period is over at once, or else a new one. Fails if the connection cannot
-     * be established or no socket is available.
+     * Leases an idle connection whose quiet period is over at once; else the one whose quiet period ends first, when it
+     * has ended; else a new one. Fails if the connection cannot be established or no socket is available.
      */
     void lease(Backend.Server server, FutureCallback<PoolEntry<Backend.Server, ServerConnection>> leased) {
         quietPeriod.endExpired();
-        Future<PoolEntry<Backend.Server, ServerConnection>> lease = pool.lease(server, null, LOCK_TIMEOUT, null);
+        boolean onlyQuiet = pool.getStats(server).getAvailable() <= quietPeriod.count(server);
+        QuietPeriod.Quiet quiet = onlyQuiet ? quietPeriod.takeFirst(server) : null;
+        Future<PoolEntry<Backend.Server, ServerConnection>> lease = pool.lease(server, quiet, LOCK_TIMEOUT, null);
         if (!lease.isDone()) {
             // The pool would queue the attempt beyond its deadline.
             lease.cancel(true);
@@ -86,11 +88,28 @@
         if (entry.hasConnection() && !entry.getConnection().isOpen()) {
             entry.discardConnection(CloseMode.IMMEDIATE);
         }
-        if (entry.hasConnection()) {
-            entry.getConnection().setTimeout(Timeout.DISABLED);
+        if (!entry.hasConnection()) {
+            connect(server, entry, leased);
+            return;
+        }
+        entry.getConnection().setTimeout(Timeout.DISABLED);
+        if (quiet != null && entry.getState() == quiet) {
+            completeAfter(quiet, entry, leased);
+        } else {
             leased.completed(entry);
+        }
+    }
+
+    private void completeAfter(
+            QuietPeriod.Quiet quiet,
+            PoolEntry<Backend.Server, ServerConnection> entry,
+            FutureCallback<PoolEntry<Backend.Server, ServerConnection>> leased) {
+        double remainingMs = quietPeriod.remainingMs(quiet);
+        if (remainingMs > 0) {
+            loop.schedule(remainingMs, () -> completeAfter(quiet, entry, leased));
         } else {
-            connect(server, entry, leased);
+            quietPeriod.end(quiet);
+            leased.completed(entry);
         }
     }
 
--- a/sidecar/src/main/java/peppergauge/backend/QuietPeriod.java
+++ b/sidecar/src/main/java/peppergauge/backend/QuietPeriod.java
@@ -1,32 +1,42 @@
 package peppergauge.backend;
 
 import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Queue;
 import org.apache.hc.core5.pool.PoolEntry;
 import peppergauge.request.Backend;
 import peppergauge.request.Clock;
 
 /**
- * Keeps a pooled connection from being leased until some time after its last response. HTTP/1.1 responses name no
- * request: what a server sends on top of a response, such as a late second copy, would be read as the response to the
- * next request if that one were already written. During the quiet period no request is on its way, so that such input
- * is recognized and ends the connection. Only the event loop's thread uses it.
+ * Keeps a pooled connection from being used until some time after its last response. HTTP/1.1 responses name no request:
+ * what a server sends on top of a response, such as a late second copy, would be read as the response to the next request
+ * if that one were already written. During the quiet period no request is on its way, so that such input is recognized
+ * and ends the connection. Only the event loop's thread uses it.
  *
- * <p>A connection in its quiet period is available in the pool with a state, which leases without a state pass over. It
- * can be closed to make room, like any idle connection.
+ * <p>A connection in its quiet period is available in the pool with a state of its own. Leases without a state pass it
+ * over, and it can be closed to make room, like any idle connection.
  */
 final class QuietPeriod {
 
-    private enum State {
-        QUIET
-    }
+    /** The state of a connection in its quiet period, by which it can be leased. */
+    static final class Quiet {
 
-    private record QuietConnection(PoolEntry<Backend.Server, ServerConnection> entry, double endMs) {}
+        private final PoolEntry<Backend.Server, ServerConnection> entry;
+        private final double endMs;
+
+        private Quiet(PoolEntry<Backend.Server, ServerConnection> entry, double endMs) {
+            this.entry = entry;
+            this.endMs = endMs;
+        }
+    }
 
     private final Clock clock;
     private final double durationMs;
-    /** In the order in which their quiet periods end. */
-    private final Queue<QuietConnection> quietConnections = new ArrayDeque<>();
+    /** All that may be in their quiet periods, in the order in which these end. */
+    private final Queue<Quiet> all = new ArrayDeque<>();
+    /** The same by server, without those that have been leased. */
+    private final Map<Backend.Server, Queue<Quiet>> available = new HashMap<>();
 
     QuietPeriod(Clock clock, double durationMs) {
         this.clock = clock;
@@ -36,15 +46,59 @@
     /** Starts the quiet period of a connection that is about to be returned to the pool. */
     void begin(PoolEntry<Backend.Server, ServerConnection> entry) {
         endExpired();
-        entry.updateState(State.QUIET);
-        quietConnections.add(new QuietConnection(entry, clock.nowMs() + durationMs));
+        Quiet quiet = new Quiet(entry, clock.nowMs() + durationMs);
+        entry.updateState(quiet);
+        all.add(quiet);
+        available
+                .computeIfAbsent(entry.getRoute(), server -> new ArrayDeque<>())
+                .add(quiet);
     }
 
     /** Ends the quiet periods that are over; to be called before each lease. */
     void endExpired() {
         double nowMs = clock.nowMs();
-        while (!quietConnections.isEmpty() && quietConnections.peek().endMs() <= nowMs) {
-            quietConnections.remove().entry().updateState(null);
+        while (!all.isEmpty() && all.peek().endMs <= nowMs) {
+            end(all.remove());
         }
     }
+
+    /** Ends a quiet period; the connection can be leased without a state from now on. */
+    void end(Quiet quiet) {
+        if (quiet.entry.getState() == quiet) {
+            quiet.entry.updateState(null);
+        }
+        forget(quiet);
+    }
+
+    private void forget(Quiet quiet) {
+        Queue<Quiet> ofServer = available.get(quiet.entry.getRoute());
+        if (ofServer != null && ofServer.remove(quiet) && ofServer.isEmpty()) {
+            available.remove(quiet.entry.getRoute());
+        }
+    }
+
+    /** Number of connections to a server that are in their quiet periods and not leased. */
+    int count(Backend.Server server) {
+        Queue<Quiet> ofServer = available.get(server);
+        return ofServer == null ? 0 : ofServer.size();
+    }
+
+    /**
+     * Takes the open connection to a server whose quiet period ends first, which is to be leased by this state. Returns
+     * null if there is none.
+     */
+    Quiet takeFirst(Backend.Server server) {
+        Quiet first = null;
+        while (first == null && count(server) > 0) {
+            Quiet oldest = available.get(server).peek();
+            forget(oldest);
+            first = oldest.entry.hasConnection() && oldest.entry.getConnection().isOpen() ? oldest : null;
+        }
+        return first;
+    }
+
+    /** Time until the quiet period ends. */
+    double remainingMs(Quiet quiet) {
+        return Math.max(0, quiet.endMs - clock.nowMs());
+    }
 }
