End the process at once, with exit code 1, if an error ends the event loop

Cause: only the event loop's thread keeps the process alive. When an error ended it, the JVM began its normal end, whose graceful shutdown waited for a loop that ran no more.

Why it works: without the loop nothing can be answered; an end at once resets the connections, so that clients repeat elsewhere.

--- a/daemon/src/main/java/peppergauge/daemon/Daemon.java
+++ b/daemon/src/main/java/peppergauge/daemon/Daemon.java
@@ -46,6 +46,7 @@
             }
             logInvariantChecks();
             RunningDaemon daemon = new RunningDaemon(file, values, () -> System.exit(0));
+            daemon.sidecar().endProcessIfEventLoopFails();
             Runtime.getRuntime().addShutdownHook(new Thread(daemon::shutDown, "shutdown"));
             daemon.installReload();
             daemon.start();
--- a/lab/src/main/java/peppergauge/lab/command/ServeWithCommand.java
+++ b/lab/src/main/java/peppergauge/lab/command/ServeWithCommand.java
@@ -50,6 +50,7 @@
             spec.commandLine().getErr().println("peppergauge: " + invalid.getMessage());
             return ExitCode.INVALID_INPUT;
         }
+        sidecar.endProcessIfEventLoopFails();
         Runtime.getRuntime().addShutdownHook(new Thread(sidecar::shutDownGracefully, "graceful-shutdown"));
         ReloadSignal.install(() -> sidecar.reload(System.getenv()));
         sidecar.start();
--- a/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
@@ -61,6 +62,7 @@
     private volatile Thread loopThread;
     private volatile Thread listenerThread;
     private volatile AcceptGate acceptGate = () -> {};
+    private volatile Consumer<Error> failureHandler = error -> {};
     private RoundListener roundListener = new RoundListener() {};
     private boolean inRound;
     private boolean inputInRound;
@@ -97,7 +99,7 @@
                         .setBacklogSize(ACCEPT_BACKLOG)
                         .build(),
                 // Not a daemon thread: the program runs as long as this thread.
-                worker -> loopThread = new Thread(worker, "loop"),
+                worker -> loopThread = new Thread(() -> runLoop(worker), "loop"),
                 worker -> listenerThread = daemonThread(worker, "listener"),
                 session -> new EventLoopSession(session, this),
                 EventLoop::logUnexpected,
@@ -107,6 +109,20 @@
                 workers -> passAcceptGate());
     }
 
+    private void runLoop(Runnable worker) {
+        try {
+            worker.run();
+        } catch (Error fatal) {
+            failureHandler.accept(fatal);
+            throw fatal;
+        }
+    }
+
+    /** Sets what is called on the event loop's thread when an error, such as a lack of memory, ends it. */
+    public void setFailureHandler(Consumer<Error> handler) {
+        failureHandler = handler;
+    }
+
     private static Thread daemonThread(Runnable task, String name) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
--- a/sidecar/src/test/java/peppergauge/sockets/EventLoopTest.java
+++ b/sidecar/src/test/java/peppergauge/sockets/EventLoopTest.java
@@ -1,6 +1,7 @@
 package peppergauge.sockets;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertSame;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -9,8 +10,10 @@
 import java.util.EnumSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.reactor.EventMask;
 import org.apache.hc.core5.reactor.IOEventHandler;
@@ -68,6 +71,28 @@
         assertEquals(logged, Map.of());
     }
 
+    @Test
+    public void reportsTheErrorThatEndsIt() throws Exception {
+        EventLoop loop = new EventLoop();
+        CompletableFuture<Error> reported = new CompletableFuture<>();
+        AtomicReference<Thread> loopThread = new AtomicReference<>();
+        loop.setFailureHandler(reported::complete);
+        try {
+            loop.start(new EventLoop.RoundListener() {}, () -> {});
+            OutOfMemoryError error = new OutOfMemoryError("thrown by a test");
+            loop.execute(() -> {
+                loopThread.set(Thread.currentThread());
+                // The error is expected, and not to be printed.
+                Thread.currentThread().setUncaughtExceptionHandler((thread, thrown) -> {});
+                throw error;
+            });
+            assertSame(reported.get(10, TimeUnit.SECONDS), error);
+            loopThread.get().join();
+        } finally {
+            loop.close();
+        }
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await();
