Withdraw what a killed instance chose in the batch that kills it

Cause: SimulatorAdapter kept one list of actions for all events of a batch and instance; Retire dropped the load balancer, not its actions.

Evidence: five new tests of SimulatorAdapterTest fail before and pass now: with a successor, without one, several in one batch, events in two groups, and an instance that throws before it is killed, whose exception also hid the Retire and the Create.

Change: the reply of an instance is withdrawn, exception included, when it is killed or created; replies are written after all groups of the batch.

Why it works: actions take effect after all events of the batch, when the killed instance does not exist any more.

--- a/sidecar/src/main/java/peppergauge/adapter/SimulatorAdapter.java
+++ b/sidecar/src/main/java/peppergauge/adapter/SimulatorAdapter.java
@@ -5,9 +5,9 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import peppergauge.decision.LoadBalancer;
@@ -62,39 +62,70 @@
         return text.lines().findFirst().orElse("");
     }
 
-    private void handle(InstanceInput.Batch batch) throws IOException {
-        writer.begin(batch.number());
-        for (InstanceInput.Group group : batch.groups()) {
-            handle(group, batch.timeMs());
+    /** What one instance replies to a batch, since it last started. */
+    private static final class Reply {
+
+        private final List<Action> actions = new ArrayList<>();
+        /** The exception that the load balancer has thrown; null if there is none. */
+        private Throwable failure;
+
+        /** Withdraws the reply of an instance that has been killed or started anew. */
+        void clear() {
+            actions.clear();
+            failure = null;
         }
-        writer.end(out);
     }
 
-    private void handle(InstanceInput.Group group, double nowMs) throws IOException {
-        List<Action> actions = new ArrayList<>();
-        try {
+    private void handle(InstanceInput.Batch batch) throws IOException {
+        Map<String, Reply> replies = new LinkedHashMap<>();
+        for (InstanceInput.Group group : batch.groups()) {
+            Reply reply = replies.computeIfAbsent(group.instance(), instance -> new Reply());
             for (InstanceInput input : group.inputs()) {
-                deliver(group.instance(), input, nowMs, actions);
+                handle(group.instance(), input, batch.timeMs(), reply);
             }
-            writer.writeActions(group.instance(), actions);
-        } catch (UncheckedIOException failed) {
-            throw failed.getCause();
-        } catch (RuntimeException | StackOverflowError bug) {
-            writer.writeFailure(group.instance(), bug);
         }
+        writer.begin(batch.number());
+        for (Map.Entry<String, Reply> instance : replies.entrySet()) {
+            write(instance.getKey(), instance.getValue());
+        }
+        writer.end(out);
     }
 
-    private void deliver(String instance, InstanceInput input, double nowMs, List<Action> actions) {
+    private void handle(String instance, InstanceInput input, double nowMs, Reply reply) {
         if (input instanceof InstanceInput.Start start) {
+            reply.clear();
             instances.put(instance, start.balancer());
         } else if (input instanceof InstanceInput.Stop) {
+            // The actions of the whole batch take effect at its end, when the killed instance no longer exists.
+            reply.clear();
             instances.remove(instance);
-        } else if (input instanceof InstanceInput.Deliver delivery) {
-            LoadBalancer balancer = instances.get(instance);
-            if (balancer != null) {
-                balancer.handle(nowMs, delivery.event(), action -> add(action, actions));
+        } else if (input instanceof InstanceInput.Deliver delivery && reply.failure == null) {
+            deliver(instance, delivery, nowMs, reply);
+        }
+    }
+
+    private void deliver(String instance, InstanceInput.Deliver delivery, double nowMs, Reply reply) {
+        LoadBalancer balancer = instances.get(instance);
+        if (balancer == null) {
+            return;
+        }
+        try {
+            balancer.handle(nowMs, delivery.event(), action -> add(action, reply.actions));
+        } catch (RuntimeException | StackOverflowError bug) {
+            reply.failure = bug;
+        }
+    }
+
+    private void write(String instance, Reply reply) throws IOException {
+        if (reply.failure == null) {
+            try {
+                writer.writeActions(instance, reply.actions);
+                return;
+            } catch (IllegalStateException unknownAction) {
+                reply.failure = unknownAction;
             }
         }
+        writer.writeFailure(instance, reply.failure);
     }
 
     /** Adds an action, except for timer cancellations, which the simulator's format does not have. */
--- a/sidecar/src/test/java/peppergauge/adapter/SimulatorAdapterTest.java
+++ b/sidecar/src/test/java/peppergauge/adapter/SimulatorAdapterTest.java
@@ -1,6 +1,7 @@
 package peppergauge.adapter;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -85,4 +86,58 @@
                         + REQUEST));
         assertTrue(reply.contains("\"host\":\"g\""), reply);
     }
+
+    private static final String RETIRE = "{\"op\":\"Retire\"}";
+    private static final String REQUEST_OF_NO_CLASS = REQUEST.replace("\"op\"", "\"priority\":77,\"op\"");
+
+    private static String lastReply(String... lines) throws Exception {
+        return run(lines).lines().reduce((earlier, later) -> later).orElseThrow();
+    }
+
+    /** A killed instance's request was sent by the instance created for it in the same batch (review/3). */
+    @Test
+    void withdrawsActionsOfKilledInstanceWithSuccessorInTheSameBatch() throws Exception {
+        String reply =
+                lastReply(batch(1, CREATE + "," + LIST), batch(2, REQUEST + "," + RETIRE + "," + CREATE + "," + LIST));
+        assertFalse(reply.contains("00000000000000aa"), reply);
+        assertEquals(
+                lastReply(batch(1, CREATE + "," + LIST)).replace("\"batch\":1", "\"batch\":2"),
+                reply.replaceAll("\"momentMs\":1002", "\"momentMs\":1001"),
+                "a successor acts as an instance without a predecessor does");
+    }
+
+    @Test
+    void withdrawsActionsOfKilledInstanceWithoutSuccessor() throws Exception {
+        String reply = lastReply(batch(1, CREATE + "," + LIST), batch(2, REQUEST + "," + RETIRE));
+        assertEquals("{\"batch\":2,\"proxys\":[]}", reply);
+    }
+
+    /** Each instance of a batch is killed, and only the requests that came after the last start are sent. */
+    @Test
+    void sendsRequestsOfTheLastOfSeveralSuccessors() throws Exception {
+        String later = REQUEST.replace("aa\"", "bb\"");
+        String last = REQUEST.replace("aa\"", "cc\"");
+        String started = CREATE + "," + LIST + ",";
+        String reply = lastReply(batch(
+                1, started + REQUEST + "," + RETIRE + "," + started + later + "," + RETIRE + "," + started + last));
+        assertFalse(reply.contains("00000000000000aa") || reply.contains("00000000000000bb"), reply);
+        assertTrue(reply.contains("\"op\":\"Dispatch\",\"id\":\"00000000000000cc\""), reply);
+    }
+
+    /** An exception of an instance that is killed in the same batch hid its end and its successor's start. */
+    @Test
+    void startsSuccessorOfFailedInstanceInTheSameBatch() throws Exception {
+        String reply = lastReply(
+                batch(1, CREATE + "," + LIST),
+                batch(2, REQUEST_OF_NO_CLASS + "," + RETIRE + "," + CREATE + "," + LIST + "," + REQUEST));
+        assertFalse(reply.contains("Fatal"), reply);
+        assertTrue(reply.contains("\"op\":\"Dispatch\",\"id\":\"00000000000000aa\""), reply);
+    }
+
+    /** The events of one instance may stand in several groups of a batch. */
+    @Test
+    void withdrawsActionsOfEarlierGroupOfKilledInstance() throws Exception {
+        String two = batch(2, REQUEST + "\n" + RETIRE).replace("\n", "]},{\"who\":\"proxy-1\",\"in\":[");
+        assertEquals("{\"batch\":2,\"proxys\":[]}", lastReply(batch(1, CREATE + "," + LIST), two));
+    }
 }
