Copy the connections that LostWatchTest goes through

Cause: closesConnectionsOfFailedCalls iterates over a sublist of the list to which its stand-in's thread may still add the connection of a last call.

Change: the test iterates over a copy. It checks the same connections for the same thing.

--- a/sidecar/src/test/java/peppergauge/discovery/LostWatchTest.java
+++ b/sidecar/src/test/java/peppergauge/discovery/LostWatchTest.java
@@ -287,7 +287,8 @@
             fixture.watch.start();
             ScriptedServer.await(which, 60, () -> discovery.callNanos.size() >= calls);
             fixture.watch.close();
-            for (Socket connection : discovery.server.connections.subList(0, calls - 1)) {
+            // A copy: the stand-in may still add the connection of a call that was made just before the close.
+            for (Socket connection : List.copyOf(discovery.server.connections).subList(0, calls - 1)) {
                 assertTrue(
                         connection.isClosed() || isClosedByPeer(connection),
                         which + ": expected the connection to be closed");
