--- a/lab/src/main/java/peppergauge/lab/soak/DistantServer.java
+++ b/lab/src/main/java/peppergauge/lab/soak/DistantServer.java
@@ -16,9 +16,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A backend server in another zone that sends second copies of some responses late. Each direction of a connection takes
- * the link's delay; requests of one connection are processed in order. A copy is sent only if no byte of a further
- * request has arrived.
+ * A backend server in another zone that sends second copies of some responses late. Each direction of a connection
+ * takes the link's delay; requests of one connection are processed in order. A copy is sent only if no byte of a
+ * further request has arrived.
  */
 final class DistantServer implements Closeable {
 
--- a/lab/src/main/java/peppergauge/lab/soak/LateCopyRun.java
+++ b/lab/src/main/java/peppergauge/lab/soak/LateCopyRun.java
@@ -22,9 +22,9 @@
 import peppergauge.lab.process.SidecarProcess;
 
 /**
- * Three sidecars in processes of their own, many clients and six distant servers that send late copies of responses. The
- * record of all requests and attempts is checked: whether a client got a response that was made for another request, and
- * whether a request was rejected although it may have run, sent twice at once, or run twice.
+ * Three sidecars in processes of their own, many clients and six distant servers that send late copies of responses.
+ * The record of all requests and attempts is checked: whether a client got a response that was made for another
+ * request, and whether a request was rejected although it may have run, sent twice at once, or run twice.
  */
 public final class LateCopyRun implements Closeable {
 
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -301,9 +301,9 @@
     }
 
     /**
-     * Ends the process with exit code 1 as soon as an error ends the event loop, without a graceful
-     * shutdown, in which nothing would respond any more: clients see their connections end at once, and whoever runs the
-     * process sees that it failed. To be called before {@link #start}.
+     * Ends the process with exit code 1 as soon as an error ends the event loop, without a graceful shutdown, in which
+     * nothing would respond any more: clients see their connections end at once, and whoever runs the process sees that
+     * it failed. To be called before {@link #start}.
      */
     public void endProcessIfEventLoopFails() {
         loop.setFailureHandler(fatal -> {
--- a/sidecar/src/main/java/peppergauge/backend/QuietPeriod.java
+++ b/sidecar/src/main/java/peppergauge/backend/QuietPeriod.java
@@ -9,10 +9,10 @@
 import peppergauge.request.Clock;
 
 /**
- * Keeps a pooled connection from being used until some time after its last response. HTTP/1.1 responses name no request:
- * what a server sends on top of a response, such as a late second copy, would be read as the response to the next request
- * if that one were already written. During the quiet period no request is on its way, so that such input is recognized
- * and ends the connection. Only the event loop's thread uses it.
+ * Keeps a pooled connection from being used until some time after its last response. HTTP/1.1 responses name no
+ * request: what a server sends on top of a response, such as a late second copy, would be read as the response to the
+ * next request if that one were already written. During the quiet period no request is on its way, so that such input
+ * is recognized and ends the connection. Only the event loop's thread uses it.
  *
  * <p>A connection in its quiet period is available in the pool with a state of its own. Leases without a state pass it
  * over, and it can be closed to make room, like any idle connection.
--- a/sidecar/src/main/java/peppergauge/frontend/RequestMemory.java
+++ b/sidecar/src/main/java/peppergauge/frontend/RequestMemory.java
@@ -9,7 +9,7 @@
 
     /** Memory of a request beside its head and body: its objects here, in HttpCore and in the load balancer. */
     private static final int REQUEST_OVERHEAD_BYTES = 4 * 1024;
-    /** Memory of a head for each byte on the wire: HttpCore keeps its lines as characters, and strings are made of them. */
+    /** Memory of a head for each byte on the wire: HttpCore keeps its lines as characters, besides the strings. */
     private static final int MEMORY_PER_HEAD_BYTE = 4;
 
     private final MessageMemory all;
