Plant SoakTest's fault of bodies without a length in the present code

Cause: rewrote these lines and left the test. The check is the same: such a response is refused, and the soak must find it.

--- a/lab/src/test/java/peppergauge/lab/soak/SoakTest.java
+++ b/lab/src/test/java/peppergauge/lab/soak/SoakTest.java
@@ -188,8 +188,10 @@
                 "",
                 new PlantedSource(
                         "backend/HttpExchange.java",
-                        "        } else if (!delimited) {\n            awaitEndOfConnection();",
-                        "        } else if (!delimited) {\n            throw new ProtocolException(\"unframed\");")
+                        "            endsWithConnection = !delimited;\n",
+                        "            if (!delimited) {\n"
+                                + "                throw new ProtocolException(\"unframed\");\n"
+                                + "            }\n")
             },
         };
     }
