Count Thrift calls and replies towards the limit on memory

Descriptors and pipelining allow 16 Thrift calls of 64 KiB on each of 492 connections.

Change: MessageMemory and RequestMemory move to the package memory, which HTTP and Thrift share. A connection reserves its input buffer, a call its bytes, its copy and its key, a reply over 8 KiB its length. A complete call without memory gets the error of a rejected one; an incomplete one too, and its connection is closed after it. The buffer no longer grows beyond the frame.

Why it works: memory is reserved before it is held, and the rest is bounded by the descriptors, as with HTTP.

--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -20,9 +20,9 @@
 import peppergauge.discovery.EndpointWatch;
 import peppergauge.frontend.HttpFrontend;
 import peppergauge.frontend.RequestClassifier;
-import peppergauge.http.MessageMemory;
 import peppergauge.invariant.InvariantCheckingLoadBalancer;
 import peppergauge.log.Log;
+import peppergauge.memory.MessageMemory;
 import peppergauge.overload.BackgroundTask;
 import peppergauge.overload.OverloadConfig;
 import peppergauge.overload.OverloadController;
@@ -107,7 +107,7 @@
         double connectTimeoutMs = connectTimeoutMs(config.settings());
         overload = new OverloadController<>(overloadConfig(settings, config.seed()));
         ClientConnections clients = new ClientConnections(loop, maxConnections, clock, overload);
-        context = new SidecarExtension.Context(config, settings, names, clock, loop, overload, clients);
+        context = new SidecarExtension.Context(config, settings, names, clock, loop, overload, clients, messageMemory);
         largeBodies = extension.largeBodies(context);
         HttpBackend httpBackend = createHttpBackend(settings, maxConnections, connectTimeoutMs, QUIET_PERIOD_MS);
         // A health check is answered without queueing, so that the connect timeout applies to it as well.
--- a/sidecar/src/main/java/peppergauge/SidecarExtension.java
+++ b/sidecar/src/main/java/peppergauge/SidecarExtension.java
@@ -6,6 +6,7 @@
 import peppergauge.config.Config;
 import peppergauge.decision.LoadBalancer;
 import peppergauge.decision.LoadBalancer.Settings;
+import peppergauge.memory.MessageMemory;
 import peppergauge.overload.OverloadController;
 import peppergauge.request.Backend;
 import peppergauge.request.Clock;
@@ -46,7 +47,8 @@
             Clock clock,
             EventLoop loop,
             OverloadController<EvictableConnection, PendingRequest> overload,
-            ClientConnections clients) {}
+            ClientConnections clients,
+            MessageMemory messageMemory) {}
 
     /** Wraps the load balancer, for instance to persist its state. */
     default LoadBalancer wrapLoadBalancer(LoadBalancer loadBalancer, Context context) {
--- a/sidecar/src/main/java/peppergauge/backend/HttpBackend.java
+++ b/sidecar/src/main/java/peppergauge/backend/HttpBackend.java
@@ -6,7 +6,7 @@
 import java.util.function.DoubleSupplier;
 import peppergauge.decision.LoadBalancer.LoadField;
 import peppergauge.decision.LoadBalancer.Outcome;
-import peppergauge.http.MessageMemory;
+import peppergauge.memory.MessageMemory;
 import peppergauge.request.Backend;
 import peppergauge.request.Clock;
 import peppergauge.request.LargeBodies;
--- a/sidecar/src/main/java/peppergauge/backend/ResponseMemory.java
+++ b/sidecar/src/main/java/peppergauge/backend/ResponseMemory.java
@@ -1,7 +1,7 @@
 package peppergauge.backend;
 
-import peppergauge.http.MessageMemory;
 import peppergauge.log.Log;
+import peppergauge.memory.MessageMemory;
 import peppergauge.request.Backend;
 
 /**
--- a/sidecar/src/main/java/peppergauge/frontend/HttpRequestHandler.java
+++ b/sidecar/src/main/java/peppergauge/frontend/HttpRequestHandler.java
@@ -14,6 +14,7 @@
 import org.apache.hc.core5.http.protocol.HttpContext;
 import peppergauge.http.BodyBuffer;
 import peppergauge.http.ReceiveWindow;
+import peppergauge.memory.RequestMemory;
 import peppergauge.request.BodyStream;
 import peppergauge.request.BodyWriter;
 import peppergauge.request.IncomingRequest;
--- a/sidecar/src/main/java/peppergauge/http/MessageMemory.java
+++ b/sidecar/src/main/java/peppergauge/memory/MessageMemory.java
@@ -1,4 +1,4 @@
-package peppergauge.http;
+package peppergauge.memory;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -26,6 +26,18 @@
         Purpose(double share) {
             this.share = share;
         }
+
+        /**
+         * The purpose of a body of a request.
+         *
+         * @param pipelined whether an earlier request of the connection has no response yet
+         */
+        public static Purpose ofBody(boolean pipelined, long bytes) {
+            if (pipelined) {
+                return PIPELINED_BODY;
+            }
+            return bytes > SMALL_BODY_BYTES ? LARGE_BODY : REQUEST;
+        }
     }
 
     /** Largest body of a request that is not counted as a large one. */
--- a/sidecar/src/main/java/peppergauge/frontend/RequestMemory.java
+++ b/sidecar/src/main/java/peppergauge/memory/RequestMemory.java
@@ -1,11 +1,10 @@
-package peppergauge.frontend;
+package peppergauge.memory;
 
 import java.util.Locale;
-import peppergauge.http.MessageMemory;
 import peppergauge.log.Log;
 
 /** The memory that one request and its response hold. Only the event loop's thread uses it. */
-final class RequestMemory {
+public final class RequestMemory {
 
     /** Memory of a request beside its head and body: its objects here, in HttpCore and in the load balancer. */
     private static final int REQUEST_OVERHEAD_BYTES = 4 * 1024;
@@ -17,18 +16,18 @@
     private long headBytes;
     private boolean exhausted;
 
-    RequestMemory(MessageMemory all) {
+    public RequestMemory(MessageMemory all) {
         this.all = all;
         this.reservation = all.newReservation();
     }
 
     /** Whether memory was refused, so that the request is to be rejected. */
-    boolean isExhausted() {
+    public boolean isExhausted() {
         return exhausted;
     }
 
     /** Reserves memory for a head of this length on the wire; returns whether there is enough. */
-    boolean reserveHead(String requestId, int lengthBytes) {
+    public boolean reserveHead(String requestId, int lengthBytes) {
         headBytes = REQUEST_OVERHEAD_BYTES + (long) MEMORY_PER_HEAD_BYTE * lengthBytes;
         return reserve(requestId, MessageMemory.Purpose.REQUEST, headBytes);
     }
@@ -38,13 +37,18 @@
      *
      * @param pipelined whether an earlier request of the connection has no response yet
      */
-    boolean reserveBody(String requestId, boolean pipelined, int bytes) {
-        MessageMemory.Purpose purpose = pipelined
-                ? MessageMemory.Purpose.PIPELINED_BODY
-                : bytes > MessageMemory.SMALL_BODY_BYTES
-                        ? MessageMemory.Purpose.LARGE_BODY
-                        : MessageMemory.Purpose.REQUEST;
-        return reserve(requestId, purpose, bytes);
+    public boolean reserveBody(String requestId, boolean pipelined, int bytes) {
+        return reserve(requestId, MessageMemory.Purpose.ofBody(pipelined, bytes), bytes);
+    }
+
+    /**
+     * Reserves memory for a request that is read as a whole, and for its copies; returns whether there is enough.
+     *
+     * @param pipelined whether an earlier request of the connection has no response yet
+     */
+    public boolean reserveMessage(String requestId, boolean pipelined, long bytes) {
+        MessageMemory.Purpose purpose = MessageMemory.Purpose.ofBody(pipelined, bytes);
+        return reserve(requestId, purpose, REQUEST_OVERHEAD_BYTES + bytes);
     }
 
     private boolean reserve(String requestId, MessageMemory.Purpose purpose, long bytes) {
@@ -71,18 +75,18 @@
     }
 
     /** Called when the body is not held in memory any more. */
-    void releaseBody() {
+    public void releaseBody() {
         reservation.shrinkTo(headBytes);
     }
 
     /** Called when the response is known: head and body are not needed any more, and the response's body is held. */
-    void holdResponse(int bytes) {
+    public void holdResponse(int bytes) {
         reservation.shrinkTo(REQUEST_OVERHEAD_BYTES);
         reservation.grow(bytes);
     }
 
     /** Called when the response is written or the connection has ended; may be called several times. */
-    void release() {
+    public void release() {
         reservation.release();
     }
 }
--- /dev/null
+++ b/sidecar/src/main/java/peppergauge/memory/package-info.java
@@ -0,0 +1,2 @@
+/** The limit on the memory that the requests and responses of all connections hold together, of any protocol. */
+package peppergauge.memory;
--- a/sidecar/src/test/java/peppergauge/MessageMemoryReleaseTest.java
+++ b/sidecar/src/test/java/peppergauge/MessageMemoryReleaseTest.java
@@ -6,7 +6,7 @@
 import java.net.Socket;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import peppergauge.http.MessageMemory;
+import peppergauge.memory.MessageMemory;
 
 /** Memory that is reserved for a request and its response is released however they end. */
 public class MessageMemoryReleaseTest extends RealTimeTestBase {
--- a/sidecar/src/test/java/peppergauge/backend/HttpBackendSocketTest.java
+++ b/sidecar/src/test/java/peppergauge/backend/HttpBackendSocketTest.java
@@ -27,7 +27,7 @@
 import peppergauge.RealTimeTestBase;
 import peppergauge.ScriptedServer;
 import peppergauge.decision.LoadBalancer.Outcome;
-import peppergauge.http.MessageMemory;
+import peppergauge.memory.MessageMemory;
 import peppergauge.request.Backend;
 import peppergauge.request.Clock;
 import peppergauge.request.LargeBodies;
--- a/sidecar/src/test/java/peppergauge/frontend/WarmUpRequestsTest.java
+++ b/sidecar/src/test/java/peppergauge/frontend/WarmUpRequestsTest.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.testng.annotations.Test;
-import peppergauge.http.MessageMemory;
+import peppergauge.memory.MessageMemory;
 import peppergauge.overload.OverloadConfig;
 import peppergauge.overload.OverloadController;
 import peppergauge.request.Clock;
--- a/sidecar/src/test/java/peppergauge/http/MessageMemoryTest.java
+++ b/sidecar/src/test/java/peppergauge/memory/MessageMemoryTest.java
@@ -1,4 +1,4 @@
-package peppergauge.http;
+package peppergauge.memory;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.testng.annotations.Test;
-import peppergauge.http.MessageMemory.Purpose;
-import peppergauge.http.MessageMemory.Reservation;
+import peppergauge.memory.MessageMemory.Purpose;
+import peppergauge.memory.MessageMemory.Reservation;
 
 public class MessageMemoryTest {
 
--- a/thrift/src/main/java/peppergauge/thrift/ThriftExtension.java
+++ b/thrift/src/main/java/peppergauge/thrift/ThriftExtension.java
@@ -50,7 +50,8 @@
                         context.settings().loadFields(),
                         connectTimeoutMs(context.config().settings()),
                         context.settings().limits().connectionIdleMs(),
-                        maxSockets),
+                        maxSockets,
+                        context.messageMemory()),
                 settings.serverFormat(),
                 settings.limits(),
                 settings.methods(),
@@ -76,7 +77,8 @@
                 context.clock(),
                 context.loop(),
                 context.overload(),
-                context.clients());
+                context.clients(),
+                context.messageMemory());
         frontend.start(settings.listen());
         Log.event("thrift_listener_started", "address", frontend.address());
     }
--- a/thrift/src/main/java/peppergauge/thrift/backend/ConnectionPool.java
+++ b/thrift/src/main/java/peppergauge/thrift/backend/ConnectionPool.java
@@ -14,6 +14,7 @@
 import org.apache.hc.core5.net.URIAuthority;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
+import peppergauge.memory.MessageMemory;
 import peppergauge.request.Backend;
 import peppergauge.sockets.EventLoop;
 import peppergauge.sockets.SocketLimit;
@@ -31,7 +32,7 @@
     /** Share of the sockets kept free for closing connections, which hold their descriptors a little longer. */
     private static final double CLOSING_SOCKETS_SHARE = 0.1;
 
-    private static final int READ_BUFFER_BYTES = 8 * 1024;
+    static final int READ_BUFFER_BYTES = 8 * 1024;
 
     /** Shared by all connections, since only the event-loop thread reads. */
     private final ByteBuffer readBuffer = ByteBuffer.allocate(READ_BUFFER_BYTES);
@@ -40,6 +41,7 @@
     private final SocketLimit socketLimit;
     private final WireFormat format;
     private final MessageLimits limits;
+    private final MessageMemory messageMemory;
     private final int maxOpenConnections;
     private final Timeout connectTimeout;
     private final Timeout idleTimeout;
@@ -63,11 +65,13 @@
             MessageLimits limits,
             int maxSockets,
             double connectTimeoutMs,
-            double idleTimeoutMs) {
+            double idleTimeoutMs,
+            MessageMemory messageMemory) {
         this.loop = loop;
         this.socketLimit = new SocketLimit(maxSockets, loop);
         this.format = format;
         this.limits = limits;
+        this.messageMemory = messageMemory;
         this.maxOpenConnections = (int) Math.ceil(maxSockets * (1 - CLOSING_SOCKETS_SHARE));
         this.connectTimeout = Timeout.ofMilliseconds((long) Math.max(1, connectTimeoutMs));
         this.idleTimeout = Timeout.ofMilliseconds((long) Math.max(1, idleTimeoutMs * IDLE_TIMEOUT_SHARE));
@@ -100,7 +104,8 @@
     }
 
     private void connect(Backend.Server server, LeaseListener listener) {
-        ServerConnection connection = new ServerConnection(server, this, format, limits);
+        ServerConnection connection =
+                new ServerConnection(server, this, format, limits, messageMemory.newReservation());
         URIAuthority authority = parseAuthority(server.address());
         loop.connect(
                 authority,
--- a/thrift/src/main/java/peppergauge/thrift/backend/ServerConnection.java
+++ b/thrift/src/main/java/peppergauge/thrift/backend/ServerConnection.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.Timeout;
 import peppergauge.log.Log;
+import peppergauge.memory.MessageMemory;
 import peppergauge.request.Backend;
 import peppergauge.sockets.ConnectionHandlerFactory;
 import peppergauge.thrift.wire.MalformedMessageException;
@@ -27,18 +28,30 @@
     private final ConnectionPool pool;
     private final WireFormat format;
     private final MessageReader reader;
+    /** The memory of a long reply. */
+    private final MessageMemory.Reservation memory;
+
     private final ByteBuffer probeByte = ByteBuffer.allocate(1);
     private IOSession session;
     private ThriftExchange exchange;
     private int sequenceId;
+    /** Whether memory for the present reply is reserved or awaited. */
+    private boolean isMemoryRequested;
+
     private boolean countsAsOpen = true;
     private boolean isDisconnected;
 
-    ServerConnection(Backend.Server server, ConnectionPool pool, WireFormat format, MessageLimits limits) {
+    ServerConnection(
+            Backend.Server server,
+            ConnectionPool pool,
+            WireFormat format,
+            MessageLimits limits,
+            MessageMemory.Reservation memory) {
         this.server = server;
         this.pool = pool;
         this.format = format;
         this.reader = new MessageReader(format, limits);
+        this.memory = memory;
     }
 
     @Override
@@ -73,6 +86,11 @@
 
     void endExchange() {
         exchange = null;
+        if (isMemoryRequested) {
+            isMemoryRequested = false;
+            memory.release();
+            session.setEvent(EventMask.READ);
+        }
     }
 
     /**
@@ -143,6 +161,8 @@
             RawMessage message = reader.next();
             if (message != null) {
                 exchange.onReply(message);
+            } else if (!isMemoryRequested && reader.bufferBytes() >= ConnectionPool.READ_BUFFER_BYTES) {
+                reserveMemory();
             }
         } catch (MalformedMessageException malformed) {
             Log.event("thrift_reply_malformed", "server", server.id(), "error", malformed.getMessage());
@@ -150,6 +170,15 @@
         }
     }
 
+    /** Reserves memory for the whole of a long reply; without it, nothing is read until there is some. */
+    private void reserveMemory() {
+        isMemoryRequested = true;
+        if (!memory.growOrAwait(reader.expectedBytes(), () -> session.setEvent(EventMask.READ))) {
+            Log.event("thrift_reply_paused", "server", server.id(), "needed_bytes", reader.expectedBytes());
+            session.clearEvent(EventMask.READ);
+        }
+    }
+
     @Override
     public void outputReady(IOSession active) throws IOException {
         if (exchange == null || exchange.write()) {
--- a/thrift/src/main/java/peppergauge/thrift/backend/ThriftBackend.java
+++ b/thrift/src/main/java/peppergauge/thrift/backend/ThriftBackend.java
@@ -10,6 +10,7 @@
 import peppergauge.decision.LoadBalancer.LoadField;
 import peppergauge.decision.LoadBalancer.Outcome;
 import peppergauge.log.Log;
+import peppergauge.memory.MessageMemory;
 import peppergauge.request.Backend;
 import peppergauge.request.Clock;
 import peppergauge.request.Message;
@@ -49,6 +50,7 @@
      * @param connectTimeoutMs for opening a connection
      * @param idleTimeoutMs after which servers close an idle connection
      * @param maxSockets that all connections together may hold
+     * @param messageMemory limits the memory of replies
      */
     public record Dependencies(
             Clock clock,
@@ -57,7 +59,8 @@
             List<LoadField> loadFields,
             double connectTimeoutMs,
             double idleTimeoutMs,
-            int maxSockets) {}
+            int maxSockets,
+            MessageMemory messageMemory) {}
 
     /**
      * @param format of all servers
@@ -80,7 +83,8 @@
                 limits,
                 dependencies.maxSockets(),
                 dependencies.connectTimeoutMs(),
-                dependencies.idleTimeoutMs());
+                dependencies.idleTimeoutMs(),
+                dependencies.messageMemory());
     }
 
     /**
--- a/thrift/src/main/java/peppergauge/thrift/frontend/ClientCall.java
+++ b/thrift/src/main/java/peppergauge/thrift/frontend/ClientCall.java
@@ -1,5 +1,6 @@
 package peppergauge.thrift.frontend;
 
+import peppergauge.memory.RequestMemory;
 import peppergauge.request.IncomingRequest;
 import peppergauge.request.Message;
 import peppergauge.request.ResponseListener;
@@ -17,12 +18,15 @@
 final class ClientCall implements ResponseListener {
 
     private static final byte[] NO_REPLY = {};
+    /** A call is held as it arrived and as it is written to a server. */
+    private static final int COPIES = 2;
 
     private final ThriftFrontend frontend;
     private final ThriftClientConnection connection;
     private final WireFormat format;
     private final MessageHeader header;
     private final boolean oneway;
+    private final RequestMemory memory;
     /** Null unless the call was dispatched. */
     private String requestId;
 
@@ -44,10 +48,23 @@
         this.format = format;
         this.header = header;
         this.oneway = oneway;
+        this.memory = new RequestMemory(frontend.messageMemory());
     }
 
-    void dispatch(RawMessage call, MethodConfig method, CallAttributes attributes) {
-        requestId = attributes.id() == null ? frontend.newRequestId() : attributes.id();
+    /**
+     * Dispatches the call, unless there is too little memory for it.
+     *
+     * @param isPipelined whether an earlier call of the connection has no reply yet
+     * @return whether the call was dispatched
+     */
+    boolean dispatch(RawMessage call, MethodConfig method, CallAttributes attributes, boolean isPipelined) {
+        String id = attributes.id() == null ? frontend.newRequestId() : attributes.id();
+        long neededBytes = (long) COPIES * call.bytes().length
+                + (long) Character.BYTES * attributes.key().length();
+        if (!memory.reserveMessage(id, isPipelined, neededBytes)) {
+            return false;
+        }
+        requestId = id;
         frontend.requestHandler()
                 .handle(
                         new IncomingRequest(
@@ -59,6 +76,12 @@
                                 frontend.arrivedMs(),
                                 ThriftMessages.ofCall(call, attributes.key())),
                         this);
+        return true;
+    }
+
+    /** Called when the reply is written or its connection has closed; may be called several times. */
+    void releaseMemory() {
+        memory.release();
     }
 
     boolean isDispatched() {
@@ -125,6 +148,10 @@
         if (!isCompleted) {
             isCompleted = true;
             encodedReply = reply == null ? NO_REPLY : MessageRewriter.frame(reply, format);
+            memory.holdResponse(encodedReply.length);
+            if (oneway) {
+                memory.release();
+            }
             connection.onOutcome(this);
         }
     }
@@ -134,6 +161,7 @@
      * close the connection right after the call.
      */
     void onClientDisconnected() {
+        memory.release();
         if (isDispatched() && !isCompleted && !oneway) {
             isCompleted = true;
             frontend.requestHandler().cancel(requestId, this);
--- a/thrift/src/main/java/peppergauge/thrift/frontend/ThriftClientConnection.java
+++ b/thrift/src/main/java/peppergauge/thrift/frontend/ThriftClientConnection.java
@@ -12,6 +12,8 @@
 import org.apache.hc.core5.util.Timeout;
 import org.apache.thrift.protocol.TMessageType;
 import peppergauge.log.Log;
+import peppergauge.memory.MessageMemory;
+import peppergauge.memory.MessageMemory.Purpose;
 import peppergauge.sockets.ClientConnection;
 import peppergauge.sockets.ClientConnections;
 import peppergauge.sockets.ConnectionPhase;
@@ -36,15 +38,20 @@
     private final ThriftFrontend frontend;
     private final ClientConnections connections;
     private final MessageReader reader;
+    /** The memory of the reader's buffer. */
+    private final MessageMemory.Reservation inputMemory;
+
     /** Calls whose replies are not handed to the socket yet, in the order of their arrival; no oneway calls. */
     private final Deque<ClientCall> pendingCalls = new ArrayDeque<>(2);
 
     private final Deque<Reply> unwrittenReplies = new ArrayDeque<>(2);
     /** Calls that were dispatched and have no outcome, oneway calls included. */
     private int dispatchedCalls;
+    /** The part of the buffer for which memory is reserved. */
+    private int inputBytes;
 
-    /** A reply that is not completely written; {@code dispatched}: whether its call was dispatched. */
-    private record Reply(ByteBuffer bytes, boolean dispatched) {}
+    /** A reply that is not completely written, and its call. */
+    private record Reply(ByteBuffer bytes, ClientCall call) {}
 
     ThriftClientConnection(ProtocolIOSession connection, ThriftFrontend frontend, ClientConnections connections) {
         super(connection, connections, frontend.scheduler());
@@ -52,6 +59,7 @@
         this.frontend = frontend;
         this.connections = connections;
         this.reader = frontend.newMessageReader();
+        this.inputMemory = frontend.messageMemory().newReservation();
     }
 
     // ---- Reactor events ----
@@ -84,12 +92,40 @@
             onClosed();
         } else if (bytes > 0 && phase() == ConnectionPhase.RESPONDING) {
             discard(bytes);
-        } else if (bytes > 0) {
+        } else if (bytes > 0 && reserveInput(bytes)) {
             reader.feed(buffer.flip());
+        } else if (bytes > 0) {
+            discard(bytes);
+            rejectForMemory();
         }
         return bytes > 0;
     }
 
+    /** Reserves memory for the buffer with so many more bytes. The first read always has some, so as to be answered. */
+    private boolean reserveInput(int added) {
+        int neededBytes = reader.bufferBytesAfter(added);
+        int moreBytes = neededBytes - inputBytes;
+        if (moreBytes > 0 && !reader.hasBufferedInput()) {
+            inputMemory.grow(moreBytes);
+        } else if (moreBytes > 0 && !inputMemory.tryGrow(Purpose.ofBody(isPipelined(), neededBytes), moreBytes)) {
+            return false;
+        }
+        inputBytes = neededBytes;
+        return true;
+    }
+
+    private boolean isPipelined() {
+        return !pendingCalls.isEmpty() || dispatchedCalls > 0;
+    }
+
+    private void releaseInput() {
+        if (phase() != ConnectionPhase.READING) {
+            reader.discardBuffer();
+        }
+        inputBytes = reader.bufferBytes();
+        inputMemory.shrinkTo(inputBytes);
+    }
+
     @Override
     public void outputReady(IOSession session) throws IOException {
         while (!unwrittenReplies.isEmpty()) {
@@ -98,7 +134,9 @@
             if (bytes.hasRemaining()) {
                 return;
             }
-            onResponseWritten(unwrittenReplies.poll().dispatched());
+            ClientCall replied = unwrittenReplies.poll().call();
+            replied.releaseMemory();
+            onResponseWritten(replied.isDispatched());
         }
         session.clearEvent(EventMask.WRITE);
         if (phase().isAtLeast(ConnectionPhase.LINGERING) || !pendingCalls.isEmpty() || dispatchedCalls > 0) {
@@ -167,7 +205,9 @@
     protected void cancelOpenRequests() {
         List<ClientCall> cancelled = List.copyOf(pendingCalls);
         pendingCalls.clear();
+        unwrittenReplies.forEach(reply -> reply.call().releaseMemory());
         unwrittenReplies.clear();
+        inputMemory.release();
         cancelled.forEach(ClientCall::onClientDisconnected);
     }
 
@@ -198,6 +238,8 @@
             }
         } catch (MalformedMessageException malformed) {
             rejectMalformed(malformed);
+        } finally {
+            releaseInput();
         }
     }
 
@@ -240,18 +282,33 @@
             call.completeWithError(ErrorReply.malformed(malformed.getMessage()));
             return;
         }
+        boolean isPipelined = dispatchedCalls > 0 || pendingCalls.size() > (call.isOneway() ? 0 : 1);
         dispatchedCalls++;
-        call.dispatch(message, method, attributes);
+        if (!call.dispatch(message, method, attributes, isPipelined)) {
+            dispatchedCalls--;
+            call.completeWithError(ErrorReply.rejected(0));
+        }
     }
 
     /** Stops reading after malformed input; replies with an error if the header shows that it belongs to a call. */
     private void rejectMalformed(MalformedMessageException malformed) {
-        MessageHeader header = reader.header();
         Log.event("thrift_message_malformed", "error", malformed.getMessage());
+        rejectPresentMessage(ErrorReply.malformed(malformed.getMessage()));
+    }
+
+    /** Stops reading, since there is no memory for the rest of a call. */
+    private void rejectForMemory() {
+        Log.event("thrift_call_not_admitted", "reason", "memory", "needed_bytes", reader.expectedBytes());
+        rejectPresentMessage(ErrorReply.rejected(0));
+        releaseInput();
+    }
+
+    private void rejectPresentMessage(ErrorReply error) {
+        MessageHeader header = reader.header();
         if (header != null && header.messageType() == TMessageType.CALL) {
             onRequestReceived();
             stopReading();
-            createCall(header, false).completeWithError(ErrorReply.malformed(malformed.getMessage()));
+            createCall(header, false).completeWithError(error);
         } else if (!hasUnwrittenResponses() && dispatchedCalls == 0) {
             endSending();
         } else {
@@ -272,7 +329,7 @@
         }
         while (!pendingCalls.isEmpty() && pendingCalls.peek().encodedReply() != null) {
             ClientCall next = pendingCalls.poll();
-            unwrittenReplies.add(new Reply(ByteBuffer.wrap(next.encodedReply()), next.isDispatched()));
+            unwrittenReplies.add(new Reply(ByteBuffer.wrap(next.encodedReply()), next));
         }
         if (pendingCalls.isEmpty() && dispatchedCalls == 0) {
             startIdleTimer();
--- a/thrift/src/main/java/peppergauge/thrift/frontend/ThriftFrontend.java
+++ b/thrift/src/main/java/peppergauge/thrift/frontend/ThriftFrontend.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import peppergauge.log.Log;
+import peppergauge.memory.MessageMemory;
 import peppergauge.overload.OverloadController;
 import peppergauge.request.Clock;
 import peppergauge.request.RequestHandler;
@@ -21,7 +22,7 @@
 /** Listens for Thrift clients, dispatches their calls as requests and sends the responses as replies. */
 public final class ThriftFrontend {
 
-    private static final int READ_BUFFER_BYTES = 8 * 1024;
+    static final int READ_BUFFER_BYTES = 8 * 1024;
 
     private final WireFormat format;
     private final MessageLimits limits;
@@ -31,6 +32,7 @@
     private final EventLoop loop;
     private final OverloadController<EvictableConnection, ?> overload;
     private final ClientConnections clients;
+    private final MessageMemory messageMemory;
     /** Shared by all connections, since only the event-loop thread reads. */
     private final ByteBuffer readBuffer = ByteBuffer.allocate(READ_BUFFER_BYTES);
 
@@ -45,6 +47,7 @@
     /**
      * @param format of all connections; null to detect it from the first bytes of each connection
      * @param limits of the calls
+     * @param messageMemory limits the memory of calls and replies
      */
     public ThriftFrontend(
             WireFormat format,
@@ -54,7 +57,8 @@
             Clock clock,
             EventLoop loop,
             OverloadController<EvictableConnection, ?> overload,
-            ClientConnections clients) {
+            ClientConnections clients,
+            MessageMemory messageMemory) {
         this.format = format;
         this.limits = limits;
         this.methods = methods;
@@ -63,6 +67,7 @@
         this.loop = loop;
         this.overload = overload;
         this.clients = clients;
+        this.messageMemory = messageMemory;
     }
 
     /**
@@ -106,6 +111,10 @@
         return new MessageReader(format, limits);
     }
 
+    MessageMemory messageMemory() {
+        return messageMemory;
+    }
+
     ByteBuffer readBuffer() {
         return readBuffer;
     }
--- a/thrift/src/main/java/peppergauge/thrift/wire/MessageReader.java
+++ b/thrift/src/main/java/peppergauge/thrift/wire/MessageReader.java
@@ -50,6 +50,37 @@
         return scanner == null ? null : scanner.header();
     }
 
+    /** The size of the buffer. */
+    public int bufferBytes() {
+        return buffer.length;
+    }
+
+    /** The size that the buffer will have when so many bytes are fed. */
+    public int bufferBytesAfter(int added) {
+        if (writeIndex - readIndex + added <= buffer.length) {
+            return buffer.length;
+        }
+        return Math.max(MIN_BUFFER_BYTES, grownBytes()) + added;
+    }
+
+    /** Twice the buffered bytes, but no more than the present message needs. */
+    private int grownBytes() {
+        int buffered = writeIndex - readIndex;
+        return Math.min(2 * buffered, Math.max(buffered, expectedBytes()));
+    }
+
+    /** The most bytes that the present message may have: by its frame header, else the limit. */
+    public int expectedBytes() {
+        return frameLength == NO_FRAME ? limits.maxMessageBytes() : Math.min(frameLength, limits.maxMessageBytes());
+    }
+
+    /** Drops the buffer; the connection's further input is not read as messages. */
+    public void discardBuffer() {
+        buffer = EMPTY_BUFFER;
+        readIndex = 0;
+        writeIndex = 0;
+    }
+
     /** Buffers input; {@link #next} returns the messages in it. */
     public void feed(ByteBuffer input) {
         int added = input.remaining();
@@ -64,9 +95,7 @@
     /** Moves the buffered bytes to the start of the buffer, or of a larger one. */
     private void makeRoom(int added) {
         int buffered = writeIndex - readIndex;
-        int grownBytes = Math.min(2 * buffered, buffered + limits.maxMessageBytes());
-        byte[] target =
-                buffered + added <= buffer.length ? buffer : new byte[Math.max(MIN_BUFFER_BYTES, grownBytes) + added];
+        byte[] target = buffered + added <= buffer.length ? buffer : new byte[bufferBytesAfter(added)];
         System.arraycopy(buffer, readIndex, target, 0, buffered);
         buffer = target;
         readIndex = 0;
@@ -106,9 +135,7 @@
         scanner = null;
         frameLength = NO_FRAME;
         if (!hasBufferedInput()) {
-            buffer = EMPTY_BUFFER;
-            readIndex = 0;
-            writeIndex = 0;
+            discardBuffer();
         }
         return message;
     }
--- a/thrift/src/test/java/peppergauge/ThriftProtocolTest.java
+++ b/thrift/src/test/java/peppergauge/ThriftProtocolTest.java
@@ -39,6 +39,7 @@
 import peppergauge.ThriftSidecarFixture.ProtocolPair;
 import peppergauge.decision.LoadBalancer.LoadField;
 import peppergauge.decision.LoadBalancer.Outcome;
+import peppergauge.memory.MessageMemory;
 import peppergauge.request.Backend;
 import peppergauge.request.Clock;
 import peppergauge.request.Message;
@@ -279,7 +280,14 @@
             Clock clock = new Clock();
             ThriftBackend backend = new ThriftBackend(
                     new ThriftBackend.Dependencies(
-                            clock, loop, clock::nowMs, List.of(LoadField.IN_FLIGHT, LoadField.QUEUED), 500, 800, 8),
+                            clock,
+                            loop,
+                            clock::nowMs,
+                            List.of(LoadField.IN_FLIGHT, LoadField.QUEUED),
+                            500,
+                            800,
+                            8,
+                            MessageMemory.ofHeap(0.25)),
                     codec.format(),
                     new MessageLimits(1_024, 8),
                     new MethodRegistry(
