Extend quiet periods to 100 ms for a minute after unexpected input

Cause: a copy that a server sends 10 ms late arrives more than 20 ms late when the processes wait for a core, after the connection's quiet period.

Change: unexpected input from any server extends the quiet periods of all connections to 100 ms for 60 s. An attempt that waits for a connection that closes meanwhile leases another one at once.

Why it works: most copies come within the usual period, meet no request, and show that later ones are to be expected. Without unexpected input the periods are as before.

--- a/sidecar/src/main/java/peppergauge/backend/ConnectionPool.java
+++ b/sidecar/src/main/java/peppergauge/backend/ConnectionPool.java
@@ -122,7 +122,8 @@
             PoolEntry<Backend.Server, ServerConnection> entry,
             FutureCallback<PoolEntry<Backend.Server, ServerConnection>> leased) {
         double remainingMs = quietPeriod.remainingMs(quiet);
-        if (remainingMs > 0) {
+        // A connection that has closed meanwhile is not worth a wait; the attempt then leases another one.
+        if (remainingMs > 0 && entry.getConnection().isOpen()) {
             loop.schedule(remainingMs, () -> completeAfter(quiet, entry, leased));
         } else {
             quietPeriod.end(quiet);
@@ -147,7 +148,7 @@
             URIAuthority authority,
             PoolEntry<Backend.Server, ServerConnection> entry,
             FutureCallback<PoolEntry<Backend.Server, ServerConnection>> leased) {
-        ServerConnection connection = new ServerConnection(server, clock, sockets);
+        ServerConnection connection = new ServerConnection(server, clock, sockets, quietPeriod::onUnexpectedInput);
         loop.connect(
                 authority,
                 new InetSocketAddress(authority.getHostName(), authority.getPort()),
--- a/sidecar/src/main/java/peppergauge/backend/QuietPeriod.java
+++ b/sidecar/src/main/java/peppergauge/backend/QuietPeriod.java
@@ -14,39 +14,59 @@
  * next request if that one were already written. During the quiet period no request is on its way, so that such input
  * is recognized and ends the connection. Only the event loop's thread uses it.
  *
+ * <p>Unexpected input shows that servers send more than responses, and on a busy machine some of it may come later than
+ * the usual duration. For a time after it the quiet periods of all connections are longer.
+ *
  * <p>A connection in its quiet period is available in the pool with a state of its own. Leases without a state pass it
  * over, and it can be closed to make room, like any idle connection.
  */
 final class QuietPeriod {
 
+    /** Duration after unexpected input, in usual durations. */
+    static final double EXTENDED_MULTIPLE = 5;
+    /** Time after unexpected input for which quiet periods are longer. */
+    static final double EXTENSION_MS = 60_000;
+
     /** The state of a connection in its quiet period, by which it can be leased. */
     static final class Quiet {
 
         private final PoolEntry<Backend.Server, ServerConnection> entry;
-        private final double endMs;
+        private final double sinceMs;
 
-        private Quiet(PoolEntry<Backend.Server, ServerConnection> entry, double endMs) {
+        private Quiet(PoolEntry<Backend.Server, ServerConnection> entry, double sinceMs) {
             this.entry = entry;
-            this.endMs = endMs;
+            this.sinceMs = sinceMs;
         }
     }
 
     private final Clock clock;
-    private final double durationMs;
+    private final double usualMs;
     /** All that may be in their quiet periods, in the order in which these end. */
     private final Queue<Quiet> all = new ArrayDeque<>();
     /** The same by server, without those that have been leased. */
     private final Map<Backend.Server, Queue<Quiet>> available = new HashMap<>();
 
-    QuietPeriod(Clock clock, double durationMs) {
+    private double extendedUntilMs = Double.NEGATIVE_INFINITY;
+
+    /** @param usualMs the duration while no server sends unexpected input */
+    QuietPeriod(Clock clock, double usualMs) {
         this.clock = clock;
-        this.durationMs = durationMs;
+        this.usualMs = usualMs;
+    }
+
+    /** Extends the quiet periods of all connections, those that have begun included. */
+    void onUnexpectedInput() {
+        extendedUntilMs = clock.nowMs() + EXTENSION_MS;
+    }
+
+    private double durationMs() {
+        return clock.nowMs() < extendedUntilMs ? EXTENDED_MULTIPLE * usualMs : usualMs;
     }
 
     /** Starts the quiet period of a connection that is about to be returned to the pool. */
     void begin(PoolEntry<Backend.Server, ServerConnection> entry) {
         endExpired();
-        Quiet quiet = new Quiet(entry, clock.nowMs() + durationMs);
+        Quiet quiet = new Quiet(entry, clock.nowMs());
         entry.updateState(quiet);
         all.add(quiet);
         available
@@ -56,8 +76,7 @@
 
     /** Ends the quiet periods that are over; to be called before each lease. */
     void endExpired() {
-        double nowMs = clock.nowMs();
-        while (!all.isEmpty() && all.peek().endMs <= nowMs) {
+        while (!all.isEmpty() && remainingMs(all.peek()) <= 0) {
             end(all.remove());
         }
     }
@@ -102,7 +121,7 @@
 
     /** Time until the quiet period ends. */
     double remainingMs(Quiet quiet) {
-        return Math.max(0, quiet.endMs - clock.nowMs());
+        return Math.max(0, quiet.sinceMs + durationMs() - clock.nowMs());
     }
 
     /**
--- a/sidecar/src/main/java/peppergauge/backend/ServerConnection.java
+++ b/sidecar/src/main/java/peppergauge/backend/ServerConnection.java
@@ -45,6 +45,7 @@
     private final Backend.Server server;
     private final Clock clock;
     private final SocketLimit sockets;
+    private final Runnable onUnexpectedInput;
     private IOSession session;
     private HttpExchange exchange;
     private boolean idle;
@@ -56,11 +57,17 @@
 
     private double recentLatencyMs = Double.POSITIVE_INFINITY;
 
-    /** Creates a connection to {@code server} whose socket is returned to {@code sockets} when it has closed. */
-    ServerConnection(Backend.Server server, Clock clock, SocketLimit sockets) {
+    /**
+     * Creates a connection to a server.
+     *
+     * @param sockets gets the socket back when the connection has closed
+     * @param onUnexpectedInput called for input that responds to no request
+     */
+    ServerConnection(Backend.Server server, Clock clock, SocketLimit sockets, Runnable onUnexpectedInput) {
         this.server = server;
         this.clock = clock;
         this.sockets = sockets;
+        this.onUnexpectedInput = onUnexpectedInput;
     }
 
     // ---- Protocol ----
@@ -156,6 +163,7 @@
     /** Logs input that is no response to the current request, after which the connection is not used again. */
     void reportUnexpectedInput(UnexpectedInput kind) {
         kind.log(server, clock.nowMs() - idleSinceMs);
+        onUnexpectedInput.run();
     }
 
     /** Records the latency of a successful response. */
--- a/sidecar/src/test/java/peppergauge/backend/HttpBackendSocketTest.java
+++ b/sidecar/src/test/java/peppergauge/backend/HttpBackendSocketTest.java
@@ -434,6 +434,34 @@
         }
     }
 
+    /** On a busy machine, copies came later than the usual quiet period, and were read as responses. */
+    @Test
+    public void extendsQuietPeriodsForATimeAfterUnexpectedInput() throws Exception {
+        ManualClock clock = new ManualClock();
+        Semaphore isSurplusDue = new Semaphore(1);
+        try (ScriptedServer server = new ScriptedServer(ECHO);
+                ScriptedServer faulty = serverWithSurplusInput(ECHO, "noise", isSurplusDue);
+                BackendFixture backend = fixtureWithQuietPeriod(MAX_CONNECTIONS, clock)) {
+            assertEquals(body(backend.exchange(faulty.address(), "first")), "first");
+            ScriptedServer.await(() -> faulty.connections.get(0).isClosed());
+            double extendedMs = QuietPeriod.EXTENDED_MULTIPLE * QUIET_MS;
+            assertEquals(connectionsAfterPause(backend, server, extendedMs - 1, clock), 2);
+            assertEquals(connectionsAfterPause(backend, server, extendedMs, clock), 2);
+            clock.nowMs += QuietPeriod.EXTENSION_MS;
+            assertEquals(connectionsAfterPause(backend, server, QUIET_MS, clock), 2);
+        }
+    }
+
+    /** Sends two requests with a pause between; returns how many connections have been opened since the start. */
+    private static int connectionsAfterPause(
+            BackendFixture backend, ScriptedServer server, double pauseMs, ManualClock clock) throws Exception {
+        assertEquals(body(backend.exchange(server.address(), "before")), "before");
+        clock.nowMs += pauseMs;
+        assertEquals(body(backend.exchange(server.address(), "after")), "after");
+        clock.nowMs += QuietPeriod.EXTENDED_MULTIPLE * QUIET_MS;
+        return server.connections.size();
+    }
+
     /** With the pool full, a connection would have to be closed for a new one. */
     @Test
     public void awaitsTheQuietPeriodIfThePoolIsFull() throws Exception {
