--- a/lab/src/test/java/peppergauge/lab/soak/LateCopyTest.java
+++ b/lab/src/test/java/peppergauge/lab/soak/LateCopyTest.java
@@ -46,7 +46,7 @@
         assertNoViolation(run(3, 15));
     }
 
-    /** The quiet period of connections is shorter than these copies are late. */
+    /** The quiet period of connections is shorter than the first of these copies are late. */
     @Test(groups = "known-red")
     public void violatesNoRuleBesideCopiesThatComeFiftyMillisecondsLate() throws Exception {
         assertNoViolation(run(1, 50));
--- a/sidecar/src/test/java/peppergauge/MemoryLimitTest.java
+++ b/sidecar/src/test/java/peppergauge/MemoryLimitTest.java
@@ -31,7 +31,7 @@
     private static final int MAX_PIPELINED = 16;
     private static final int USUAL_CLIENTS = 6;
     private static final int USUAL_REQUESTS = 20;
-    private static final long USUAL_PAUSE_MS = 100;
+    private static final long USUAL_PAUSE_MS = 25;
     private static final long LOAD_MS = 1_500;
     private static final int SERVERS = 20;
     private static final String LARGE_RESPONSE_KEY = "large";
--- a/thrift/src/test/java/peppergauge/ThriftMemoryLimitTest.java
+++ b/thrift/src/test/java/peppergauge/ThriftMemoryLimitTest.java
@@ -39,7 +39,7 @@
     private static final int USUAL_CLIENTS = 6;
     private static final int USUAL_REQUESTS = 10;
     private static final long REMAINING_MS = 900;
-    private static final long USUAL_PAUSE_MS = 100;
+    private static final long USUAL_PAUSE_MS = 25;
     private static final long SERVICE_MS = 100;
     private static final long LOAD_MS = 1_500;
     private static final String LARGE_REPLY_METHOD = "list";
