Compare reused connections after their quiet period in two tests

Cause: both send a second request right after the first response, from a server that responds within 1 ms.

Change: the second request comes 40 ms later, after the quiet period. The checks are the same and as strict: the one connection is used again, and not beyond the server's idle timeout, nor for another server.

--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -58,7 +58,7 @@
      * Time after a response for which its connection to a backend server is not used for another request. Backend
      * servers may send a second copy of a response some milliseconds late.
      */
-    private static final double QUIET_PERIOD_MS = 20;
+    static final double QUIET_PERIOD_MS = 20;
 
     private static final double DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
     /** Share of the heap for requests and responses; the rest is for connections, unfinished heads and the servers. */
--- a/sidecar/src/test/java/peppergauge/HttpRulesSocketTest.java
+++ b/sidecar/src/test/java/peppergauge/HttpRulesSocketTest.java
@@ -391,6 +391,8 @@
     public void reusesAConnectionUntilItsServerMayCloseItAsIdle() throws Exception {
         try (SidecarFixture fixture = new SidecarFixture(OK)) {
             fixture.exchange(SidecarFixture.get("t1", 900));
+            // Within its quiet period, a connection to a server that responds sooner is not used.
+            ScriptedServer.pause((long) (2 * Sidecar.QUIET_PERIOD_MS));
             fixture.exchange(SidecarFixture.get("t2", 900));
             assertEquals(fixture.backend.connections.size(), 1);
             Thread.sleep(700);
--- a/thrift/src/test/java/peppergauge/ProtocolConformanceTest.java
+++ b/thrift/src/test/java/peppergauge/ProtocolConformanceTest.java
@@ -258,6 +258,8 @@
             throws Exception {
         try (ThriftSidecarFixture fixture = new ThriftSidecarFixture(protocols, respondingWithId(protocols.server()))) {
             assertEquals(fixture.exchange(request("list", "t1", 900)).outcome(), "served");
+            // Within its quiet period, a connection to a server that responds sooner is not used.
+            ScriptedServer.pause((long) (2 * Sidecar.QUIET_PERIOD_MS));
             assertEquals(fixture.exchange(request("list", "t2", 900)).outcome(), "served");
             assertEquals(fixture.connections.size(), 1);
             fixture.sendEndpointUpdate(fixture.endpointUpdate(2, "successor", "active"));
