Keep inexact functions out of forecasts, objectives and the emulator

Cause: with Math's exp, log and pow, directly or in a library, two kinds of machine could decide differently: a key or gap at the border of two classes (KeyClass, CacheEstimator, ServiceTimes), the best point of the cache grid, a forecast that held or not (ForecastScorer), a zone's capacity against a limit (CapacityEstimator), a miss ratio against an objective (OutcomeCounts), a full server or a key drawn in the emulator (ServerSelector, Zipf sampler).

Change: StrictMath there. The normal and beta distributions of commons-statistics and the Zipf sampler of Commons RNG use Math; they are replaced by StandardNormal, BetaDistribution and ZipfSampler. LabLayoutTest keeps Math's inexact functions and these libraries out of forecast, promises, membership, the emulator, and the fleet's packages but client, file, http, storage and wire.

Not changed: the backoffs of nomad and the fleet's client (2 to a whole number, exact by Math.pow's contract); play, rig, cost, reports and comparisons, whose runs are in real time or only printed.

--- a/fleet/src/main/java/peppergauge/fleet/planning/ForecastScorer.java
+++ b/fleet/src/main/java/peppergauge/fleet/planning/ForecastScorer.java
@@ -232,7 +232,7 @@
         } else if (!isUsable(before) || !isUsable(observed)) {
             countUnscored(UnscoredReason.of(isUsable(before) ? observed.missing() : before.missing()));
         } else {
-            double error = Math.hypot(MODEL_ERROR, observed.error());
+            double error = StrictMath.hypot(MODEL_ERROR, observed.error());
             double rate = clamp(observed.rate());
             boolean held = accuracy.record(forecast, clamp(before.rate()), rate, error);
             scored++;
--- a/forecast/src/main/java/peppergauge/forecast/cache/CacheEstimator.java
+++ b/forecast/src/main/java/peppergauge/forecast/cache/CacheEstimator.java
@@ -6,10 +6,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Stream;
-import org.apache.commons.statistics.distribution.NormalDistribution;
 import peppergauge.forecast.cache.CacheEstimate.Point;
 import peppergauge.forecast.cache.ServiceTimes.Snapshot;
 import peppergauge.forecast.cache.ServiceTimes.Sum;
+import peppergauge.forecast.distribution.StandardNormal;
 import peppergauge.forecast.placement.KeyPlacement;
 import peppergauge.forecast.placement.Placement;
 import peppergauge.forecast.popularity.KeyClass;
@@ -54,8 +54,6 @@
     /** Ratio between the counts of two successive classes of keys. */
     private static final double COUNT_RATIO = 1.125;
 
-    private static final NormalDistribution NORMAL = NormalDistribution.of(0, 1);
-
     /**
      * Servers with equal shares of the requests.
      *
@@ -121,7 +119,7 @@
     private List<CountClass> classes(ServerKind kind) {
         Map<Long, CountClass> classes = new TreeMap<>();
         for (KeyCount key : popularity.keys()) {
-            long step = Math.round(Math.log(key.count()) / Math.log(COUNT_RATIO));
+            long step = Math.round(StrictMath.log(key.count()) / StrictMath.log(COUNT_RATIO));
             Sum fresh = kind.serviceTimes().fresh().getOrDefault(key.hash(), Sum.ZERO);
             classes.merge(
                     step,
@@ -149,7 +147,9 @@
                 // Servers with more requests have more responses.
                 double weight = each.keys() * factor / loadFactors.length / popularity.share();
                 double arrival = probability
-                        * (1 - Math.exp(each.count() * logMissProbability(part * factor * ServiceTimes.edgeMs(edge))));
+                        * (1
+                                - StrictMath.exp(
+                                        each.count() * logMissProbability(part * factor * ServiceTimes.edgeMs(edge))));
                 distinctKeys[kind][edge] += weight * arrival;
                 distinctKeysVariance[kind][edge] += weight * arrival * (1 - arrival);
             }
@@ -157,7 +157,7 @@
     }
 
     private double logMissProbability(double partMs) {
-        return Math.log1p(-Math.min(0.999, partMs / popularity.spanMs()));
+        return StrictMath.log1p(-Math.min(0.999, partMs / popularity.spanMs()));
     }
 
     private double varianceWithin() {
@@ -199,9 +199,10 @@
         double most = 2 * Math.max(MIN_KEYS, popularity.keys().size() / popularity.share());
         List<GridPoint> grid = new ArrayList<>();
         for (int i = 0; i < LIFETIME_STEPS; i++) {
-            double lifeMs = MIN_LIFETIME_MS * Math.pow(MAX_LIFETIME_MS / MIN_LIFETIME_MS, i / (LIFETIME_STEPS - 1.0));
+            double lifeMs =
+                    MIN_LIFETIME_MS * StrictMath.pow(MAX_LIFETIME_MS / MIN_LIFETIME_MS, i / (LIFETIME_STEPS - 1.0));
             for (int j = 0; j < SIZE_STEPS; j++) {
-                double keys = MIN_KEYS * Math.pow(most / MIN_KEYS, j / (SIZE_STEPS - 1.0));
+                double keys = MIN_KEYS * StrictMath.pow(most / MIN_KEYS, j / (SIZE_STEPS - 1.0));
                 grid.add(new GridPoint(lifeMs, keys, reachMs(0, lifeMs, keys), fitted ? fit(lifeMs, keys) : 0));
             }
         }
@@ -268,7 +269,7 @@
 
     /** Returns the distance from the start of a bucket to a time, as a number of buckets. */
     private static double bucketDistance(double ms, int bucket) {
-        return Math.log(ms / ServiceTimes.edgeMs(bucket)) / Math.log(2) * ServiceTimes.BUCKETS_PER_DOUBLING;
+        return StrictMath.log(ms / ServiceTimes.edgeMs(bucket)) / StrictMath.log(2) * ServiceTimes.BUCKETS_PER_DOUBLING;
     }
 
     /** Returns the probability that a cache of a size still has a key after the other keys of a bucket's time. */
@@ -276,7 +277,7 @@
         double mean = (distinctKeys[kind][bucket] + distinctKeys[kind][bucket + 1]) / 2;
         double deviation =
                 Math.sqrt((distinctKeysVariance[kind][bucket] + distinctKeysVariance[kind][bucket + 1]) / 2 + 0.1);
-        return NORMAL.cumulativeProbability((keys - 0.5 - mean) / deviation);
+        return StandardNormal.cumulativeProbability((keys - 0.5 - mean) / deviation);
     }
 
     /** Returns the probability of a hit by requests of other sidecars, mean over the quantiles of the load factor. */
@@ -284,8 +285,8 @@
         double part = shareOfKey(kind, each.count()) * (1 - ownShare);
         double missProbability = 0;
         for (double factor : loadFactors) {
-            missProbability +=
-                    Math.exp((each.count() - 1) * logMissProbability(part * factor * reachMs)) / loadFactors.length;
+            missProbability += StrictMath.exp((each.count() - 1) * logMissProbability(part * factor * reachMs))
+                    / loadFactors.length;
         }
         return 1 - missProbability;
     }
@@ -300,12 +301,12 @@
         // No point explains the responses, as with a faulty daemon: all points are equally likely.
         boolean fitted = best > Double.NEGATIVE_INFINITY;
         double totalLikelihood = grid.stream()
-                .mapToDouble(gridPoint -> fitted ? Math.exp(gridPoint.logLikelihood() - best) : 1)
+                .mapToDouble(gridPoint -> fitted ? StrictMath.exp(gridPoint.logLikelihood() - best) : 1)
                 .sum();
         List<Point> points = new ArrayList<>();
         double at = 0;
         for (GridPoint gridPoint : order) {
-            at += (fitted ? Math.exp(gridPoint.logLikelihood() - best) : 1) / totalLikelihood;
+            at += (fitted ? StrictMath.exp(gridPoint.logLikelihood() - best) : 1) / totalLikelihood;
             while (points.size() < POINTS && at > (points.size() + 0.5) / POINTS) {
                 points.add(new Point(gridPoint.lifeMs(), gridPoint.keys(), 1.0 / POINTS));
             }
--- a/forecast/src/main/java/peppergauge/forecast/cache/ServiceTimes.java
+++ b/forecast/src/main/java/peppergauge/forecast/cache/ServiceTimes.java
@@ -49,7 +49,7 @@
     }
 
     static double edgeMs(int bucket) {
-        return MIN_GAP_MS * Math.pow(2, (double) bucket / BUCKETS_PER_DOUBLING);
+        return MIN_GAP_MS * StrictMath.pow(2, (double) bucket / BUCKETS_PER_DOUBLING);
     }
 
     /**
@@ -68,7 +68,7 @@
                     : "expected at most " + maxKeys + " keys without a gap but was " + fresh.size();
             return;
         }
-        int bucket = (int) Math.floor(Math.log(gapMs / MIN_GAP_MS) / Math.log(2) * BUCKETS_PER_DOUBLING);
+        int bucket = (int) Math.floor(StrictMath.log(gapMs / MIN_GAP_MS) / StrictMath.log(2) * BUCKETS_PER_DOUBLING);
         if (bucket >= 0 && bucket < BUCKETS) {
             counts[bucket]++;
             sums[bucket] += relative;
--- a/forecast/src/main/java/peppergauge/forecast/hitrate/HitRate.java
+++ b/forecast/src/main/java/peppergauge/forecast/hitrate/HitRate.java
@@ -24,7 +24,8 @@
 
     /** Returns this hit rate shifted, with an additional standard error. */
     HitRate shifted(double by, double error) {
-        return around(mean + by, Math.hypot((mean - low) / Z_90, error), Math.hypot((high - mean) / Z_90, error));
+        return around(
+                mean + by, StrictMath.hypot((mean - low) / Z_90, error), StrictMath.hypot((high - mean) / Z_90, error));
     }
 
     /** Returns the interval of an estimate of this hit rate that has a standard error of its own. */
--- a/forecast/src/main/java/peppergauge/forecast/hitrate/HitRates.java
+++ b/forecast/src/main/java/peppergauge/forecast/hitrate/HitRates.java
@@ -54,6 +54,6 @@
         }
         return byTenants.shifted(
                 slope * (share - typical) * (placement.servers().size() / members - 1),
-                Math.hypot(samplingError, slope * Math.sqrt(spread / members)));
+                StrictMath.hypot(samplingError, slope * Math.sqrt(spread / members)));
     }
 }
--- a/forecast/src/main/java/peppergauge/forecast/hitrate/MissModel.java
+++ b/forecast/src/main/java/peppergauge/forecast/hitrate/MissModel.java
@@ -89,7 +89,9 @@
             Probabilities probabilities = probabilities(group, each);
             for (int i = 0; i < probabilities.upTo.length; i++) {
                 double arrival = arrivalProbability(group, each, probabilities, i, atMs, ms);
-                sum += each.keys() * probabilities.width(i) * (1 - Math.exp(each.count() * Math.log1p(-arrival)));
+                sum += each.keys()
+                        * probabilities.width(i)
+                        * (1 - StrictMath.exp(each.count() * StrictMath.log1p(-arrival)));
             }
         }
         return sum / sampledShare;
@@ -106,8 +108,9 @@
                         * group.count()
                         * weight;
                 if (requestShare > 0) {
-                    double logAbsence = Math.log1p(-arrivalProbability(group, each, probabilities, j, atMs, reachMs));
-                    double missProbability = Math.exp((each.count() - 1) * logAbsence);
+                    double logAbsence =
+                            StrictMath.log1p(-arrivalProbability(group, each, probabilities, j, atMs, reachMs));
+                    double missProbability = StrictMath.exp((each.count() - 1) * logAbsence);
                     misses[i] += each.count() * requestShare * missProbability;
                     slopes[i] += requestShare * missProbability * (1 + each.count() * logAbsence);
                     groupMisses[at][each.tenant()] += each.keys() * each.count() * requestShare * missProbability;
--- a/forecast/src/main/java/peppergauge/forecast/hitrate/NormalMixture.java
+++ b/forecast/src/main/java/peppergauge/forecast/hitrate/NormalMixture.java
@@ -1,11 +1,10 @@
 package peppergauge.forecast.hitrate;
 
-import org.apache.commons.statistics.distribution.NormalDistribution;
+import peppergauge.forecast.distribution.StandardNormal;
 
 /** Mean and 90% interval of a mixture of normal distributions. */
 final class NormalMixture {
 
-    private static final NormalDistribution STANDARD = NormalDistribution.of(0, 1);
     private static final double LOW_QUANTILE = 0.05;
     private static final double HIGH_QUANTILE = 0.95;
     private static final int BISECTIONS = 30;
@@ -36,7 +35,7 @@
             double mid = (low + high) / 2;
             double below = 0;
             for (int j = 0; j < means.length; j++) {
-                below += weights[j] * STANDARD.cumulativeProbability((mid - means[j]) / errors[j]);
+                below += weights[j] * StandardNormal.cumulativeProbability((mid - means[j]) / errors[j]);
             }
             if (below < share) {
                 low = mid;
--- a/forecast/src/main/java/peppergauge/forecast/placement/KeyPlacement.java
+++ b/forecast/src/main/java/peppergauge/forecast/placement/KeyPlacement.java
@@ -1,6 +1,6 @@
 package peppergauge.forecast.placement;
 
-import org.apache.commons.statistics.distribution.NormalDistribution;
+import peppergauge.forecast.distribution.StandardNormal;
 import peppergauge.forecast.placement.Placement.Rendezvous;
 import peppergauge.forecast.popularity.KeyPopularity;
 import peppergauge.forecast.popularity.KeyPopularity.KeyCount;
@@ -8,8 +8,6 @@
 /** Computes over how many servers the requests of one key spread, if each key has its own servers. */
 public final class KeyPlacement {
 
-    private static final NormalDistribution NORMAL = NormalDistribution.of(0, 1);
-
     private final Placement placement;
     private final double serversPerKey;
     private final double spareShare;
@@ -39,7 +37,7 @@
         // Loads vary by the keys of a server and by the arrival of their requests. A server is full with the normal
         // probability that its load exceeds the bound.
         double variance = mean * mean * squares * (Math.max(1, (double) all / rule.servers()) - 1) + mean / 2;
-        double full = 1 - NORMAL.cumulativeProbability((1 + (rule.bound() - 1) * mean) / Math.sqrt(variance));
+        double full = 1 - StandardNormal.cumulativeProbability((1 + (rule.bound() - 1) * mean) / Math.sqrt(variance));
         full = Math.min(0.9, full);
         // The key's own servers share what they have room for, and each further server takes the same part of the rest.
         return 1 / ((1 - full) * (1 - full) / rule.servers() + full * full * (1 - full) / (1 + full));
--- a/forecast/src/main/java/peppergauge/forecast/popularity/KeyClass.java
+++ b/forecast/src/main/java/peppergauge/forecast/popularity/KeyClass.java
@@ -74,7 +74,8 @@
     private static long countStep(long count) {
         return count <= MAX_EXACT_COUNT
                 ? count
-                : MAX_EXACT_COUNT + Math.round(Math.log((double) count / MAX_EXACT_COUNT) / Math.log(COUNT_RATIO));
+                : MAX_EXACT_COUNT
+                        + Math.round(StrictMath.log((double) count / MAX_EXACT_COUNT) / StrictMath.log(COUNT_RATIO));
     }
 
     /** Returns the number of sampled keys that the curve replaces. */
@@ -157,8 +158,8 @@
         double[] sums = new double[4];
         int first = Math.max(1, head / 4);
         for (int rank = first; rank <= last; rank++) {
-            double x = Math.log((rank - 0.5) / head);
-            double y = Math.log(order.get(rank - 1).count());
+            double x = StrictMath.log((rank - 0.5) / head);
+            double y = StrictMath.log(order.get(rank - 1).count());
             sums[0] += x;
             sums[1] += y;
             sums[2] += x * x;
@@ -167,7 +168,7 @@
         int count = last - first + 1;
         double spread = sums[2] - sums[0] * sums[0] / count;
         double slope = spread > 0 ? (sums[3] - sums[0] * sums[1] / count) / spread : 0;
-        return Math.exp(sums[1] / count - slope * sums[0] / count);
+        return StrictMath.exp(sums[1] / count - slope * sums[0] / count);
     }
 
     private static double[] tenantShares(KeyPopularity popularity, List<String> tenants) {
@@ -207,7 +208,8 @@
         double from = 0;
         while (from < ranks) {
             double to = Math.min(ranks, from < 8 ? from + 1 : from * 1.25);
-            classes.add(new KeyClass(0, to - from, edge * Math.pow((from + to + 1) / 2 / ranks, -exponent), false));
+            classes.add(
+                    new KeyClass(0, to - from, edge * StrictMath.pow((from + to + 1) / 2 / ranks, -exponent), false));
             from = to;
         }
         return classes;
--- a/lab/src/main/java/peppergauge/lab/emulator/Application.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/Application.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
-import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
 import peppergauge.lab.scenario.ClientSettings;
 import peppergauge.lab.scenario.RequestClassSpec;
 import peppergauge.lab.scenario.Scenario;
@@ -50,7 +49,7 @@
         patienceRandom = context.streams.of("patience/" + sidecar.name());
         keys = clientSettings.keys() == 0
                 ? () -> 0
-                : RejectionInversionZipfSampler.of(
+                : ZipfSampler.of(
                         context.streams.of("keys/" + sidecar.name()),
                         (int) clientSettings.keys(),
                         clientSettings.zipf());
--- a/lab/src/main/java/peppergauge/lab/emulator/CacheSimulation.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/CacheSimulation.java
@@ -10,7 +10,6 @@
 import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
-import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
 import peppergauge.forecast.cache.CacheEstimate;
 import peppergauge.forecast.cache.CacheEstimator;
 import peppergauge.forecast.cache.ServiceTimes;
@@ -96,8 +95,8 @@
     }
 
     private void run() {
-        DiscreteSampler keys = RejectionInversionZipfSampler.of(
-                new RandomStreams(workload.seed()).of("keys"), workload.keys(), workload.zipf());
+        DiscreteSampler keys =
+                ZipfSampler.of(new RandomStreams(workload.seed()).of("keys"), workload.keys(), workload.zipf());
         double[] sidecars = new double[samplers.size()];
         for (int i = 0; i < sidecars.length; i++) {
             sidecars[i] = workload.placement().sidecars().get(i) + (i == 0 ? 0 : sidecars[i - 1]);
--- a/lab/src/main/java/peppergauge/lab/emulator/CacheWorkload.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/CacheWorkload.java
@@ -76,7 +76,7 @@
     }
 
     private static int logUniform(UniformRandomProvider random, int from, int to) {
-        return (int) Math.round(from * Math.pow((double) to / from, random.nextDouble()));
+        return (int) Math.round(from * StrictMath.pow((double) to / from, random.nextDouble()));
     }
 
     private static Rendezvous rendezvous(UniformRandomProvider random) {
@@ -97,7 +97,7 @@
     private static List<Double> shares(UniformRandomProvider random, int count) {
         double skew = 0.6 * random.nextDouble();
         double[] parts = IntStream.range(0, count)
-                .mapToDouble(i -> Math.pow(i + 1, -skew))
+                .mapToDouble(i -> StrictMath.pow(i + 1, -skew))
                 .toArray();
         double sum = Arrays.stream(parts).sum();
         return Arrays.stream(parts).mapToObj(part -> part / sum).toList();
--- a/lab/src/main/java/peppergauge/lab/emulator/SayTrial.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/SayTrial.java
@@ -55,7 +55,7 @@
                             fleetHitRate(smallerCache, i),
                             clamp(before.rate()),
                             clamp(seen.rate()),
-                            Math.hypot(MODEL_ERROR, seen.error())));
+                            StrictMath.hypot(MODEL_ERROR, seen.error())));
                 }
             }
             fleet.add(windows);
--- a/lab/src/main/java/peppergauge/lab/emulator/SeenTrial.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/SeenTrial.java
@@ -9,7 +9,6 @@
 import java.util.stream.LongStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
-import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
 import peppergauge.forecast.observation.HitRateObserver;
 import peppergauge.forecast.observation.ObservedHitRate;
 import peppergauge.forecast.observation.ResponseTimeCounter;
@@ -73,7 +72,7 @@
             counters.add(new ResponseTimeCounter());
             lastSent.add(new HashMap<>());
         }
-        keys = RejectionInversionZipfSampler.of(
+        keys = ZipfSampler.of(
                 new RandomStreams(workload.seed()).of("seen keys" + streamSuffix), workload.keys(), workload.zipf());
         run();
     }
--- a/lab/src/main/java/peppergauge/lab/emulator/ServerSelector.java
+++ b/lab/src/main/java/peppergauge/lab/emulator/ServerSelector.java
@@ -98,7 +98,7 @@
     }
 
     private static double load(double load, double atMs, double nowMs) {
-        return load * Math.exp((atMs - nowMs) / LOAD_MS);
+        return load * StrictMath.exp((atMs - nowMs) / LOAD_MS);
     }
 
     /** Deterministic hash of number and id to a value between 0 and 1. */
--- a/lab/src/test/java/peppergauge/lab/LabLayoutTest.java
+++ b/lab/src/test/java/peppergauge/lab/LabLayoutTest.java
@@ -1,12 +1,18 @@
 package peppergauge.lab;
 
+import static com.tngtech.archunit.base.DescribedPredicate.not;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.belongToAnyOf;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
+import org.apache.commons.rng.sampling.distribution.DiscreteUniformSampler;
 import org.testng.annotations.Test;
+import peppergauge.InexactMath;
 
 /** Checks the dependencies between the lab's packages, and that no other module depends on the lab. */
 public class LabLayoutTest {
@@ -65,4 +71,36 @@
                 .allowEmptyShould(true)
                 .check(all);
     }
+
+    /**
+     * Forecasts, latency objectives, the fleet's tables, membership and the emulator have the same results on every
+     * kind of machine. The excluded libraries use inexact functions. Backoffs, outside these packages, raise 2 to a
+     * whole number by {@link Math#pow}, which is exact for whole numbers.
+     */
+    @Test
+    public void reproducibleModulesUseNoInexactMath() {
+        String[] reproducible = {
+            "peppergauge.forecast..",
+            "peppergauge.promises..",
+            "peppergauge.fleet.member..",
+            "peppergauge.fleet.planner..",
+            "peppergauge.fleet.planning..",
+            "peppergauge.fleet.service..",
+            "peppergauge.fleet.state..",
+            "peppergauge.fleet.table..",
+            "peppergauge.membership..",
+            "peppergauge.lab.emulator.."
+        };
+        InexactMath.isNotUsedIn(reproducible).check(all);
+        noClasses()
+                .that()
+                .resideInAnyPackage(reproducible)
+                .should()
+                .dependOnClassesThat(resideInAnyPackage(
+                                "org.apache.commons.statistics..",
+                                "org.apache.commons.numbers..",
+                                "org.apache.commons.rng.sampling..")
+                        .and(not(belongToAnyOf(DiscreteSampler.class, DiscreteUniformSampler.class))))
+                .check(all);
+    }
 }
--- a/promises/src/main/java/peppergauge/promises/allocation/CapacityEstimator.java
+++ b/promises/src/main/java/peppergauge/promises/allocation/CapacityEstimator.java
@@ -45,7 +45,7 @@
     public void observe(String zone, OutcomeCounts all, Map<TrafficKey, OutcomeCounts> ofObjectives, double periodMs) {
         double now = all.met() * 1e3 / periodMs;
         double mean = meanRate.merge(zone, now, (before, fresh) -> before + RATE_SMOOTHING * (fresh - before));
-        double decayed = capacity.getOrDefault(zone, 0.0) * Math.pow(0.5, periodMs / HALF_LIFE_MS);
+        double decayed = capacity.getOrDefault(zone, 0.0) * StrictMath.pow(0.5, periodMs / HALF_LIFE_MS);
         OutcomeCounts best = ofObjectives.entrySet().stream()
                 .map(each -> addRecent(each.getKey(), each.getValue()))
                 .filter(each -> each.total() >= MIN_REQUESTS)
@@ -93,6 +93,6 @@
      */
     public void mergeState(Map<String, Double> stored, double ageMs) {
         stored.forEach((zone, estimate) ->
-                capacity.merge(zone, estimate * Math.pow(0.5, Math.max(0, ageMs) / HALF_LIFE_MS), Math::min));
+                capacity.merge(zone, estimate * StrictMath.pow(0.5, Math.max(0, ageMs) / HALF_LIFE_MS), Math::min));
     }
 }
--- a/promises/src/main/java/peppergauge/promises/outcome/OutcomeCounts.java
+++ b/promises/src/main/java/peppergauge/promises/outcome/OutcomeCounts.java
@@ -1,10 +1,9 @@
 package peppergauge.promises.outcome;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
-import org.apache.commons.statistics.distribution.BetaDistribution;
 
 /**
- * Requests that met and missed an objective, with a lower confidence bound on the miss ratio.
+ * Requests that met and missed an objective, and whether the lower confidence bound of the miss ratio is above a limit.
  *
  * <p>The bound is the Jeffreys interval: a quantile of Beta(missed + 1/2, met + 1/2), which keeps its level at few
  * requests and at ratios near 0 (Brown, Cai, DasGupta: Interval Estimation for a Binomial Proportion, Statistical
@@ -41,18 +40,11 @@
         return total() == 0 ? 0 : (double) missed / total();
     }
 
-    /** Returns the lower confidence bound of the miss ratio, 0 if none missed. */
-    public double missRatioLowerBound() {
-        return missed == 0 ? 0 : posterior().inverseCumulativeProbability(SIGNIFICANCE);
-    }
-
     /** Returns whether the miss ratio is above a limit with confidence. */
     public boolean isMissRatioAbove(double limit) {
-        // Most cases are decided by the ratio alone, without computing the quantile.
-        return missRatio() > limit && missRatioLowerBound() > limit;
-    }
-
-    private BetaDistribution posterior() {
-        return BetaDistribution.of(missed + 0.5, met + 0.5);
+        // Most cases are decided by the ratio alone. The lower bound, a quantile, is above the limit exactly if less
+        // than its probability lies below the limit.
+        return missRatio() > limit
+                && BetaDistribution.cumulativeProbability(limit, missed + 0.5, met + 0.5) < SIGNIFICANCE;
     }
 }
