Soak: have requests open at shutdown when their loss is planted

The planted fault closes the dispatcher 700 ms after SIGTERM, and is visible only if a client's request happens to be open at that instant.

Change: in this row the servers hang from SIGTERM on (the existing step hang-at-the-end), so requests are open when the listener closes. The rule, its bounds, the seeds, their number and the planted fault are as before.

--- a/lab/src/test/java/peppergauge/lab/soak/SoakTest.java
+++ b/lab/src/test/java/peppergauge/lab/soak/SoakTest.java
@@ -120,7 +120,8 @@
             {
                 "queued request is dropped at shutdown",
                 "answer",
-                "",
+                // Requests are open when the listener closes, rather than in some runs by coincidence.
+                step("0 s", "hang-at-the-end", ""),
                 new PlantedSource(
                         "Sidecar.java",
                         "            extension.onStopping();\n",
