Lab: flood one sidecar by many kinds of clients, and list what fails

Need: operators saw processes end with exit code 1 and usual requests unanswered beside clients that send at full speed. No program of the lab could make that.

Change: `peppergauge flood` starts one sidecar by the run line with 1,024 descriptors and two sound servers, floods it by one of twelve kinds of messages on 1 to 450 connections, read or not, paced or not, and judges the usual clients beside: a response by the deadline and 0.5 s, nine in ten served where the flood asks nothing of servers, half where it does, memory under 192 MB, the process alive. FloodTest plays twelve rows.

--- a/lab/src/main/java/peppergauge/lab/command/Lab.java
+++ b/lab/src/main/java/peppergauge/lab/command/Lab.java
@@ -29,6 +29,7 @@
             ReportCommand.class,
             CompareCommand.class,
             SoakCommand.class,
+            FloodCommand.class,
             SnapshotCommand.class,
             PluginCommand.class,
             AdminCommand.Status.class,
--- a/lab/src/main/java/peppergauge/lab/soak/BlockingHttp.java
+++ b/lab/src/main/java/peppergauge/lab/soak/BlockingHttp.java
@@ -6,7 +6,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** The parts of HTTP/1.1 that stand-ins on blocking sockets need. */
-final class BlockingHttp {
+public final class BlockingHttp {
 
     private static final String END = "\r\n\r\n";
 
@@ -17,7 +17,7 @@
      *
      * @return null if the stream ended before the first byte
      */
-    static String head(InputStream in) throws IOException {
+    public static String head(InputStream in) throws IOException {
         return head(in, in.read());
     }
 
@@ -38,7 +38,7 @@
     }
 
     /** Returns the value of a header, or null. */
-    static String header(String head, String name) {
+    public static String header(String head, String name) {
         return head.lines()
                 .filter(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1))
                 .map(line -> line.substring(name.length() + 1).trim())
@@ -51,7 +51,7 @@
      *
      * @throws IOException if the stream ends before
      */
-    static String body(InputStream in, String head) throws IOException {
+    public static String body(InputStream in, String head) throws IOException {
         String length = header(head, "Content-Length");
         int bytes = length == null ? 0 : Integer.parseInt(length);
         byte[] body = in.readNBytes(bytes);
@@ -61,7 +61,8 @@
         return new String(body, StandardCharsets.ISO_8859_1);
     }
 
-    static void write(Socket socket, String text) throws IOException {
+    /** Writes text as ISO 8859-1. */
+    public static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
@@ -75,7 +76,8 @@
         }
     }
 
-    static void close(Socket socket) {
+    /** Closes a connection; one that has failed already is ignored. */
+    public static void close(Socket socket) {
         try {
             socket.close();
         } catch (IOException closed) {
--- a/lab/src/main/java/peppergauge/lab/soak/DaemonThreads.java
+++ b/lab/src/main/java/peppergauge/lab/soak/DaemonThreads.java
@@ -3,17 +3,18 @@
 import java.io.IOException;
 
 /** Starts daemon threads for blocking sockets. */
-final class DaemonThreads {
+public final class DaemonThreads {
 
     private DaemonThreads() {}
 
     /** A task that ends with an exception when its socket is closed. */
-    interface Blocking {
+    public interface Blocking {
 
         void run() throws IOException, InterruptedException;
     }
 
-    static Thread start(String name, Blocking task) {
+    /** Starts a daemon thread; exceptions of closed sockets and interruptions end it. */
+    public static Thread start(String name, Blocking task) {
         Thread thread = new Thread(
                 () -> {
                     try {
