Read on while requests are open, so that their client's end is noticed

What callers saw: a client closed its connection with much still unread, and its request was sent to further servers afterwards.

A flood behind the request had the same effect.

Change: after an invalid head the connection counts as having had its last request; its input is read and discarded like after other last requests. The limit of 512 KiB on discarded input closes a connection only when none of its requests is open: an open request ends by its deadline.

--- a/sidecar/src/main/java/peppergauge/frontend/HttpClientConnection.java
+++ b/sidecar/src/main/java/peppergauge/frontend/HttpClientConnection.java
@@ -99,6 +99,11 @@
     }
 
     private void onInputRead() {
+        if (headReader.hasFailed()) {
+            // HttpCore responds to the invalid head and reads no more; the client may still disconnect.
+            stopReading();
+            session.setEvent(EventMask.READ);
+        }
         if (phase().isAtLeast(ConnectionPhase.LINGERING)) {
             return;
         }
--- a/sidecar/src/main/java/peppergauge/http/HeadReader.java
+++ b/sidecar/src/main/java/peppergauge/http/HeadReader.java
@@ -39,6 +39,7 @@
     private boolean carriageReturn;
     private final BooleanSupplier mayStart;
     private boolean isHeldBack;
+    private boolean hasFailed;
 
     private HeadReader(BooleanSupplier mayStart) {
         this.mayStart = mayStart;
@@ -86,6 +87,11 @@
         return isHeldBack;
     }
 
+    /** Whether a head was invalid; nothing is parsed after it. */
+    public boolean hasFailed() {
+        return hasFailed;
+    }
+
     /** Number of bytes of the last head that was completely received. */
     public int lastHeadBytes() {
         return lastHeadBytes;
@@ -115,11 +121,18 @@
      */
     @Override
     public T parse(SessionInputBuffer input, boolean endOfStream) throws IOException, HttpException {
-        isHeldBack = headBytes == 0 && input.hasData() && !mayStart.getAsBoolean();
+        isHeldBack = headBytes == 0 && input.hasData() && (hasFailed || !mayStart.getAsBoolean());
         if (isHeldBack) {
             return null;
         }
-        return parseHead(input);
+        try {
+            return parseHead(input);
+        } catch (HttpException invalid) {
+            hasFailed = true;
+            // Nothing of it is needed, and the connection may last until its client has read earlier responses.
+            reset();
+            throw invalid;
+        }
     }
 
     private T parseHead(SessionInputBuffer input) throws HttpException {
--- a/sidecar/src/main/java/peppergauge/sockets/ClientConnection.java
+++ b/sidecar/src/main/java/peppergauge/sockets/ClientConnection.java
@@ -156,10 +156,13 @@
         receiving = false;
     }
 
-    /** Counts discarded input; closes the connection when the limit is exceeded. */
+    /**
+     * Counts discarded input; closes the connection when the limit is exceeded, unless a request is open: its client is
+     * owed the response, and would otherwise not be seen to disconnect.
+     */
     protected final void discard(int bytes) {
         discardedBytes = Math.min(discardedBytes + bytes, LingeringClose.MAX_DISCARDED_BYTES + 1);
-        if (discardedBytes > LingeringClose.MAX_DISCARDED_BYTES) {
+        if (discardedBytes > LingeringClose.MAX_DISCARDED_BYTES && !hasOpenRequests()) {
             close();
         }
     }
--- a/sidecar/src/test/java/peppergauge/DisconnectedClientsTest.java
+++ b/sidecar/src/test/java/peppergauge/DisconnectedClientsTest.java
@@ -71,6 +71,33 @@
         };
     }
 
+    /** What follows a request that waits for its response, until the end of the connection. */
+    @DataProvider
+    public Object[][] unreadInput() {
+        String invalidHead = "GET /list/k HTTP/1.1\r\nnot a field\r\n\r\n";
+        String readinessChecks = "GET /up HTTP/1.1\r\nHost: h\r\n\r\n".repeat(100);
+        return new Object[][] {{"invalid head", invalidHead}, {"readiness checks", readinessChecks}};
+    }
+
+    /** The end of a connection was not seen behind input that was not read, and a further attempt began after it. */
+    @Test(dataProvider = "unreadInput")
+    public void startsNoFurtherAttemptForAClientThatLeftBehindUnreadInput(String name, String input) throws Exception {
+        AtomicInteger attempts = new AtomicInteger();
+        ScriptedServer.Script rejectsLate = (request, connection) -> {
+            attempts.incrementAndGet();
+            Thread.sleep(2 * DISCONNECTED_MS);
+            ScriptedServer.write(connection, "HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
+        };
+        try (SidecarFixture fixture = new SidecarFixture(rejectsLate, SOCKETS, 4)) {
+            Socket client = fixture.client();
+            SidecarFixture.send(client, SidecarFixture.get("left", LONG_TIMEOUT_MS) + input + "x".repeat(400_000));
+            client.close();
+            ScriptedServer.await(() -> attempts.get() > 0);
+            Thread.sleep(6 * DISCONNECTED_MS);
+            assertEquals(attempts.get(), 1, "attempts, the client's request having been followed by " + name);
+        }
+    }
+
     /** Settings that forbid cancellation apply to attempts that are written; others must not start. */
     @Test(dataProvider = "disconnects")
     public void startsNoAttemptOnAConnectionEstablishedAfterTheDisconnect(Disconnect disconnect, boolean mayCancel)
