--- a/daemon/src/main/java/peppergauge/daemon/Daemon.java
+++ b/daemon/src/main/java/peppergauge/daemon/Daemon.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import peppergauge.ProcessFailure;
 import peppergauge.daemon.file.DaemonFile;
 import peppergauge.daemon.file.LogSection;
 import peppergauge.daemon.logging.JsonLogFormatter;
@@ -46,7 +47,7 @@
             }
             logInvariantChecks();
             RunningDaemon daemon = new RunningDaemon(file, values, () -> System.exit(0));
-            daemon.sidecar().endProcessIfEventLoopFails();
+            daemon.sidecar().endProcessIfThreadFails();
             Runtime.getRuntime().addShutdownHook(new Thread(daemon::shutDown, "shutdown"));
             daemon.installReload();
             daemon.start();
@@ -77,6 +78,7 @@
                 ControllerConfig.withPeriod(settings.tables().intervalMs()),
                 new HitRateForecasts());
         logInvariantChecks();
+        ProcessFailure.endProcessOnUncaughtErrors();
         FleetService service = new FleetService(settings, planner, new PosixFileSystem(), System::currentTimeMillis);
         Runtime.getRuntime().addShutdownHook(new Thread(service::close, "shutdown"));
         // Keeps the process alive, since the service has daemon threads only.
--- a/lab/src/main/java/peppergauge/lab/command/ServeWithCommand.java
+++ b/lab/src/main/java/peppergauge/lab/command/ServeWithCommand.java
@@ -50,7 +50,7 @@
             spec.commandLine().getErr().println("peppergauge: " + invalid.getMessage());
             return ExitCode.INVALID_INPUT;
         }
-        sidecar.endProcessIfEventLoopFails();
+        sidecar.endProcessIfThreadFails();
         Runtime.getRuntime().addShutdownHook(new Thread(sidecar::shutDownGracefully, "graceful-shutdown"));
         ReloadSignal.install(() -> sidecar.reload(System.getenv()));
         sidecar.start();
--- a/sidecar/src/main/java/peppergauge/Main.java
+++ b/sidecar/src/main/java/peppergauge/Main.java
@@ -32,7 +32,7 @@
         ReloadSignal.install(() -> created.join().reload(System.getenv()));
         try {
             Sidecar sidecar = new Sidecar(Config.read(System.getenv()));
-            sidecar.endProcessIfEventLoopFails();
+            sidecar.endProcessIfThreadFails();
             Runtime.getRuntime().addShutdownHook(new Thread(sidecar::shutDownGracefully, "graceful-shutdown"));
             created.complete(sidecar);
             sidecar.start();
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -44,7 +44,6 @@
     /** Time for which connections are still accepted after SIGTERM. */
     private static final long ACCEPT_GRACE_MS = 700;
 
-    private static final int EXIT_EVENT_LOOP_FAILED = 1;
     private static final long MIN_LONGEST_DEADLINE_MS = 3_000;
     /** Time reserved for the last responses before the process may be killed. */
     private static final long SHUTDOWN_MARGIN_MS = 100;
@@ -301,18 +300,12 @@
     }
 
     /**
-     * Ends the process with exit code 1 as soon as an error ends the event loop, without a graceful shutdown, in which
-     * nothing would respond any more: clients see their connections end at once, and whoever runs the process sees that
-     * it failed. To be called before {@link #start}.
+     * Ends the process with exit code 1 as soon as an error ends a thread, or the event loop or the listener ends for
+     * any reason. To be called before {@link #start}.
      */
-    public void endProcessIfEventLoopFails() {
-        loop.setFailureHandler(fatal -> {
-            try {
-                Log.error("event_loop_failed", fatal);
-            } finally {
-                Runtime.getRuntime().halt(EXIT_EVENT_LOOP_FAILED);
-            }
-        });
+    public void endProcessIfThreadFails() {
+        loop.setFailureHandler(ProcessFailure::endProcess);
+        ProcessFailure.endProcessOnUncaughtErrors();
     }
 
     public InetSocketAddress address() {
--- a/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
@@ -62,7 +61,8 @@
     private volatile Thread loopThread;
     private volatile Thread listenerThread;
     private volatile AcceptGate acceptGate = () -> {};
-    private volatile Consumer<Error> failureHandler = error -> {};
+    private volatile FailureHandler failureHandler = (thread, thrown) -> {};
+    private volatile boolean closed;
     private RoundListener roundListener = new RoundListener() {};
     private boolean inRound;
     private boolean inputInRound;
@@ -78,6 +78,13 @@
         void awaitCapacity() throws InterruptedException;
     }
 
+    /** Receives what ended a thread without which nobody is served: the event loop, the listener or the timers. */
+    public interface FailureHandler {
+
+        /** Called on that thread, possibly when there is no memory; {@code thrown} is null if the thread just ended. */
+        void threadFailed(String thread, Throwable thrown);
+    }
+
     /** Receives the start and end of each round, on the event loop's thread. */
     public interface RoundListener {
 
@@ -90,7 +97,10 @@
 
     /** Creates the reactor; no thread is started before {@link #start}. */
     public EventLoop() {
-        timers = new LoopTimers(this::execute, task -> daemonThread(task, "timers"));
+        timers = new LoopTimers(
+                this::execute,
+                task -> daemonThread(task, "timers"),
+                thrown -> failureHandler.threadFailed("timers", thrown));
         reactor = new DefaultListeningIOReactor(
                 (connection, factory) -> ((ConnectionHandlerFactory) factory).create(connection),
                 IOReactorConfig.custom()
@@ -101,8 +111,8 @@
                         .setBacklogSize(ACCEPT_BACKLOG)
                         .build(),
                 // Not a daemon thread: the program runs as long as this thread.
-                worker -> loopThread = new Thread(() -> runLoop(worker), "loop"),
-                worker -> listenerThread = daemonThread(worker, "listener"),
+                worker -> loopThread = new Thread(() -> runUntilClosed("loop", worker), "loop"),
+                worker -> listenerThread = daemonThread(() -> runUntilClosed("listener", worker), "listener"),
                 session -> new EventLoopSession(session, this),
                 EventLoop::logUnexpected,
                 null,
@@ -111,17 +121,21 @@
                 workers -> passAcceptGate());
     }
 
-    private void runLoop(Runnable worker) {
+    /** Runs a worker of HttpCore, which returns when it is closed, or after an exception that HttpCore has logged. */
+    private void runUntilClosed(String thread, Runnable worker) {
         try {
             worker.run();
         } catch (Error fatal) {
-            failureHandler.accept(fatal);
+            failureHandler.threadFailed(thread, fatal);
             throw fatal;
         }
+        if (!closed) {
+            failureHandler.threadFailed(thread, null);
+        }
     }
 
-    /** Sets what is called on the event loop's thread when an error, such as a lack of memory, ends it. */
-    public void setFailureHandler(Consumer<Error> handler) {
+    /** Sets what is called when an error, such as a lack of memory, or an exception ends a thread. */
+    public void setFailureHandler(FailureHandler handler) {
         failureHandler = handler;
     }
 
@@ -143,6 +157,7 @@
      * is closed at the end of a round, since closing it changes the set of ready sockets over which a round iterates.
      */
     public void close() {
+        closed = true;
         timers.close();
         if (loopThread != null && loopThread.isAlive() && !isEventLoopThread()) {
             CountDownLatch closed = new CountDownLatch(1);
--- a/sidecar/src/main/java/peppergauge/sockets/LoopTimers.java
+++ b/sidecar/src/main/java/peppergauge/sockets/LoopTimers.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import peppergauge.request.Scheduler.ScheduledTask;
 
 /**
@@ -15,10 +16,13 @@
 final class LoopTimers {
 
     private final Executor executor;
+    private final Consumer<Error> failureHandler;
     private final ScheduledThreadPoolExecutor timers;
 
-    LoopTimers(Executor executor, ThreadFactory threads) {
+    /** @param failureHandler receives errors on the timers' thread, which loses the timer that was due */
+    LoopTimers(Executor executor, ThreadFactory threads, Consumer<Error> failureHandler) {
         this.executor = executor;
+        this.failureHandler = failureHandler;
         timers = new ScheduledThreadPoolExecutor(1, threads);
         timers.setRemoveOnCancelPolicy(true);
         timers.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
@@ -26,7 +30,7 @@
 
     /** Submits the task after {@code delayMs}, unless it is cancelled before; does nothing after {@link #close}. */
     ScheduledTask schedule(double delayMs, Runnable task) {
-        Timer timer = new Timer(executor, task);
+        Timer timer = new Timer(task);
         try {
             timer.future = timers.schedule(timer, Math.max(0, (long) (delayMs * 1000)), TimeUnit.MICROSECONDS);
         } catch (RejectedExecutionException closed) {
@@ -40,25 +44,28 @@
         timers.shutdownNow();
     }
 
-    private static final class Timer implements ScheduledTask, Runnable {
+    private final class Timer implements ScheduledTask, Runnable {
 
-        private final Executor executor;
         private final Runnable task;
         private volatile Future<?> future;
         private volatile boolean cancelled;
 
-        Timer(Executor executor, Runnable task) {
-            this.executor = executor;
+        Timer(Runnable task) {
             this.task = task;
         }
 
         @Override
         public void run() {
-            executor.execute(() -> {
-                if (!cancelled) {
-                    task.run();
-                }
-            });
+            try {
+                executor.execute(() -> {
+                    if (!cancelled) {
+                        task.run();
+                    }
+                });
+            } catch (Error fatal) {
+                failureHandler.accept(fatal);
+                throw fatal;
+            }
         }
 
         @Override
--- a/sidecar/src/test/java/peppergauge/EventLoopFailureTest.java
+++ b/sidecar/src/test/java/peppergauge/EventLoopFailureTest.java
@@ -9,6 +9,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
@@ -22,6 +24,8 @@
 public class EventLoopFailureTest extends RealTimeTestBase {
 
     private static final int EXIT_FAILED = 1;
+    private static final int DESCRIPTORS = 200;
+    private static final int MORE_SOCKETS_THAN_DESCRIPTORS = 1_024;
     /** Far less than the 7 s after which such a process ended before, with exit code 0. */
     private static final long MAX_END_MS = 2_000;
 
@@ -45,7 +49,7 @@
                     };
                 }
             });
-            sidecar.endProcessIfEventLoopFails();
+            sidecar.endProcessIfThreadFails();
             Runtime.getRuntime().addShutdownHook(new Thread(sidecar::shutDownGracefully, "graceful-shutdown"));
             sidecar.start();
         }
@@ -78,12 +82,61 @@
         }
     }
 
-    private static void assertEndsWithFailure(Process process) throws IOException, InterruptedException {
+    /** A process whose listener had ended by an error of accept lived on and refused all clients. */
+    @Test
+    public void processEndsAtOnceWithExitCodeOneAfterTheEndOfTheListener() throws Exception {
+        Path config = Files.createTempFile("failing", ".json");
+        try (ScriptedServer backend = new ScriptedServer(SidecarFixture.ECHO);
+                ScriptedServer discovery = SidecarProcessFixture.discoveryServer()) {
+            Files.writeString(
+                    config,
+                    SidecarFixture.configJson(
+                            discovery.address(),
+                            MORE_SOCKETS_THAN_DESCRIPTORS,
+                            SidecarFixture.knownEndpoints(backend.address(), 4)));
+            ProcessBuilder builder = new ProcessBuilder(
+                    "sh",
+                    "-c",
+                    "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"",
+                    System.getProperty("java.home") + "/bin/java",
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    "peppergauge.Main",
+                    "serve");
+            builder.environment().put("GW_CONFIG", config.toString());
+            Process process = builder.redirectErrorStream(true).start();
+            List<Socket> clients = new ArrayList<>();
+            try {
+                URI address = startedAddress(process);
+                for (int i = 0; i < DESCRIPTORS; i++) {
+                    clients.add(new Socket(address.getHost(), address.getPort()));
+                }
+            } catch (IOException refused) {
+                // The process has ended already.
+            } finally {
+                boolean ended = process.waitFor(10, TimeUnit.SECONDS);
+                process.destroyForcibly();
+                for (Socket client : clients) {
+                    client.close();
+                }
+                assertTrue(ended, "the process goes on");
+            }
+            assertEquals(process.exitValue(), EXIT_FAILED);
+        } finally {
+            Files.delete(config);
+        }
+    }
+
+    private static URI startedAddress(Process process) throws IOException {
         String started = process.inputReader().readLine();
         while (!started.contains(" sidecar_started ")) {
             started = process.inputReader().readLine();
         }
-        URI address = URI.create("http:/" + started.replaceAll(".* address=(\\S+) .*", "$1"));
+        return URI.create("http:/" + started.replaceAll(".* address=(\\S+) .*", "$1"));
+    }
+
+    private static void assertEndsWithFailure(Process process) throws IOException, InterruptedException {
+        URI address = startedAddress(process);
         long sentNs;
         try (Socket client = new Socket(address.getHost(), address.getPort())) {
             client.setSoTimeout(8_000);
--- a/sidecar/src/test/java/peppergauge/sockets/EventLoopTest.java
+++ b/sidecar/src/test/java/peppergauge/sockets/EventLoopTest.java
@@ -74,9 +74,9 @@
     @Test
     public void reportsTheErrorThatEndsIt() throws Exception {
         EventLoop loop = new EventLoop();
-        CompletableFuture<Error> reported = new CompletableFuture<>();
+        CompletableFuture<Throwable> reported = new CompletableFuture<>();
         AtomicReference<Thread> loopThread = new AtomicReference<>();
-        loop.setFailureHandler(reported::complete);
+        loop.setFailureHandler((thread, thrown) -> reported.complete(thrown));
         try {
             loop.start(new EventLoop.RoundListener() {}, () -> {});
             OutOfMemoryError error = new OutOfMemoryError("thrown by a test");
--- a/thrift/src/main/java/peppergauge/thrift/ThriftMain.java
+++ b/thrift/src/main/java/peppergauge/thrift/ThriftMain.java
@@ -26,7 +26,7 @@
         }
         try {
             Sidecar sidecar = createSidecar(System.getenv(), Path.of(args[0]));
-            sidecar.endProcessIfEventLoopFails();
+            sidecar.endProcessIfThreadFails();
             Runtime.getRuntime().addShutdownHook(new Thread(sidecar::shutDownGracefully, "graceful-shutdown"));
             ReloadSignal.install(() -> sidecar.reload(System.getenv()));
             sidecar.start();
