Send nothing begun for one process of a server to the process after it

What callers saw: a new process came up at the address of one that had gone and was taken for the old one; work went to the wrong place.

Cause: connections and unsent attempts belonged to a server's id and address. A process that was started anew at the same address inherited the idle connections of the former one. An attempt whose connection was under way to the address that a server had left was sent there when the connection came up, to whatever process answered.

Evidence: ReplacedServerTest (a server moves while its connection is under way; the former address accepts later): the former address got the request. EndpointListTest: nothing was released for another started_ms. Both failed before.

Change: Backend.Server has the start of its process, as discovery reports it; a start that is not reported (0) leaves the known one. Idle connections of a replaced process are closed, one in use when its attempt ends; unsent attempts to it end as NEVER_SENT, and the load balancer decides again.

--- a/sidecar/src/main/java/peppergauge/request/AttemptLifecycle.java
+++ b/sidecar/src/main/java/peppergauge/request/AttemptLifecycle.java
@@ -143,10 +143,14 @@
         }
     }
 
-    /** Ends the attempts on these servers that still wait for their connections; they count as never sent. */
+    /**
+     * Ends the attempts that still wait for their connections to these servers, or to a process that the list has no
+     * more; they count as never sent. A connection under way may reach a new process at the same address.
+     */
     void cancelUnsentTo(Set<String> serverIds) {
         for (Attempt attempt : List.copyOf(inFlight)) {
-            if (serverIds.contains(attempt.serverId) && attempt.exchange.cancelIfUnsent()) {
+            boolean isReplaced = attempt.server != null && endpoints.isReplaced(attempt.server);
+            if ((isReplaced || serverIds.contains(attempt.serverId)) && attempt.exchange.cancelIfUnsent()) {
                 onEnded(attempt, new Backend.Result(Outcome.NEVER_SENT));
             }
         }
--- a/sidecar/src/main/java/peppergauge/request/EndpointList.java
+++ b/sidecar/src/main/java/peppergauge/request/EndpointList.java
@@ -51,7 +51,8 @@
             if (endpoint.state() == EndpointState.REMOVED) {
                 servers.remove(endpoint.server());
             } else {
-                Backend.Server server = new Backend.Server(endpoint.server(), listed.address());
+                Backend.Server server = new Backend.Server(
+                        endpoint.server(), listed.address(), startedMs(endpoint, previous.get(endpoint.server())));
                 servers.put(endpoint.server(), server);
                 backend.onServerListed(server);
             }
@@ -64,9 +65,20 @@
         return new Change(endpoints, leaving, previous);
     }
 
-    /** Notifies the backend that a server was removed, unless the same id is still listed at the same address. */
+    /** The start of the listed process; the one before counts if the update does not report it. */
+    private static double startedMs(Endpoint endpoint, Backend.Server previous) {
+        double unreportedMs = previous == null ? 0 : previous.startedMs();
+        return endpoint.startedMs() > 0 ? endpoint.startedMs() : unreportedMs;
+    }
+
+    /** Whether the list has another process in place of this one, or none. */
+    boolean isReplaced(Backend.Server server) {
+        return !server.equals(servers.get(server.id()));
+    }
+
+    /** Notifies the backend that a server was removed, unless the same process is still listed. */
     void releaseIfRemoved(Backend.Server server) {
-        if (!server.equals(servers.get(server.id()))) {
+        if (isReplaced(server)) {
             backend.onServerRemoved(server);
         }
     }
--- a/sidecar/src/test/java/peppergauge/PausableSidecarFixture.java
+++ b/sidecar/src/test/java/peppergauge/PausableSidecarFixture.java
@@ -11,6 +11,8 @@
 import java.util.function.UnaryOperator;
 import peppergauge.config.Config;
 import peppergauge.decision.LoadBalancer;
+import peppergauge.request.RequestDispatcher;
+import peppergauge.request.RequestHandler;
 import peppergauge.sockets.EventLoop;
 
 /**
@@ -28,6 +30,8 @@
     private static final int CLIENT_TIMEOUT_MS = 8_000;
 
     volatile EventHook eventHook = event -> {};
+    /** The dispatcher of clients' requests, which takes endpoint updates. */
+    volatile RequestDispatcher dispatcher;
     /** Applied to each action of the load balancer. */
     volatile UnaryOperator<LoadBalancer.Action> actionMapper = UnaryOperator.identity();
 
@@ -45,6 +49,11 @@
                 SidecarFixture.configJson(discovery.address(), sockets, known)
                         .replace(SidecarFixture.SETTINGS, settings));
         sidecar = new Sidecar(Config.read(Map.of("GW_CONFIG", file.toString())), new SidecarExtension() {
+            @Override
+            public void onStarting(RequestHandler handler, RequestDispatcher requestDispatcher, Context context) {
+                dispatcher = requestDispatcher;
+            }
+
             @Override
             public LoadBalancer wrapLoadBalancer(LoadBalancer loadBalancer, Context context) {
                 loop = context.loop();
--- a/sidecar/src/test/java/peppergauge/request/EndpointListTest.java
+++ b/sidecar/src/test/java/peppergauge/request/EndpointListTest.java
@@ -35,6 +35,10 @@
         return new EndpointUpdate.EndpointAddress(new Endpoint(id, 0, 0, state, 0), address);
     }
 
+    private static EndpointUpdate.EndpointAddress started(String id, String address, double startedMs) {
+        return new EndpointUpdate.EndpointAddress(new Endpoint(id, 0, 0, EndpointState.READY, startedMs), address);
+    }
+
     private Set<String> apply(boolean complete, EndpointUpdate.EndpointAddress... listed) {
         EndpointList.Change change = endpoints.apply(new EndpointUpdate(1, complete, List.of(listed)));
         change.previous().values().forEach(endpoints::releaseIfRemoved);
@@ -58,4 +62,16 @@
         assertEquals(apply(true), Set.of("a"));
         assertEquals(released, List.of("a@h:1", "a@h:3"));
     }
+
+    /** A new process at the address of an earlier one inherited its connections. */
+    @Test(dependsOnMethods = "serverAtNewAddressReplacesPreviousOne")
+    public void newProcessAtTheSameAddressReplacesThePreviousOne() {
+        apply(true, started("a", "h:1", 1_000));
+        released.clear();
+        apply(true, started("a", "h:1", 1_000));
+        apply(false, started("a", "h:1", 0));
+        assertEquals(released, List.of(), "the same process, reported again and without its start");
+        apply(false, started("a", "h:1", 2_000));
+        assertEquals(released, List.of("a@h:1"));
+    }
 }
--- a/snapshot/src/main/java/peppergauge/snapshot/SnapshotExtension.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/SnapshotExtension.java
@@ -36,7 +36,7 @@
     private final FileSystem fileSystem;
     private final EventLog log;
     /** Addresses of the listed servers by server id; written on the owner thread only. */
-    private final Map<String, String> addresses = new ConcurrentHashMap<>();
+    private final Map<String, Backend.Server> listedServers = new ConcurrentHashMap<>();
 
     private SnapshotFiles files;
     private SnapshotWriter writer;
@@ -101,7 +101,8 @@
     }
 
     private String addressOf(String server) {
-        return addresses.getOrDefault(server, "");
+        Backend.Server listed = listedServers.get(server);
+        return listed == null ? "" : listed.address();
     }
 
     @Override
@@ -109,7 +110,7 @@
         if (files == null) {
             return http;
         }
-        Backend recordingBackend = new AddressRecordingBackend(http, addresses);
+        Backend recordingBackend = new AddressRecordingBackend(http, listedServers);
         if (settings.journalMode() == JournalMode.OFF) {
             return recordingBackend;
         }
