Keep ids that must not run again when many requests are rejected

What callers saw: an id ran twice when it came again after its client had left.

Cause: the ids of the last 2,048 completed requests were remembered, also of those that the sidecar had rejected. A flood of requests that are rejected makes it forget an id that has run within a fraction of a second.

Evidence: DisconnectedClientsTest, a POST whose client leaves while it runs, 2,200 requests without time, the POST again: 2 runs before, expected 1.

--- a/sidecar/src/main/java/peppergauge/request/RequestAdmission.java
+++ b/sidecar/src/main/java/peppergauge/request/RequestAdmission.java
@@ -92,7 +92,7 @@
             requests.open(request, pending.listener());
         } else {
             requests.rejectionLog().notAdmitted(request, decision, overload);
-            requests.rememberCompleted(request.id());
+            requests.rememberRejected(request.id());
             double classDeadlineMs = classes.get(request.requestClass()).deadlineMs();
             double remainingMs = classDeadlineMs - (now - request.arrivedMs());
             pending.listener().onRejected(overload.retryAfterMs(now, remainingMs));
--- a/sidecar/src/main/java/peppergauge/request/RequestLifecycle.java
+++ b/sidecar/src/main/java/peppergauge/request/RequestLifecycle.java
@@ -5,8 +5,10 @@
 import java.util.Map;
 import peppergauge.decision.LoadBalancer.ClientDisconnected;
 import peppergauge.decision.LoadBalancer.FailRequest;
+import peppergauge.decision.LoadBalancer.Idempotency;
 import peppergauge.decision.LoadBalancer.RejectRequest;
 import peppergauge.decision.LoadBalancer.RequestArrived;
+import peppergauge.decision.LoadBalancer.RequestClass;
 import peppergauge.log.Log;
 
 /**
@@ -35,12 +37,14 @@
     private final Scheduler scheduler;
     private final Runnable idleCheck;
     private final RejectionLog rejectionLog;
+    private final List<RequestClass> classes;
 
     RequestLifecycle(DispatchContext context) {
         loadBalancer = context.loadBalancer();
         clock = context.clock();
         scheduler = context.scheduler();
         idleCheck = context.idleCheck();
+        classes = context.classes();
         attempts = new AttemptLifecycle(this, context);
         rejectionLog = new RejectionLog(clock);
     }
@@ -71,10 +75,20 @@
         return open.containsKey(id) || recentIds.contains(id);
     }
 
-    /** Remembers the id of a request that is over, so that duplicates of it are detected. */
-    void rememberCompleted(String id) {
-        assert !open.containsKey(id) : "completed request is still open: " + id;
-        recentIds.add(id);
+    /** Remembers the id of a request that never ran, so that duplicates of it are detected. */
+    void rememberRejected(String id) {
+        assert !open.containsKey(id) : "rejected request is still open: " + id;
+        recentIds.add(id, true);
+    }
+
+    private void rememberCompleted(OpenRequest request) {
+        assert !open.containsKey(request.id()) : "completed request is still open: " + request.id();
+        boolean neverRan = request.attempts.stream().allMatch(attempt -> attempt.neverExecuted);
+        recentIds.add(request.id(), neverRan || isIdempotent(request));
+    }
+
+    private boolean isIdempotent(OpenRequest request) {
+        return classes.get(request.incoming.requestClass()).idempotency() == Idempotency.IDEMPOTENT;
     }
 
     /** Opens an admitted request. It fails immediately if the load balancer throws without acting on it. */
@@ -150,7 +164,7 @@
             if (request.bodyStream() != null) {
                 request.bodyStream().release();
             }
-            rememberCompleted(request.id());
+            rememberCompleted(request);
             idleCheck.run();
         }
     }
--- a/sidecar/src/test/java/peppergauge/DisconnectedClientsTest.java
+++ b/sidecar/src/test/java/peppergauge/DisconnectedClientsTest.java
@@ -17,6 +17,9 @@
 
     private static final int SOCKETS = 256;
     private static final int SERVERS = 2;
+    /** More than the sidecar remembers of those that never ran. */
+    private static final int REJECTED_REQUESTS = 2_200;
+
     /** Long enough for a connection that is established at the second try. */
     private static final int LONG_TIMEOUT_MS = 8_000;
     /** Time between the disconnect and the continuation of the event loop. */
@@ -71,6 +74,29 @@
         };
     }
 
+    /** Requests that were rejected made the sidecar forget the ids of requests that had run. */
+    @Test
+    public void runsNoIdAgainThatComesBackAfterItsClientLeftAndManyRequestsWereRejected() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        ScriptedServer.Script counts = (request, connection) -> {
+            runs.addAndGet("again".equals(request.header("X-Txn")) ? 1 : 0);
+            SidecarFixture.ECHO.answer(request, connection);
+        };
+        try (SidecarFixture fixture = new SidecarFixture(counts, SOCKETS, SERVERS);
+                Socket rejected = fixture.client()) {
+            Socket left = fixture.client();
+            SidecarFixture.send(left, SidecarFixture.post("again", LONG_TIMEOUT_MS, "x"));
+            ScriptedServer.await(() -> runs.get() == 1);
+            left.close();
+            for (int i = 0; i < REJECTED_REQUESTS; i++) {
+                assertEquals(
+                        SidecarFixture.status(SidecarFixture.exchange(rejected, SidecarFixture.get("r" + i, 0))), 503);
+            }
+            fixture.exchange(SidecarFixture.post("again", LONG_TIMEOUT_MS, "x"));
+            assertEquals(runs.get(), 1, "runs of a request that must not run again");
+        }
+    }
+
     /** What follows a request that waits for its response, until the end of the connection. */
     @DataProvider
     public Object[][] unreadInput() {
--- a/sidecar/src/test/java/peppergauge/request/RecentRequestIdsTest.java
+++ b/sidecar/src/test/java/peppergauge/request/RecentRequestIdsTest.java
@@ -8,12 +8,16 @@
 public class RecentRequestIdsTest {
 
     @Test
-    public void dropsOnlyOldestId() {
+    public void dropsOnlyOldestIdOfEachKind() {
         RecentRequestIds ids = new RecentRequestIds();
-        for (int i = 0; i <= 2_048; i++) {
-            ids.add("r" + i);
+        for (int i = 0; i <= RecentRequestIds.MAX_IDS_NOT_TO_RUN_AGAIN; i++) {
+            ids.add("n" + i, false);
         }
-        assertFalse(ids.contains("r0"));
-        assertTrue(ids.contains("r1") && ids.contains("r2048"));
+        for (int i = 0; i <= RecentRequestIds.MAX_OTHER_IDS; i++) {
+            ids.add("r" + i, true);
+        }
+        assertFalse(ids.contains("n0") || ids.contains("r0"));
+        assertTrue(ids.contains("n1") && ids.contains("r1"));
+        assertTrue(ids.contains("n" + RecentRequestIds.MAX_IDS_NOT_TO_RUN_AGAIN));
     }
 }
