--- a/sidecar/src/test/java/peppergauge/PlantedFaultsTest.java
+++ b/sidecar/src/test/java/peppergauge/PlantedFaultsTest.java
@@ -230,7 +230,7 @@
             {
                 REQUESTS,
                 "request/RecentRequestIds.java",
-                "if (ids.size() > MAX_RECENT_IDS) {",
+                "if (ids.size() > limit) {",
                 "if (ids.isEmpty()) {",
                 "without bound"
             },
