Time connects and silent sessions by the monotonic clock

If it steps back, a watch of discovery that falls silent is never called again, and servers that drain get requests.

Cause: HttpCore compares System.currentTimeMillis with the time of a session's last event for socket timeouts, and with that of its creation for connect timeouts.

Evidence: a trial by hand with the released jar and a small preloaded library that steps CLOCK_REALTIME of that process: discovery falls silent, the clock steps back an hour, and no further call came within 15 s (6 s are allowed); an hour forward ends the watch at once.

Change: EventLoopSession shows HttpCore no socket timeout; SessionTimeouts checks the one that is set, by System.nanoTime. TimedConnect ends a connect by the timers' thread.

--- a/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
@@ -60,6 +60,7 @@
     private final List<Runnable> roundTasks = new ArrayList<>();
     private volatile Thread loopThread;
     private volatile Thread listenerThread;
+    private final SessionTimeouts sessionTimeouts = new SessionTimeouts();
     private volatile AcceptGate acceptGate = () -> {};
     private volatile FailureHandler failureHandler = (thread, thrown) -> {};
     private volatile boolean closed;
@@ -113,7 +114,7 @@
                 // Not a daemon thread: the program runs as long as this thread.
                 worker -> loopThread = new Thread(() -> runUntilClosed("loop", worker), "loop"),
                 worker -> listenerThread = daemonThread(() -> runUntilClosed("listener", worker), "listener"),
-                session -> new EventLoopSession(session, this),
+                this::createSession,
                 EventLoop::logUnexpected,
                 null,
                 new RoundHook(),
@@ -121,6 +122,12 @@
                 workers -> passAcceptGate());
     }
 
+    private EventLoopSession createSession(IOSession raw) {
+        EventLoopSession session = new EventLoopSession(raw, this);
+        sessionTimeouts.add(session);
+        return session;
+    }
+
     /** Runs a worker of HttpCore, which returns when it is closed, or after an exception that HttpCore has logged. */
     private void runUntilClosed(String thread, Runnable worker) {
         try {
@@ -193,8 +200,7 @@
     }
 
     /**
-     * Connects. The callback is called on the event loop's thread, at most {@link #SELECT_INTERVAL_MS} after the
-     * timeout.
+     * Connects. The callback is called on the event loop's thread; may be called from any thread.
      */
     public void connect(
             NamedEndpoint name,
@@ -202,8 +208,9 @@
             Timeout timeout,
             ConnectionHandlerFactory factory,
             FutureCallback<IOSession> callback) {
+        TimedConnect timed = new TimedConnect(timeout, callback);
         try {
-            reactor.connect(name, address, null, timeout, factory, callback);
+            timed.start(reactor.connect(name, address, null, Timeout.DISABLED, factory, timed), this);
         } catch (IOReactorShutdownException closed) {
             callback.failed(closed);
         }
@@ -275,6 +282,7 @@
         public void onThreadPoolStatus(int active, int pending) {
             onSocketEvent();
             wakeUpRequested.set(false);
+            runGuarded(sessionTimeouts::check);
             for (Runnable task : roundTasks) {
                 runGuarded(task);
             }
--- a/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
@@ -40,6 +40,10 @@
     private long readRound;
 
     private int readBytesInRound;
+    /** The socket timeout at the last check, and when something was last read or written. */
+    private Timeout checkedTimeout = Timeout.DISABLED;
+
+    private long lastEventNanos = System.nanoTime();
 
     EventLoopSession(IOSession raw, EventLoop loop) {
         this.raw = raw;
@@ -200,9 +204,34 @@
         return raw.isOpen();
     }
 
+    /** Returns no timeout, since {@link SessionTimeouts} checks the one that is set. */
     @Override
     public Timeout getSocketTimeout() {
-        return raw.getSocketTimeout();
+        return Timeout.DISABLED;
+    }
+
+    /**
+     * Notifies the protocol if nothing was read or written for the socket timeout, which starts anew when it is changed.
+     *
+     * @return whether the session is still open
+     */
+    boolean checkTimeout(long nowNanos) {
+        Timeout timeout = raw.getSocketTimeout();
+        if (!timeout.equals(checkedTimeout)) {
+            checkedTimeout = timeout;
+            lastEventNanos = nowNanos;
+        }
+        if (timeout.isEnabled() && raw.isOpen() && nowNanos - lastEventNanos >= timeout.toNanoseconds()) {
+            lastEventNanos = nowNanos;
+            IOEventHandler handler = raw.getHandler();
+            try {
+                handler.timeout(this, timeout);
+            } catch (IOException | RuntimeException failed) {
+                handler.exception(this, failed);
+                close(CloseMode.GRACEFUL);
+            }
+        }
+        return raw.getStatus() != Status.CLOSED;
     }
 
     @Override
@@ -241,11 +270,13 @@
     public void updateReadTime() {
         // This is the reactor's first call for a readable socket.
         loop.onInputEvent();
+        lastEventNanos = System.nanoTime();
         raw.updateReadTime();
     }
 
     @Override
     public void updateWriteTime() {
+        lastEventNanos = System.nanoTime();
         raw.updateWriteTime();
     }
 
--- a/sidecar/src/test/java/peppergauge/sockets/EventLoopTest.java
+++ b/sidecar/src/test/java/peppergauge/sockets/EventLoopTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertSame;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -93,6 +94,116 @@
         }
     }
 
+    /** A peer that wrote faster than its protocol read kept the event loop in one call. */
+    @Test(timeOut = 10_000)
+    public void runsTasksBesideAPeerThatSendsWithoutAPause() throws Exception {
+        EventLoop loop = new EventLoop();
+        try {
+            loop.start(new EventLoop.RoundListener() {}, () -> {});
+            InetSocketAddress address = (InetSocketAddress) loop.listen(
+                            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                            connection -> new ReadingHandler())
+                    .getAddress();
+            try (Socket peer = new Socket(address.getAddress(), address.getPort())) {
+                Thread sender = new Thread(() -> sendWithoutAPause(peer));
+                sender.setDaemon(true);
+                sender.start();
+                for (int i = 0; i < 50; i++) {
+                    CountDownLatch ran = new CountDownLatch(1);
+                    loop.execute(ran::countDown);
+                    ran.await();
+                }
+            }
+        } finally {
+            loop.close();
+        }
+    }
+
+    private static void sendWithoutAPause(Socket peer) {
+        byte[] input = new byte[64 * 1024];
+        try {
+            while (true) {
+                peer.getOutputStream().write(input);
+            }
+        } catch (IOException closed) {
+            // The test has ended.
+        }
+    }
+
+    /** Reads until nothing is left, as protocols do; this takes longer than the peer needs to send more. */
+    private static final class ReadingHandler extends IgnoringHandler {
+
+        @Override
+        public void connected(IOSession session) {
+            session.setEvent(EventMask.READ);
+        }
+
+        @Override
+        public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+            ByteBuffer input = ByteBuffer.allocate(1_024);
+            int bytes;
+            do {
+                bytes = session.read(input.clear());
+                if (bytes == 0) {
+                    return;
+                }
+            } while (bytes > 0);
+            session.close();
+        }
+    }
+
+    /** The reactor's own check compares wall-clock times, which a step of that clock makes late by its length. */
+    @Test(timeOut = 10_000)
+    public void endsASilentSessionAfterItsSocketTimeoutWithoutTheReactorsCheck() throws Exception {
+        EventLoop loop = new EventLoop();
+        CompletableFuture<Timeout> timedOut = new CompletableFuture<>();
+        CompletableFuture<Timeout> seenByReactor = new CompletableFuture<>();
+        IOEventHandler handler = new IgnoringHandler() {
+            @Override
+            public void timeout(IOSession session, Timeout after) {
+                seenByReactor.complete(session.getSocketTimeout());
+                timedOut.complete(after);
+            }
+        };
+        try {
+            loop.start(new EventLoop.RoundListener() {}, () -> {});
+            InetSocketAddress address = (InetSocketAddress)
+                    loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), connection -> {
+                                connection.setSocketTimeout(Timeout.ofMilliseconds(50));
+                                return handler;
+                            })
+                            .getAddress();
+            try (Socket silent = new Socket(address.getAddress(), address.getPort())) {
+                assertEquals(timedOut.get(), Timeout.ofMilliseconds(50));
+                assertEquals(seenByReactor.get(), Timeout.DISABLED);
+                assertEquals(silent.isConnected(), true);
+            }
+        } finally {
+            loop.close();
+        }
+    }
+
+    private static class IgnoringHandler implements IOEventHandler {
+
+        @Override
+        public void connected(IOSession session) {}
+
+        @Override
+        public void inputReady(IOSession session, ByteBuffer source) throws IOException {}
+
+        @Override
+        public void outputReady(IOSession session) {}
+
+        @Override
+        public void timeout(IOSession session, Timeout after) {}
+
+        @Override
+        public void exception(IOSession session, Exception cause) {}
+
+        @Override
+        public void disconnected(IOSession session) {}
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await();
