Convert the starts of servers after a step of the wall clock

What callers saw: nothing yet; the wall clock may now step by an hour while the sidecar runs. A server that is started after a step forward looked cold for an hour, one after a step back an hour old: the fleet's warm-up budget would break.

Cause: Clock reads the wall clock once, and SlowStart compares its time with started_ms, which all machines take from the wall clock.

Evidence: by reading; EndpointListTest with a step of an hour.

Open: a server that was started before the step and is reported after it looks an hour older or younger than it is.

--- a/sidecar/src/main/java/peppergauge/request/EndpointList.java
+++ b/sidecar/src/main/java/peppergauge/request/EndpointList.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import peppergauge.decision.LoadBalancer.Endpoint;
 import peppergauge.decision.LoadBalancer.EndpointState;
 
@@ -15,8 +16,12 @@
     private final Map<String, Backend.Server> servers = new HashMap<>();
     private final Backend backend;
 
-    EndpointList(Backend backend) {
+    private final ServerStartTimes startTimes;
+
+    /** @param wallStepMs as {@link Clock#wallStepMs} */
+    EndpointList(Backend backend, DoubleSupplier wallStepMs) {
         this.backend = backend;
+        this.startTimes = new ServerStartTimes(wallStepMs);
     }
 
     /**
@@ -46,7 +51,7 @@
             servers.clear();
         }
         for (EndpointUpdate.EndpointAddress listed : update.endpoints()) {
-            Endpoint endpoint = listed.endpoint();
+            Endpoint endpoint = startTimes.convert(listed.endpoint());
             endpoints.add(endpoint);
             if (endpoint.state() == EndpointState.REMOVED) {
                 servers.remove(endpoint.server());
@@ -62,6 +67,11 @@
                 leaving.add(endpoint.server());
             }
         }
+        for (String server : previous.keySet()) {
+            if (!servers.containsKey(server)) {
+                startTimes.remove(server);
+            }
+        }
         return new Change(endpoints, leaving, previous);
     }
 
--- a/sidecar/src/main/java/peppergauge/request/RequestDispatcher.java
+++ b/sidecar/src/main/java/peppergauge/request/RequestDispatcher.java
@@ -41,7 +41,7 @@
             double healthCheckTimeoutMs) {
         this.scheduler = new ClosableScheduler(scheduler);
         this.loadBalancer = new LoadBalancerDriver(loadBalancer, clock, this::execute);
-        endpoints = new EndpointList(backend);
+        endpoints = new EndpointList(backend, clock::wallStepMs);
         DispatchContext context = new DispatchContext(
                 this.loadBalancer,
                 backend,
--- a/sidecar/src/test/java/peppergauge/request/EndpointListTest.java
+++ b/sidecar/src/test/java/peppergauge/request/EndpointListTest.java
@@ -13,23 +13,29 @@
 
 public class EndpointListTest {
 
+    private static final double HOUR_MS = 3_600_000;
+
+    private double wallStepMs;
+
     private final List<String> released = new ArrayList<>();
-    private final EndpointList endpoints = new EndpointList(new Backend() {
-        @Override
-        public Exchange send(Server server, Message message, double deadlineMs, AttemptListener listener) {
-            throw new IllegalStateException("unexpected attempt");
-        }
+    private final EndpointList endpoints = new EndpointList(
+            new Backend() {
+                @Override
+                public Exchange send(Server server, Message message, double deadlineMs, AttemptListener listener) {
+                    throw new IllegalStateException("unexpected attempt");
+                }
 
-        @Override
-        public Exchange probe(Server server, double deadlineMs, Consumer<Result> onEnded) {
-            throw new IllegalStateException("unexpected health check");
-        }
+                @Override
+                public Exchange probe(Server server, double deadlineMs, Consumer<Result> onEnded) {
+                    throw new IllegalStateException("unexpected health check");
+                }
 
-        @Override
-        public void onServerRemoved(Server server) {
-            released.add(server.id() + "@" + server.address());
-        }
-    });
+                @Override
+                public void onServerRemoved(Server server) {
+                    released.add(server.id() + "@" + server.address());
+                }
+            },
+            () -> wallStepMs);
 
     private static EndpointUpdate.EndpointAddress listed(String id, EndpointState state, String address) {
         return new EndpointUpdate.EndpointAddress(new Endpoint(id, 0, 0, state, 0), address);
@@ -74,4 +80,18 @@
         apply(false, started("a", "h:1", 2_000));
         assertEquals(released, List.of("a@h:1"));
     }
+
+    /** After a step of the wall clock a cold server looked an hour old, or younger than nothing for an hour. */
+    @Test(dependsOnMethods = "newProcessAtTheSameAddressReplacesThePreviousOne")
+    public void startReportedAfterAStepOfTheWallClockIsConverted() {
+        apply(true, started("b", "h:1", 1_000));
+        wallStepMs = HOUR_MS;
+        List<Endpoint> afterStep = endpoints
+                .apply(new EndpointUpdate(
+                        2, true, List.of(started("b", "h:1", 1_000), started("c", "h:2", HOUR_MS + 3_000))))
+                .endpoints();
+        assertEquals(afterStep.get(0).startedMs(), 1_000.0, "a start that was reported before the step");
+        assertEquals(afterStep.get(1).startedMs(), 3_000.0, "a start after the step");
+        wallStepMs = 0;
+    }
 }
--- a/sidecar/src/test/java/peppergauge/request/HealthChecksTest.java
+++ b/sidecar/src/test/java/peppergauge/request/HealthChecksTest.java
@@ -53,7 +53,7 @@
     @Test
     public void endsOnceByResultTimeoutOrUnknownServer() {
         Backend backend = new CheckedServers();
-        EndpointList endpoints = new EndpointList(backend);
+        EndpointList endpoints = new EndpointList(backend, () -> 0);
         endpoints.apply(new EndpointUpdate(
                 1,
                 true,
