--- a/lab/src/test/java/peppergauge/lab/flood/FloodTest.java
+++ b/lab/src/test/java/peppergauge/lab/flood/FloodTest.java
@@ -15,14 +15,19 @@
     private static final long FLOOD_MS = 2_500;
     private static final long HOLD_MS = 200;
     private static final int ANY_RATE = 0;
+    private static final int ALL_CPUS = -1;
 
     private static FloodOutcome run(FloodPlan plan) throws Exception {
+        return run(plan, ALL_CPUS);
+    }
+
+    private static FloodOutcome run(FloodPlan plan, int cpu) throws Exception {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         String classPath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
         String command = "exec " + java + " -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms24m -Xmx64m -Xss256k "
                 + "-XX:ReservedCodeCacheSize=24m -XX:MaxMetaspaceSize=48m -cp " + classPath + " peppergauge.Main serve";
         try (FloodRun run =
-                new FloodRun(plan, new FloodRun.Launch(command, Path.of("").toAbsolutePath(), -1, SOCKETS))) {
+                new FloodRun(plan, new FloodRun.Launch(command, Path.of("").toAbsolutePath(), cpu, SOCKETS))) {
             return run.run();
         }
     }
@@ -63,4 +68,12 @@
         FloodOutcome outcome = run(new FloodPlan(kind, 450, ANY_RATE, false, HOLD_MS, FLOOD_MS, 1));
         assertEquals(outcome.violations(), List.of(), outcome.toString());
     }
+
+    /** Requests that two connections pipeline take the places of usual requests at the load balancer. */
+    @Test(groups = "known-red")
+    public void servesHalfOfUsualRequestsBesideChunkedRequestsOfTwoConnections() throws Exception {
+        FloodOutcome outcome =
+                run(new FloodPlan(FloodKind.SINGLE_BYTE_CHUNKS, 2, ANY_RATE, false, HOLD_MS, FLOOD_MS, 79), 0);
+        assertEquals(outcome.violations(), List.of(), outcome.toString());
+    }
 }
--- a/sidecar/src/main/java/peppergauge/ProcessFailure.java
+++ b/sidecar/src/main/java/peppergauge/ProcessFailure.java
@@ -35,12 +35,11 @@
      */
     static void endProcess(String thread, Throwable thrown) {
         try {
-            Log.event(
-                    EVENT_LOOP.equals(thread) ? "event_loop_failed" : "thread_failed",
-                    "thread",
-                    thread,
-                    "exception",
-                    thrown);
+            if (EVENT_LOOP.equals(thread) && thrown != null) {
+                Log.error("event_loop_failed", thrown);
+            } else {
+                Log.event("thread_failed", "thread", thread, "exception", thrown);
+            }
         } finally {
             Runtime.getRuntime().halt(EXIT_CODE);
         }
