--- a/sidecar/src/main/java/peppergauge/frontend/HeldBackInput.java
+++ b/sidecar/src/main/java/peppergauge/frontend/HeldBackInput.java
@@ -10,8 +10,8 @@
 
 /**
  * Input that a connection holds back while as many responses as may be pending are not written yet: it stays in
- * HttpCore's buffer and in the socket, so that the client cannot send more (back pressure). Only the event loop's thread
- * uses it.
+ * HttpCore's buffer and in the socket, so that the client cannot send more (back pressure). Only the event loop's
+ * thread uses it.
  */
 final class HeldBackInput {
 
--- a/sidecar/src/main/java/peppergauge/http/HeadReader.java
+++ b/sidecar/src/main/java/peppergauge/http/HeadReader.java
@@ -21,8 +21,8 @@
 /**
  * Parses the heads of a connection's messages strictly, so that no two parsers can disagree on where a message ends
  * (request smuggling). Lines end with CRLF; folded lines, control characters, ambiguous body lengths, heads over 8 KiB
- * and heads of too many fields are errors, all of which HttpCore's own parser accepts. The lines themselves are parsed by HttpCore. Not
- * thread-safe.
+ * and heads of too many fields are errors, all of which HttpCore's own parser accepts. The lines themselves are parsed
+ * by HttpCore. Not thread-safe.
  */
 public abstract class HeadReader<T extends HttpMessage> implements NHttpMessageParser<T> {
 
--- a/sidecar/src/main/java/peppergauge/request/ServerStartTimes.java
+++ b/sidecar/src/main/java/peppergauge/request/ServerStartTimes.java
@@ -6,8 +6,8 @@
 import peppergauge.decision.LoadBalancer.Endpoint;
 
 /**
- * Converts the start times that discovery reports by the wall clock to the time of {@link Clock}, so that a server's age
- * is right after a step of the wall clock. A start that is reported again keeps its time. Event-loop thread only.
+ * Converts the start times that discovery reports by the wall clock to the time of {@link Clock}, so that a server's
+ * age is right after a step of the wall clock. A start that is reported again keeps its time. Event-loop thread only.
  */
 final class ServerStartTimes {
 
--- a/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
@@ -23,7 +23,7 @@
  */
 final class EventLoopSession implements IOSession, ReadControl {
 
-    /** Input of one connection in a round, before other connections are served: protocols read until nothing is left. */
+    /** Input of one connection in a round, before others are served: protocols read until nothing is left. */
     private static final int MAX_READ_BYTES_PER_ROUND = 128 * 1024;
 
     private final IOSession raw;
@@ -211,7 +211,7 @@
     }
 
     /**
-     * Notifies the protocol if nothing was read or written for the socket timeout, which starts anew when it is changed.
+     * Notifies the protocol if nothing was read or written for the socket timeout; a change of it starts it anew.
      *
      * @return whether the session is still open
      */
--- a/sidecar/src/test/java/peppergauge/sockets/EventLoopTest.java
+++ b/sidecar/src/test/java/peppergauge/sockets/EventLoopTest.java
@@ -213,7 +213,15 @@
     }
 
     /** Closes the loop in the middle of a round, and continues when the closing thread has ended or waits. */
-    private record ClosingHandler(CountDownLatch connected, Thread closing) implements IOEventHandler {
+    private static final class ClosingHandler extends IgnoringHandler {
+
+        private final CountDownLatch connected;
+        private final Thread closing;
+
+        ClosingHandler(CountDownLatch connected, Thread closing) {
+            this.connected = connected;
+            this.closing = closing;
+        }
 
         @Override
         public void connected(IOSession session) {
@@ -230,17 +238,5 @@
                 Thread.onSpinWait();
             }
         }
-
-        @Override
-        public void outputReady(IOSession session) {}
-
-        @Override
-        public void timeout(IOSession session, Timeout after) {}
-
-        @Override
-        public void exception(IOSession session, Exception cause) {}
-
-        @Override
-        public void disconnected(IOSession session) {}
     }
 }
