Keep the connections of a server whose start alone has changed

What callers saw: nothing released.

Change: the start is no part of Backend.Server again. What stays is that an unsent attempt to an address that the list has no more ends as never sent.

--- a/sidecar/src/main/java/peppergauge/request/AttemptLifecycle.java
+++ b/sidecar/src/main/java/peppergauge/request/AttemptLifecycle.java
@@ -144,8 +144,8 @@
     }
 
     /**
-     * Ends the attempts that still wait for their connections to these servers, or to a process that the list has no
-     * more; they count as never sent. A connection under way may reach a new process at the same address.
+     * Ends the attempts that still wait for their connections to these servers, or to an address at which the list has
+     * their server no more; they count as never sent. A connection under way may reach another process there.
      */
     void cancelUnsentTo(Set<String> serverIds) {
         for (Attempt attempt : List.copyOf(inFlight)) {
--- a/sidecar/src/main/java/peppergauge/request/Backend.java
+++ b/sidecar/src/main/java/peppergauge/request/Backend.java
@@ -6,19 +6,8 @@
 /** Sends attempts and health checks to backend servers. Methods are called by the event-loop thread. */
 public interface Backend {
 
-    /**
-     * A process of a backend server. Another server, or an earlier process of the same one, may have had the address
-     * before: connections and unsent attempts belong to one process.
-     *
-     * @param startedMs when the process started, as discovery reports it; 0 if unknown
-     */
-    record Server(String id, String address, double startedMs) {
-
-        /** A server whose start is unknown. */
-        public Server(String id, String address) {
-            this(id, address, 0);
-        }
-    }
+    /** A backend server and its address. Another server may have had the same address before. */
+    record Server(String id, String address) {}
 
     /** An attempt or a health check in flight. */
     interface Exchange {
--- a/sidecar/src/main/java/peppergauge/request/EndpointList.java
+++ b/sidecar/src/main/java/peppergauge/request/EndpointList.java
@@ -56,8 +56,7 @@
             if (endpoint.state() == EndpointState.REMOVED) {
                 servers.remove(endpoint.server());
             } else {
-                Backend.Server server = new Backend.Server(
-                        endpoint.server(), listed.address(), startedMs(endpoint, previous.get(endpoint.server())));
+                Backend.Server server = new Backend.Server(endpoint.server(), listed.address());
                 servers.put(endpoint.server(), server);
                 backend.onServerListed(server);
             }
@@ -75,18 +74,12 @@
         return new Change(endpoints, leaving, previous);
     }
 
-    /** The start of the listed process; the one before counts if the update does not report it. */
-    private static double startedMs(Endpoint endpoint, Backend.Server previous) {
-        double unreportedMs = previous == null ? 0 : previous.startedMs();
-        return endpoint.startedMs() > 0 ? endpoint.startedMs() : unreportedMs;
-    }
-
-    /** Whether the list has another process in place of this one, or none. */
+    /** Whether the list has this server at another address, or not at all. */
     boolean isReplaced(Backend.Server server) {
         return !server.equals(servers.get(server.id()));
     }
 
-    /** Notifies the backend that a server was removed, unless the same process is still listed. */
+    /** Notifies the backend that a server was removed, unless the same id is still listed at the same address. */
     void releaseIfRemoved(Backend.Server server) {
         if (isReplaced(server)) {
             backend.onServerRemoved(server);
--- a/snapshot/src/main/java/peppergauge/snapshot/AddressRecordingBackend.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/AddressRecordingBackend.java
@@ -6,22 +6,22 @@
 import peppergauge.request.Message;
 
 /**
- * Records the listed servers with their addresses, since the load balancer knows servers by id only.
+ * Records the address of each listed server, since the load balancer knows servers by id only.
  *
  * @param backend backend that all calls are passed to
- * @param servers the listed servers by server id
+ * @param addresses addresses of the listed servers by server id
  */
-record AddressRecordingBackend(Backend backend, Map<String, Backend.Server> servers) implements Backend {
+record AddressRecordingBackend(Backend backend, Map<String, String> addresses) implements Backend {
 
     @Override
     public void onServerListed(Server server) {
-        servers.put(server.id(), server);
+        addresses.put(server.id(), server.address());
         backend.onServerListed(server);
     }
 
     @Override
     public void onServerRemoved(Server server) {
-        servers.remove(server.id(), server);
+        addresses.remove(server.id(), server.address());
         backend.onServerRemoved(server);
     }
 
--- a/snapshot/src/main/java/peppergauge/snapshot/SnapshotExtension.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/SnapshotExtension.java
@@ -36,7 +36,7 @@
     private final FileSystem fileSystem;
     private final EventLog log;
     /** Addresses of the listed servers by server id; written on the owner thread only. */
-    private final Map<String, Backend.Server> listedServers = new ConcurrentHashMap<>();
+    private final Map<String, String> addresses = new ConcurrentHashMap<>();
 
     private SnapshotFiles files;
     private SnapshotWriter writer;
@@ -101,8 +101,7 @@
     }
 
     private String addressOf(String server) {
-        Backend.Server listed = listedServers.get(server);
-        return listed == null ? "" : listed.address();
+        return addresses.getOrDefault(server, "");
     }
 
     @Override
@@ -110,7 +109,7 @@
         if (files == null) {
             return http;
         }
-        Backend recordingBackend = new AddressRecordingBackend(http, listedServers);
+        Backend recordingBackend = new AddressRecordingBackend(http, addresses);
         if (settings.journalMode() == JournalMode.OFF) {
             return recordingBackend;
         }
