Run connections on a selector loop of the project's own, which no failing call ends

Callers saw four requests of a sidecar end without a response in one millisecond, and its process exit with code 1. Cause: HttpCore's listener ends for good after any exception of accept (ENFILE once is enough), its worker after any exception while it sets up an accepted connection (setsockopt ENOBUFS), and made the end of either the end of the process. A third case: it ignores that finishConnect was interrupted (poll EINTR) and takes the connection as open; the exception of the first write then loses the pool's entry for good, so that after 443 of them every request got 503, for ever.

Neither listener nor worker can be kept alive or started anew from outside, nor does HttpCore take accepted channels from elsewhere. EventLoop's interface is as before; HttpCore stays for its codecs, on EventLoopSession. Acceptor accepts on the listener's thread: a failing accept leaves its connection in the kernel's queue, is logged (accept_failed) and counted, has an idle connection evicted from the second failure in a row on, and is tried again after 1 to 50 ms. Exceptions of one connection, in any call of its handler, close that connection; the place of an accepted connection that cannot be opened is given back. An interrupted connect waits for the selector again. The gate, eviction, backlog, rate limit and the order of a round are unchanged.

--- a/sidecar/src/main/java/peppergauge/sockets/ClientConnections.java
+++ b/sidecar/src/main/java/peppergauge/sockets/ClientConnections.java
@@ -68,8 +68,7 @@
 
     /**
      * Blocks the accepting thread until an accepted connection may be opened, and has connections evicted if the limit
-     * is reached. Further clients wait in the kernel's accept queue: HttpCore's listener accepts without limit, and
-     * stops permanently when the process runs out of descriptors.
+     * is reached. Further clients wait in the kernel's accept queue.
      */
     @Override
     public void awaitCapacity() throws InterruptedException {
@@ -93,6 +92,30 @@
         }
     }
 
+    /** Gives back the place of an accepted connection that could not be opened. */
+    @Override
+    public void onOpenFailed() {
+        accepted.decrementAndGet();
+        releasePlace();
+    }
+
+    /** Evicts an idle connection: its descriptor may be what accepting lacks. */
+    @Override
+    public void onAcceptFailed() {
+        if (evictionSubmitted.compareAndSet(false, true)) {
+            loop.execute(this::evictForAccept);
+        }
+    }
+
+    private void evictForAccept() {
+        evictionSubmitted.set(false);
+        double now = clock.nowMs();
+        EvictableConnection next = eviction.nextToEvict(now);
+        if (next != null) {
+            evict(next, now);
+        }
+    }
+
     /** Evicts connections; runs at the end of a round, after pending input has been read. */
     private void evictForCapacity() {
         evictionSubmitted.set(false);
@@ -105,13 +128,17 @@
             if (next == null) {
                 return;
             }
-            ConnectionEvictionPolicy.IdleState idle = eviction.lastIdle(next);
-            evicted.add(next);
-            if (next.evict()) {
-                logEviction(idle, now);
-            } else {
-                evicted.remove(next);
-            }
+            evict(next, now);
+        }
+    }
+
+    private void evict(EvictableConnection next, double nowMs) {
+        ConnectionEvictionPolicy.IdleState idle = eviction.lastIdle(next);
+        evicted.add(next);
+        if (next.evict()) {
+            logEviction(idle, nowMs);
+        } else {
+            evicted.remove(next);
         }
     }
 
@@ -192,6 +219,10 @@
         assert removed : "a connection ended twice, or was never opened: " + connection;
         evicted.remove(connection);
         eviction.onClosed(connection);
+        releasePlace();
+    }
+
+    private void releasePlace() {
         sockets.onSocketClosed();
         checkAllClosed();
     }
--- a/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
@@ -2,81 +2,87 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.channels.ClosedSelectorException;
+import java.nio.channels.CancelledKeyException;
+import java.nio.channels.ClosedChannelException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.core5.concurrent.FutureCallback;
-import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.net.Host;
 import org.apache.hc.core5.net.NamedEndpoint;
-import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
-import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.reactor.IOReactorMetricsListener;
-import org.apache.hc.core5.reactor.IOReactorShutdownException;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
-import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import peppergauge.log.Log;
 import peppergauge.request.Scheduler;
 
 /**
- * The single thread that owns all sockets, requests and the load balancer: an HttpCore reactor with one worker. A round
- * selects, handles the ready sockets, and runs the submitted tasks, through which socket code calls the load balancer.
- * Output of these tasks is written at the end of the round ({@link EventLoopSession}).
+ * The single thread that owns all sockets, requests and the load balancer. A round selects, handles the ready sockets,
+ * and runs the submitted tasks, through which socket code calls the load balancer. Output of these tasks is written at
+ * the end of the round ({@link EventLoopSession}). HttpCore's codecs run on its sessions.
  *
- * <p>Two more threads exist: HttpCore's listener, which accepts connections, and the timer thread, which submits tasks
- * when they are due. A single thread for all other work avoids wake-ups between threads, which cost more than the work.
+ * <p>A system call that fails ends at most the connection for which it was made: exceptions of one connection close it,
+ * and the loop goes on. Only errors of the Java machine end it.
+ *
+ * <p>Two more threads exist: the {@link Acceptor}, and the timer thread, which submits tasks when they are due. A single
+ * thread for all other work avoids wake-ups between threads, which cost more than the work.
  */
 public final class EventLoop implements Scheduler {
 
-    /** Interval at which HttpCore checks its own timeouts, and therefore their precision. */
+    /** Maximum duration of a select, and therefore the precision of socket timeouts. */
     public static final double SELECT_INTERVAL_MS = 20;
 
-    private static final TimeValue SELECT_INTERVAL = TimeValue.ofMilliseconds((long) SELECT_INTERVAL_MS);
-    private static final int ACCEPT_BACKLOG = 511;
     /** How long {@link #close} waits for the end of the current round. */
     private static final long CLOSE_TIMEOUT_MS = 500;
+    /** Pause after a failed select, lest a failure that lasts takes a core. */
+    private static final long SELECT_FAILED_PAUSE_MS = 2;
     /** Maximum number of writes of one connection in a round, before other connections are served. */
     static final int MAX_WRITES_PER_ROUND = 4;
-    /** Addresses to which nothing is ever sent; see {@link #wakeUp}. */
-    private static final InetSocketAddress UNRESOLVED_ADDRESS =
-            InetSocketAddress.createUnresolved("nowhere.invalid", 1);
 
-    private static final NamedEndpoint UNRESOLVED_NAME = new Host("nowhere.invalid", 1);
+    /** An accepted connection that has passed the gate, and what creates its handler. */
+    private record AcceptedConnection(SocketChannel channel, ConnectionHandlerFactory factory) {}
 
-    private final DefaultListeningIOReactor reactor;
+    private final Selector selector;
+    private final Acceptor acceptor;
     private final LoopTimers timers;
+    private final LoopCounters counters = new LoopCounters();
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final Queue<AcceptedConnection> accepted = new ConcurrentLinkedQueue<>();
+    private final Queue<EventLoopSession> closedSessions = new ConcurrentLinkedQueue<>();
     private final AtomicBoolean wakeUpRequested = new AtomicBoolean();
     private final List<EventLoopSession> sessionsToWrite = new ArrayList<>();
     private final List<Runnable> roundTasks = new ArrayList<>();
-    private volatile Thread loopThread;
-    private volatile Thread listenerThread;
-    private final SessionTimeouts sessionTimeouts = new SessionTimeouts();
+    private final Thread loopThread;
+    private final Thread listenerThread;
+    private final SocketChecks socketChecks = new SocketChecks();
     private volatile AcceptGate acceptGate = () -> {};
     private volatile FailureHandler failureHandler = (thread, thrown) -> {};
     private volatile boolean closed;
     private RoundListener roundListener = new RoundListener() {};
     private boolean inRound;
     private boolean inputInRound;
+    /** Whether the next select returns at once; only the event loop's thread uses it. */
+    private boolean selectNow;
+
     /** Number of rounds that have ended; only the event loop's thread uses it. */
     private long round;
-    /** Whether the listener's thread is in the accept gate, where it may wake up the loop; only that thread uses it. */
-    private boolean inAcceptGate;
 
-    /** Called for each accepted connection on the accepting thread, which it may block. */
+    /** Admits accepted connections. */
     public interface AcceptGate {
 
-        /** Blocks until the connection may be opened. */
+        /** Blocks the accepting thread until the accepted connection may be opened. */
         void awaitCapacity() throws InterruptedException;
+
+        /** A connection that passed the gate could not be opened; called on the event loop's thread. */
+        default void onOpenFailed() {}
+
+        /** Accepting has failed several times in a row, perhaps for lack of descriptors; on the accepting thread. */
+        default void onAcceptFailed() {}
     }
 
     /** Receives what ended a thread without which nobody is served: the event loop, the listener or the timers. */
@@ -96,42 +102,31 @@
         default void roundEnded(boolean read) {}
     }
 
-    /** Creates the reactor; no thread is started before {@link #start}. */
+    /**
+     * Opens the selectors; no thread is started before {@link #start}.
+     *
+     * @throws IllegalStateException if they cannot be opened
+     */
     public EventLoop() {
         timers = new LoopTimers(
                 this::execute,
                 task -> daemonThread(task, "timers"),
                 thrown -> failureHandler.threadFailed("timers", thrown));
-        reactor = new DefaultListeningIOReactor(
-                (connection, factory) -> ((ConnectionHandlerFactory) factory).create(connection),
-                IOReactorConfig.custom()
-                        .setIoThreadCount(1)
-                        .setSelectInterval(SELECT_INTERVAL)
-                        .setSoReuseAddress(true)
-                        .setTcpNoDelay(true)
-                        .setBacklogSize(ACCEPT_BACKLOG)
-                        .build(),
-                // Not a daemon thread: the program runs as long as this thread.
-                worker -> loopThread = new Thread(() -> runUntilClosed("loop", worker), "loop"),
-                worker -> listenerThread = daemonThread(() -> runUntilClosed("listener", worker), "listener"),
-                this::createSession,
-                EventLoop::logUnexpected,
-                null,
-                new RoundHook(),
-                ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK,
-                workers -> passAcceptGate());
-    }
-
-    private EventLoopSession createSession(IOSession raw) {
-        EventLoopSession session = new EventLoopSession(raw, this);
-        sessionTimeouts.add(session);
-        return session;
+        try {
+            selector = Selector.open();
+            acceptor = new Acceptor(Selector.open(), counters, this::onAccepted);
+        } catch (IOException failed) {
+            throw new IllegalStateException("cannot open a selector: " + failed.getMessage(), failed);
+        }
+        // Not a daemon thread: the program runs as long as this thread.
+        loopThread = new Thread(() -> runUntilClosed("loop", this::runRounds), "loop");
+        listenerThread = daemonThread(() -> runUntilClosed("listener", acceptor), "listener");
     }
 
-    /** Runs a worker of HttpCore, which returns when it is closed, or after an exception that HttpCore has logged. */
-    private void runUntilClosed(String thread, Runnable worker) {
+    /** Runs a thread's work, which returns when the loop is closed. */
+    private void runUntilClosed(String thread, Runnable work) {
         try {
-            worker.run();
+            work.run();
         } catch (Error fatal) {
             failureHandler.threadFailed(thread, fatal);
             throw fatal;
@@ -141,7 +136,7 @@
         }
     }
 
-    /** Sets what is called when an error, such as a lack of memory, or an exception ends a thread. */
+    /** Sets what is called when an error, such as a lack of memory, ends a thread. */
     public void setFailureHandler(FailureHandler handler) {
         failureHandler = handler;
     }
@@ -156,30 +151,33 @@
     public void start(RoundListener rounds, AcceptGate gate) {
         roundListener = rounds;
         acceptGate = gate;
-        reactor.start();
+        acceptor.setGate(gate);
+        loopThread.start();
+        listenerThread.start();
     }
 
-    /**
-     * Closes all connections immediately and ends the threads. Tasks that are submitted later never run. The selector
-     * is closed at the end of a round, since closing it changes the set of ready sockets over which a round iterates.
-     */
+    /** Closes all connections at the end of the current round and ends the threads. Later tasks never run. */
     public void close() {
         closed = true;
         timers.close();
-        if (loopThread != null && loopThread.isAlive() && !isEventLoopThread()) {
-            CountDownLatch closed = new CountDownLatch(1);
-            execute(() -> {
-                reactor.close(CloseMode.IMMEDIATE);
-                closed.countDown();
-            });
+        acceptor.close();
+        listenerThread.interrupt();
+        wakeUp();
+        if (!isEventLoopThread() && loopThread.isAlive()) {
             try {
-                closed.await(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+                loopThread.join(CLOSE_TIMEOUT_MS);
             } catch (InterruptedException ending) {
                 Thread.currentThread().interrupt();
             }
         }
-        // Needed if the loop never ran or is stuck; otherwise this does nothing.
-        reactor.close(CloseMode.IMMEDIATE);
+        if (!loopThread.isAlive()) {
+            closeSelector();
+        }
+    }
+
+    /** Counts system calls that have failed. */
+    public LoopCounters counters() {
+        return counters;
     }
 
     // ---- Sockets ----
@@ -189,18 +187,16 @@
      *
      * @throws IOException if the address cannot be bound
      */
-    public ListenerEndpoint listen(InetSocketAddress address, ConnectionHandlerFactory factory)
-            throws IOException, InterruptedException {
+    public ListenerEndpoint listen(InetSocketAddress address, ConnectionHandlerFactory factory) throws IOException {
         try {
-            return reactor.listen(address, factory, null).get();
-        } catch (ExecutionException failed) {
-            throw new IOException(
-                    "cannot listen on " + address + ": " + failed.getCause().getMessage(), failed);
+            return acceptor.listen(address, factory);
+        } catch (IOException failed) {
+            throw new IOException("cannot listen on " + address + ": " + failed.getMessage(), failed);
         }
     }
 
     /**
-     * Connects. The callback is called on the event loop's thread; may be called from any thread.
+     * Connects. The callback is called once, on the event loop's thread; may be called from any thread.
      */
     public void connect(
             NamedEndpoint name,
@@ -208,29 +204,77 @@
             Timeout timeout,
             ConnectionHandlerFactory factory,
             FutureCallback<IOSession> callback) {
-        TimedConnect timed = new TimedConnect(timeout, callback);
+        PendingConnection pending = new PendingConnection(this, name, address, timeout, factory, callback);
+        execute(pending::start);
+    }
+
+    /** Called on the listener's thread for each connection that has passed the gate. */
+    private void onAccepted(SocketChannel channel, ConnectionHandlerFactory factory) {
+        accepted.add(new AcceptedConnection(channel, factory));
+        wakeUp();
+    }
+
+    private void openAccepted() {
+        for (AcceptedConnection next = accepted.poll(); next != null; next = accepted.poll()) {
+            EventLoopSession session = openAccepted(next);
+            if (session == null) {
+                acceptGate.onOpenFailed();
+            } else {
+                session.onConnected();
+            }
+        }
+    }
+
+    private EventLoopSession openAccepted(AcceptedConnection next) {
         try {
-            timed.start(reactor.connect(name, address, null, Timeout.DISABLED, factory, timed), this);
-        } catch (IOReactorShutdownException closed) {
-            callback.failed(closed);
+            next.channel().configureBlocking(false);
+            SocketOptions.disableDelay(next.channel());
+            return openSession(
+                    next.channel(), register(next.channel(), SelectionKey.OP_READ, null), null, next.factory());
+        } catch (IOException | RuntimeException failed) {
+            Log.event("connection_open_failed", "error", String.valueOf(failed));
+            closeQuietly(next.channel());
+            return null;
         }
     }
 
     /**
-     * Called by HttpCore for each accepted connection on the listener's thread, and for each established connection.
+     * Creates the session of a connected channel and its handler; returns null if that fails, and closes the channel.
      */
-    private int passAcceptGate() {
-        if (Thread.currentThread() == listenerThread && !inAcceptGate) {
-            inAcceptGate = true;
-            try {
-                acceptGate.awaitCapacity();
-            } catch (InterruptedException ending) {
-                Thread.currentThread().interrupt();
-            } finally {
-                inAcceptGate = false;
-            }
+    EventLoopSession openSession(
+            SocketChannel channel, SelectionKey key, NamedEndpoint name, ConnectionHandlerFactory factory) {
+        EventLoopSession session = new EventLoopSession(channel, key, name, this);
+        try {
+            session.upgrade(factory.create(session));
+            key.interestOps(SelectionKey.OP_READ);
+            key.attach(session);
+        } catch (RuntimeException failed) {
+            Log.error("connection_open_failed", failed);
+            closeQuietly(channel);
+            return null;
         }
-        return 0;
+        socketChecks.add(session);
+        return session;
+    }
+
+    SelectionKey register(SocketChannel channel, int ops, SelectedChannel attachment) throws ClosedChannelException {
+        return channel.register(selector, ops, attachment);
+    }
+
+    /** Closes a channel that has no session; its descriptor is released by the next select. */
+    void closeQuietly(SocketChannel channel) {
+        try {
+            channel.close();
+        } catch (IOException failed) {
+            // The descriptor is released in either case.
+        }
+        wakeUp();
+    }
+
+    /** Called when a session was closed, from any thread: its handler is notified in the next round. */
+    void onSessionClosed(EventLoopSession session) {
+        closedSessions.add(session);
+        wakeUp();
     }
 
     /** Whether the caller runs on the event loop's thread. */
@@ -258,61 +302,125 @@
         roundTasks.add(task);
     }
 
-    /**
-     * Makes the next select return immediately. HttpCore has no method for that; a request to connect has this effect,
-     * and is cancelled before it opens a socket.
-     */
+    /** Makes the next select return immediately. */
     void wakeUp() {
-        if (wakeUpRequested.compareAndSet(false, true)) {
+        if (isEventLoopThread()) {
+            selectNow = true;
+        } else if (wakeUpRequested.compareAndSet(false, true)) {
             try {
-                reactor.connect(UNRESOLVED_NAME, UNRESOLVED_ADDRESS, null, null, null, null)
-                        .cancel(true);
-            } catch (IOReactorShutdownException closed) {
-                // The loop has ended; no task runs any more.
+                selector.wakeup();
+            } catch (InternalError failed) {
+                // How the JDK reports a write that failed; the select ends by its timeout.
+                counters.onSelectFailed();
             }
         }
     }
 
     // ---- Rounds ----
 
-    /** Runs the tasks when HttpCore reports its status, which it does at the end of each round. */
-    private final class RoundHook implements IOReactorMetricsListener {
+    private void runRounds() {
+        while (!closed) {
+            try {
+                runRound();
+            } catch (RuntimeException unexpected) {
+                Log.error("event_loop_round_failed", unexpected);
+            }
+        }
+        closeSessions();
+        closeSelector();
+    }
+
+    private void runRound() {
+        select();
+        onSocketEvent();
+        handleReadySockets();
+        for (EventLoopSession session = closedSessions.poll(); session != null; session = closedSessions.poll()) {
+            session.onDisconnected();
+        }
+        openAccepted();
+        wakeUpRequested.set(false);
+        runGuarded(socketChecks::check);
+        for (Runnable task : roundTasks) {
+            runGuarded(task);
+        }
+        do {
+            // Output of these tasks is written before the tasks that they submit run, since new requests take long.
+            for (int left = tasks.size(); left > 0; left--) {
+                runGuarded(tasks.poll());
+            }
+            writeOutput();
+        } while (!tasks.isEmpty());
+        inRound = false;
+        round++;
+        boolean read = inputInRound;
+        inputInRound = false;
+        roundListener.roundEnded(read);
+    }
 
-        @Override
-        public void onThreadPoolStatus(int active, int pending) {
-            onSocketEvent();
-            wakeUpRequested.set(false);
-            runGuarded(sessionTimeouts::check);
-            for (Runnable task : roundTasks) {
-                runGuarded(task);
+    private void select() {
+        boolean returnsAtOnce = selectNow;
+        selectNow = false;
+        try {
+            if (returnsAtOnce) {
+                selector.selectNow();
+            } else {
+                selector.select((long) SELECT_INTERVAL_MS);
             }
-            do {
-                // Output of these tasks is written before the tasks that they submit run, since new requests take long.
-                for (int left = tasks.size(); left > 0; left--) {
-                    runGuarded(tasks.poll());
-                }
-                writeOutput();
-            } while (!tasks.isEmpty());
-            inRound = false;
-            round++;
-            boolean read = inputInRound;
-            inputInRound = false;
-            roundListener.roundEnded(read);
+        } catch (IOException failed) {
+            counters.onSelectFailed();
+            Log.event("select_failed", "error", String.valueOf(failed.getMessage()));
+            pause();
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(SELECT_FAILED_PAUSE_MS);
+        } catch (InterruptedException ending) {
+            Thread.currentThread().interrupt();
         }
+    }
 
-        @Override
-        public void onThreadPoolSaturation(double percentage) {
-            // Not used: relates to an internal limit of HttpCore.
+    private void handleReadySockets() {
+        for (SelectionKey key : selector.selectedKeys()) {
+            if (key.attachment() instanceof SelectedChannel selected) {
+                runGuarded(() -> handle(key, selected));
+            }
         }
+        selector.selectedKeys().clear();
+    }
 
-        @Override
-        public void onResourceStarvationDetected() {
-            // Not used: relates to an internal limit of HttpCore.
+    private static void handle(SelectionKey key, SelectedChannel selected) {
+        int readyOps;
+        try {
+            readyOps = key.readyOps();
+        } catch (CancelledKeyException closed) {
+            return;
+        }
+        selected.onSelected(readyOps);
+    }
+
+    private void closeSessions() {
+        for (SelectionKey key : List.copyOf(selector.keys())) {
+            if (key.attachment() instanceof EventLoopSession session) {
+                runGuarded(() -> session.close(CloseMode.GRACEFUL));
+            }
+        }
+        for (EventLoopSession session = closedSessions.poll(); session != null; session = closedSessions.poll()) {
+            session.onDisconnected();
         }
+    }
 
-        @Override
-        public void onQueueWaitTime(long milliseconds) {
-            // Not used: connecting has its own timeout.
+    private void closeSelector() {
+        try {
+            if (selector.isOpen()) {
+                for (SelectionKey key : List.copyOf(selector.keys())) {
+                    key.channel().close();
+                }
+            }
+            selector.close();
+        } catch (IOException failed) {
+            Log.event("selector_close_failed", "error", String.valueOf(failed.getMessage()));
         }
     }
 
@@ -336,7 +444,7 @@
     }
 
     /** Runs a task; an unexpected exception is logged and does not end the thread. */
-    private static void runGuarded(Runnable task) {
+    static void runGuarded(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException | StackOverflowError unexpected) {
@@ -362,14 +470,4 @@
         }
         sessionsToWrite.clear();
     }
-
-    /**
-     * Logs an exception that HttpCore threw outside of any connection; a broken connection is reported to its handler.
-     */
-    private static void logUnexpected(Exception thrown) {
-        boolean unexpected = thrown instanceof RuntimeException && !(thrown instanceof ClosedSelectorException);
-        if (unexpected || thrown.getClass() == IOException.class) {
-            Log.error("io_reactor_failed", thrown);
-        }
-    }
 }
--- a/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
@@ -2,34 +2,54 @@
 
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ByteChannel;
 import java.nio.channels.CancelledKeyException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.util.Deque;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.Lock;
+import java.util.concurrent.locks.ReentrantLock;
+import javax.net.ssl.SSLContext;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.net.NamedEndpoint;
 import org.apache.hc.core5.reactor.Command;
 import org.apache.hc.core5.reactor.EventMask;
 import org.apache.hc.core5.reactor.IOEventHandler;
-import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.reactor.ssl.SSLBufferMode;
+import org.apache.hc.core5.reactor.ssl.SSLSessionInitializer;
+import org.apache.hc.core5.reactor.ssl.SSLSessionVerifier;
+import org.apache.hc.core5.reactor.ssl.TlsDetails;
 import org.apache.hc.core5.util.Timeout;
 
 /**
- * A connection of the {@link EventLoop}. Output that the loop's thread requests is written at the end of the round, and
- * the selector is used only if the socket does not accept all of it. Calls of other threads are passed to HttpCore's
- * session, which wakes up the selector at each change of interest; here that would cost a round for each read and
- * write.
+ * A connection of the {@link EventLoop}. Output is written at the end of the round, and the selector is used only if the
+ * socket does not accept all of it. An exception of its handler closes it and nothing else.
  */
-final class EventLoopSession implements IOSession, ReadControl {
+final class EventLoopSession implements ProtocolIOSession, ReadControl, SelectedChannel {
 
     /** Input of one connection in a round, before others are served: protocols read until nothing is left. */
     private static final int MAX_READ_BYTES_PER_ROUND = 128 * 1024;
 
-    private final IOSession raw;
+    private static final int END_OF_STREAM = -1;
+    private static final AtomicLong CREATED = new AtomicLong();
+
+    private final SocketChannel channel;
+    private final SelectionKey key;
+    private final NamedEndpoint initialEndpoint;
     private final EventLoop loop;
+    private final String id = "c-" + CREATED.incrementAndGet();
+    private final Lock lock = new ReentrantLock();
+    private final AtomicReference<Status> status = new AtomicReference<>(Status.ACTIVE);
     private final Deque<Command> commands = new ConcurrentLinkedDeque<>();
-    /** Whether the protocol has output. Only the event loop's thread uses this and the next two fields. */
+    private volatile IOEventHandler handler;
+    private volatile Timeout socketTimeout = Timeout.DISABLED;
+    /** Whether the protocol has output. Only the event loop's thread uses this and the following fields. */
     private boolean wantsOutput;
     /** Whether this session is written at the end of the round. */
     private boolean scheduled;
@@ -44,47 +64,85 @@
     private Timeout checkedTimeout = Timeout.DISABLED;
 
     private long lastEventNanos = System.nanoTime();
-
-    EventLoopSession(IOSession raw, EventLoop loop) {
-        this.raw = raw;
+    private long lastReadTime = System.currentTimeMillis();
+    private long lastWriteTime = lastReadTime;
+
+    /** @param initialEndpoint the name that was connected to; null for an accepted connection */
+    EventLoopSession(SocketChannel channel, SelectionKey key, NamedEndpoint initialEndpoint, EventLoop loop) {
+        this.channel = channel;
+        this.key = key;
+        this.initialEndpoint = initialEndpoint;
         this.loop = loop;
     }
 
+    // ---- Events ----
+
+    /** Notifies the handler that the connection is open. */
+    void onConnected() {
+        runHandler(() -> handler.connected(this));
+    }
+
     @Override
-    public void enqueue(Command command, Command.Priority priority) {
-        if (priority == Command.Priority.IMMEDIATE) {
-            commands.addFirst(command);
-        } else {
-            commands.add(command);
-        }
-        if (isOpen()) {
-            setEvent(EventMask.WRITE);
-        } else {
-            command.cancel();
+    public void onSelected(int readyOps) {
+        runHandler(() -> {
+            if ((readyOps & EventMask.READ) != 0) {
+                updateReadTime();
+                handler.inputReady(this, null);
+            }
+            boolean isWritable = (readyOps & EventMask.WRITE) != 0 || (getEventMask() & EventMask.WRITE) != 0;
+            if (isWritable && status.get() != Status.CLOSED) {
+                updateWriteTime();
+                handler.outputReady(this);
+            }
+        });
+    }
+
+    /** Notifies the handler that the connection has closed; called once. */
+    void onDisconnected() {
+        EventLoop.runGuarded(() -> handler.disconnected(this));
+        cancelCommands();
+    }
+
+    private void cancelCommands() {
+        for (Command command = commands.poll(); command != null; command = commands.poll()) {
+            Command open = command;
+            EventLoop.runGuarded(open::cancel);
         }
     }
 
-    @Override
-    public boolean hasCommands() {
-        return !commands.isEmpty();
+    /** A call of the handler that may fail. */
+    private interface HandlerCall {
+        void run() throws IOException;
     }
 
-    @Override
-    public Command poll() {
-        return commands.poll();
+    /** Calls the handler, unless the session is closed; a failure closes the session. */
+    private void runHandler(HandlerCall call) {
+        if (status.get() == Status.CLOSED) {
+            return;
+        }
+        try {
+            call.run();
+        } catch (CancelledKeyException closed) {
+            close(CloseMode.GRACEFUL);
+        } catch (IOException | RuntimeException failed) {
+            EventLoop.runGuarded(() -> handler.exception(this, failed));
+            close(CloseMode.GRACEFUL);
+        }
     }
 
+    // ---- Interest ----
+
     @Override
     public void setEvent(int op) {
         if (!loop.isEventLoopThread()) {
-            raw.setEvent(op);
-        } else if (raw.getStatus() != Status.CLOSED) {
+            loop.execute(() -> setEvent(op));
+        } else if (status.get() != Status.CLOSED) {
             wantsOutput |= op == EventMask.WRITE;
-            if ((raw.getEventMask() & op) == op) {
+            if ((getEventMask() & op) == op) {
                 return;
             }
             if (op != EventMask.WRITE) {
-                raw.setEvent(op);
+                setEventMask(getEventMask() | op);
             } else if (!scheduled) {
                 scheduled = true;
                 loop.writeLater(this);
@@ -95,41 +153,50 @@
     @Override
     public void clearEvent(int op) {
         if (!loop.isEventLoopThread()) {
-            raw.clearEvent(op);
-        } else if (raw.getStatus() != Status.CLOSED) {
+            loop.execute(() -> clearEvent(op));
+        } else if (status.get() != Status.CLOSED) {
             wantsOutput &= op != EventMask.WRITE;
-            // This is the reactor's first call for an established connection.
-            loop.onSocketEvent();
-            if ((raw.getEventMask() & op) != 0) {
-                raw.clearEvent(op);
+            if ((getEventMask() & op) != 0) {
+                setEventMask(getEventMask() & ~op);
             }
         }
     }
 
-    /** Lets the protocol write its output, as the reactor does when the socket is writable. */
+    @Override
+    public int getEventMask() {
+        if (status.get() == Status.CLOSED) {
+            return 0;
+        }
+        return key.interestOps();
+    }
+
+    @Override
+    public void setEventMask(int ops) {
+        if (!loop.isEventLoopThread()) {
+            loop.execute(() -> setEventMask(ops));
+        } else if (status.get() != Status.CLOSED) {
+            key.interestOps(ops);
+        }
+    }
+
+    /** Lets the protocol write its output, as when the socket is writable. */
     void write() {
         scheduled = false;
-        if (!wantsOutput || raw.getStatus() == Status.CLOSED) {
+        if (!wantsOutput || status.get() == Status.CLOSED) {
             return;
         }
         if (++writesInRound > EventLoop.MAX_WRITES_PER_ROUND) {
-            raw.setEvent(EventMask.WRITE);
+            setEventMask(getEventMask() | EventMask.WRITE);
             return;
         }
-        IOEventHandler handler = raw.getHandler();
-        try {
+        runHandler(() -> {
             updateWriteTime();
             handler.outputReady(this);
-            if (wantsOutput && !scheduled && raw.getStatus() != Status.CLOSED) {
+            if (wantsOutput && !scheduled && status.get() != Status.CLOSED) {
                 // The socket accepts no more; the selector reports when it is writable again.
-                raw.setEvent(EventMask.WRITE);
+                setEventMask(getEventMask() | EventMask.WRITE);
             }
-        } catch (CancelledKeyException closed) {
-            close(CloseMode.GRACEFUL);
-        } catch (IOException | RuntimeException failed) {
-            handler.exception(this, failed);
-            close(CloseMode.GRACEFUL);
-        }
+        });
     }
 
     /** Resets the number of writes in the round. */
@@ -137,77 +204,149 @@
         writesInRound = 0;
     }
 
-    // ---- Passed to HttpCore's session ----
+    // ---- Input and output ----
+
+    @Override
+    public int read(ByteBuffer into) throws IOException {
+        if (readRound != loop.round()) {
+            readRound = loop.round();
+            readBytesInRound = 0;
+        }
+        if (readsSuspended || readBytesInRound >= MAX_READ_BYTES_PER_ROUND) {
+            return 0;
+        }
+        int bytes = channel.read(into);
+        if (bytes < END_OF_STREAM) {
+            // The JDK's code for an interrupted call, which has read nothing.
+            return 0;
+        }
+        readBytesInRound += Math.max(0, bytes);
+        return bytes;
+    }
+
+    @Override
+    public void suspendReads(boolean suspended) {
+        readsSuspended = suspended;
+    }
+
+    @Override
+    public int write(ByteBuffer from) throws IOException {
+        return Math.max(0, channel.write(from));
+    }
+
+    // ---- Commands ----
+
+    @Override
+    public void enqueue(Command command, Command.Priority priority) {
+        if (priority == Command.Priority.IMMEDIATE) {
+            commands.addFirst(command);
+        } else {
+            commands.add(command);
+        }
+        if (isOpen()) {
+            setEvent(EventMask.WRITE);
+        } else {
+            command.cancel();
+        }
+    }
+
+    @Override
+    public boolean hasCommands() {
+        return !commands.isEmpty();
+    }
+
+    @Override
+    public Command poll() {
+        return commands.poll();
+    }
+
+    // ---- State ----
 
     @Override
     public String getId() {
-        return raw.getId();
+        return id;
     }
 
     @Override
     public IOEventHandler getHandler() {
-        return raw.getHandler();
+        return handler;
     }
 
     @Override
-    public void upgrade(IOEventHandler handler) {
-        raw.upgrade(handler);
+    public void upgrade(IOEventHandler newHandler) {
+        handler = newHandler;
     }
 
     @Override
     public Lock getLock() {
-        return raw.getLock();
+        return lock;
     }
 
     @Override
     public ByteChannel channel() {
-        return raw.channel();
+        return channel;
     }
 
     @Override
     public SocketAddress getRemoteAddress() {
-        return raw.getRemoteAddress();
+        return channel.socket().getRemoteSocketAddress();
     }
 
     @Override
     public SocketAddress getLocalAddress() {
-        return raw.getLocalAddress();
+        return channel.socket().getLocalSocketAddress();
     }
 
     @Override
-    public int getEventMask() {
-        return raw.getEventMask();
+    public Status getStatus() {
+        return status.get();
     }
 
     @Override
-    public void setEventMask(int ops) {
-        raw.setEventMask(ops);
+    public boolean isOpen() {
+        return status.get() == Status.ACTIVE && channel.isOpen();
     }
 
     @Override
     public void close() {
-        raw.close();
+        close(CloseMode.GRACEFUL);
     }
 
+    /** Closes the socket; {@link CloseMode#IMMEDIATE} resets the connection, so that unsent output is discarded. */
     @Override
     public void close(CloseMode mode) {
-        raw.close(mode);
+        if (!status.compareAndSet(Status.ACTIVE, Status.CLOSED)) {
+            return;
+        }
+        try {
+            if (mode == CloseMode.IMMEDIATE) {
+                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+            } else {
+                channel.shutdownOutput();
+            }
+        } catch (IOException | RuntimeException disconnected) {
+            // There is nobody to notify.
+        }
+        key.cancel();
+        try {
+            channel.close();
+        } catch (IOException failed) {
+            // The descriptor is released in either case.
+        }
+        loop.onSessionClosed(this);
     }
 
-    @Override
-    public Status getStatus() {
-        return raw.getStatus();
-    }
+    // ---- Timeouts ----
 
+    /** Returns no timeout, since {@link SocketChecks} checks the one that is set. */
     @Override
-    public boolean isOpen() {
-        return raw.isOpen();
+    public Timeout getSocketTimeout() {
+        return Timeout.DISABLED;
     }
 
-    /** Returns no timeout, since {@link SessionTimeouts} checks the one that is set. */
     @Override
-    public Timeout getSocketTimeout() {
-        return Timeout.DISABLED;
+    public void setSocketTimeout(Timeout timeout) {
+        socketTimeout = timeout == null ? Timeout.DISABLED : timeout;
     }
 
     /**
@@ -216,82 +355,66 @@
      * @return whether the session is still open
      */
     boolean checkTimeout(long nowNanos) {
-        Timeout timeout = raw.getSocketTimeout();
+        Timeout timeout = socketTimeout;
         if (!timeout.equals(checkedTimeout)) {
             checkedTimeout = timeout;
             lastEventNanos = nowNanos;
         }
-        if (timeout.isEnabled() && raw.isOpen() && nowNanos - lastEventNanos >= timeout.toNanoseconds()) {
+        if (timeout.isEnabled() && isOpen() && nowNanos - lastEventNanos >= timeout.toNanoseconds()) {
             lastEventNanos = nowNanos;
-            IOEventHandler handler = raw.getHandler();
-            try {
-                handler.timeout(this, timeout);
-            } catch (IOException | RuntimeException failed) {
-                handler.exception(this, failed);
-                close(CloseMode.GRACEFUL);
-            }
+            runHandler(() -> handler.timeout(this, timeout));
         }
-        return raw.getStatus() != Status.CLOSED;
+        return status.get() != Status.CLOSED;
     }
 
     @Override
-    public void setSocketTimeout(Timeout timeout) {
-        raw.setSocketTimeout(timeout);
+    public void updateReadTime() {
+        loop.onInputEvent();
+        lastEventNanos = System.nanoTime();
+        lastReadTime = System.currentTimeMillis();
     }
 
     @Override
-    public int read(ByteBuffer into) throws IOException {
-        if (!loop.isEventLoopThread()) {
-            return raw.read(into);
-        }
-        if (readRound != loop.round()) {
-            readRound = loop.round();
-            readBytesInRound = 0;
-        }
-        if (readsSuspended || readBytesInRound >= MAX_READ_BYTES_PER_ROUND) {
-            return 0;
-        }
-        int bytes = raw.read(into);
-        readBytesInRound += Math.max(0, bytes);
-        return bytes;
+    public void updateWriteTime() {
+        lastEventNanos = System.nanoTime();
+        lastWriteTime = System.currentTimeMillis();
     }
 
     @Override
-    public void suspendReads(boolean suspended) {
-        readsSuspended = suspended;
+    public long getLastReadTime() {
+        return lastReadTime;
     }
 
     @Override
-    public int write(ByteBuffer from) throws IOException {
-        return raw.write(from);
+    public long getLastWriteTime() {
+        return lastWriteTime;
     }
 
     @Override
-    public void updateReadTime() {
-        // This is the reactor's first call for a readable socket.
-        loop.onInputEvent();
-        lastEventNanos = System.nanoTime();
-        raw.updateReadTime();
+    public long getLastEventTime() {
+        return Math.max(lastReadTime, lastWriteTime);
     }
 
-    @Override
-    public void updateWriteTime() {
-        lastEventNanos = System.nanoTime();
-        raw.updateWriteTime();
-    }
+    // ---- Protocol ----
 
     @Override
-    public long getLastReadTime() {
-        return raw.getLastReadTime();
+    public NamedEndpoint getInitialEndpoint() {
+        return initialEndpoint;
     }
 
     @Override
-    public long getLastWriteTime() {
-        return raw.getLastWriteTime();
+    public void startTls(
+            SSLContext context,
+            NamedEndpoint endpoint,
+            SSLBufferMode bufferMode,
+            SSLSessionInitializer initializer,
+            SSLSessionVerifier verifier,
+            Timeout handshakeTimeout) {
+        throw new UnsupportedOperationException("TLS is not supported");
     }
 
     @Override
-    public long getLastEventTime() {
-        return raw.getLastEventTime();
+    public TlsDetails getTlsDetails() {
+        return null;
     }
 }
--- /dev/null
+++ b/sidecar/src/main/java/peppergauge/sockets/LoopCounters.java
@@ -0,0 +1,28 @@
+package peppergauge.sockets;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts system calls of the event loop and the listener that have failed. Any thread may read. */
+public final class LoopCounters {
+
+    private final LongAdder acceptFailures = new LongAdder();
+    private final LongAdder selectFailures = new LongAdder();
+
+    void onAcceptFailed() {
+        acceptFailures.increment();
+    }
+
+    void onSelectFailed() {
+        selectFailures.increment();
+    }
+
+    /** Number of failed accepts. */
+    public long acceptFailures() {
+        return acceptFailures.sum();
+    }
+
+    /** Number of failed selects. */
+    public long selectFailures() {
+        return selectFailures.sum();
+    }
+}
--- a/sidecar/src/test/java/peppergauge/PackageDependenciesTest.java
+++ b/sidecar/src/test/java/peppergauge/PackageDependenciesTest.java
@@ -33,6 +33,8 @@
                 .onlyDependOnClassesThat(resideOutsideOfPackages("peppergauge.lab..", "peppergauge.operator..")
                         .and(resideInAnyPackage(
                                 "java..",
+                                // The types of HttpCore's interface of a session.
+                                "javax.net.ssl",
                                 "sun.misc",
                                 "peppergauge..",
                                 "org.apache.hc.core5..",
--- a/sidecar/src/test/java/peppergauge/sockets/EventLoopTest.java
+++ b/sidecar/src/test/java/peppergauge/sockets/EventLoopTest.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.nio.channels.NotYetConnectedException;
 import java.util.EnumSet;
 import java.util.Map;
 import java.util.Set;
@@ -94,6 +95,142 @@
         }
     }
 
+    /** An exception of one connection's handler, in any of its calls, ended HttpCore's worker and the process. */
+    @Test(timeOut = 10_000)
+    public void exceptionsOfOneConnectionCloseItAndNoOther() throws Exception {
+        EventLoop loop = new EventLoop();
+        CompletableFuture<String> failed = new CompletableFuture<>();
+        loop.setFailureHandler((thread, thrown) -> failed.complete(thread));
+        try {
+            loop.start(new EventLoop.RoundListener() {}, () -> {});
+            InetSocketAddress address = (InetSocketAddress) loop.listen(
+                            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                            connection -> new ThrowingHandler())
+                    .getAddress();
+            try (Socket good = new Socket(address.getAddress(), address.getPort())) {
+                for (int i = 0; i < ThrowingHandler.STEPS.length; i++) {
+                    try (Socket bad = new Socket(address.getAddress(), address.getPort())) {
+                        bad.getOutputStream().write(ThrowingHandler.STEPS[i]);
+                        assertEquals(bad.getInputStream().read(), -1, "step " + (char) ThrowingHandler.STEPS[i]);
+                    }
+                }
+                good.getOutputStream().write(ThrowingHandler.ECHO);
+                assertEquals(good.getInputStream().read(), ThrowingHandler.ECHO);
+            }
+            assertEquals(failed.isDone(), false);
+        } finally {
+            loop.close();
+        }
+    }
+
+    /** Throws in the call that the first byte of its peer names, or answers it. */
+    private static final class ThrowingHandler extends IgnoringHandler {
+
+        static final byte ECHO = 'e';
+        static final byte[] STEPS = {'r', 'i', 'o', 'd', 't'};
+
+        private byte step;
+
+        @Override
+        public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+            ByteBuffer input = ByteBuffer.allocate(1);
+            if (session.read(input) <= 0) {
+                return;
+            }
+            step = input.get(0);
+            switch (step) {
+                case 'r' -> throw new NotYetConnectedException();
+                case 'i' -> throw new IOException("thrown by a test");
+                case 't' -> session.setSocketTimeout(Timeout.ofMilliseconds(10));
+                case 'd' -> session.close();
+                default -> session.setEvent(EventMask.WRITE);
+            }
+        }
+
+        @Override
+        public void outputReady(IOSession session) {
+            try {
+                session.clearEvent(EventMask.WRITE);
+                if (step == 'o') {
+                    throw new IllegalStateException("thrown by a test");
+                }
+                session.write(ByteBuffer.wrap(new byte[] {ECHO}));
+            } catch (IOException broken) {
+                throw new IllegalStateException(broken);
+            }
+        }
+
+        @Override
+        public void timeout(IOSession session, Timeout after) {
+            throw new IllegalStateException("thrown by a test");
+        }
+
+        @Override
+        public void disconnected(IOSession session) {
+            throw new IllegalStateException("thrown by a test");
+        }
+
+        @Override
+        public void exception(IOSession session, Exception cause) {
+            throw new IllegalStateException("thrown by a test");
+        }
+    }
+
+    /** A connection whose set-up failed kept its place among the clients for good. */
+    @Test(timeOut = 10_000)
+    public void placeOfAConnectionThatCannotBeOpenedIsGivenBack() throws Exception {
+        EventLoop loop = new EventLoop();
+        CountDownLatch givenBack = new CountDownLatch(3);
+        try {
+            loop.start(new EventLoop.RoundListener() {}, new EventLoop.AcceptGate() {
+                @Override
+                public void awaitCapacity() {}
+
+                @Override
+                public void onOpenFailed() {
+                    givenBack.countDown();
+                }
+            });
+            InetSocketAddress address = (InetSocketAddress)
+                    loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), connection -> {
+                                throw new IllegalStateException("thrown by a test");
+                            })
+                            .getAddress();
+            for (int i = 0; i < 3; i++) {
+                try (Socket client = new Socket(address.getAddress(), address.getPort())) {
+                    assertEquals(client.getInputStream().read(), -1);
+                }
+            }
+            givenBack.await();
+        } finally {
+            loop.close();
+        }
+    }
+
+    /** An error on the listener's thread, such as a lack of memory, has to be reported. */
+    @Test(timeOut = 10_000)
+    public void reportsTheErrorThatEndsTheListener() throws Exception {
+        EventLoop loop = new EventLoop();
+        CompletableFuture<String> failed = new CompletableFuture<>();
+        loop.setFailureHandler((thread, thrown) -> failed.complete(thread));
+        try {
+            loop.start(new EventLoop.RoundListener() {}, () -> {
+                Thread.currentThread().setUncaughtExceptionHandler((thread, thrown) -> {});
+                throw new OutOfMemoryError("thrown by a test");
+            });
+            InetSocketAddress address = (InetSocketAddress) loop.listen(
+                            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                            connection -> new IgnoringHandler())
+                    .getAddress();
+            try (Socket client = new Socket(address.getAddress(), address.getPort())) {
+                assertEquals(failed.get(), "listener");
+                assertEquals(client.isConnected(), true);
+            }
+        } finally {
+            loop.close();
+        }
+    }
+
     /** A peer that wrote faster than its protocol read kept the event loop in one call. */
     @Test(timeOut = 10_000)
     public void runsTasksBesideAPeerThatSendsWithoutAPause() throws Exception {
