Split the event loop and its sessions into smaller modules

SocketSelector waits for ready sockets and renews registrations, ChannelSession holds what HttpCore's codecs ask for, and AcceptedConnection opens sessions.

--- a/lab/src/main/java/peppergauge/lab/syscall/FailingCalls.java
+++ b/lab/src/main/java/peppergauge/lab/syscall/FailingCalls.java
@@ -13,7 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** The preloaded library that lets calls of one process fail, and the memory through which it is switched on and off. */
+/** The preloaded library that lets calls of one process fail, and the memory that switches it on and off. */
 public final class FailingCalls implements Closeable {
 
     private static final String SOURCE = "failing_calls.c";
--- a/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.channels.CancelledKeyException;
-import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
@@ -11,7 +9,6 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.net.NamedEndpoint;
@@ -29,8 +26,8 @@
  * <p>A system call that fails ends at most the connection for which it was made: exceptions of one connection close it,
  * and the loop goes on. Only errors of the Java machine end it.
  *
- * <p>Two more threads exist: the {@link Acceptor}, and the timer thread, which submits tasks when they are due. A single
- * thread for all other work avoids wake-ups between threads, which cost more than the work.
+ * <p>Two more threads exist: the {@link Acceptor}, and the timer thread, which submits tasks when they are due. A
+ * single thread for all other work avoids wake-ups between threads, which cost more than the work.
  */
 public final class EventLoop implements Scheduler {
 
@@ -39,30 +36,17 @@
 
     /** How long {@link #close} waits for the end of the current round. */
     private static final long CLOSE_TIMEOUT_MS = 500;
-    /** A select that ends sooner, without a ready socket or a wake-up, is premature. */
-    private static final long PREMATURE_NANOS = 1_000_000;
-    /** Premature selects in a row after which all sockets are registered anew. */
-    private static final int MAX_PREMATURE_SELECTS = 8;
-    /** Pause after a failed select, lest a failure that lasts takes a core. */
-    private static final long SELECT_FAILED_PAUSE_MS = 2;
     /** Maximum number of writes of one connection in a round, before other connections are served. */
     static final int MAX_WRITES_PER_ROUND = 4;
 
-    /** An accepted connection that has passed the gate, and what creates its handler. */
-    private record AcceptedConnection(SocketChannel channel, ConnectionHandlerFactory factory) {}
-
-    private final Selector selector;
+    private final SocketSelector selector;
     private final Acceptor acceptor;
     private final LoopTimers timers;
     private final LoopCounters counters = new LoopCounters();
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final Queue<AcceptedConnection> accepted = new ConcurrentLinkedQueue<>();
     private final Queue<EventLoopSession> closedSessions = new ConcurrentLinkedQueue<>();
-    private final AtomicBoolean wakeUpRequested = new AtomicBoolean();
     private final List<EventLoopSession> sessionsToWrite = new ArrayList<>();
-    /** Sessions whose registration with the selector is being renewed. */
-    private final List<EventLoopSession> sessionsToRegister = new ArrayList<>();
-
     private final List<Runnable> roundTasks = new ArrayList<>();
     private final Thread loopThread;
     private final Thread listenerThread;
@@ -73,10 +57,6 @@
     private RoundListener roundListener = new RoundListener() {};
     private boolean inRound;
     private boolean inputInRound;
-    /** Whether the next select returns at once; only the event loop's thread uses it. */
-    private boolean selectNow;
-
-    private int prematureSelects;
     /** Number of rounds that have ended; only the event loop's thread uses it. */
     private long round;
 
@@ -121,7 +101,7 @@
                 task -> daemonThread(task, "timers"),
                 thrown -> failureHandler.threadFailed("timers", thrown));
         try {
-            selector = Selector.open();
+            selector = new SocketSelector(counters, socketChecks);
             acceptor = new Acceptor(Selector.open(), counters, this::onAccepted);
         } catch (IOException failed) {
             throw new IllegalStateException("cannot open a selector: " + failed.getMessage(), failed);
@@ -179,7 +159,7 @@
             }
         }
         if (!loopThread.isAlive()) {
-            closeSelector();
+            selector.close();
         }
     }
 
@@ -229,7 +209,7 @@
 
     private void openAccepted() {
         for (AcceptedConnection next = accepted.poll(); next != null; next = accepted.poll()) {
-            EventLoopSession session = openAccepted(next);
+            EventLoopSession session = next.open(this);
             if (session == null) {
                 acceptGate.onOpenFailed();
             } else {
@@ -238,19 +218,6 @@
         }
     }
 
-    private EventLoopSession openAccepted(AcceptedConnection next) {
-        try {
-            next.channel().configureBlocking(false);
-            SocketOptions.disableDelay(next.channel());
-            return openSession(
-                    next.channel(), register(next.channel(), SelectionKey.OP_READ, null), null, next.factory());
-        } catch (IOException | RuntimeException failed) {
-            Log.event("connection_open_failed", "error", String.valueOf(failed));
-            closeQuietly(next.channel());
-            return null;
-        }
-    }
-
     /**
      * Creates the session of a connected channel and its handler; returns null if that fails, and closes the channel.
      */
@@ -270,10 +237,6 @@
         return session;
     }
 
-    SelectionKey register(SocketChannel channel, int ops, SelectedChannel attachment) throws ClosedChannelException {
-        return channel.register(selector, ops, attachment);
-    }
-
     /** Closes a channel that has no session; its descriptor is released by the next select. */
     void closeQuietly(SocketChannel channel) {
         try {
@@ -290,17 +253,9 @@
         wakeUp();
     }
 
-    /** Called when the selector has not reported a socket that was ready, because its registration had failed. */
-    void onEventMissed() {
-        counters.onEventMissed();
-        socketChecks.onEventMissed();
-        Log.event("selector_event_missed", "missed_events", counters.missedEvents());
-    }
-
-    /** Restores the interest of a session after the next select, which removes its registration. */
-    void restoreLater(EventLoopSession session) {
-        sessionsToRegister.add(session);
-        selectNow = true;
+    /** The selector with which all sockets are registered; event-loop thread only. */
+    SocketSelector selector() {
+        return selector;
     }
 
     /** Whether the caller runs on the event loop's thread. */
@@ -331,14 +286,9 @@
     /** Makes the next select return immediately. */
     void wakeUp() {
         if (isEventLoopThread()) {
-            selectNow = true;
-        } else if (wakeUpRequested.compareAndSet(false, true)) {
-            try {
-                selector.wakeup();
-            } catch (InternalError failed) {
-                // How the JDK reports a write that failed; the select ends by its timeout.
-                counters.onSelectFailed();
-            }
+            selector.selectNow();
+        } else {
+            selector.wakeUp();
         }
     }
 
@@ -353,18 +303,16 @@
             }
         }
         closeSessions();
-        closeSelector();
+        selector.close();
     }
 
     private void runRound() {
-        select();
+        selector.select((long) SELECT_INTERVAL_MS);
         onSocketEvent();
-        handleReadySockets();
-        for (EventLoopSession session = closedSessions.poll(); session != null; session = closedSessions.poll()) {
-            session.onDisconnected();
-        }
+        selector.handleReadySockets();
+        notifyDisconnected();
         openAccepted();
-        wakeUpRequested.set(false);
+        selector.onWokenUp();
         runGuarded(socketChecks::check);
         for (Runnable task : roundTasks) {
             runGuarded(task);
@@ -383,90 +331,19 @@
         roundListener.roundEnded(read);
     }
 
-    private void select() {
-        boolean returnsAtOnce = selectNow;
-        selectNow = false;
-        try {
-            if (returnsAtOnce) {
-                selector.selectNow();
-            } else {
-                selectAndWait();
-            }
-        } catch (IOException failed) {
-            counters.onSelectFailed();
-            Log.event("select_failed", "error", String.valueOf(failed.getMessage()));
-            pause();
-        }
-        sessionsToRegister.forEach(EventLoopSession::restoreInterest);
-        sessionsToRegister.clear();
-    }
-
-    private void selectAndWait() throws IOException {
-        long startNanos = System.nanoTime();
-        int selected = selector.select((long) SELECT_INTERVAL_MS);
-        boolean isPremature =
-                selected == 0 && !wakeUpRequested.get() && System.nanoTime() - startNanos < PREMATURE_NANOS;
-        prematureSelects = isPremature ? prematureSelects + 1 : 0;
-        if (prematureSelects >= MAX_PREMATURE_SELECTS) {
-            // A change of interest has failed: the system reports a socket on which nothing is expected.
-            prematureSelects = 0;
-            onEventMissed();
-            socketChecks.registerAllAnew();
-            pause();
-        }
-    }
-
-    private static void pause() {
-        try {
-            Thread.sleep(SELECT_FAILED_PAUSE_MS);
-        } catch (InterruptedException ending) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void handleReadySockets() {
-        for (SelectionKey key : selector.selectedKeys()) {
-            if (key.attachment() instanceof SelectedChannel selected) {
-                runGuarded(() -> handle(key, selected));
-            }
-        }
-        selector.selectedKeys().clear();
-    }
-
-    private static void handle(SelectionKey key, SelectedChannel selected) {
-        int readyOps;
-        try {
-            readyOps = key.readyOps();
-        } catch (CancelledKeyException closed) {
-            return;
+    private void closeSessions() {
+        for (EventLoopSession session : selector.sessions()) {
+            runGuarded(() -> session.close(CloseMode.GRACEFUL));
         }
-        selected.onSelected(readyOps);
+        notifyDisconnected();
     }
 
-    private void closeSessions() {
-        for (SelectionKey key : List.copyOf(selector.keys())) {
-            if (key.attachment() instanceof EventLoopSession session) {
-                runGuarded(() -> session.close(CloseMode.GRACEFUL));
-            }
-        }
+    private void notifyDisconnected() {
         for (EventLoopSession session = closedSessions.poll(); session != null; session = closedSessions.poll()) {
             session.onDisconnected();
         }
     }
 
-    private void closeSelector() {
-        try {
-            if (selector.isOpen()) {
-                for (SelectionKey key : List.copyOf(selector.keys())) {
-                    key.channel().close();
-                }
-            }
-            selector.close();
-        } catch (IOException failed) {
-            Log.event("selector_close_failed", "error", String.valueOf(failed.getMessage()));
-        }
-    }
-
     /** Called before a socket is handled; the first call in a round shows that its select has returned. */
     void onSocketEvent() {
         if (!inRound) {
--- a/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
@@ -1,54 +1,29 @@
 package peppergauge.sockets;
 
 import java.io.IOException;
-import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.ByteChannel;
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
-import java.util.Deque;
-import java.util.concurrent.ConcurrentLinkedDeque;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.atomic.AtomicReference;
-import java.util.concurrent.locks.Lock;
-import java.util.concurrent.locks.ReentrantLock;
-import javax.net.ssl.SSLContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.net.NamedEndpoint;
-import org.apache.hc.core5.reactor.Command;
 import org.apache.hc.core5.reactor.EventMask;
-import org.apache.hc.core5.reactor.IOEventHandler;
-import org.apache.hc.core5.reactor.ProtocolIOSession;
-import org.apache.hc.core5.reactor.ssl.SSLBufferMode;
-import org.apache.hc.core5.reactor.ssl.SSLSessionInitializer;
-import org.apache.hc.core5.reactor.ssl.SSLSessionVerifier;
-import org.apache.hc.core5.reactor.ssl.TlsDetails;
 import org.apache.hc.core5.util.Timeout;
 
 /**
- * A connection of the {@link EventLoop}. Output is written at the end of the round, and the selector is used only if the
- * socket does not accept all of it. An exception of its handler closes it and nothing else.
+ * A connection of the {@link EventLoop}. Output is written at the end of the round, and the selector is used only if
+ * the socket does not accept all of it. An exception of its handler closes it and nothing else.
  */
-final class EventLoopSession implements ProtocolIOSession, ReadControl, SelectedChannel {
+final class EventLoopSession extends ChannelSession implements ReadControl, SelectedChannel {
 
     /** Input of one connection in a round, before others are served: protocols read until nothing is left. */
     private static final int MAX_READ_BYTES_PER_ROUND = 128 * 1024;
 
     private static final int END_OF_STREAM = -1;
-    private static final AtomicLong CREATED = new AtomicLong();
 
-    private final SocketChannel channel;
     private final SelectionKey key;
-    private final NamedEndpoint initialEndpoint;
     private final EventLoop loop;
-    private final String id = "c-" + CREATED.incrementAndGet();
-    private final Lock lock = new ReentrantLock();
-    private final AtomicReference<Status> status = new AtomicReference<>(Status.ACTIVE);
-    private final Deque<Command> commands = new ConcurrentLinkedDeque<>();
-    private volatile IOEventHandler handler;
-    private volatile Timeout socketTimeout = Timeout.DISABLED;
     /** Whether the protocol has output. Only the event loop's thread uses this and the following fields. */
     private boolean wantsOutput;
     /** Whether this session is written at the end of the round. */
@@ -69,14 +44,10 @@
     /** The operations to select while the registration is being renewed; -1 otherwise. */
     private int interestToRestore = -1;
 
-    private long lastReadTime = System.currentTimeMillis();
-    private long lastWriteTime = lastReadTime;
-
     /** @param initialEndpoint the name that was connected to; null for an accepted connection */
     EventLoopSession(SocketChannel channel, SelectionKey key, NamedEndpoint initialEndpoint, EventLoop loop) {
-        this.channel = channel;
+        super(channel, initialEndpoint);
         this.key = key;
-        this.initialEndpoint = initialEndpoint;
         this.loop = loop;
     }
 
@@ -84,7 +55,7 @@
 
     /** Notifies the handler that the connection is open. */
     void onConnected() {
-        runHandler(() -> handler.connected(this));
+        runHandler(() -> getHandler().connected(this));
     }
 
     @Override
@@ -93,29 +64,22 @@
         runHandler(() -> {
             if ((readyOps & EventMask.READ) != 0) {
                 updateReadTime();
-                handler.inputReady(this, null);
+                getHandler().inputReady(this, null);
             }
             boolean isWritable = (readyOps & EventMask.WRITE) != 0 || (getEventMask() & EventMask.WRITE) != 0;
-            if (isWritable && status.get() != Status.CLOSED) {
+            if (isWritable && !isClosed()) {
                 updateWriteTime();
-                handler.outputReady(this);
+                getHandler().outputReady(this);
             }
         });
     }
 
     /** Notifies the handler that the connection has closed; called once. */
     void onDisconnected() {
-        EventLoop.runGuarded(() -> handler.disconnected(this));
+        EventLoop.runGuarded(() -> getHandler().disconnected(this));
         cancelCommands();
     }
 
-    private void cancelCommands() {
-        for (Command command = commands.poll(); command != null; command = commands.poll()) {
-            Command open = command;
-            EventLoop.runGuarded(open::cancel);
-        }
-    }
-
     /** A call of the handler that may fail. */
     private interface HandlerCall {
         void run() throws IOException;
@@ -123,7 +87,7 @@
 
     /** Calls the handler, unless the session is closed; a failure closes the session. */
     private void runHandler(HandlerCall call) {
-        if (status.get() == Status.CLOSED) {
+        if (isClosed()) {
             return;
         }
         try {
@@ -131,7 +95,7 @@
         } catch (CancelledKeyException closed) {
             close(CloseMode.GRACEFUL);
         } catch (IOException | RuntimeException failed) {
-            EventLoop.runGuarded(() -> handler.exception(this, failed));
+            EventLoop.runGuarded(() -> getHandler().exception(this, failed));
             close(CloseMode.GRACEFUL);
         }
     }
@@ -143,31 +107,31 @@
         return nowNanos - lastSelectedNanos >= recheckNanos && interestToRestore < 0;
     }
 
-    /** Reads and writes as if the selector had reported the socket; if that has an effect, the registration is renewed. */
+    /** Reads and writes as if the selector had reported the socket; an effect shows that its registration failed. */
     void recheck(long nowNanos) {
         lastSelectedNanos = nowNanos;
         long bytesBefore = transferredBytes;
         int interest = getEventMask();
         runHandler(() -> {
             if ((interest & EventMask.READ) != 0) {
-                handler.inputReady(this, null);
+                getHandler().inputReady(this, null);
             }
             if ((getEventMask() & EventMask.WRITE) != 0) {
-                handler.outputReady(this);
+                getHandler().outputReady(this);
             }
         });
         if (transferredBytes != bytesBefore) {
-            loop.onEventMissed();
+            loop.selector().onEventMissed();
             registerAnew();
         }
     }
 
     /** Removes the registration with the selector and restores it after the next select. */
     void registerAnew() {
-        if (status.get() != Status.CLOSED && interestToRestore < 0) {
+        if (!isClosed() && interestToRestore < 0) {
             interestToRestore = key.interestOps();
             key.interestOps(0);
-            loop.restoreLater(this);
+            loop.selector().restoreLater(this);
         }
     }
 
@@ -175,7 +139,7 @@
     void restoreInterest() {
         int ops = interestToRestore;
         interestToRestore = -1;
-        if (status.get() != Status.CLOSED && ops >= 0) {
+        if (!isClosed() && ops >= 0) {
             key.interestOps(ops);
         }
     }
@@ -186,7 +150,7 @@
     public void setEvent(int op) {
         if (!loop.isEventLoopThread()) {
             loop.execute(() -> setEvent(op));
-        } else if (status.get() != Status.CLOSED) {
+        } else if (!isClosed()) {
             wantsOutput |= op == EventMask.WRITE;
             if ((getEventMask() & op) == op) {
                 return;
@@ -204,7 +168,7 @@
     public void clearEvent(int op) {
         if (!loop.isEventLoopThread()) {
             loop.execute(() -> clearEvent(op));
-        } else if (status.get() != Status.CLOSED) {
+        } else if (!isClosed()) {
             wantsOutput &= op != EventMask.WRITE;
             if ((getEventMask() & op) != 0) {
                 setEventMask(getEventMask() & ~op);
@@ -214,7 +178,7 @@
 
     @Override
     public int getEventMask() {
-        if (status.get() == Status.CLOSED) {
+        if (isClosed()) {
             return 0;
         }
         return interestToRestore >= 0 ? interestToRestore : key.interestOps();
@@ -224,7 +188,7 @@
     public void setEventMask(int ops) {
         if (!loop.isEventLoopThread()) {
             loop.execute(() -> setEventMask(ops));
-        } else if (status.get() != Status.CLOSED) {
+        } else if (!isClosed()) {
             if (interestToRestore >= 0) {
                 interestToRestore = ops;
             } else {
@@ -236,7 +200,7 @@
     /** Lets the protocol write its output, as when the socket is writable. */
     void write() {
         scheduled = false;
-        if (!wantsOutput || status.get() == Status.CLOSED) {
+        if (!wantsOutput || isClosed()) {
             return;
         }
         if (++writesInRound > EventLoop.MAX_WRITES_PER_ROUND) {
@@ -245,8 +209,8 @@
         }
         runHandler(() -> {
             updateWriteTime();
-            handler.outputReady(this);
-            if (wantsOutput && !scheduled && status.get() != Status.CLOSED) {
+            getHandler().outputReady(this);
+            if (wantsOutput && !scheduled && !isClosed()) {
                 // The socket accepts no more; the selector reports when it is writable again.
                 setEventMask(getEventMask() | EventMask.WRITE);
             }
@@ -269,7 +233,7 @@
         if (readsSuspended || readBytesInRound >= MAX_READ_BYTES_PER_ROUND) {
             return 0;
         }
-        int bytes = channel.read(into);
+        int bytes = socketChannel().read(into);
         if (bytes < END_OF_STREAM) {
             // The JDK's code for an interrupted call, which has read nothing.
             return 0;
@@ -287,83 +251,12 @@
 
     @Override
     public int write(ByteBuffer from) throws IOException {
-        int bytes = Math.max(0, channel.write(from));
+        int bytes = Math.max(0, socketChannel().write(from));
         transferredBytes += bytes;
         return bytes;
     }
 
-    // ---- Commands ----
-
-    @Override
-    public void enqueue(Command command, Command.Priority priority) {
-        if (priority == Command.Priority.IMMEDIATE) {
-            commands.addFirst(command);
-        } else {
-            commands.add(command);
-        }
-        if (isOpen()) {
-            setEvent(EventMask.WRITE);
-        } else {
-            command.cancel();
-        }
-    }
-
-    @Override
-    public boolean hasCommands() {
-        return !commands.isEmpty();
-    }
-
-    @Override
-    public Command poll() {
-        return commands.poll();
-    }
-
-    // ---- State ----
-
-    @Override
-    public String getId() {
-        return id;
-    }
-
-    @Override
-    public IOEventHandler getHandler() {
-        return handler;
-    }
-
-    @Override
-    public void upgrade(IOEventHandler newHandler) {
-        handler = newHandler;
-    }
-
-    @Override
-    public Lock getLock() {
-        return lock;
-    }
-
-    @Override
-    public ByteChannel channel() {
-        return channel;
-    }
-
-    @Override
-    public SocketAddress getRemoteAddress() {
-        return channel.socket().getRemoteSocketAddress();
-    }
-
-    @Override
-    public SocketAddress getLocalAddress() {
-        return channel.socket().getLocalSocketAddress();
-    }
-
-    @Override
-    public Status getStatus() {
-        return status.get();
-    }
-
-    @Override
-    public boolean isOpen() {
-        return status.get() == Status.ACTIVE && channel.isOpen();
-    }
+    // ---- Close ----
 
     @Override
     public void close() {
@@ -373,21 +266,21 @@
     /** Closes the socket; {@link CloseMode#IMMEDIATE} resets the connection, so that unsent output is discarded. */
     @Override
     public void close(CloseMode mode) {
-        if (!status.compareAndSet(Status.ACTIVE, Status.CLOSED)) {
+        if (!markClosed()) {
             return;
         }
         try {
             if (mode == CloseMode.IMMEDIATE) {
-                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+                socketChannel().setOption(StandardSocketOptions.SO_LINGER, 0);
             } else {
-                channel.shutdownOutput();
+                socketChannel().shutdownOutput();
             }
         } catch (IOException | RuntimeException disconnected) {
             // There is nobody to notify.
         }
         key.cancel();
         try {
-            channel.close();
+            socketChannel().close();
         } catch (IOException failed) {
             // The descriptor is released in either case.
         }
@@ -396,83 +289,34 @@
 
     // ---- Timeouts ----
 
-    /** Returns no timeout, since {@link SocketChecks} checks the one that is set. */
-    @Override
-    public Timeout getSocketTimeout() {
-        return Timeout.DISABLED;
-    }
-
-    @Override
-    public void setSocketTimeout(Timeout timeout) {
-        socketTimeout = timeout == null ? Timeout.DISABLED : timeout;
-    }
-
     /**
      * Notifies the protocol if nothing was read or written for the socket timeout; a change of it starts it anew.
      *
      * @return whether the session is still open
      */
     boolean checkTimeout(long nowNanos) {
-        Timeout timeout = socketTimeout;
+        Timeout timeout = timeout();
         if (!timeout.equals(checkedTimeout)) {
             checkedTimeout = timeout;
             lastEventNanos = nowNanos;
         }
         if (timeout.isEnabled() && isOpen() && nowNanos - lastEventNanos >= timeout.toNanoseconds()) {
             lastEventNanos = nowNanos;
-            runHandler(() -> handler.timeout(this, timeout));
+            runHandler(() -> getHandler().timeout(this, timeout));
         }
-        return status.get() != Status.CLOSED;
+        return !isClosed();
     }
 
     @Override
     public void updateReadTime() {
         loop.onInputEvent();
         lastEventNanos = System.nanoTime();
-        lastReadTime = System.currentTimeMillis();
+        super.updateReadTime();
     }
 
     @Override
     public void updateWriteTime() {
         lastEventNanos = System.nanoTime();
-        lastWriteTime = System.currentTimeMillis();
-    }
-
-    @Override
-    public long getLastReadTime() {
-        return lastReadTime;
-    }
-
-    @Override
-    public long getLastWriteTime() {
-        return lastWriteTime;
-    }
-
-    @Override
-    public long getLastEventTime() {
-        return Math.max(lastReadTime, lastWriteTime);
-    }
-
-    // ---- Protocol ----
-
-    @Override
-    public NamedEndpoint getInitialEndpoint() {
-        return initialEndpoint;
-    }
-
-    @Override
-    public void startTls(
-            SSLContext context,
-            NamedEndpoint endpoint,
-            SSLBufferMode bufferMode,
-            SSLSessionInitializer initializer,
-            SSLSessionVerifier verifier,
-            Timeout handshakeTimeout) {
-        throw new UnsupportedOperationException("TLS is not supported");
-    }
-
-    @Override
-    public TlsDetails getTlsDetails() {
-        return null;
+        super.updateWriteTime();
     }
 }
--- a/sidecar/src/main/java/peppergauge/sockets/PendingConnection.java
+++ b/sidecar/src/main/java/peppergauge/sockets/PendingConnection.java
@@ -16,9 +16,9 @@
 import peppergauge.request.Scheduler;
 
 /**
- * A connection that is being established, with a timeout by the monotonic clock. If a system call fails on this machine,
- * it is tried again with pauses until the timeout; a failure that comes from the peer ends it at once. Its callback is
- * called once. Confined to the event loop's thread.
+ * A connection that is being established, with a timeout by the monotonic clock. If a system call fails on this
+ * machine, it is tried again with pauses until the timeout; a failure that comes from the peer ends it at once. Its
+ * callback is called once. Confined to the event loop's thread.
  */
 final class PendingConnection implements SelectedChannel {
 
@@ -77,7 +77,7 @@
             channel.configureBlocking(false);
             SocketOptions.disableDelay(channel);
             boolean isConnected = channel.connect(address);
-            key = loop.register(channel, isConnected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
+            key = loop.selector().register(channel, isConnected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
             if (isConnected) {
                 onConnected();
             }
@@ -114,7 +114,7 @@
         if (channel != null && nowNanos - checkedNanos >= recheckNanos) {
             onSelected(0);
             if (ended) {
-                loop.onEventMissed();
+                loop.selector().onEventMissed();
             }
         }
     }
--- a/sidecar/src/main/java/peppergauge/sockets/SocketChecks.java
+++ b/sidecar/src/main/java/peppergauge/sockets/SocketChecks.java
@@ -5,8 +5,9 @@
 import java.util.List;
 
 /**
- * Looks at all sockets now and then: ends sessions on which nothing was read or written for their socket timeout, by the
- * monotonic clock, and finds sockets that are ready although the selector does not report them. Event-loop thread only.
+ * Looks at all sockets now and then: ends sessions on which nothing was read or written for their socket timeout, by
+ * the monotonic clock, and finds sockets that are ready although the selector does not report them. Event-loop thread
+ * only.
  */
 final class SocketChecks {
 
