Write the log on a thread of its own, which nobody waits for

Callers got no response any more once standard error was a full pipe that nobody read: eight of eight clients timed out. Cause: log lines were written by whoever logged, mostly the event loop, under the stream's lock; the daemon's JSON lines as well. Before the process ends, also by ProcessFailure, it waits 0.1 s at most for the last lines. It is a queue of the JDK and not a logging library's asynchronous appender, which would add a megabyte to each sidecar's start and memory for one destination.

--- a/daemon/src/main/java/peppergauge/daemon/Daemon.java
+++ b/daemon/src/main/java/peppergauge/daemon/Daemon.java
@@ -80,11 +80,16 @@
         logInvariantChecks();
         ProcessFailure.endProcessOnUncaughtErrors();
         FleetService service = new FleetService(settings, planner, new PosixFileSystem(), System::currentTimeMillis);
-        Runtime.getRuntime().addShutdownHook(new Thread(service::close, "shutdown"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> close(service), "shutdown"));
         // Keeps the process alive, since the service has daemon threads only.
         new CountDownLatch(1).await();
     }
 
+    private static void close(FleetService service) {
+        service.close();
+        Log.flush();
+    }
+
     private static void exit(int code, String reason) {
         reason.lines().forEach(line -> System.err.println("peppergauge: " + line));
         // Skips the shutdown hooks, since nothing has started that they could stop.
--- a/daemon/src/main/java/peppergauge/daemon/logging/JsonLogFormatter.java
+++ b/daemon/src/main/java/peppergauge/daemon/logging/JsonLogFormatter.java
@@ -36,11 +36,11 @@
         Handler handler = new ConsoleHandler();
         handler.setFormatter(new JsonLogFormatter());
         java.util.logging.Logger.getLogger("").addHandler(handler);
-        Log.setSink((event, fields, dropped) -> {
+        Log.setSink(Log.inBackground((event, fields, dropped) -> {
             Logger logger = LoggerFactory.getLogger(PREFIX + event.replace(' ', '-'));
             logger.atLevel(ERROR_EVENTS.contains(event) ? Level.ERROR : Level.INFO)
                     .log(dropped == 0 ? fields : fields + " (" + dropped + " such lines dropped)");
-        });
+        }));
     }
 
     @Override
--- a/sidecar/src/main/java/peppergauge/ProcessFailure.java
+++ b/sidecar/src/main/java/peppergauge/ProcessFailure.java
@@ -40,6 +40,7 @@
             } else {
                 Log.event("thread_failed", "thread", thread, "exception", thrown);
             }
+            Log.flush();
         } finally {
             Runtime.getRuntime().halt(EXIT_CODE);
         }
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -335,6 +335,7 @@
             Thread.currentThread().interrupt();
         }
         stop();
+        Log.flush();
     }
 
     /**
--- a/sidecar/src/main/java/peppergauge/log/Log.java
+++ b/sidecar/src/main/java/peppergauge/log/Log.java
@@ -5,15 +5,18 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Writes log lines for operators to standard error: one line per event, with a rate limit for each event name.
- * Thread-safe.
+ * Writes log lines for operators to standard error: one line per event, with a rate limit for each event name. Callers
+ * do not wait for what reads them. Thread-safe.
  */
 public final class Log {
 
     private static final int MAX_LINES_PER_EVENT_AND_S = 5;
     private static volatile boolean isLimitedToFirstLine;
     private static final int MAX_LINE_CHARS = 400;
+    private static final long MAX_FLUSH_MS = 100;
     private static final Map<String, EventRate> RATES = new ConcurrentHashMap<>();
+    private static final BackgroundWriter WRITER =
+            new BackgroundWriter(lines -> event("log_lines_dropped", "lines", lines));
     /** Null for standard error, so that the sidecar without extensions loads no class for it. */
     private static volatile Sink sink;
 
@@ -122,8 +125,19 @@
             current.write(event, truncated, dropped);
             return;
         }
-        System.err.println(Instant.now() + " " + event + separator + truncated
-                + (dropped > 0 ? " (" + dropped + " such lines dropped)" : ""));
+        String line = Instant.now() + " " + event + separator + truncated
+                + (dropped > 0 ? " (" + dropped + " such lines dropped)" : "");
+        WRITER.submit(() -> System.err.println(line));
+    }
+
+    /** Returns a sink that passes its lines on from the log's own thread, so that no caller waits for it. */
+    public static Sink inBackground(Sink blocking) {
+        return (event, fields, dropped) -> WRITER.submit(() -> blocking.write(event, fields, dropped));
+    }
+
+    /** Waits until the lines so far are written, at most for a moment; called before the process ends. */
+    public static void flush() {
+        WRITER.flush(MAX_FLUSH_MS);
     }
 
     /**
