Lab: let a sidecar whose log fails lose its watch, so that it has lines to write

SystemCallTest's row of a full log failed once: no call had failed, since hardly a line was logged in that 1.5 s. The message of a failed assertion shows the outcome.

--- a/lab/src/main/java/peppergauge/lab/syscall/SystemCallRun.java
+++ b/lab/src/main/java/peppergauge/lab/syscall/SystemCallRun.java
@@ -22,6 +22,7 @@
 
     private static final int SERVERS = 2;
     private static final int CLIENTS = 8;
+    private static final String NOBODY_LISTENS = "127.0.0.1:1";
     private static final long QUIET_MS = 400;
     private static final long SETTLING_MS = 1_000;
     private static final long AFTER_MS = 1_000;
@@ -62,9 +63,11 @@
     private Map<String, Object> configuration(DiscoveryStandIn discovery, FloodRun.Launch launch) throws IOException {
         JsonMapper json = new JsonMapper();
         InetSocketAddress address = discovery.address();
+        // Each failed call to discovery is logged, so that there are lines whose writing can fail.
+        boolean isDiscoveryAway = fault.target() == FaultTarget.LOG;
         return Map.of(
                 "name", "n0",
-                "discovery", address.getHostString() + ":" + address.getPort(),
+                "discovery", isDiscoveryAway ? NOBODY_LISTENS : address.getHostString() + ":" + address.getPort(),
                 "seed", String.format("%016x", fault.seed()),
                 "limits", Map.of("cores", 1, "memory_mb", 192, "sockets", launch.sockets()),
                 "known", json.readTree(discovery.list().json()),
--- a/lab/src/test/java/peppergauge/lab/syscall/SystemCallTest.java
+++ b/lab/src/test/java/peppergauge/lab/syscall/SystemCallTest.java
@@ -45,7 +45,7 @@
                     violating.add(play.get().toString());
                 }
             }
-            assertEquals(violating, List.of());
+            assertEquals(violating, List.of(), String.join("; ", violating));
         } finally {
             players.shutdownNow();
         }
@@ -120,7 +120,7 @@
                 fault(SystemCall.WRITE, Errno.SHORT, FaultTarget.CLIENTS, 5, UNLIMITED),
                 fault(SystemCall.READ, Errno.ECONNRESET, FaultTarget.SERVERS, 5, UNLIMITED),
                 fault(SystemCall.WRITE, Errno.EHOSTUNREACH, FaultTarget.CLIENTS, 5, UNLIMITED),
-                fault(SystemCall.WRITE, Errno.ENOSPC, FaultTarget.LOG, 5, UNLIMITED),
+                fault(SystemCall.WRITE, Errno.ENOSPC, FaultTarget.LOG, 1, UNLIMITED),
                 fault(SystemCall.CLOSE, Errno.EIO, FaultTarget.ANY, 5, UNLIMITED),
                 fault(SystemCall.SHUTDOWN, Errno.ENOTCONN, FaultTarget.ANY, 5, UNLIMITED));
     }
