--- a/sidecar/src/main/java/peppergauge/request/AttemptLifecycle.java
+++ b/sidecar/src/main/java/peppergauge/request/AttemptLifecycle.java
@@ -156,11 +156,12 @@
         }
     }
 
-    /** Ends an attempt in flight as timed out, or as unreachable if nothing of it was written. */
+    /** Ends an attempt in flight as timed out, or as its exchange says if nothing of it was written. */
     void onTimeout(Attempt attempt) {
         if (attempt.state == Attempt.State.IN_FLIGHT) {
+            Outcome outcomeIfUnsent = attempt.exchange.outcomeIfUnsent();
             boolean isUnsent = attempt.exchange.abort();
-            onEnded(attempt, new Backend.Result(isUnsent ? Outcome.UNREACHABLE : Outcome.TIMED_OUT));
+            onEnded(attempt, new Backend.Result(isUnsent ? outcomeIfUnsent : Outcome.TIMED_OUT));
         }
     }
 
--- a/sidecar/src/main/java/peppergauge/request/Backend.java
+++ b/sidecar/src/main/java/peppergauge/request/Backend.java
@@ -25,6 +25,11 @@
          * @return whether nothing was written
          */
         boolean abort();
+
+        /** Returns the outcome if the attempt's time is over before anything is written. */
+        default Outcome outcomeIfUnsent() {
+            return Outcome.UNREACHABLE;
+        }
     }
 
     /**
--- a/snapshot/src/main/java/peppergauge/snapshot/SnapshotExtension.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/SnapshotExtension.java
@@ -146,7 +146,10 @@
 
     @Override
     public RequestHandler wrapRequestHandler(RequestDispatcher dispatcher, Context context) {
-        return journal == null ? dispatcher : new ReplayRejectingHandler(dispatcher, journal);
+        return journal == null
+                ? dispatcher
+                : new ReplayRejectingHandler(
+                        dispatcher, journal, context.settings().classes());
     }
 
     @Override
--- a/snapshot/src/main/java/peppergauge/snapshot/nonrepeatable/JournalingBackend.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/nonrepeatable/JournalingBackend.java
@@ -2,13 +2,15 @@
 
 import java.util.function.Consumer;
 import java.util.function.Function;
+import peppergauge.decision.LoadBalancer.Outcome;
+import peppergauge.log.Log;
 import peppergauge.request.Backend;
 import peppergauge.request.Message;
 import peppergauge.request.Scheduler;
 
 /**
- * Sends a non-repeatable request only after the journal has recorded it. The owner thread does not wait for the
- * journal.
+ * Sends a non-repeatable request only after the journal has recorded it, and not if it cannot. The owner thread does
+ * not wait for the journal.
  *
  * @param backend backend that sends the requests
  * @param journal journal of non-repeatable requests
@@ -30,10 +32,17 @@
             attempt.recordEnd(result.outcome().neverRan());
             listener.onEnded(result);
         });
-        journal.recordSent(
-                id,
-                () -> scheduler.execute(
-                        () -> attempt.send(() -> backend.send(server, message, deadlineMs, recording))));
+        journal.recordSent(id, new NonRepeatableJournal.RecordListener() {
+            @Override
+            public void onRecorded() {
+                scheduler.execute(() -> attempt.send(() -> backend.send(server, message, deadlineMs, recording)));
+            }
+
+            @Override
+            public void onFailed() {
+                scheduler.execute(() -> attempt.endUnsent(recording));
+            }
+        });
         return attempt;
     }
 
@@ -59,6 +68,21 @@
             }
         }
 
+        /** Ends the attempt, whose request could not be recorded and is not sent. */
+        void endUnsent(AttemptListener ended) {
+            if (!cancelled) {
+                cancelled = true;
+                Log.event("request_not_recorded", "request", id);
+                ended.onEnded(new Result(Outcome.NEVER_SENT));
+            }
+        }
+
+        /** A disk that is slow says nothing of the server. */
+        @Override
+        public Outcome outcomeIfUnsent() {
+            return sent == null ? Outcome.NEVER_SENT : sent.outcomeIfUnsent();
+        }
+
         @Override
         public boolean cancelIfUnsent() {
             boolean unsent = sent == null || sent.cancelIfUnsent();
--- a/snapshot/src/main/java/peppergauge/snapshot/nonrepeatable/NonRepeatableJournal.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/nonrepeatable/NonRepeatableJournal.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import peppergauge.snapshot.storage.EventLog;
 import peppergauge.snapshot.storage.FailureLog;
@@ -14,19 +15,34 @@
 
 /**
  * Records which non-repeatable requests were sent, so that none runs twice after a crash. One thread writes; entries
- * that arrive during a write are written together. If the disk fails, requests are sent unrecorded and may run twice
- * after a crash. Thread-safe.
+ * that arrive during a write are written together. A request that cannot be recorded must not be sent: while the disk
+ * fails, recording fails at once, and writing is tried again from time to time. Thread-safe.
  */
 public final class NonRepeatableJournal implements Closeable {
 
-    /** An entry, and a callback to run when it is written, which may be null. */
-    private record QueuedEntry(JournalEntry entry, Runnable onWritten) {}
+    /** Is notified, on the journal's thread, of what became of an entry. */
+    public interface RecordListener {
+
+        /** The entry is written: its request may be sent. */
+        void onRecorded();
+
+        /** The entry could not be written: its request must not be sent. */
+        void onFailed();
+    }
+
+    /** An entry, and who awaits it, which may be null. */
+    private record QueuedEntry(JournalEntry entry, RecordListener listener) {
+
+        boolean isAwaited() {
+            return listener != null;
+        }
+    }
 
     private static final QueuedEntry END = new QueuedEntry(null, null);
     private static final String RECORD_OPERATION = "record requests before they are sent";
     private static final long FINAL_WRITE_TIMEOUT_MS = 500;
     /** Time between attempts to write after a failure, each of which rewrites the whole journal. */
-    private static final long RETRY_INTERVAL_MS = 1_000;
+    private static final long RETRY_INTERVAL_MS = 250;
 
     private final JournalFile file;
     private final NonRepeatableIds ids = new NonRepeatableIds();
@@ -35,7 +51,10 @@
     private final LongSupplier wallClockMs;
     private final FailureLog failureLog;
     private final BlockingQueue<QueuedEntry> queue = new LinkedBlockingQueue<>();
-    private long failedMs = Long.MIN_VALUE / 2;
+    private volatile boolean isFailing;
+    /** When writing failed last, by {@link System#nanoTime}; only the writer thread uses it. */
+    private long failedNanos;
+
     private final Thread writer = new Thread(this::write, "request journal");
 
     /**
@@ -77,13 +96,18 @@
         return mayHaveRunBefore.contains(id);
     }
 
+    /** Whether requests cannot be recorded at present, and must not be sent. */
+    public boolean isFailing() {
+        return isFailing;
+    }
+
     /**
      * Records that a non-repeatable request is about to be sent.
      *
-     * @param onWritten callback that runs on the journal's thread when the request may be sent
+     * @param listener is notified whether the request may be sent
      */
-    public void recordSent(String id, Runnable onWritten) {
-        queue.add(new QueuedEntry(new JournalEntry(JournalEntry.Kind.SENT, id, wallClockMs.getAsLong()), onWritten));
+    public void recordSent(String id, RecordListener listener) {
+        queue.add(new QueuedEntry(new JournalEntry(JournalEntry.Kind.SENT, id, wallClockMs.getAsLong()), listener));
     }
 
     /**
@@ -103,7 +127,11 @@
         try {
             while (!batch.contains(END)) {
                 batch.clear();
-                batch.add(queue.take());
+                // While writing fails, it is also tried without new entries, since none may come until it works.
+                QueuedEntry first = isFailing ? queue.poll(RETRY_INTERVAL_MS, TimeUnit.MILLISECONDS) : queue.take();
+                if (first != null) {
+                    batch.add(first);
+                }
                 queue.drainTo(batch);
                 write(batch.stream().filter(entry -> entry != END).toList());
             }
@@ -118,23 +146,48 @@
     private void write(List<QueuedEntry> batch) {
         assert Thread.currentThread() == writer : "only the writer thread may use the ids";
         List<JournalEntry> entries = batch.stream().map(QueuedEntry::entry).toList();
-        long now = wallClockMs.getAsLong();
         entries.forEach(ids::apply);
+        boolean isRecorded = false;
         try {
-            // Ends are not flushed: if one is lost, a repeated id is rejected, which is safe.
-            boolean awaited = batch.stream().anyMatch(entry -> entry.onWritten() != null);
-            if (!entries.isEmpty() && Math.abs(now - failedMs) >= RETRY_INTERVAL_MS) {
-                file.append(entries, ids, flushEachEntry && awaited, now);
-                failureLog.onSuccess(RECORD_OPERATION);
+            isRecorded = tryWrite(entries, batch.stream().anyMatch(QueuedEntry::isAwaited));
+        } finally {
+            for (QueuedEntry entry : batch) {
+                notifyListener(entry, isRecorded);
             }
+        }
+    }
+
+    /** Returns whether the entries are written; after a failure, nothing is tried for a while. */
+    private boolean tryWrite(List<JournalEntry> entries, boolean isAwaited) {
+        long nowMs = wallClockMs.getAsLong();
+        if (isFailing && System.nanoTime() - failedNanos < TimeUnit.MILLISECONDS.toNanos(RETRY_INTERVAL_MS)) {
+            return false;
+        }
+        if (entries.isEmpty() && !isFailing) {
+            return true;
+        }
+        try {
+            // Ends are not flushed: if one is lost, a repeated id is rejected, which is safe.
+            file.append(entries, ids, flushEachEntry && isAwaited, nowMs);
+            isFailing = false;
+            failureLog.onSuccess(RECORD_OPERATION);
+            return true;
         } catch (IOException failed) {
-            failedMs = now;
-            failureLog.onFailure(now, RECORD_OPERATION, SnapshotFiles.describe(failed));
-        } finally {
-            batch.stream()
-                    .map(QueuedEntry::onWritten)
-                    .filter(callback -> callback != null)
-                    .forEach(Runnable::run);
+            isFailing = true;
+            failedNanos = System.nanoTime();
+            failureLog.onFailure(nowMs, RECORD_OPERATION, SnapshotFiles.describe(failed));
+            return false;
+        }
+    }
+
+    private void notifyListener(QueuedEntry entry, boolean isRecorded) {
+        if (!entry.isAwaited()) {
+            return;
+        }
+        if (isRecorded) {
+            entry.listener().onRecorded();
+        } else {
+            entry.listener().onFailed();
         }
     }
 
