Serve the fleet service on the event loop, whose listener no failing accept ends

One failing accept (ENFILE) refused all daemons for good, while the process lived on and said nothing: HttpCore's bootstrapped server has the same listener that the sidecar had. HttpServer runs on EventLoop now, with HttpCore's codec, the same idle timeout of 10 s and the same limit of connections, which is logged (fleet_connection_refused).

FleetServiceAcceptTest, a real process with one failing accept, failed before (connection refused) and passes; FleetServiceTest 14 of 14.

--- a/fleet/src/main/java/peppergauge/fleet/http/HttpServer.java
+++ b/fleet/src/main/java/peppergauge/fleet/http/HttpServer.java
@@ -2,8 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.EntityDetails;
@@ -11,30 +10,30 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.Message;
 import org.apache.hc.core5.http.URIScheme;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
-import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
-import org.apache.hc.core5.http.impl.routing.RequestRouter;
+import org.apache.hc.core5.http.config.CharCodingConfig;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.HttpProcessors;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.nio.AsyncRequestConsumer;
 import org.apache.hc.core5.http.nio.AsyncServerRequestHandler;
 import org.apache.hc.core5.http.nio.support.AsyncResponseBuilder;
+import org.apache.hc.core5.http.nio.support.BasicAsyncServerExpectationDecorator;
 import org.apache.hc.core5.http.nio.support.BasicRequestConsumer;
+import org.apache.hc.core5.http.nio.support.BasicServerExchangeHandler;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.reactor.IOSessionListener;
-import org.apache.hc.core5.reactor.ListenerEndpoint;
-import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.Timeout;
+import peppergauge.log.Log;
+import peppergauge.sockets.EventLoop;
 
-/** HTTP server that handles all connections on one thread and closes excess and idle connections. */
+/** HTTP server that handles all connections on an event loop and closes excess and idle connections. */
 public final class HttpServer {
 
-    /** Length of the accept queue: all daemons of a fleet may connect at once. */
-    private static final int BACKLOG = 1_024;
-
-    private static final int IDLE_TIMEOUT_S = 10;
-    private static final int SHUTDOWN_TIMEOUT_S = 1;
+    private static final Timeout IDLE_TIMEOUT = Timeout.ofSeconds(10);
 
     /** Handles requests, on the server's thread. */
     public interface Handler {
@@ -47,8 +46,12 @@
         void handle(String method, String path, byte[] body, Consumer<HttpReply> reply);
     }
 
-    private final HttpAsyncServer server;
+    private final EventLoop loop = new EventLoop();
+    private final ServerHttp1StreamDuplexerFactory duplexers;
+    private final int maxConnections;
     private final InetSocketAddress address;
+    /** Number of open connections; only the loop's thread uses it. */
+    private int open;
 
     /**
      * Starts the server.
@@ -56,27 +59,23 @@
      * @throws IOException if the server cannot listen on the address
      */
     public HttpServer(InetSocketAddress listen, int maxBodyBytes, int maxConnections, Handler handler)
-            throws IOException, InterruptedException {
-        server = AsyncServerBootstrap.bootstrap()
-                .setIOReactorConfig(IOReactorConfig.custom()
-                        .setIoThreadCount(1)
-                        .setTcpNoDelay(true)
-                        .setSoReuseAddress(true)
-                        .setBacklogSize(BACKLOG)
-                        .setSoTimeout(Timeout.ofSeconds(IDLE_TIMEOUT_S))
-                        .build())
-                .setAuthorityResolver(RequestRouter.LOCAL_AUTHORITY_RESOLVER)
-                .setIOSessionListener(new ConnectionLimit(maxConnections))
-                .register("*", new Adapter(handler, maxBodyBytes))
-                .create();
-        server.start();
+            throws IOException {
+        this.maxConnections = maxConnections;
+        Adapter adapter = new Adapter(handler, maxBodyBytes);
+        duplexers = new ServerHttp1StreamDuplexerFactory(
+                HttpProcessors.server(),
+                (request, context) ->
+                        new BasicAsyncServerExpectationDecorator(new BasicServerExchangeHandler<>(adapter)),
+                Http1Config.DEFAULT,
+                CharCodingConfig.DEFAULT,
+                null,
+                null);
+        loop.start(new EventLoop.RoundListener() {}, () -> {});
         try {
-            ListenerEndpoint endpoint = server.listen(listen, URIScheme.HTTP).get();
-            address = (InetSocketAddress) endpoint.getAddress();
-        } catch (ExecutionException failed) {
-            server.close(CloseMode.IMMEDIATE);
-            throw new IOException(
-                    "cannot listen on " + listen + ": " + failed.getCause().getMessage(), failed);
+            address = (InetSocketAddress) loop.listen(listen, Connection::new).getAddress();
+        } catch (IOException failed) {
+            loop.close();
+            throw failed;
         }
     }
 
@@ -87,13 +86,54 @@
 
     /** Stops listening and closes all connections. */
     public void close() {
-        server.initiateShutdown();
-        try {
-            server.awaitShutdown(TimeValue.ofSeconds(SHUTDOWN_TIMEOUT_S));
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
+        loop.close();
+    }
+
+    /** A connection, which is closed at once if there are too many. */
+    private final class Connection implements IOEventHandler {
+
+        private final ServerHttp1IOEventHandler http;
+
+        Connection(ProtocolIOSession session) {
+            session.setSocketTimeout(IDLE_TIMEOUT);
+            http = new ServerHttp1IOEventHandler(duplexers.create(URIScheme.HTTP.id, session));
+        }
+
+        @Override
+        public void connected(IOSession session) throws IOException {
+            if (++open > maxConnections) {
+                Log.event("fleet_connection_refused", "open", open - 1, "limit", maxConnections);
+                session.close(CloseMode.IMMEDIATE);
+            } else {
+                http.connected(session);
+            }
+        }
+
+        @Override
+        public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+            http.inputReady(session, source);
+        }
+
+        @Override
+        public void outputReady(IOSession session) throws IOException {
+            http.outputReady(session);
+        }
+
+        @Override
+        public void timeout(IOSession session, Timeout timeout) throws IOException {
+            http.timeout(session, timeout);
+        }
+
+        @Override
+        public void exception(IOSession session, Exception cause) {
+            http.exception(session, cause);
+        }
+
+        @Override
+        public void disconnected(IOSession session) {
+            open--;
+            http.disconnected(session);
         }
-        server.close(CloseMode.IMMEDIATE);
     }
 
     private record Adapter(Handler handler, int maxBodyBytes)
@@ -129,42 +169,4 @@
             }
         }
     }
-
-    /** Closes connections beyond a limit. */
-    private static final class ConnectionLimit implements IOSessionListener {
-
-        private final int maxConnections;
-        private final AtomicInteger open = new AtomicInteger();
-
-        ConnectionLimit(int maxConnections) {
-            this.maxConnections = maxConnections;
-        }
-
-        @Override
-        public void connected(IOSession session) {
-            if (open.incrementAndGet() > maxConnections) {
-                session.close(CloseMode.IMMEDIATE);
-            }
-        }
-
-        @Override
-        public void disconnected(IOSession session) {
-            open.decrementAndGet();
-        }
-
-        @Override
-        public void startTls(IOSession session) {}
-
-        @Override
-        public void inputReady(IOSession session) {}
-
-        @Override
-        public void outputReady(IOSession session) {}
-
-        @Override
-        public void timeout(IOSession session) {}
-
-        @Override
-        public void exception(IOSession session, Exception failure) {}
-    }
 }
