--- a/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
@@ -236,6 +236,7 @@
         int bytes = socketChannel().read(into);
         if (bytes < END_OF_STREAM) {
             // The JDK's code for an interrupted call, which has read nothing.
+            loop.selector().onInterrupted();
             return 0;
         }
         // The end of the stream counts as well.
@@ -251,7 +252,11 @@
 
     @Override
     public int write(ByteBuffer from) throws IOException {
-        int bytes = Math.max(0, socketChannel().write(from));
+        int bytes = socketChannel().write(from);
+        if (bytes < 0) {
+            loop.selector().onInterrupted();
+            return 0;
+        }
         transferredBytes += bytes;
         return bytes;
     }
--- a/sidecar/src/main/java/peppergauge/sockets/SocketSelector.java
+++ b/sidecar/src/main/java/peppergauge/sockets/SocketSelector.java
@@ -22,6 +22,8 @@
     private static final long PREMATURE_NANOS = 1_000_000;
     /** Premature selects in a row after which all sockets are registered anew. */
     private static final int MAX_PREMATURE_SELECTS = 8;
+    /** Rounds in a row in which calls were interrupted after which the loop pauses in each. */
+    private static final int MAX_INTERRUPTED_ROUNDS = 8;
     /** Pause after a failed select, lest a failure that lasts takes a core. */
     private static final long FAILED_PAUSE_MS = 2;
 
@@ -35,6 +37,8 @@
     private boolean selectNow;
 
     private int prematureSelects;
+    private boolean isInterrupted;
+    private int interruptedRounds;
 
     /** @throws IOException if the system has no descriptor for a selector */
     SocketSelector(LoopCounters counters, SocketChecks checks) throws IOException {
@@ -47,8 +51,23 @@
         return channel.register(selector, ops, attachment);
     }
 
+    /** Called when a read or write was interrupted, so that its socket stays ready. */
+    void onInterrupted() {
+        isInterrupted = true;
+    }
+
+    /** Pauses if calls are interrupted again and again, lest that takes a core. */
+    private void pauseIfInterrupted() {
+        interruptedRounds = isInterrupted ? interruptedRounds + 1 : 0;
+        isInterrupted = false;
+        if (interruptedRounds > MAX_INTERRUPTED_ROUNDS) {
+            pause();
+        }
+    }
+
     /** Waits until a socket is ready or there is a wake-up, but not longer than {@code timeoutMs}. */
     void select(long timeoutMs) {
+        pauseIfInterrupted();
         boolean returnsAtOnce = selectNow;
         selectNow = false;
         try {
