--- a/sidecar/src/main/java/peppergauge/ProcessFailure.java
+++ b/sidecar/src/main/java/peppergauge/ProcessFailure.java
@@ -3,8 +3,9 @@
 import peppergauge.log.Log;
 
 /**
- * Ends the process when a thread has failed without which it would live on and serve nobody. There is no graceful
- * shutdown: clients see their connections end at once, and whoever runs the process sees that it failed.
+ * Ends the process when a thread has failed without which it would live on and serve nobody; whoever runs it sees that it
+ * failed. If the event loop can still run, requests under way get their responses first, as after SIGTERM; otherwise
+ * clients see their connections end at once.
  */
 public final class ProcessFailure {
 
@@ -20,7 +21,7 @@
     public static void endProcessOnUncaughtErrors() {
         Thread.setDefaultUncaughtExceptionHandler((thread, thrown) -> {
             if (thrown instanceof VirtualMachineError) {
-                endProcess(thread.getName(), thrown);
+                endProcess(thread.getName(), thrown, null);
             } else {
                 Log.error("thread_ended", thrown);
             }
@@ -32,8 +33,11 @@
      *
      * @param thread the name of the thread that has failed
      * @param thrown why; null if it ended without an exception that reached it
+     * @param shutdown completes the requests under way; null if there are none
      */
-    static void endProcess(String thread, Throwable thrown) {
+    static void endProcess(String thread, Throwable thrown, Runnable shutdown) {
+        boolean mayComplete =
+                shutdown != null && !EVENT_LOOP.equals(thread) && !(thrown instanceof VirtualMachineError);
         try {
             if (EVENT_LOOP.equals(thread) && thrown != null) {
                 Log.error("event_loop_failed", thrown);
@@ -41,6 +45,19 @@
                 Log.event("thread_failed", "thread", thread, "exception", thrown);
             }
             Log.flush();
+            if (mayComplete) {
+                new Thread(() -> shutDownAndHalt(shutdown), "failure-shutdown").start();
+            }
+        } finally {
+            if (!mayComplete) {
+                Runtime.getRuntime().halt(EXIT_CODE);
+            }
+        }
+    }
+
+    private static void shutDownAndHalt(Runnable shutdown) {
+        try {
+            shutdown.run();
         } finally {
             Runtime.getRuntime().halt(EXIT_CODE);
         }
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -300,11 +300,12 @@
     }
 
     /**
-     * Ends the process with exit code 1 as soon as an error ends a thread, or the event loop or the listener ends for
-     * any reason. To be called before {@link #start}.
+     * Ends the process with exit code 1 when an error ends a thread, or the event loop or the listener ends for any
+     * reason; at once if the event loop has ended or there is no memory, else after the requests under way. To be called
+     * before {@link #start}.
      */
     public void endProcessIfThreadFails() {
-        loop.setFailureHandler(ProcessFailure::endProcess);
+        loop.setFailureHandler((thread, thrown) -> ProcessFailure.endProcess(thread, thrown, this::shutDownGracefully));
         ProcessFailure.endProcessOnUncaughtErrors();
     }
 
--- a/sidecar/src/test/java/peppergauge/EventLoopFailureTest.java
+++ b/sidecar/src/test/java/peppergauge/EventLoopFailureTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 import peppergauge.config.Config;
@@ -22,6 +23,7 @@
 public class EventLoopFailureTest extends RealTimeTestBase {
 
     private static final int EXIT_FAILED = 1;
+    private static final long RESPONSE_DELAY_MS = 400;
     /** Far less than the 7 s after which such a process ended before, with exit code 0. */
     private static final long MAX_END_MS = 2_000;
 
@@ -88,6 +90,7 @@
             Sidecar sidecar = new Sidecar(Config.read(Map.of("GW_CONFIG", args[0])));
             sidecar.endProcessIfThreadFails();
             sidecar.start();
+            System.in.read();
             for (Thread thread : Thread.getAllStackTraces().keySet()) {
                 if (thread.getName().equals("listener")) {
                     thread.stop();
@@ -96,11 +99,16 @@
         }
     }
 
-    /** A process whose listener had ended lived on and refused all clients. */
+    /** A process whose listener had ended lived on and refused all clients; later, it cut off requests under way. */
     @Test
-    public void processEndsWithExitCodeOneAfterTheEndOfTheListener() throws Exception {
+    public void processAnswersRequestsAndEndsWithExitCodeOneAfterTheEndOfTheListener() throws Exception {
         Path config = Files.createTempFile("failing", ".json");
-        try (ScriptedServer backend = new ScriptedServer(SidecarFixture.ECHO);
+        CountDownLatch requested = new CountDownLatch(1);
+        try (ScriptedServer backend = new ScriptedServer((request, connection) -> {
+                    requested.countDown();
+                    Thread.sleep(RESPONSE_DELAY_MS);
+                    ScriptedServer.write(connection, ScriptedServer.okResponse(request.header("X-Txn")));
+                });
                 ScriptedServer discovery = SidecarProcessFixture.discoveryServer()) {
             Files.writeString(
                     config,
@@ -115,7 +123,16 @@
                     .redirectErrorStream(true)
                     .start();
             try {
-                startedAddress(process);
+                URI address = startedAddress(process);
+                try (Socket client = new Socket(address.getHost(), address.getPort())) {
+                    client.setSoTimeout(8_000);
+                    client.getOutputStream()
+                            .write(SidecarFixture.get("open", 900).getBytes(StandardCharsets.ISO_8859_1));
+                    requested.await();
+                    process.getOutputStream().write('\n');
+                    process.getOutputStream().flush();
+                    SidecarFixture.assertResponseId(ScriptedServer.readRequest(client.getInputStream()), "open");
+                }
                 assertTrue(process.waitFor(10, TimeUnit.SECONDS), "the process goes on");
                 assertEquals(process.exitValue(), EXIT_FAILED);
                 assertTrue(process.inputReader().lines().anyMatch(line -> line.contains(" thread_failed ")));
