Show failed calls for sockets in the daemon's status, and find their bugs in soaks

The event loop counts accepts, connects and selects that failed on this machine, and sockets that the selector missed; only log lines told of them. The daemon's status has failed_accepts, failed_connects, failed_selects and missed_socket_events. The soak's rule on bugs looks for event_loop_round_failed and connection_open_failed in place of HttpCore's io_reactor_failed, which no longer exists.

--- a/daemon/src/main/java/peppergauge/daemon/RunningDaemon.java
+++ b/daemon/src/main/java/peppergauge/daemon/RunningDaemon.java
@@ -142,6 +142,14 @@
                 (runtime.totalMemory() - runtime.freeMemory()) / 1024,
                 "threads",
                 ManagementFactory.getThreadMXBean().getThreadCount(),
+                "failed_accepts",
+                sidecar.failedCalls().acceptFailures(),
+                "failed_connects",
+                sidecar.failedCalls().connectFailures(),
+                "failed_selects",
+                sidecar.failedCalls().selectFailures(),
+                "missed_socket_events",
+                sidecar.failedCalls().missedEvents(),
                 "sessions",
                 requestCounters.report());
     }
--- a/lab/src/main/java/peppergauge/lab/soak/SoakRules.java
+++ b/lab/src/main/java/peppergauge/lab/soak/SoakRules.java
@@ -7,12 +7,17 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /** Rules that the record of a run must satisfy. Limits are those of the protocol plus a slack. */
 public final class SoakRules {
 
     /** Added to each limit for delays on sockets. */
+    /** A log line that tells of a bug of the sidecar. */
+    private static final Pattern BUG_LINE = Pattern.compile(".*Z ((bug|invariant): |(event_loop_task|event_loop_round"
+            + "|connection_open|request_task|plugin_request_handling)_failed ).*");
+
     private static final double SLACK_MS = 50;
     /** A response that is late by less than this only loses its value. */
     private static final double MAX_LATENESS_MS = 500;
@@ -324,8 +329,7 @@
         runRecord
                 .log
                 .lines()
-                .filter(line -> line.matches(".*Z ((bug|invariant): "
-                        + "|(event_loop_task|io_reactor|request_task|plugin_request_handling)_failed ).*"))
+                .filter(line -> BUG_LINE.matcher(line).matches())
                 .forEach(line -> addViolation("process", line));
         long lastConnectionEndNs = runRecord.clientEndsNs.stream()
                 .filter(atNs -> atNs <= runRecord.endedNs)
--- a/sidecar/src/main/java/peppergauge/ProcessFailure.java
+++ b/sidecar/src/main/java/peppergauge/ProcessFailure.java
@@ -3,8 +3,8 @@
 import peppergauge.log.Log;
 
 /**
- * Ends the process when a thread has failed without which it would live on and serve nobody; whoever runs it sees that it
- * failed. If the event loop can still run, requests under way get their responses first, as after SIGTERM; otherwise
+ * Ends the process when a thread has failed without which it would live on and serve nobody; whoever runs it sees that
+ * it failed. If the event loop can still run, requests under way get their responses first, as after SIGTERM; otherwise
  * clients see their connections end at once.
  */
 public final class ProcessFailure {
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -37,6 +37,7 @@
 import peppergauge.sockets.ClientConnections;
 import peppergauge.sockets.EventLoop;
 import peppergauge.sockets.EvictableConnection;
+import peppergauge.sockets.LoopCounters;
 
 /** Composes one sidecar, starts it and shuts it down. The public methods may be called from any thread. */
 public final class Sidecar {
@@ -301,14 +302,19 @@
 
     /**
      * Ends the process with exit code 1 when an error ends a thread, or the event loop or the listener ends for any
-     * reason; at once if the event loop has ended or there is no memory, else after the requests under way. To be called
-     * before {@link #start}.
+     * reason; at once if the event loop has ended or there is no memory, else after the requests under way. To be
+     * called before {@link #start}.
      */
     public void endProcessIfThreadFails() {
         loop.setFailureHandler((thread, thrown) -> ProcessFailure.endProcess(thread, thrown, this::shutDownGracefully));
         ProcessFailure.endProcessOnUncaughtErrors();
     }
 
+    /** Counts system calls for sockets that have failed. */
+    public LoopCounters failedCalls() {
+        return loop.counters();
+    }
+
     public InetSocketAddress address() {
         return frontend.address();
     }
