--- a/snapshot/src/main/java/peppergauge/snapshot/SnapshotExtension.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/SnapshotExtension.java
@@ -28,7 +28,7 @@
 /**
  * Persists the load balancer's learned state and the ids of non-repeatable requests in flight, and restores them at the
  * next start. If the folder is unusable, the sidecar starts and serves without persistence and logs one event with the
- * reason.
+ * reason; if it has to record non-repeatable requests, it rejects these until the folder can be used.
  */
 public final class SnapshotExtension implements SidecarExtension {
 
@@ -106,16 +106,16 @@
 
     @Override
     public Backend wrapBackend(Backend http, Context context) {
-        if (files == null) {
-            return http;
-        }
-        Backend recordingBackend = new AddressRecordingBackend(http, addresses);
+        Backend recordingBackend = files == null ? http : new AddressRecordingBackend(http, addresses);
         if (settings.journalMode() == JournalMode.OFF) {
             return recordingBackend;
         }
         journal = new NonRepeatableJournal(
                 fileSystem,
-                files,
+                files == null
+                        ? SnapshotFiles.unopened(
+                                fileSystem, settings.folder(), context.config().name())
+                        : files,
                 settings.maxJournalBytes(),
                 settings.journalMode() == JournalMode.FLUSHED,
                 System::currentTimeMillis,
--- a/snapshot/src/main/java/peppergauge/snapshot/nonrepeatable/JournalFile.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/nonrepeatable/JournalFile.java
@@ -44,15 +44,17 @@
         this.maxBytes = maxBytes;
     }
 
-    /** Reads the entries into {@code ids}. Returns a description of damage to the file, null if there is none. */
-    String read(NonRepeatableIds ids) {
+    /**
+     * Reads the entries into {@code ids}. Returns a description of damage to the file, null if there is none.
+     *
+     * @throws IOException if the file cannot be read, so that it is not known what was sent
+     */
+    String read(NonRepeatableIds ids) throws IOException {
         byte[] bytes;
         try {
             bytes = fileSystem.read(file, 2 * maxBytes);
         } catch (NoSuchFileException none) {
             return null;
-        } catch (IOException unreadable) {
-            return SnapshotFiles.describe(unreadable);
         }
         if (bytes.length < MAGIC.length || !Arrays.equals(bytes, 0, MAGIC.length, MAGIC, 0, MAGIC.length)) {
             return "it is not a journal of version " + MAGIC[MAGIC.length - 1];
--- a/snapshot/src/main/java/peppergauge/snapshot/nonrepeatable/NonRepeatableJournal.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/nonrepeatable/NonRepeatableJournal.java
@@ -39,6 +39,7 @@
     }
 
     private static final QueuedEntry END = new QueuedEntry(null, null);
+    private static final String READ_OPERATION = "read which requests may have run";
     private static final String RECORD_OPERATION = "record requests before they are sent";
     private static final long FINAL_WRITE_TIMEOUT_MS = 500;
     /** Time between attempts to write after a failure, each of which rewrites the whole journal. */
@@ -46,7 +47,12 @@
 
     private final JournalFile file;
     private final NonRepeatableIds ids = new NonRepeatableIds();
-    private final NonRepeatableIds mayHaveRunBefore = new NonRepeatableIds();
+    /** Ids of the previous process; none before they are read, while {@link #isFailing}. */
+    private volatile NonRepeatableIds mayHaveRunBefore = new NonRepeatableIds();
+
+    private final SnapshotFiles files;
+    private final EventLog log;
+    private boolean isRead;
     private final boolean flushEachEntry;
     private final LongSupplier wallClockMs;
     private final FailureLog failureLog;
@@ -58,7 +64,7 @@
     private final Thread writer = new Thread(this::write, "request journal");
 
     /**
-     * Reads what the previous process recorded and starts the writer thread.
+     * Reads what the previous process recorded and starts the writer thread, which reads it later if that fails.
      *
      * @param maxBytes size limit of the file
      * @param flushEachEntry whether an entry is flushed to disk before its request is sent
@@ -72,25 +78,51 @@
             boolean flushEachEntry,
             LongSupplier wallClockMs,
             EventLog log) {
+        this.files = files;
+        this.log = log;
         this.file = new JournalFile(fileSystem, files, maxBytes);
         this.flushEachEntry = flushEachEntry;
         this.wallClockMs = wallClockMs;
         failureLog = new FailureLog(log, "request_journal_failed", "request_journal_recovered");
-        String damage = file.read(ids);
-        ids.removeExpired(wallClockMs.getAsLong());
-        ids.newest(Long.MAX_VALUE).forEach(mayHaveRunBefore::apply);
-        log.event(
-                "request_journal_read",
-                "file",
-                files.file(JournalFile.SUFFIX),
-                "rejected_ids",
-                ids.size(),
-                "damage",
-                damage == null ? "none" : damage);
+        tryRead();
         writer.setDaemon(true);
         writer.start();
     }
 
+    /** Reads what the previous process recorded, unless that is done; nothing may be sent before. */
+    private boolean tryRead() {
+        if (isRead) {
+            return true;
+        }
+        try {
+            files.ensureLocked();
+            String damage = file.read(ids);
+            ids.removeExpired(wallClockMs.getAsLong());
+            NonRepeatableIds known = new NonRepeatableIds();
+            ids.newest(Long.MAX_VALUE).forEach(known::apply);
+            mayHaveRunBefore = known;
+            isRead = true;
+            log.event(
+                    "request_journal_read",
+                    "file",
+                    files.file(JournalFile.SUFFIX),
+                    "rejected_ids",
+                    ids.size(),
+                    "damage",
+                    damage == null ? "none" : damage);
+            return true;
+        } catch (IOException unreadable) {
+            onFailure(READ_OPERATION, unreadable);
+            return false;
+        }
+    }
+
+    private void onFailure(String operation, IOException failed) {
+        isFailing = true;
+        failedNanos = System.nanoTime();
+        failureLog.onFailure(wallClockMs.getAsLong(), operation, SnapshotFiles.describe(failed));
+    }
+
     /** Returns whether a request with this id may have run in the previous process. */
     public boolean mayHaveRun(String id) {
         return mayHaveRunBefore.contains(id);
@@ -159,23 +191,23 @@
 
     /** Returns whether the entries are written; after a failure, nothing is tried for a while. */
     private boolean tryWrite(List<JournalEntry> entries, boolean isAwaited) {
-        long nowMs = wallClockMs.getAsLong();
         if (isFailing && System.nanoTime() - failedNanos < TimeUnit.MILLISECONDS.toNanos(RETRY_INTERVAL_MS)) {
             return false;
         }
+        if (!tryRead()) {
+            return false;
+        }
         if (entries.isEmpty() && !isFailing) {
             return true;
         }
         try {
             // Ends are not flushed: if one is lost, a repeated id is rejected, which is safe.
-            file.append(entries, ids, flushEachEntry && isAwaited, nowMs);
+            file.append(entries, ids, flushEachEntry && isAwaited, wallClockMs.getAsLong());
             isFailing = false;
             failureLog.onSuccess(RECORD_OPERATION);
             return true;
         } catch (IOException failed) {
-            isFailing = true;
-            failedNanos = System.nanoTime();
-            failureLog.onFailure(nowMs, RECORD_OPERATION, SnapshotFiles.describe(failed));
+            onFailure(RECORD_OPERATION, failed);
             return false;
         }
     }
--- a/snapshot/src/main/java/peppergauge/snapshot/storage/SnapshotFiles.java
+++ b/snapshot/src/main/java/peppergauge/snapshot/storage/SnapshotFiles.java
@@ -43,13 +43,22 @@
      * @throws IOException if another process uses the files, or the folder is accessible to other users
      */
     public SnapshotFiles(FileSystem fileSystem, Path folder, String sidecar) throws IOException {
+        this(fileSystem, sidecar, folder);
+        open();
+    }
+
+    private SnapshotFiles(FileSystem fileSystem, String sidecar, Path folder) {
         this.fileSystem = fileSystem;
         this.folder = folder.toAbsolutePath();
         this.stem = stem(sidecar);
         newest = file(".snapshot");
         previous = file(".snapshot.before");
         unfinished = file(".snapshot.new");
-        open();
+    }
+
+    /** Returns the files in a folder that could not be opened yet; {@link #ensureLocked} opens it. */
+    public static SnapshotFiles unopened(FileSystem fileSystem, Path folder, String sidecar) {
+        return new SnapshotFiles(fileSystem, sidecar, folder);
     }
 
     private void open() throws IOException {
@@ -120,8 +129,11 @@
         fileSystem.forceFolder(folder);
     }
 
-    /** Locks again if the lock file was replaced, as when the folder was unmounted and mounted again. */
-    public void ensureLocked() throws IOException {
+    /**
+     * Locks if the files are not locked, or if the lock file was replaced, as when the folder was unmounted and mounted
+     * again.
+     */
+    public synchronized void ensureLocked() throws IOException {
         if (lock == null || !lock.isHeld()) {
             close();
             open();
@@ -148,7 +160,7 @@
     }
 
     @Override
-    public void close() throws IOException {
+    public synchronized void close() throws IOException {
         if (lock != null) {
             lock.close();
             lock = null;
--- a/snapshot/src/test/java/peppergauge/snapshot/SnapshotStartupTest.java
+++ b/snapshot/src/test/java/peppergauge/snapshot/SnapshotStartupTest.java
@@ -31,6 +31,9 @@
  */
 public class SnapshotStartupTest {
 
+    /** Within it a journal works again once its disk does. */
+    private static final long RECOVERY_MS = 1_000;
+
     private static final double MAX_START_MS = 3_000;
     private static final String HOUR_AGO = "hour ago";
     /** Either event is right, since root can read and write whatever the permissions are. */
@@ -192,14 +195,7 @@
     @DataProvider
     public Object[][] failingOperations() {
         return new Object[][] {
-            {"create", false},
-            {"write", false},
-            {"force", false},
-            {"rename", false},
-            {"force folder", false},
-            {"lock", true},
-            {"folder", true},
-            {"read", true}
+            {"create"}, {"write"}, {"force"}, {"rename"}, {"force folder"}, {"lock"}, {"folder"}, {"read"}
         };
     }
 
@@ -208,7 +204,7 @@
      * non-repeatable request that cannot be recorded is rejected without having been sent.
      */
     @Test(dataProvider = "failingOperations")
-    public void servesAndLogsFailureOnceOnFailingDisk(String operation, boolean isRecordable) throws Exception {
+    public void servesAndLogsFailureOnceOnFailingDisk(String operation) throws Exception {
         FaultyFileSystem fileSystem = new FaultyFileSystem();
         fileSystem.failure = operation::equals;
         changedSnapshot("a", "none");
@@ -216,8 +212,8 @@
                 new PersistentSidecarFixture(extension(fileSystem, JournalMode.WRITTEN), "a")) {
             for (int i = 0; i < 5; i++) {
                 assertEquals(sidecar.sendIdempotent(), 200);
-                assertEquals(sidecar.sendNonIdempotent("g" + i, false), isRecordable ? 200 : 503);
-                assertEquals(sidecar.executions("g" + i), isRecordable ? 1 : 0);
+                assertEquals(sidecar.sendNonIdempotent("g" + i, false), 503);
+                assertEquals(sidecar.executions("g" + i), 0);
                 Thread.sleep(100);
             }
             long logged = log.count("No space left");
@@ -230,8 +226,8 @@
         return new Object[][] {{"lock"}, {"folder"}, {"read"}};
     }
 
-    /** The journal could not be opened or read at the start: what was in flight before may run twice. */
-    @Test(dataProvider = "failuresAtTheStart", groups = "known-red")
+    /** A sidecar that could not open or read its journal at the start ran what was in flight before again. */
+    @Test(dataProvider = "failuresAtTheStart")
     public void runsNoNonRepeatableRequestTwiceIfTheJournalCannotBeOpened(String operation) throws Exception {
         FaultyFileSystem fileSystem = new FaultyFileSystem();
         try (PersistentSidecarFixture sidecar =
@@ -240,8 +236,13 @@
             sidecar.stopAbruptly();
             fileSystem.failure = operation::equals;
             sidecar.start(extension(fileSystem, JournalMode.FLUSHED), "a");
-            sidecar.sendNonIdempotent("d", false);
-            assertEquals(sidecar.executions("d"), 1);
+            assertEquals(sidecar.sendNonIdempotent("d", false), 503);
+            assertEquals(sidecar.sendNonIdempotent("other", false), 503);
+            fileSystem.failure = none -> false;
+            Thread.sleep(RECOVERY_MS);
+            assertEquals(sidecar.sendNonIdempotent("d", false), 502);
+            assertEquals(sidecar.sendNonIdempotent("new", false), 200);
+            assertEquals(sidecar.executions("d") + sidecar.executions("other"), 1);
         }
     }
 
--- a/snapshot/src/test/java/peppergauge/snapshot/nonrepeatable/LedgerLoad.java
+++ b/snapshot/src/test/java/peppergauge/snapshot/nonrepeatable/LedgerLoad.java
@@ -77,7 +77,7 @@
     }
 
     /** Requires that a process that starts after a crash reads what was just written. */
-    private void verifyRead(SnapshotFiles files, List<JournalEntry> batch) {
+    private void verifyRead(SnapshotFiles files, List<JournalEntry> batch) throws IOException {
         NonRepeatableIds readIds = new NonRepeatableIds();
         String damage = new JournalFile(new FaultyFileSystem(), files, MAX_BYTES).read(readIds);
         require(damage == null, damage);
