Exit with code 1 after a failed thread, whichever thread ends last

What callers saw: after the listener had failed, requests under way were answered, but the process sometimes ended with exit code 0, so that whoever runs it took a failure for a stop.

A thread inherits its daemon status: started by the listener or the timers, it is a daemon. The shutdown ends the event loop, the only thread that isn't one, and then the Java machine may end, with code 0, before halt is called. A real fault, not the test's.

Change: the thread is not a daemon, so that the process lives until halt.

ProcessFailureTest lets the loop's stand-in end first, every time: exit code 0 before, 1 now.

--- a/sidecar/src/main/java/peppergauge/ProcessFailure.java
+++ b/sidecar/src/main/java/peppergauge/ProcessFailure.java
@@ -46,7 +46,7 @@
             }
             Log.flush();
             if (mayComplete) {
-                new Thread(() -> shutDownAndHalt(shutdown), "failure-shutdown").start();
+                startShutdown(shutdown);
             }
         } finally {
             if (!mayComplete) {
@@ -55,6 +55,13 @@
         }
     }
 
+    private static void startShutdown(Runnable shutdown) {
+        Thread thread = new Thread(() -> shutDownAndHalt(shutdown), "failure-shutdown");
+        // The failed thread's daemon status is inherited, and the process must not end before halt sets its exit code.
+        thread.setDaemon(false);
+        thread.start();
+    }
+
     private static void shutDownAndHalt(Runnable shutdown) {
         try {
             shutdown.run();
