End the process if no thread can be started for its shutdown after a failure

What callers saw: nothing served on time. Where the timers had failed and the system had no thread left (EAGAIN), the process lived on without timers.

Cause: ProcessFailure counted on the shutdown's thread before it was started. The error of its start went to the timers' pool, which keeps errors to itself.

Change: the process halts with exit code 1 unless that thread has been started.

ProcessFailureTest, a pool whose task cannot start the thread: "the process goes on" after 20 s before, exit code 1 now.

--- a/sidecar/src/main/java/peppergauge/ProcessFailure.java
+++ b/sidecar/src/main/java/peppergauge/ProcessFailure.java
@@ -1,5 +1,6 @@
 package peppergauge;
 
+import java.util.concurrent.ThreadFactory;
 import peppergauge.log.Log;
 
 /**
@@ -36,27 +37,37 @@
      * @param shutdown completes the requests under way; null if there are none
      */
     static void endProcess(String thread, Throwable thrown, Runnable shutdown) {
-        boolean mayComplete =
-                shutdown != null && !EVENT_LOOP.equals(thread) && !(thrown instanceof VirtualMachineError);
+        endProcess(thread, thrown, shutdown, task -> new Thread(task, "failure-shutdown"));
+    }
+
+    /** As above; {@code threads} creates the thread on which {@code shutdown} runs. */
+    static void endProcess(String thread, Throwable thrown, Runnable shutdown, ThreadFactory threads) {
+        boolean isCompleting = false;
         try {
-            if (EVENT_LOOP.equals(thread) && thrown != null) {
-                Log.error("event_loop_failed", thrown);
-            } else {
-                Log.event("thread_failed", "thread", thread, "exception", thrown);
-            }
-            Log.flush();
-            if (mayComplete) {
-                startShutdown(shutdown);
+            logFailure(thread, thrown);
+            if (shutdown != null && !EVENT_LOOP.equals(thread) && !(thrown instanceof VirtualMachineError)) {
+                startShutdown(shutdown, threads);
+                isCompleting = true;
             }
         } finally {
-            if (!mayComplete) {
+            // Also if the thread cannot be started: nobody else would end the process.
+            if (!isCompleting) {
                 Runtime.getRuntime().halt(EXIT_CODE);
             }
         }
     }
 
-    private static void startShutdown(Runnable shutdown) {
-        Thread thread = new Thread(() -> shutDownAndHalt(shutdown), "failure-shutdown");
+    private static void logFailure(String thread, Throwable thrown) {
+        if (EVENT_LOOP.equals(thread) && thrown != null) {
+            Log.error("event_loop_failed", thrown);
+        } else {
+            Log.event("thread_failed", "thread", thread, "exception", thrown);
+        }
+        Log.flush();
+    }
+
+    private static void startShutdown(Runnable shutdown, ThreadFactory threads) {
+        Thread thread = threads.newThread(() -> shutDownAndHalt(shutdown));
         // The failed thread's daemon status is inherited, and the process must not end before halt sets its exit code.
         thread.setDaemon(false);
         thread.start();
--- a/sidecar/src/test/java/peppergauge/ProcessFailureTest.java
+++ b/sidecar/src/test/java/peppergauge/ProcessFailureTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
@@ -27,6 +29,23 @@
         }
     }
 
+    /** A program that cannot start a thread for the shutdown after its timers have failed. */
+    static final class NoThreadLeftProgram {
+
+        private NoThreadLeftProgram() {}
+
+        public static void main(String[] args) {
+            ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+            timers.schedule(
+                    () -> ProcessFailure.endProcess(
+                            "timers", new NoClassDefFoundError("thrown by a test"), () -> {}, task -> {
+                                throw new OutOfMemoryError("unable to create native thread, thrown by a test");
+                            }),
+                    0,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
     private static void sleep(long ms) {
         try {
             TimeUnit.MILLISECONDS.sleep(ms);
@@ -41,6 +60,12 @@
         assertEquals(exitCode(EndedLoopProgram.class), EXIT_FAILED);
     }
 
+    /** The second error stayed in the timers' pool, and the process lived on without timers. */
+    @Test
+    public void processEndsWithExitCodeOneIfNoThreadCanBeStartedForTheShutdown() throws Exception {
+        assertEquals(exitCode(NoThreadLeftProgram.class), EXIT_FAILED);
+    }
+
     private static int exitCode(Class<?> program) throws Exception {
         Process process = new ProcessBuilder(
                         System.getProperty("java.home") + "/bin/java",
