Go on with the log after an error in writing one line

What operators saw: no log line any more. A class that cannot be loaded, for lack of a descriptor, is an error and not an exception; it ended the log's thread, and nobody started another, so that all later lines were queued and then dropped unseen.

BackgroundWriterTest.writesLinesAfterAnErrorAndCountsTheLineAsDropped: times out after 10 s before, passes now.

--- a/sidecar/src/main/java/peppergauge/log/BackgroundWriter.java
+++ b/sidecar/src/main/java/peppergauge/log/BackgroundWriter.java
@@ -49,21 +49,38 @@
     }
 
     private void run() {
-        while (true) {
-            try {
-                queue.take().run();
-                long count = queue.isEmpty() ? dropped.getAndSet(0) : 0;
-                if (count > 0) {
-                    onDropped.accept(count);
-                }
-            } catch (InterruptedException ignored) {
-                // Nobody interrupts this thread on purpose; it lives as long as the process.
-            } catch (RuntimeException failed) {
-                dropped.incrementAndGet();
+        try {
+            while (true) {
+                writeNext();
+            }
+        } finally {
+            // An error, such as a class that cannot be loaded for lack of descriptors, must not end the log for good.
+            dropped.incrementAndGet();
+            forgetThread();
+            if (!queue.isEmpty()) {
+                startIfNeeded();
             }
         }
     }
 
+    private void writeNext() {
+        try {
+            queue.take().run();
+            long count = queue.isEmpty() ? dropped.getAndSet(0) : 0;
+            if (count > 0) {
+                onDropped.accept(count);
+            }
+        } catch (InterruptedException ignored) {
+            // Nobody interrupts this thread on purpose; it lives as long as the process.
+        } catch (RuntimeException failed) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    private synchronized void forgetThread() {
+        thread = null;
+    }
+
     /** Waits until the lines submitted before are written, at most this long. */
     void flush(long maxMs) {
         CountDownLatch written = new CountDownLatch(1);
--- a/sidecar/src/test/java/peppergauge/log/BackgroundWriterTest.java
+++ b/sidecar/src/test/java/peppergauge/log/BackgroundWriterTest.java
@@ -49,6 +49,23 @@
         stalled.countDown();
     }
 
+    /** An error while a line was written ended the log for good. */
+    @Test(timeOut = 10_000)
+    public void writesLinesAfterAnErrorAndCountsTheLineAsDropped() throws Exception {
+        CompletableFuture<Long> reported = new CompletableFuture<>();
+        List<String> written = Collections.synchronizedList(new ArrayList<>());
+        BackgroundWriter writer = new BackgroundWriter(reported::complete);
+        writer.submit(() -> {
+            throw new NoClassDefFoundError("thrown by a test");
+        });
+        while (!reported.isDone()) {
+            writer.submit(() -> written.add("line"));
+            writer.flush(50);
+        }
+        assertEquals(reported.get(), 1);
+        assertTrue(written.contains("line"));
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await();
