Let system calls fail in soaks, beside signals, crowds, drains and shutdowns

Need: faults of calls were played alone, one kind at a time, never beside SIGTERM, SIGHUP, drains, crowds or clients that leave.

The preloaded library takes several faults, each with a switch of its own. A client whose first pipelined request ends with its connection records the end of the second one; it recorded nothing, which can't occur without such faults.

--- a/lab/src/main/java/peppergauge/lab/soak/RunRecord.java
+++ b/lab/src/main/java/peppergauge/lab/soak/RunRecord.java
@@ -117,6 +117,7 @@
     final Queue<MachineDelay> machineDelays = new ConcurrentLinkedQueue<>();
     final Queue<ConnectionLimitPeriod> connectionLimitPeriods = new ConcurrentLinkedQueue<>();
     final Queue<ResourceSample> resourceSamples = new ConcurrentLinkedQueue<>();
+    final CallFailures callFailures = new CallFailures();
     /** Times at which connections of clients ended. */
     final Queue<Long> clientEndsNs = new ConcurrentLinkedQueue<>();
 
--- a/lab/src/main/java/peppergauge/lab/soak/Soak.java
+++ b/lab/src/main/java/peppergauge/lab/soak/Soak.java
@@ -80,6 +80,11 @@
         return SoakScheduleGenerator.generate(seed, longOutage);
     }
 
+    /** Returns the same run with one to three periods in which system calls of the sidecar fail. */
+    public static SoakFile withFailingCalls(SoakFile file) {
+        return SoakScheduleGenerator.withFailingCalls(file);
+    }
+
     /**
      * Reads a file of kind {@code soak}.
      *
--- a/lab/src/main/java/peppergauge/lab/soak/SoakClients.java
+++ b/lab/src/main/java/peppergauge/lab/soak/SoakClients.java
@@ -176,8 +176,7 @@
                 RunRecord.ClientRequest other = newRequest();
                 other.predecessor = one;
                 send(List.of(one, other), text(one) + text(other));
-                readResponse(one);
-                readResponse(other);
+                readResponses(one, other);
                 return;
             }
             RunRecord.ClientRequest request = newRequest();
@@ -241,6 +240,17 @@
             closeConnection();
         }
 
+        private void readResponses(RunRecord.ClientRequest one, RunRecord.ClientRequest other)
+                throws IOException, InterruptedException {
+            try {
+                readResponse(one);
+            } catch (IOException ended) {
+                other.ended(RunRecord.CLOSED);
+                throw ended;
+            }
+            readResponse(other);
+        }
+
         private void readResponse(RunRecord.ClientRequest request) throws IOException, InterruptedException {
             if (socket == null) {
                 request.ended(RunRecord.CLOSED);
--- a/lab/src/main/java/peppergauge/lab/soak/SoakScheduleGenerator.java
+++ b/lab/src/main/java/peppergauge/lab/soak/SoakScheduleGenerator.java
@@ -18,6 +18,15 @@
 
     private static final int LONG_OUTAGE_MS = 20_000;
 
+    /** Separates the draws of failing calls from those of the other steps. */
+    private static final long FAILING_CALLS_SEED = 0x5eed_ca11L;
+
+    private static final int MAX_FAILING_PERIODS = 3;
+    private static final int MIN_FAILING_MS = 300;
+    private static final int MAX_FAILING_MS = 3_000;
+    /** Faults are drawn from seeds below this. */
+    private static final int CALL_FAULTS = 1_000;
+
     private final UniformRandomProvider random;
     private final List<SoakStep> steps = new ArrayList<>();
     private final int lengthMs;
@@ -41,6 +50,27 @@
                 schedule.steps);
     }
 
+    /** Returns the same run with one to three periods in which system calls fail, one of which may span SIGTERM. */
+    static SoakFile withFailingCalls(SoakFile file) {
+        UniformRandomProvider random =
+                RandomSource.XO_SHI_RO_256_PP.create(file.run().seed() ^ FAILING_CALLS_SEED);
+        int lengthMs = (int) file.run().length().toMillis();
+        List<SoakStep> steps = new ArrayList<>(file.steps());
+        for (int periods = 1 + random.nextInt(MAX_FAILING_PERIODS); periods > 0; periods--) {
+            int atMs = random.nextInt(3) == 0
+                    ? lengthMs - random.nextInt(MAX_FAILING_MS)
+                    : FIRST_STEP_MS + random.nextInt(lengthMs - FIRST_STEP_MS);
+            int durationMs = MIN_FAILING_MS + random.nextInt(MAX_FAILING_MS - MIN_FAILING_MS);
+            steps.add(new SoakStep(
+                    Duration.ofMillis(atMs),
+                    StepKind.CALLS_FAIL,
+                    Duration.ofMillis(durationMs),
+                    random.nextInt(CALL_FAULTS)));
+        }
+        steps.sort(Comparator.comparing(SoakStep::time));
+        return file.withSteps(steps);
+    }
+
     private void generateSteps(boolean longOutage) {
         if (random.nextInt(3) == 0) {
             add(StepKind.TERMINATE_START, 30 + random.nextInt(900), 0, 0);
--- a/lab/src/main/java/peppergauge/lab/soak/StepKind.java
+++ b/lab/src/main/java/peppergauge/lab/soak/StepKind.java
@@ -38,6 +38,8 @@
     HALF_REQUESTS,
     /** Clients send no requests. */
     QUIET,
+    /** System calls of the sidecar fail; the count is the seed of the fault. */
+    CALLS_FAIL,
     /** A second SIGTERM; timed from the first. */
     TERMINATE_AGAIN,
     /** SIGHUP during shutdown; timed from SIGTERM. */
--- a/lab/src/main/java/peppergauge/lab/syscall/CallFault.java
+++ b/lab/src/main/java/peppergauge/lab/syscall/CallFault.java
@@ -80,14 +80,14 @@
     }
 
     /** Whether a failing call may cost the client's connection on which it fails, and its request with it. */
-    boolean mayBreakClientConnections() {
+    public boolean mayBreakClientConnections() {
         boolean isInput = call == SystemCall.READ || call == SystemCall.WRITE || call == SystemCall.SHUTDOWN;
         boolean isOfClients = target == FaultTarget.CLIENTS || target == FaultTarget.ANY;
         return isOfClients && (isInput || call == SystemCall.SETSOCKOPT || call == SystemCall.EPOLL_CTL);
     }
 
     /** Whether no connection can be accepted while it lasts, so that nothing of new clients can be read. */
-    boolean keepsClientsOut() {
+    public boolean keepsClientsOut() {
         return call == SystemCall.ACCEPT && oneIn == 1 && limit == 0 && error != Errno.ECONNABORTED;
     }
 
--- a/lab/src/main/java/peppergauge/lab/syscall/SystemCallRun.java
+++ b/lab/src/main/java/peppergauge/lab/syscall/SystemCallRun.java
@@ -37,7 +37,7 @@
     /** Starts the servers and the sidecar, and returns when it is ready. */
     public SystemCallRun(CallFault fault, FloodRun.Launch launch) throws IOException, InterruptedException {
         this.fault = fault;
-        calls = new FailingCalls(fault);
+        calls = new FailingCalls(List.of(fault));
         List<EndpointEntry> servers = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
             servers.add(EndpointEntry.active(
@@ -79,9 +79,9 @@
         clientsFor(QUIET_MS);
         double cpuBeforeMs = sidecar.usage().cpuMs();
         long startNs = System.nanoTime();
-        calls.start();
+        calls.start(0);
         List<UsualClient.Exchange> during = clientsFor(faultMs);
-        calls.stop();
+        calls.stop(0);
         double cpuShare = (sidecar.usage().cpuMs() - cpuBeforeMs) / ((System.nanoTime() - startNs) / 1e6);
         List<UsualClient.Exchange> settling = clientsFor(SETTLING_MS);
         List<UsualClient.Exchange> after = clientsFor(AFTER_MS);
@@ -90,7 +90,7 @@
                 during,
                 settling,
                 after,
-                calls.failures(),
+                calls.failures(0),
                 cpuShare,
                 sidecar.isAlive(),
                 ClosingService.repeated(runs),
