Close a connection whose response cannot be written

What callers saw: neither a response nor the end of the connection, until they gave up (in the soak 1.5 s after their deadline), while single writes to clients failed, by EHOSTUNREACH, ENOBUFS or ECONNRESET.

Cause: HttpCore writes a response without a body at once. Its exception reached HttpResponseWriter, which logged it (response_write_failed) and went on; nothing closed the session, since only exceptions that reach it do.

Change: the session closes itself after a failed write, in the same round, whoever catches the exception; so codecs and protocols to come are covered, Thrift too.

--- a/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
@@ -250,9 +250,18 @@
         readsSuspended = suspended;
     }
 
+    /** Writes to the socket; a failure closes the session in this round, also if a codec keeps it to itself. */
     @Override
     public int write(ByteBuffer from) throws IOException {
-        int bytes = socketChannel().write(from);
+        int bytes;
+        try {
+            bytes = socketChannel().write(from);
+        } catch (IOException failed) {
+            loop.execute(() -> runHandler(() -> {
+                throw failed;
+            }));
+            throw failed;
+        }
         if (bytes < 0) {
             loop.selector().onInterrupted();
             return 0;
