Evict idle connections after failed accepts only if no descriptor is left

What callers saw: connections in use were closed just as they sent the next request, nine within a quarter of a second, while accept failed for another reason than descriptors (ENOMEM, ENOBUFS, ENETDOWN, EPROTO).

Cause: from the second failure in a row on each failure evicted an idle connection, in case its descriptor was what accept lacked.

Change: it is evicted only if no socket can be opened either, which tells a lack of descriptors from the rest without the text of the error.

SidecarProcessTest.servesNewClientsWhereIdleClientsHaveTakenAllDescriptors (64 descriptors where the configuration says 256) passes before and after: where descriptors are what is lacking, idle connections still make room.

--- a/sidecar/src/main/java/peppergauge/sockets/Acceptor.java
+++ b/sidecar/src/main/java/peppergauge/sockets/Acceptor.java
@@ -29,7 +29,7 @@
 
     private static final long FIRST_PAUSE_MS = 1;
     private static final long MAX_PAUSE_MS = 50;
-    /** Failures in a row after which the gate is asked to release descriptors. */
+    /** Failures in a row after which the gate is asked to release descriptors, if none is left. */
     private static final int FAILURES_BEFORE_EVICTION = 2;
 
     private final Selector selector;
@@ -171,7 +171,7 @@
                 backoff.failures(),
                 "retry_in_ms",
                 pauseMs);
-        if (backoff.failures() >= FAILURES_BEFORE_EVICTION) {
+        if (backoff.failures() >= FAILURES_BEFORE_EVICTION && !canOpenSocket()) {
             gate.onAcceptFailed();
         }
         try {
@@ -181,6 +181,16 @@
         }
     }
 
+    /** Whether descriptors are left, so that closing idle connections would not help. */
+    private static boolean canOpenSocket() {
+        try {
+            SocketChannel.open().close();
+            return true;
+        } catch (IOException failed) {
+            return false;
+        }
+    }
+
     /** Ends the thread and closes all listeners. */
     void close() {
         closed = true;
--- a/sidecar/src/test/java/peppergauge/SidecarProcessFixture.java
+++ b/sidecar/src/test/java/peppergauge/SidecarProcessFixture.java
@@ -4,13 +4,15 @@
 import java.io.Closeable;
 import java.io.File;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
+import java.util.spi.ToolProvider;
 import java.util.stream.Stream;
 
 /**
@@ -38,16 +40,25 @@
     /** Starts a sidecar process; {@code shellPrefix}: shell commands to run first, ending with a semicolon. */
     SidecarProcessFixture(ScriptedServer.Script script, int sockets, int servers, String shellPrefix)
             throws IOException {
+        this(script, sockets, servers, shellPrefix, sockets);
+    }
+
+    /** Starts a sidecar process; {@code descriptors}: its descriptor limit, which may be less than its settings say. */
+    SidecarProcessFixture(ScriptedServer.Script script, int sockets, int servers, String shellPrefix, int descriptors)
+            throws IOException {
         backend = new ScriptedServer(script);
         configure(discovery, sockets, servers);
         // Only the contents of the program's jar: each jar on the class path uses a descriptor.
-        String classes = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+        List<String> contents = Arrays.stream(
+                        System.getProperty("java.class.path").split(File.pathSeparator))
                 .filter(part -> part.matches(".*(/classes|jackson-core[^/]*|httpcore5[^/]*)"))
-                .collect(Collectors.joining(File.pathSeparator));
+                .map(part -> descriptors < sockets ? jarOf(part) : part)
+                .toList();
+        String classes = String.join(File.pathSeparator, contents);
         ProcessBuilder builder = new ProcessBuilder(
                 "sh",
                 "-c",
-                shellPrefix + "ulimit -n " + sockets + "; exec \"$0\" \"$@\"",
+                shellPrefix + "ulimit -n " + descriptors + "; exec \"$0\" \"$@\"",
                 System.getProperty("java.home") + "/bin/java",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
@@ -68,6 +79,23 @@
         port = Integer.parseInt(line.replaceAll(".* address=\\S+:(\\d+) .*", "$1"));
     }
 
+    /** Returns a jar of a folder, from which classes can be loaded when no descriptor is left; a jar is returned. */
+    private String jarOf(String path) {
+        if (!Files.isDirectory(Path.of(path))) {
+            return path;
+        }
+        try {
+            Path jar = Files.createTempFile("program", ".jar");
+            jar.toFile().deleteOnExit();
+            ToolProvider.findFirst("jar")
+                    .orElseThrow()
+                    .run(System.out, System.err, "cf", jar.toString(), "-C", path, ".");
+            return jar.toString();
+        } catch (IOException failed) {
+            throw new UncheckedIOException(failed);
+        }
+    }
+
     /** Starts a discovery server that accepts the watch and sends nothing. */
     static ScriptedServer discoveryServer() throws IOException {
         return ScriptedServer.respondingWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/sidecar/src/test/java/peppergauge/SidecarProcessTest.java
+++ b/sidecar/src/test/java/peppergauge/SidecarProcessTest.java
@@ -254,4 +254,23 @@
             }
         }
     }
+
+    /** Accepting fails then, since the configured limit is never reached. */
+    @Test
+    public void servesNewClientsWhereIdleClientsHaveTakenAllDescriptors() throws Exception {
+        try (SidecarProcessFixture fixture = new SidecarProcessFixture(SidecarFixture.ECHO, 256, 1, "", 64)) {
+            List<Socket> clients = new ArrayList<>();
+            for (int i = 0; i < 80; i++) {
+                clients.add(fixture.client());
+            }
+            for (int i = 0; i < 5; i++) {
+                try (Socket client = fixture.client()) {
+                    SidecarFixture.exchangeAndAssertId(client, "new" + i);
+                }
+            }
+            for (Socket client : clients) {
+                client.close();
+            }
+        }
+    }
 }
