Read a socket within 20 ms whose registration with the selector has failed

What callers saw: a request was read 0.5 s late, sent with a deadline 0.35 s too long, and answered as much later, after one failing epoll_ctl (ENOMEM, ENOSPC).

Cause: the JDK ignores the failure. A silent socket was tried only after 0.5 s; only once one had been found, all were tried every 20 ms.

Change: a socket that the selector has not reported since it was registered is tried after 20 ms, then after twice as long each time up to 0.5 s: some five reads for a new connection that stays silent, none for one that is reported.

--- a/lab/src/test/java/peppergauge/lab/syscall/SystemCallTest.java
+++ b/lab/src/test/java/peppergauge/lab/syscall/SystemCallTest.java
@@ -1,6 +1,7 @@
 package peppergauge.lab.syscall;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -12,6 +13,7 @@
 import org.testng.annotations.Test;
 import peppergauge.RealTimeTestBase;
 import peppergauge.lab.flood.FloodRun;
+import peppergauge.lab.flood.UsualClient;
 
 /** Lets system calls of a real sidecar fail for a while, as Linux documents that they can. */
 public class SystemCallTest extends RealTimeTestBase {
@@ -22,6 +24,9 @@
     /** Longer than it takes until each connection that the sidecar may have has met a failing call. */
     private static final long LONG_FAULT_MS = 3_500;
 
+    /** The deadline that a server is told may be 150 ms too long; the servers respond after 10 ms; 50 ms of slack. */
+    private static final double MAX_RESPONSE_MS = 210;
+
     private static final int CONCURRENT_RUNS = 3;
     private static final int ONCE = 1;
     private static final int UNLIMITED = 0;
@@ -97,6 +102,19 @@
                 fault(SystemCall.EPOLL_CTL, Errno.ENOMEM, FaultTarget.CLIENTS, 5, UNLIMITED));
     }
 
+    /** The first socket was read 0.5 s late, and its request sent with a deadline that was as much too long. */
+    @Test
+    public void readsASocketSoonWhoseRegistrationForEventsHasFailed() throws Exception {
+        SystemCallOutcome outcome =
+                play(fault(SystemCall.EPOLL_CTL, Errno.ENOMEM, FaultTarget.CLIENTS, 1, ONCE), FAULT_MS);
+        assertEquals(outcome.violations(), List.of(), outcome.toString());
+        double longestMs = outcome.during().stream()
+                .mapToDouble(UsualClient.Exchange::tookMs)
+                .max()
+                .orElseThrow();
+        assertTrue(longestMs < MAX_RESPONSE_MS, "a response came after " + longestMs + " ms");
+    }
+
     /** Calls that failed on this machine while connecting were taken for failures of the server. */
     @Test
     public void servesMostRequestsWhileConnectingFailsOnThisMachine() throws Exception {
--- a/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
@@ -22,6 +22,9 @@
 
     private static final int END_OF_STREAM = -1;
 
+    /** Time without an event after which a socket is tried that the selector has not reported since its registration. */
+    private static final long FIRST_RECHECK_NANOS = 20_000_000;
+
     private final SelectionKey key;
     private final EventLoop loop;
     /** Whether the protocol has output. Only the event loop's thread uses this and the following fields. */
@@ -41,6 +44,8 @@
 
     private long lastEventNanos = System.nanoTime();
     private long lastSelectedNanos = System.nanoTime();
+    /** Time without an event after which this socket is tried; long once the selector has reported it. */
+    private long recheckNanos = FIRST_RECHECK_NANOS;
     /** The operations to select while the registration is being renewed; -1 otherwise. */
     private int interestToRestore = -1;
 
@@ -61,6 +66,7 @@
     @Override
     public void onSelected(int readyOps) {
         lastSelectedNanos = System.nanoTime();
+        recheckNanos = Long.MAX_VALUE;
         runHandler(() -> {
             if ((readyOps & EventMask.READ) != 0) {
                 updateReadTime();
@@ -103,13 +109,14 @@
     // ---- Events that the selector does not report ----
 
     /** Whether the selector has not reported this socket for so long that its registration may have failed. */
-    boolean isRecheckDue(long nowNanos, long recheckNanos) {
-        return nowNanos - lastSelectedNanos >= recheckNanos && interestToRestore < 0;
+    boolean isRecheckDue(long nowNanos, long maxRecheckNanos) {
+        return nowNanos - lastSelectedNanos >= Math.min(recheckNanos, maxRecheckNanos) && interestToRestore < 0;
     }
 
     /** Reads and writes as if the selector had reported the socket; an effect shows that its registration failed. */
     void recheck(long nowNanos) {
         lastSelectedNanos = nowNanos;
+        recheckNanos = recheckNanos > Long.MAX_VALUE / 2 ? Long.MAX_VALUE : 2 * recheckNanos;
         long bytesBefore = transferredBytes;
         int interest = getEventMask();
         runHandler(() -> {
@@ -140,10 +147,17 @@
         int ops = interestToRestore;
         interestToRestore = -1;
         if (!isClosed() && ops >= 0) {
-            key.interestOps(ops);
+            register(ops);
         }
     }
 
+    /** Changes what the selector reports; whether that has succeeded shows only by its next report. */
+    private void register(int ops) {
+        key.interestOps(ops);
+        lastSelectedNanos = System.nanoTime();
+        recheckNanos = FIRST_RECHECK_NANOS;
+    }
+
     // ---- Interest ----
 
     @Override
@@ -191,8 +205,8 @@
         } else if (!isClosed()) {
             if (interestToRestore >= 0) {
                 interestToRestore = ops;
-            } else {
-                key.interestOps(ops);
+            } else if (key.interestOps() != ops) {
+                register(ops);
             }
         }
     }
