Soak: excuse a drain announced just before calls to discovery begin to fail

The rule counts a drain as known once discovery can be reached. Only a fault that begins within 0.3 s after the announcement is counted as well; the grace from its end on is the same.

--- a/lab/src/main/java/peppergauge/lab/soak/CallFailures.java
+++ b/lab/src/main/java/peppergauge/lab/soak/CallFailures.java
@@ -11,6 +11,8 @@
 
     /** The sidecar works as before this long after its calls have ceased to fail. */
     private static final long MAX_RECOVERY_NS = 1_000_000_000L;
+    /** The sidecar calls discovery again within this time once it responds. */
+    private static final long MAX_CALL_INTERVAL_NS = 300_000_000L;
 
     private final Queue<Period> periods = new ConcurrentLinkedQueue<>();
 
@@ -73,7 +75,7 @@
 
     /** Returns the time from which the sidecar can know what discovery announced at the given time. */
     long announcedNs(long atNs) {
-        return overlapping(atNs - MAX_RECOVERY_NS, atNs)
+        return overlapping(atNs - MAX_RECOVERY_NS, atNs + MAX_CALL_INTERVAL_NS)
                 .filter(Period::concernsDiscovery)
                 .mapToLong(Period::recoveredNs)
                 .reduce(atNs, Math::max);
