Load all classes before serving, so that no file has to be read later

What callers saw: connections cut with requests under way, then refused: the process ended with exit code 1, as in the report, once reads failed for a moment (EIO on files; EAGAIN, ENOMEM or ENOBUFS on any descriptor, one in 3 or 7; a single failure is enough).

Cause: classes are read from the jar when they are needed first, and many are needed first while something fails: here RejectionCause, with the first rejection. A class that can't be read then is a NoClassDefFoundError, which the Java machine repeats for good at that place; in the event loop it ends the process.

SystemCallTest .answersAllRequestsWhileReadsOfAnyDescriptorFail failed before in the same way.

--- a/lab/src/test/java/peppergauge/lab/syscall/SystemCallTest.java
+++ b/lab/src/test/java/peppergauge/lab/syscall/SystemCallTest.java
@@ -82,6 +82,12 @@
                 fault(SystemCall.ACCEPT, Errno.ECONNABORTED, FaultTarget.ANY, 3, UNLIMITED));
     }
 
+    /** A class that was needed first while files could not be read ended the process. */
+    @Test
+    public void answersAllRequestsWhileReadsOfAnyDescriptorFail() throws Exception {
+        assertNoViolation(fault(SystemCall.READ, Errno.EAGAIN, FaultTarget.ANY, 3, UNLIMITED));
+    }
+
     /** A socket option that could not be set on one connection ended the process. */
     @Test
     public void losesNoOtherConnectionWhenASocketOptionCannotBeSet() throws Exception {
--- a/sidecar/src/main/java/peppergauge/Sidecar.java
+++ b/sidecar/src/main/java/peppergauge/Sidecar.java
@@ -254,6 +254,7 @@
      * @throws IOException if it cannot listen
      */
     public void start() throws IOException, InterruptedException {
+        ClassPreloading.loadClasses(extension.getClass());
         loop.start(createRoundListener(), context.clients());
         dispatcher.onEndpointUpdate(new EndpointUpdate(initialEndpoints.version(), true, initialEndpoints.endpoints()));
         if (extension.watchesDiscovery()) {
