Keep the event loop alive when a class cannot be loaded

What callers saw: the process ended with exit code 1, and with it all requests under way, when one task met a class that could not be read from its jar.

Cause: only exceptions were confined to their task; NoClassDefFoundError is an error, of the kind that ended the loop like a lack of memory.

Change: errors of linking (LinkageError) are logged, as event_loop_task_failed, and end the task, or the connection whose handler threw.

EventLoopTest.goesOnAfterATaskWhoseClassCannotBeLoaded: timed out before, passes now.

--- a/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
@@ -24,7 +24,7 @@
  * the end of the round ({@link EventLoopSession}). HttpCore's codecs run on its sessions.
  *
  * <p>A system call that fails ends at most the connection for which it was made: exceptions of one connection close it,
- * and the loop goes on. Only errors of the Java machine end it.
+ * and the loop goes on. Only errors of the Java machine, such as a lack of memory, end it.
  *
  * <p>Two more threads exist: the {@link Acceptor}, and the timer thread, which submits tasks when they are due. A
  * single thread for all other work avoids wake-ups between threads, which cost more than the work.
@@ -298,7 +298,7 @@
         while (!closed) {
             try {
                 runRound();
-            } catch (RuntimeException unexpected) {
+            } catch (RuntimeException | LinkageError unexpected) {
                 Log.error("event_loop_round_failed", unexpected);
             }
         }
@@ -363,11 +363,14 @@
         onSocketEvent();
     }
 
-    /** Runs a task; an unexpected exception is logged and does not end the thread. */
+    /**
+     * Runs a task; an unexpected exception is logged and does not end the thread, nor does a class that cannot be loaded,
+     * which concerns only the task that needs it.
+     */
     static void runGuarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException | StackOverflowError unexpected) {
+        } catch (RuntimeException | StackOverflowError | LinkageError unexpected) {
             Log.error("event_loop_task_failed", unexpected);
         } catch (AssertionError broken) {
             // Only with -ea: the state is inconsistent, and the program ends.
--- a/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.net.NamedEndpoint;
 import org.apache.hc.core5.reactor.EventMask;
 import org.apache.hc.core5.util.Timeout;
+import peppergauge.log.Log;
 
 /**
  * A connection of the {@link EventLoop}. Output is written at the end of the round, and the selector is used only if
@@ -103,6 +104,9 @@
         } catch (IOException | RuntimeException failed) {
             EventLoop.runGuarded(() -> getHandler().exception(this, failed));
             close(CloseMode.GRACEFUL);
+        } catch (LinkageError unusable) {
+            Log.error("event_loop_task_failed", unusable);
+            close(CloseMode.GRACEFUL);
         }
     }
 
--- a/sidecar/src/test/java/peppergauge/sockets/EventLoopTest.java
+++ b/sidecar/src/test/java/peppergauge/sockets/EventLoopTest.java
@@ -73,6 +73,23 @@
         assertEquals(logged, Map.of());
     }
 
+    /** Such an error ended the loop, and the process with it. */
+    @Test
+    public void goesOnAfterATaskWhoseClassCannotBeLoaded() throws Exception {
+        EventLoop loop = new EventLoop();
+        CompletableFuture<Boolean> ran = new CompletableFuture<>();
+        try {
+            loop.start(new EventLoop.RoundListener() {}, () -> {});
+            loop.execute(() -> {
+                throw new NoClassDefFoundError("thrown by a test");
+            });
+            loop.execute(() -> ran.complete(true));
+            assertEquals(ran.get(10, TimeUnit.SECONDS), Boolean.TRUE);
+        } finally {
+            loop.close();
+        }
+    }
+
     @Test
     public void reportsTheErrorThatEndsIt() throws Exception {
         EventLoop loop = new EventLoop();
