Lab: choose listening ports outside of the range that connections are given

A free port was asked of the system, from the range that it also gives to connections, and given back until the process listened.

It is drawn from 10,000 to 32,000 now, at random, and tried.

--- a/lab/src/main/java/peppergauge/lab/process/SidecarProcess.java
+++ b/lab/src/main/java/peppergauge/lab/process/SidecarProcess.java
@@ -3,22 +3,31 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import peppergauge.lab.wire.Listener;
 
 /** A sidecar in a process group of its own, optionally pinned to one CPU or limited to a share of CPU time. */
 public final class SidecarProcess implements Closeable {
 
+    /** Ports below those that the system gives to connections, which could take a port before it is listened on. */
+    private static final int FIRST_PORT = 10_000;
+
+    private static final int LAST_PORT = 32_000;
+    private static final int MAX_PORT_TRIES = 100;
+
     /**
      * How to start the sidecar.
      *
@@ -104,8 +113,16 @@
 
     /** Returns an address with a free port on another loopback address that nothing else uses. */
     public static InetSocketAddress freeAddress(InetAddress host) throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, host)) {
-            return (InetSocketAddress) probe.getLocalSocketAddress();
+        SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
+        for (int tries = 1; ; tries++) {
+            int port = random.nextInt(FIRST_PORT, LAST_PORT + 1);
+            try (ServerSocket probe = new ServerSocket(port, 1, host)) {
+                return (InetSocketAddress) probe.getLocalSocketAddress();
+            } catch (BindException taken) {
+                if (tries == MAX_PORT_TRIES) {
+                    throw taken;
+                }
+            }
         }
     }
 
