--- a/lab/src/main/java/peppergauge/lab/soak/CallFailures.java
+++ b/lab/src/main/java/peppergauge/lab/soak/CallFailures.java
@@ -73,6 +73,14 @@
                 .reduce(sentNs, Math::max);
     }
 
+    /** Returns when a response that was due at a time can be written; between the two times none can for a while. */
+    long writableNs(long sentNs, long dueNs) {
+        return overlapping(sentNs, dueNs)
+                .filter(period -> period.fault.blocksResponses())
+                .mapToLong(Period::recoveredNs)
+                .reduce(dueNs, Math::max);
+    }
+
     /** Returns the time from which the sidecar can know what discovery announced at the given time. */
     long announcedNs(long atNs) {
         return overlapping(atNs - MAX_RECOVERY_NS, atNs + MAX_CALL_INTERVAL_NS)
--- a/lab/src/main/java/peppergauge/lab/soak/SoakRules.java
+++ b/lab/src/main/java/peppergauge/lab/soak/SoakRules.java
@@ -167,7 +167,7 @@
     private long responseDueNs(RunRecord.ClientRequest request) {
         boolean mayAwaitAccept = request.first || request.predecessor != null && request.predecessor.first;
         long notReadNs = mayAwaitAccept ? runRecord.callFailures.readableNs(request.sentNs) - request.sentNs : 0;
-        return request.responseDueNs() + notReadNs;
+        return runRecord.callFailures.writableNs(request.sentNs, request.responseDueNs() + notReadNs);
     }
 
     /**
--- a/lab/src/main/java/peppergauge/lab/syscall/CallFault.java
+++ b/lab/src/main/java/peppergauge/lab/syscall/CallFault.java
@@ -91,6 +91,13 @@
         return call == SystemCall.ACCEPT && oneIn == 1 && limit == 0 && error != Errno.ECONNABORTED;
     }
 
+    /** Whether no response can be written while it lasts: each write is interrupted, or would have to wait. */
+    public boolean blocksResponses() {
+        boolean isRepeated = error == Errno.EINTR || error == Errno.EAGAIN;
+        boolean isOfClients = target == FaultTarget.CLIENTS || target == FaultTarget.ANY;
+        return call == SystemCall.WRITE && isRepeated && isOfClients && oneIn == 1 && limit == 0;
+    }
+
     /** Whether requests can still be served while it lasts: another try of the same call usually succeeds. */
     boolean spares95PercentOfRequests() {
         boolean isRegistration = call == SystemCall.EPOLL_CTL && target == FaultTarget.SERVERS;
