Restore a registration only after the select that saw its removal

Cause: sockets whose registration had failed are registered anew by a change of their interest to nothing and, after the next select, back. Where the select itself found that registrations fail (it returned early three times for nothing), it removed and restored them in one: the JDK compares the interest with what it had registered, and called nothing. The select went on returning early, 450 times a second (selector_event_missed), and each time all sockets counted as being renewed.

Change: a select restores only what was removed before it began.

--- a/sidecar/src/main/java/peppergauge/sockets/SocketSelector.java
+++ b/sidecar/src/main/java/peppergauge/sockets/SocketSelector.java
@@ -70,6 +70,9 @@
         pauseIfInterrupted();
         boolean returnsAtOnce = selectNow;
         selectNow = false;
+        // Not those whose registration is removed during this select: the next one has to see that.
+        List<EventLoopSession> unregistered = List.copyOf(sessionsToRestore);
+        sessionsToRestore.clear();
         try {
             if (returnsAtOnce) {
                 selector.selectNow();
@@ -81,8 +84,7 @@
             Log.event("select_failed", "error", String.valueOf(failed.getMessage()));
             pause();
         }
-        sessionsToRestore.forEach(EventLoopSession::restoreInterest);
-        sessionsToRestore.clear();
+        unregistered.forEach(EventLoopSession::restoreInterest);
     }
 
     private void selectAndWait(long timeoutMs) throws IOException {
