Try silent sockets also while registrations are renewed again and again

What callers saw: requests read up to 2.3 s late, answered after their deadline or not at all, while epoll_ctl failed one time in 3 for some seconds (ENOSPC).

Change: only events of the selector and tries count.

--- a/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
@@ -158,7 +158,6 @@
     /** Changes what the selector reports; whether that has succeeded shows only by its next report. */
     private void register(int ops) {
         key.interestOps(ops);
-        lastSelectedNanos = System.nanoTime();
         recheckNanos = FIRST_RECHECK_NANOS;
     }
 
