Preload the classes that check invariants only if assertions are enabled

ClassPreloading loaded them in each process, though a process without assertions never uses them and is not to carry them. It loads them where assertions are enabled; ClassPreloadingTest has them enabled and still wants every class.

--- a/sidecar/src/main/java/peppergauge/ClassPreloading.java
+++ b/sidecar/src/main/java/peppergauge/ClassPreloading.java
@@ -32,13 +32,14 @@
             "discovery",
             "frontend",
             "http",
-            "invariant",
             "log",
             "memory",
             "overload",
             "request",
             "settings",
             "sockets");
+    /** Used only if assertions are enabled. */
+    private static final String INVARIANTS_PACKAGE = "invariant";
     /** The packages of HttpCore that a sidecar uses, without those below them. */
     private static final Set<String> LIBRARY_PACKAGES = Stream.of(
                     "concurrent",
@@ -118,7 +119,11 @@
 
     private static boolean isOwnPackage(String folder) {
         String[] names = folder.split("/");
-        return names[0].equals(ROOT_PACKAGE) && (names.length == 1 || OWN_PACKAGES.contains(names[1]));
+        if (!names[0].equals(ROOT_PACKAGE) || names.length == 1) {
+            return names[0].equals(ROOT_PACKAGE);
+        }
+        return OWN_PACKAGES.contains(names[1])
+                || names[1].equals(INVARIANTS_PACKAGE) && ClassPreloading.class.desiredAssertionStatus();
     }
 
     private static boolean tryLoad(String file) {
--- a/sidecar/src/test/java/peppergauge/ClassPreloadingTest.java
+++ b/sidecar/src/test/java/peppergauge/ClassPreloadingTest.java
@@ -52,6 +52,8 @@
     public void allClassesOfTheSidecarAreLoadedBeforeItServes() throws Exception {
         List<String> missing = new ArrayList<>();
         try (RecordingLoader loader = new RecordingLoader(classPath())) {
+            // Without assertions, those that check invariants are not needed.
+            loader.setDefaultAssertionStatus(true);
             Class<?> preloading = loader.loadClass(ClassPreloading.class.getName());
             var load = preloading.getDeclaredMethod("loadClasses", Class.class);
             load.setAccessible(true);
