--- a/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoop.java
@@ -364,8 +364,8 @@
     }
 
     /**
-     * Runs a task; an unexpected exception is logged and does not end the thread, nor does a class that cannot be loaded,
-     * which concerns only the task that needs it.
+     * Runs a task; an unexpected exception is logged and does not end the thread, nor does a class that cannot be
+     * loaded, which concerns only the task that needs it.
      */
     static void runGuarded(Runnable task) {
         try {
--- a/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
+++ b/sidecar/src/main/java/peppergauge/sockets/EventLoopSession.java
@@ -23,7 +23,7 @@
 
     private static final int END_OF_STREAM = -1;
 
-    /** Time without an event after which a socket is tried that the selector has not reported since its registration. */
+    /** Time without an event after which a socket is tried that was not reported since its registration. */
     private static final long FIRST_RECHECK_NANOS = 20_000_000;
 
     private final SelectionKey key;
