Preload classes also beside an extension that has no class file

A sidecar with an extension that is a proxy did not start.

Such an extension has no file to load from and is passed over. ClassPreloadingTest.anExtensionWithoutAClassFileIsSkipped.

--- a/sidecar/src/main/java/peppergauge/ClassPreloading.java
+++ b/sidecar/src/main/java/peppergauge/ClassPreloading.java
@@ -87,6 +87,10 @@
         Set<Path> paths = new LinkedHashSet<>();
         for (Class<?> each : classes) {
             CodeSource code = each.getProtectionDomain().getCodeSource();
+            if (code == null) {
+                // A class without a file, such as a proxy.
+                continue;
+            }
             try {
                 paths.add(Path.of(code.getLocation().toURI()));
             } catch (URISyntaxException malformed) {
--- a/sidecar/src/test/java/peppergauge/ClassPreloadingTest.java
+++ b/sidecar/src/test/java/peppergauge/ClassPreloadingTest.java
@@ -1,8 +1,10 @@
 package peppergauge;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.URL;
 import java.net.URLClassLoader;
 import java.nio.file.Files;
@@ -29,6 +31,15 @@
         }
     }
 
+    @Test
+    public void anExtensionWithoutAClassFileIsSkipped() {
+        Object proxy = Proxy.newProxyInstance(
+                SidecarExtension.class.getClassLoader(),
+                new Class<?>[] {SidecarExtension.class},
+                (self, method, arguments) -> null);
+        assertTrue(ClassPreloading.loadClasses(proxy.getClass()) > 0);
+    }
+
     private static List<String> classNames() throws IOException {
         try (Stream<Path> files = Files.walk(CLASSES)) {
             return files.map(CLASSES::relativize)
