Lab: put the faults of calls into a package of their own

Since soaks let calls fail, soak used syscall, which uses flood, which uses soak.

The faults and the preloaded library are lab.callfault now, which uses nothing else of the lab; syscall keeps the runs.

--- a/lab/src/main/java/peppergauge/lab/syscall/CallFault.java
+++ b/lab/src/main/java/peppergauge/lab/callfault/CallFault.java
@@ -1,4 +1,4 @@
-package peppergauge.lab.syscall;
+package peppergauge.lab.callfault;
 
 import java.util.List;
 import java.util.SplittableRandom;
@@ -99,7 +99,7 @@
     }
 
     /** Whether requests can still be served while it lasts: another try of the same call usually succeeds. */
-    boolean spares95PercentOfRequests() {
+    public boolean spares95PercentOfRequests() {
         boolean isRegistration = call == SystemCall.EPOLL_CTL && target == FaultTarget.SERVERS;
         return (call.isPartOfConnecting() || isRegistration) && oneIn >= MIN_ONE_IN_SPARED;
     }
--- a/lab/src/main/java/peppergauge/lab/syscall/Errno.java
+++ b/lab/src/main/java/peppergauge/lab/callfault/Errno.java
@@ -1,4 +1,4 @@
-package peppergauge.lab.syscall;
+package peppergauge.lab.callfault;
 
 /** Errors of system calls, with their numbers on Linux, which are the same on x86-64 and arm64. */
 public enum Errno {
--- a/lab/src/main/java/peppergauge/lab/syscall/SystemCall.java
+++ b/lab/src/main/java/peppergauge/lab/callfault/SystemCall.java
@@ -1,4 +1,4 @@
-package peppergauge.lab.syscall;
+package peppergauge.lab.callfault;
 
 import java.util.Locale;
 
--- a/lab/src/main/java/peppergauge/lab/soak/CallFailureSteps.java
+++ b/lab/src/main/java/peppergauge/lab/soak/CallFailureSteps.java
@@ -4,8 +4,8 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
-import peppergauge.lab.syscall.CallFault;
-import peppergauge.lab.syscall.FailingCalls;
+import peppergauge.lab.callfault.CallFault;
+import peppergauge.lab.callfault.FailingCalls;
 
 /** Performs the steps of a run in which system calls of the sidecar fail. */
 final class CallFailureSteps implements Closeable {
--- a/lab/src/main/java/peppergauge/lab/soak/CallFailures.java
+++ b/lab/src/main/java/peppergauge/lab/soak/CallFailures.java
@@ -3,8 +3,8 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Stream;
-import peppergauge.lab.syscall.CallFault;
-import peppergauge.lab.syscall.FaultTarget;
+import peppergauge.lab.callfault.CallFault;
+import peppergauge.lab.callfault.FaultTarget;
 
 /** The periods of a run in which system calls of the sidecar fail, and what they excuse. Thread-safe. */
 final class CallFailures {
--- a/lab/src/main/java/peppergauge/lab/soak/SoakStep.java
+++ b/lab/src/main/java/peppergauge/lab/soak/SoakStep.java
@@ -1,7 +1,7 @@
 package peppergauge.lab.soak;
 
 import java.time.Duration;
-import peppergauge.lab.syscall.CallFault;
+import peppergauge.lab.callfault.CallFault;
 import peppergauge.operator.Key;
 import peppergauge.operator.Table;
 import peppergauge.operator.Types;
--- a/lab/src/main/java/peppergauge/lab/syscall/SystemCallOutcome.java
+++ b/lab/src/main/java/peppergauge/lab/syscall/SystemCallOutcome.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.Stream;
+import peppergauge.lab.callfault.CallFault;
 import peppergauge.lab.flood.UsualClient;
 
 /**
--- a/lab/src/test/java/peppergauge/lab/syscall/FleetServiceAcceptTest.java
+++ b/lab/src/test/java/peppergauge/lab/syscall/FleetServiceAcceptTest.java
@@ -15,6 +15,11 @@
 import java.util.List;
 import org.testng.annotations.Test;
 import peppergauge.RealTimeTestBase;
+import peppergauge.lab.callfault.CallFault;
+import peppergauge.lab.callfault.Errno;
+import peppergauge.lab.callfault.FailingCalls;
+import peppergauge.lab.callfault.FaultTarget;
+import peppergauge.lab.callfault.SystemCall;
 import peppergauge.lab.process.SidecarProcess;
 
 /** Lets an accept of the fleet service's process fail. */
--- a/lab/src/test/java/peppergauge/lab/syscall/SystemCallTest.java
+++ b/lab/src/test/java/peppergauge/lab/syscall/SystemCallTest.java
@@ -12,6 +12,10 @@
 import java.util.concurrent.Future;
 import org.testng.annotations.Test;
 import peppergauge.RealTimeTestBase;
+import peppergauge.lab.callfault.CallFault;
+import peppergauge.lab.callfault.Errno;
+import peppergauge.lab.callfault.FaultTarget;
+import peppergauge.lab.callfault.SystemCall;
 import peppergauge.lab.flood.FloodRun;
 import peppergauge.lab.flood.UsualClient;
 
